--- /dev/null
+++ b/include/dandelionslip/Model/Announcement.h
@@ -0,0 +1,58 @@
+// The periodic exchange between a node and a control replica.
+#pragma once
+
+#include "dandelionslip/Model/View.h"
+
+#include <optional>
+
+namespace dandelionslip {
+
+/// Heartbeat of a balancer or agent.
+struct Announcement
+{
+  Member mMember;
+  std::uint32_t mWeight = 0;          ///< Capacity estimate; kFullWeight is the declared capacity.
+  std::uint32_t mAckedGeneration = 0; ///< Newest generation whose hand-offs are complete.
+  std::uint64_t mConfigurationRevision = 0;
+  std::uint64_t mViewRevision = 0;
+
+  bool operator==(const Announcement&) const = default;
+};
+
+template <typename V>
+void DescribeFields(V& aVisitor, Announcement& aValue)
+{
+  aVisitor.Field("member", aValue.mMember);
+  aVisitor.Field("weight", aValue.mWeight, {0, 1'000'000});
+  aVisitor.Field("acked_generation", aValue.mAckedGeneration);
+  aVisitor.Field("configuration_revision", aValue.mConfigurationRevision);
+  aVisitor.Field("view_revision", aValue.mViewRevision);
+}
+
+/// A control replica's answer. Without a confirmed lease it carries no state.
+struct AnnouncementAnswer
+{
+  bool mConfirmed = false; ///< The replica has confirmed a quorum recently.
+  bool mFenced = false; ///< A higher incarnation of the same member exists; the process must stop.
+  Milliseconds mLease{0}; ///< Validity from the moment the announcement was sent.
+  std::uint64_t mConfigurationRevision = 0;
+  std::uint64_t mViewRevision = 0;
+  std::optional<Configuration> mConfiguration; ///< Present when the node is behind.
+  std::optional<View> mView;                   ///< Present when the node is behind.
+
+  bool operator==(const AnnouncementAnswer&) const = default;
+};
+
+template <typename V>
+void DescribeFields(V& aVisitor, AnnouncementAnswer& aValue)
+{
+  aVisitor.Field("confirmed", aValue.mConfirmed);
+  aVisitor.Optional("fenced", aValue.mFenced);
+  aVisitor.Field("lease_ms", aValue.mLease);
+  aVisitor.Field("configuration_revision", aValue.mConfigurationRevision);
+  aVisitor.Field("view_revision", aValue.mViewRevision);
+  aVisitor.Optional("configuration", aValue.mConfiguration);
+  aVisitor.Optional("view", aValue.mView);
+}
+
+} // namespace dandelionslip
--- /dev/null
+++ b/include/dandelionslip/Model/Endpoint.h
@@ -0,0 +1,34 @@
+// Numeric IP address and port.
+#pragma once
+
+#include "dandelionslip/Support/Error.h"
+
+#include <array>
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+namespace dandelionslip {
+
+/// An IPv4 or IPv6 address with a port; IPv4 is held in its IPv6-mapped form.
+struct Endpoint
+{
+  std::array<std::uint8_t, 16> mAddress{};
+  std::uint16_t mPort = 0;
+
+  /// Parses "192.0.2.1:80" or "[2001:db8::1]:80". Host names are refused.
+  static Result<Endpoint> Parse(std::string_view aText);
+
+  std::string ToString() const;
+  bool IsV4() const;
+
+  /// The address without the port.
+  std::string AddressText() const;
+
+  auto operator<=>(const Endpoint&) const = default;
+};
+
+/// Hash of address and port.
+std::uint64_t HashOf(const Endpoint& aEndpoint, std::uint64_t aSeed = 0);
+
+} // namespace dandelionslip
--- /dev/null
+++ b/include/dandelionslip/Support/Json.h
@@ -0,0 +1,34 @@
+// Strict JSON and CBOR decoding: comments allowed, duplicate keys refused, nesting bounded.
+#pragma once
+
+#include "dandelionslip/Support/Error.h"
+
+#include <nlohmann/json.hpp>
+
+#include <cstdint>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace dandelionslip {
+
+using Json = nlohmann::json;
+using Bytes = std::vector<std::uint8_t>;
+
+/// Deepest nesting accepted; the decoder of the library recurses once for each level.
+inline constexpr std::size_t kMaxJsonDepth = 32;
+
+/// Parses JSON with // and /* */ comments. Errors name aSource with line and column.
+Result<Json> ParseJson(std::string_view aText, std::string_view aSource);
+
+/// Reads and parses a file. Errors name the file.
+Result<Json> ReadJsonFile(const std::string& aPath);
+
+/// Encodes a value as CBOR.
+Bytes EncodeCbor(const Json& aValue);
+
+/// Decodes CBOR; refuses trailing bytes, duplicate keys and deep nesting.
+Result<Json> DecodeCbor(std::span<const std::uint8_t> aBytes, std::string_view aSource);
+
+} // namespace dandelionslip
--- /dev/null
+++ b/lib/Support/Json.cpp
@@ -0,0 +1,174 @@
+// Strict decoding on top of the SAX interface of nlohmann-json.
+#include "dandelionslip/Support/Json.h"
+
+#include <fstream>
+#include <optional>
+#include <sstream>
+
+namespace dandelionslip {
+
+namespace {
+
+// Builds a document and refuses what the library's own builder accepts silently.
+class StrictBuilder
+{
+public:
+  using number_integer_t = Json::number_integer_t;
+  using number_unsigned_t = Json::number_unsigned_t;
+  using number_float_t = Json::number_float_t;
+  using string_t = Json::string_t;
+  using binary_t = Json::binary_t;
+
+  bool null() { return Place(Json()); }
+  bool boolean(bool aValue) { return Place(Json(aValue)); }
+  bool number_integer(number_integer_t aValue) { return Place(Json(aValue)); }
+  bool number_unsigned(number_unsigned_t aValue) { return Place(Json(aValue)); }
+  bool number_float(number_float_t aValue, const string_t& /*aText*/)
+  {
+    return Place(Json(aValue));
+  }
+  bool string(string_t& aValue) { return Place(Json(std::move(aValue))); }
+  bool binary(binary_t& aValue) { return Place(Json(std::move(aValue))); }
+  bool start_object(std::size_t /*aSize*/) { return Open(Json::object()); }
+  bool start_array(std::size_t /*aSize*/) { return Open(Json::array()); }
+  bool end_object() { return Close(); }
+  bool end_array() { return Close(); }
+
+  bool key(string_t& aKey)
+  {
+    if (mOpen.back()->contains(aKey)) {
+      mProblem = "duplicate key \"" + aKey + "\"";
+      return false;
+    }
+    mKeys.back() = aKey;
+    return true;
+  }
+
+  bool parse_error(std::size_t aPosition, const std::string& /*aToken*/,
+                   const nlohmann::detail::exception& aWhat)
+  {
+    mPosition = aPosition;
+    mProblem = aWhat.what();
+    return false;
+  }
+
+  Json TakeRoot() { return std::move(mRoot); }
+  const std::string& Problem() const { return mProblem; }
+  std::optional<std::size_t> Position() const { return mPosition; }
+
+private:
+  Json* Insert(Json&& aValue)
+  {
+    if (mOpen.empty()) {
+      mRoot = std::move(aValue);
+      return &mRoot;
+    }
+    Json& parent = *mOpen.back();
+    if (parent.is_array()) {
+      parent.push_back(std::move(aValue));
+      return &parent.back();
+    }
+    Json& slot = parent[mKeys.back()];
+    slot = std::move(aValue);
+    return &slot;
+  }
+
+  bool Place(Json&& aValue)
+  {
+    Insert(std::move(aValue));
+    return true;
+  }
+
+  bool Open(Json&& aContainer)
+  {
+    if (mOpen.size() >= kMaxJsonDepth) {
+      mProblem = "nesting deeper than " + std::to_string(kMaxJsonDepth) + " levels";
+      return false;
+    }
+    mOpen.push_back(Insert(std::move(aContainer)));
+    mKeys.emplace_back();
+    return true;
+  }
+
+  bool Close()
+  {
+    mOpen.pop_back();
+    mKeys.pop_back();
+    return true;
+  }
+
+  Json mRoot;
+  std::vector<Json*> mOpen;
+  std::vector<std::string> mKeys;
+  std::string mProblem;
+  std::optional<std::size_t> mPosition;
+};
+
+std::string LineAndColumn(std::string_view aText, std::size_t aPosition)
+{
+  std::size_t line = 1;
+  std::size_t column = 1;
+  for (std::size_t i = 0; i + 1 < aPosition && i < aText.size(); ++i) {
+    const bool newline = aText[i] == '\n';
+    line += newline ? 1 : 0;
+    column = newline ? 1 : column + 1;
+  }
+  return "line " + std::to_string(line) + ", column " + std::to_string(column) + ": ";
+}
+
+} // namespace
+
+Result<Json> ParseJson(std::string_view aText, std::string_view aSource)
+{
+  StrictBuilder builder;
+  constexpr bool kStrict = true;
+  constexpr bool kIgnoreComments = true;
+  try {
+    if (Json::sax_parse(aText.begin(), aText.end(), &builder,
+                        nlohmann::detail::input_format_t::json, kStrict, kIgnoreComments)) {
+      return builder.TakeRoot();
+    }
+  } catch (const std::exception& failure) {
+    return Fail(ErrorCode::InvalidInput, "parse", std::string(aSource), failure.what());
+  }
+  std::string detail = builder.Problem();
+  if (const auto position = builder.Position()) {
+    detail = LineAndColumn(aText, *position) + detail;
+  }
+  return Fail(ErrorCode::InvalidInput, "parse", std::string(aSource), std::move(detail));
+}
+
+Result<Json> ReadJsonFile(const std::string& aPath)
+{
+  std::ifstream file(aPath, std::ios::binary);
+  if (!file) {
+    return Fail(ErrorCode::Io, "read", aPath, "cannot open the file");
+  }
+  std::ostringstream text;
+  text << file.rdbuf();
+  if (file.bad()) {
+    return Fail(ErrorCode::Io, "read", aPath, "cannot read the file");
+  }
+  return ParseJson(text.str(), aPath);
+}
+
+Bytes EncodeCbor(const Json& aValue)
+{
+  return Json::to_cbor(aValue);
+}
+
+Result<Json> DecodeCbor(std::span<const std::uint8_t> aBytes, std::string_view aSource)
+{
+  StrictBuilder builder;
+  try {
+    if (Json::sax_parse(aBytes.begin(), aBytes.end(), &builder,
+                        nlohmann::detail::input_format_t::cbor)) {
+      return builder.TakeRoot();
+    }
+  } catch (const std::exception& failure) {
+    return Fail(ErrorCode::InvalidInput, "decode", std::string(aSource), failure.what());
+  }
+  return Fail(ErrorCode::InvalidInput, "decode", std::string(aSource), builder.Problem());
+}
+
+} // namespace dandelionslip
