--- /dev/null
+++ b/lib/Net/AsioEndpoint.h
@@ -0,0 +1,40 @@
+// Conversion between endpoints of the library and of Asio.
+#pragma once
+
+#include "dandelionslip/Model/Endpoint.h"
+
+#include <boost/asio/ip/address.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/ip/udp.hpp>
+
+#include <algorithm>
+
+namespace dandelionslip {
+
+template <typename Protocol>
+typename Protocol::endpoint ToAsio(const Endpoint& aEndpoint)
+{
+  boost::asio::ip::address_v6::bytes_type bytes{};
+  std::copy(aEndpoint.mAddress.begin(), aEndpoint.mAddress.end(), bytes.begin());
+  const boost::asio::ip::address_v6 address(bytes);
+  if (address.is_v4_mapped()) {
+    return {boost::asio::ip::make_address_v4(boost::asio::ip::v4_mapped, address), aEndpoint.mPort};
+  }
+  return {address, aEndpoint.mPort};
+}
+
+template <typename AsioEndpoint>
+Endpoint FromAsio(const AsioEndpoint& aEndpoint)
+{
+  const auto address = aEndpoint.address();
+  const auto bytes =
+    (address.is_v4() ? boost::asio::ip::make_address_v6(boost::asio::ip::v4_mapped, address.to_v4())
+                     : address.to_v6())
+      .to_bytes();
+  Endpoint endpoint;
+  std::copy(bytes.begin(), bytes.end(), endpoint.mAddress.begin());
+  endpoint.mPort = aEndpoint.port();
+  return endpoint;
+}
+
+} // namespace dandelionslip
--- /dev/null
+++ b/lib/Net/Http2Session.h
@@ -0,0 +1,96 @@
+// One HTTP/2 connection: nghttp2 on an Asio socket, shared by server and client.
+#pragma once
+
+#include "dandelionslip/Net/HttpMessage.h"
+#include "dandelionslip/Support/Error.h"
+
+#include <nghttp2/nghttp2.h>
+
+#include <boost/asio/ip/tcp.hpp>
+
+#include <array>
+#include <map>
+#include <memory>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace dandelionslip {
+
+/// Reads and writes frames. All methods run on the socket's strand.
+class Http2Session : public std::enable_shared_from_this<Http2Session>
+{
+public:
+  using Socket = boost::asio::ip::tcp::socket;
+
+  virtual ~Http2Session();
+  Http2Session(const Http2Session&) = delete;
+  Http2Session& operator=(const Http2Session&) = delete;
+
+  /// Sends the settings and starts reading.
+  void Start();
+
+  /// Closes the socket and reports aReason through OnClosed once.
+  void Shut(const std::string& aReason);
+
+  /// Sends GOAWAY; streams in progress continue.
+  void SendGoAway();
+
+  /// Resets one stream.
+  void Reset(std::int32_t aStream, std::uint32_t aCode);
+
+  bool IsOpen() const { return mOpen; }
+  Socket& Transport() { return mSocket; }
+  const std::string& Peer() const { return mPeer; }
+
+protected:
+  enum class Side
+  {
+    Server,
+    Client,
+  };
+
+  Http2Session(Socket aSocket, Side aSide, std::string aPeer);
+
+  virtual void OnHeader(std::int32_t aStream, std::string_view aName, std::string_view aValue) = 0;
+  virtual void OnBody(std::int32_t aStream, std::span<const std::uint8_t> aBytes) = 0;
+  /// The peer's whole message has arrived, with its length checked.
+  virtual void OnMessageEnd(std::int32_t aStream) = 0;
+  /// aCode is an HTTP/2 error code; 0 after a regular end.
+  virtual void OnStreamClosed(std::int32_t aStream, std::uint32_t aCode) = 0;
+  virtual void OnClosed(const std::string& aReason) = 0;
+
+  /// Submits a response or request with a body; returns the stream or an nghttp2 error.
+  std::int32_t Submit(std::int32_t aStream, const std::vector<HttpHeader>& aHeaders, Bytes aBody);
+
+  /// Hands pending frames to the socket.
+  void Flush();
+
+private:
+  struct Outgoing
+  {
+    Bytes mBody;
+    std::size_t mOffset = 0;
+  };
+
+  static ssize_t ReadBody(nghttp2_session* aSession, std::int32_t aStream, std::uint8_t* aBuffer,
+                          std::size_t aLength, std::uint32_t* aFlags, nghttp2_data_source* aSource,
+                          void* aUser);
+  static nghttp2_session_callbacks* MakeCallbacks();
+  void Read();
+  void Write();
+
+  Socket mSocket;
+  Side mSide;
+  std::string mPeer;
+  nghttp2_session* mSession = nullptr;
+  std::map<std::int32_t, Outgoing> mOutgoing;
+  std::array<std::uint8_t, 65'536> mReadBuffer{};
+  Bytes mWriteBuffer;
+  bool mWriting = false;
+  bool mReceiving = false;
+  bool mOpen = true;
+};
+
+} // namespace dandelionslip
