--- /dev/null
+++ b/include/dandelionslip/Daemon/AgentDaemon.h
@@ -0,0 +1,13 @@
+// The agent as a process: its upstream, other agents, balancers and control.
+#pragma once
+
+#include "dandelionslip/Config/AgentSettings.h"
+#include "dandelionslip/Support/Error.h"
+
+namespace dandelionslip {
+
+/// Runs an agent until it is stopped by a signal. Returns the exit code of the process; an error
+/// means that it could not start.
+Result<int> RunAgent(const AgentSettings& aSettings);
+
+} // namespace dandelionslip
--- /dev/null
+++ b/include/dandelionslip/Daemon/ControlDaemon.h
@@ -0,0 +1,21 @@
+// The control replica as a process: log on disk, peers, nodes and operators.
+#pragma once
+
+#include "dandelionslip/Config/ControlSettings.h"
+#include "dandelionslip/Support/Error.h"
+
+namespace dandelionslip {
+
+/// How the process starts.
+struct ControlStart
+{
+  /// Writes the first membership from the settings to an empty data folder. Only for a new group:
+  /// a replica that lost its disk must join as a learner under a new identity.
+  bool mBootstrap = false;
+};
+
+/// Runs a control replica until it is stopped by a signal. Returns the exit code of the process;
+/// an error means that it could not start.
+Result<int> RunControl(const ControlSettings& aSettings, const ControlStart& aStart);
+
+} // namespace dandelionslip
--- /dev/null
+++ b/include/dandelionslip/Daemon/OperatorClient.h
@@ -0,0 +1,47 @@
+// Operators' requests to the control replicas.
+#pragma once
+
+#include "dandelionslip/Control/Membership.h"
+#include "dandelionslip/Model/Command.h"
+#include "dandelionslip/Support/RuntimeClock.h"
+
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace dandelionslip {
+
+/// Blocking client for one command-line invocation.
+class OperatorClient
+{
+public:
+  /// aEndpoints are "address:port" of control replicas.
+  explicit OperatorClient(std::vector<std::string> aEndpoints);
+  ~OperatorClient();
+
+  /// Sends a command to the replicas in turn until one decides it or aTimeout has passed. All
+  /// sendings carry the same publication id, so the command is applied at most once. The outcome
+  /// is NotApplied only if no replica can have appended the command.
+  CommandAnswer Send(const Command& aCommand, Milliseconds aTimeout);
+
+  /// Proposes a change of the replicas. Repeated only while no leader took it.
+  CommandAnswer Send(const MembershipChange& aChange, Milliseconds aTimeout);
+
+  /// The status of each replica that answers, keyed by its endpoint.
+  Json Status(Milliseconds aTimeout);
+
+  /// The newest confirmed configuration. Unavailable when no replica confirms one.
+  Result<Configuration> FetchConfiguration(Milliseconds aTimeout);
+
+private:
+  struct State;
+  CommandAnswer SendUntilDecided(const std::string& aPath, const Bytes& aBody,
+                                 Milliseconds aTimeout);
+  Result<Bytes> Post(const std::string& aEndpoint, const std::string& aPath, Bytes aBody,
+                     Milliseconds aTimeout);
+
+  std::vector<std::string> mEndpoints;
+  std::unique_ptr<State> mState;
+};
+
+} // namespace dandelionslip
--- /dev/null
+++ b/include/dandelionslip/Daemon/ProgramMain.h
@@ -0,0 +1,53 @@
+// Command line shared by the three daemons.
+#pragma once
+
+#include "dandelionslip/Config/LoadSettings.h"
+
+#include <docopt/docopt.h>
+
+#include <functional>
+#include <iostream>
+#include <map>
+#include <string>
+
+namespace dandelionslip {
+
+/// Parsed command line by option name.
+using ProgramArguments = std::map<std::string, docopt::value>;
+
+/// Exit codes of the daemons.
+enum ProgramExit : int
+{
+  kExitOk = 0,
+  kExitFailure = 1,     ///< Could not start, for example because an address is in use.
+  kExitUsage = 2,       ///< Wrong command line or settings.
+  kExitDataFailure = 3, ///< A control replica stopped because of its disk or identity.
+  kExitFenced = 4,      ///< A newer process runs under the same name.
+};
+
+/// Parses the command line, loads and checks the settings, and runs the program.
+template <typename Settings>
+int ProgramMain(const char* aUsage, const std::string& aName, int aArgc, char** aArgv,
+                const std::function<Result<int>(const Settings&, const ProgramArguments&)>& aRun)
+{
+  const ProgramArguments arguments =
+    docopt::docopt(aUsage, {aArgv + 1, aArgv + aArgc}, true, aName + " " + DANDELIONSLIP_VERSION);
+  const std::string path = arguments.at("--config").asString();
+  const auto settings = LoadSettings<Settings>(path);
+  if (!settings) {
+    std::cerr << settings.error().Message() << "\n";
+    return kExitUsage;
+  }
+  if (arguments.at("--check-config").asBool()) {
+    std::cout << path << ": ok\n";
+    return kExitOk;
+  }
+  const auto code = aRun(settings.value(), arguments);
+  if (!code) {
+    std::cerr << code.error().Message() << "\n";
+    return kExitFailure;
+  }
+  return code.value();
+}
+
+} // namespace dandelionslip
--- /dev/null
+++ b/lib/Daemon/AgentDaemon.cpp
@@ -0,0 +1,909 @@
+// Connects the flow, admission and request cores to the upstream, other nodes and control.
+#include "dandelionslip/Daemon/AgentDaemon.h"
+
+#include "ControlLink.h"
+#include "HttpReply.h"
+#include "RequestHeaders.h"
+#include "UpstreamPorts.h"
+
+#include "dandelionslip/Agent/FlowCore.h"
+#include "dandelionslip/Agent/UpstreamAdmission.h"
+#include "dandelionslip/Daemon/WorkerPool.h"
+#include "dandelionslip/Net/MetricsEndpoint.h"
+#include "dandelionslip/Request/HomeCore.h"
+#include "dandelionslip/Support/Log.h"
+
+#include <array>
+#include <deque>
+
+namespace dandelionslip {
+
+namespace {
+
+constexpr Milliseconds kFlowTick{50};
+constexpr Milliseconds kRequestTick{10};
+constexpr Milliseconds kHealthInterval{500};
+constexpr Milliseconds kPeerTimeout{1'000};
+constexpr Milliseconds kStopPoll{50};
+// Balancers send no new work this long after the draining announcement.
+constexpr Milliseconds kDrainTime{1'200};
+
+// Request slots are taken from the upstream's admission.
+class AdmissionSlots : public SlotAdmission
+{
+public:
+  explicit AdmissionSlots(UpstreamAdmission& aAdmission)
+    : mAdmission(aAdmission)
+  {
+  }
+
+  std::optional<Refusal> TryStart(TimePoint aNow) override { return mAdmission.TryStartSlot(aNow); }
+
+  void Finished(TimePoint aNow, RuntimeClock::duration aLatency, RunResult aResult) override
+  {
+    static constexpr std::array<CompletionResult, 4> kResults{
+      CompletionResult::Success, CompletionResult::Failure, CompletionResult::Shed,
+      CompletionResult::Cancelled};
+    mAdmission.FinishSlot(aNow, aLatency, kResults[static_cast<std::size_t>(aResult)]);
+  }
+
+private:
+  UpstreamAdmission& mAdmission;
+};
+
+RequestTime Now()
+{
+  return {RuntimeClock::now(), WallClockMs()};
+}
+
+// Moves request records with their buckets; collects the request actions that this causes.
+class HandedRecords : public BucketRecords
+{
+public:
+  void Attach(HomeCore* aHome) { mHome = aHome; }
+
+  HomeActions TakeActions() { return std::exchange(mActions, {}); }
+
+  Json Export(std::span<const std::uint32_t> aBuckets, const std::string& aNewOwner) override
+  {
+    auto records = mHome->FreezeAndExport({aBuckets.begin(), aBuckets.end()}, aNewOwner, Now());
+    if (!records) {
+      LogEvent(LogLevel::Warning, "records_not_exported").With(records.error());
+      return {};
+    }
+    return std::move(records.value());
+  }
+
+  void Import(const Json& aRecords) override
+  {
+    if (aRecords.is_null()) {
+      return;
+    }
+    auto actions = mHome->OnHandoff(aRecords, "previous owner", Now());
+    if (!actions) {
+      LogEvent(LogLevel::Warning, "records_not_imported").With(actions.error());
+      return;
+    }
+    Append(std::move(actions.value()));
+  }
+
+  void Acquire(std::span<const std::uint32_t> aBuckets) override
+  {
+    for (const auto bucket : aBuckets) {
+      Append(mHome->OnBucketAcquired(bucket, Now()));
+    }
+  }
+
+  void StartFirst(std::span<const std::uint32_t> aBuckets) override
+  {
+    for (const auto bucket : aBuckets) {
+      Append(mHome->OnBucketFirstOwner(bucket, Now()));
+    }
+  }
+
+  void StartWithoutRecords(std::span<const std::uint32_t> aBuckets, TimePoint /*aNow*/) override
+  {
+    for (const auto bucket : aBuckets) {
+      Append(mHome->OnPreviousOwnerLost(bucket, Now()));
+    }
+  }
+
+private:
+  void Append(HomeActions aActions)
+  {
+    std::move(aActions.begin(), aActions.end(), std::back_inserter(mActions));
+  }
+
+  HomeCore* mHome = nullptr;
+  HomeActions mActions;
+};
+
+class AgentDaemon
+{
+public:
+  explicit AgentDaemon(const AgentSettings& aSettings)
+    : mSettings(aSettings)
+    , mPool(aSettings.mWorkers)
+    , mPeers(mPool.Loop())
+    , mLink(mPool.Loop(), mPeers, aSettings, mRegistry,
+            {[this] { return Announce(); },
+             [this](const auto& aAnswer, const auto& aState, TimePoint aSentAt) {
+               OnAnswer(aAnswer, aState, aSentAt);
+             }})
+    , mSelf(Endpoint::Parse(aSettings.mDatagramEndpoint).value())
+    , mPorts(mPool.Loop(), Endpoint::Parse(aSettings.mLocalAddress + ":1").value(),
+             Endpoint::Parse(aSettings.mUpstreamDatagramEndpoint).value(),
+             [this](FlowId aFlow, auto aPayload) { OnUpstreamDatagram(aFlow, aPayload); })
+    , mIncarnation(static_cast<std::uint64_t>(WallClockMs()))
+  {
+  }
+
+  Result<int> Run()
+  {
+    auto socket = UdpSocket::Bind(mPool.Loop(), mSelf, [this](auto aBytes, const Endpoint& aFrom) {
+      OnDatagram(aBytes, aFrom);
+    });
+    if (!socket) {
+      return socket.as_failure();
+    }
+    mSocket = std::move(socket.value());
+    auto server =
+      Http2Server::Listen(mPool.Loop(), Endpoint::Parse(mSettings.mRequestEndpoint).value(),
+                          [this](auto aExchange) { OnHttp(aExchange); });
+    if (!server) {
+      return server.as_failure();
+    }
+    mServer = std::move(server.value());
+    if (!mSettings.mMetricsEndpoint.empty()) {
+      auto metrics =
+        MetricsEndpoint::Listen(mPool.Loop(), Endpoint::Parse(mSettings.mMetricsEndpoint).value(),
+                                mRegistry, [this] { RefreshMetrics(); });
+      if (!metrics) {
+        return metrics.as_failure();
+      }
+      mMetrics = std::move(metrics.value());
+    }
+    mPool.OnStop([this] { Stop(); });
+    LogEvent(LogLevel::Info, "started")
+      .With("service", mSettings.mService)
+      .With("endpoint", mSettings.mDatagramEndpoint)
+      .With("incarnation", mIncarnation)
+      .With("version", DANDELIONSLIP_VERSION);
+    mLink.FetchState([this](const NodeState& aState) { Begin(aState); });
+    return mPool.Run();
+  }
+
+private:
+  // --- Start ---
+
+  // Waits until the service is declared, then builds the cores for its declaration.
+  void Begin(const NodeState& aState)
+  {
+    const ServiceEntry* entry = aState.CurrentConfiguration().FindService(mSettings.mService);
+    if (entry == nullptr) {
+      CallAfter(mPool.Loop(), mSettings.mAnnounceInterval,
+                [this] { mLink.FetchState([this](const NodeState& aNext) { Begin(aNext); }); });
+      return;
+    }
+    const TimePoint now = RuntimeClock::now();
+    const Member* self = aState.CurrentView().FindMember(mSettings.mNode);
+    FlowActions actions;
+    {
+      const std::lock_guard lock(mMutex);
+      CreateCores(*entry, now);
+      mLastView = aState.CurrentView();
+      mFlows->OnState(aState.CurrentView(), aState.CurrentConfiguration(), now, actions);
+      if (self != nullptr && self->mState == MemberState::Restarting && !self->mCustodian.empty()) {
+        LogEvent(LogLevel::Info, "resuming").With("custodian", self->mCustodian);
+        mResuming = true;
+        mFlows->BeginResumption(self->mCustodian, now, actions);
+      }
+    }
+    Perform(std::move(actions));
+    mFlowTimer =
+      std::make_unique<RepeatingTimer>(mPool.Loop(), kFlowTick, [this] { OnFlowTick(); });
+    mRequestTimer =
+      std::make_unique<RepeatingTimer>(mPool.Loop(), kRequestTick, [this] { OnRequestTick(); });
+    mHealthTimer =
+      std::make_unique<RepeatingTimer>(mPool.Loop(), kHealthInterval, [this] { CheckHealth(); });
+    if (!mResuming) {
+      mLink.Start();
+    }
+  }
+
+  void CreateCores(const ServiceEntry& aEntry, TimePoint aNow)
+  {
+    mSpec = aEntry.mSpec;
+    mServiceId = aEntry.mId;
+    mAdmission = std::make_unique<UpstreamAdmission>(mSpec, aNow);
+    mSlots = std::make_unique<AdmissionSlots>(*mAdmission);
+    HomeSettings home;
+    home.mSelf = mSettings.mNode;
+    home.mIncarnation = mIncarnation;
+    home.mBuckets = mSpec.mBuckets;
+    home.mSlots = mSpec.mSlots;
+    home.mRecords.mMaxRecords = mSettings.mMaxRecords;
+    home.mRecords.mMaxBytes = std::size_t{mSettings.mMaxRecordMebibytes} << 20U;
+    home.mRecords.mRetention = mSettings.mRecordRetention;
+    mHome = std::make_unique<HomeCore>(
+      home, *mSlots, [this](std::uint32_t aBucket) { return AlternateOf(aBucket); }, mRegistry);
+    mRecords.Attach(mHome.get());
+    FlowSettings flows;
+    flows.mName = mSettings.mNode;
+    flows.mService = mSettings.mService;
+    flows.mEndpoint = mSelf;
+    flows.mIncarnation = mIncarnation;
+    flows.mMaxFlows = mSettings.mMaxFlows;
+    mFlows = std::make_unique<FlowCore>(flows, *mAdmission, &mRecords);
+  }
+
+  // Called by the request core while mMutex is held.
+  std::optional<AlternateAgent> AlternateOf(std::uint32_t aBucket)
+  {
+    const auto name = mFlows->AlternateOf(aBucket);
+    const Member* member = name ? mLastView.FindMember(*name) : nullptr;
+    if (member == nullptr || member->mName == mSettings.mNode) {
+      return std::nullopt;
+    }
+    return AlternateAgent{member->mName, member->mIncarnation};
+  }
+
+  // --- Control ---
+
+  Announcement Announce()
+  {
+    Announcement announcement;
+    Member& member = announcement.mMember;
+    member.mName = mSettings.mNode;
+    member.mKind = MemberKind::Agent;
+    member.mService = mSettings.mService;
+    member.mDataCentre = mSettings.mDataCentre;
+    member.mDatagramEndpoint = mSettings.mDatagramEndpoint;
+    member.mRequestEndpoint = mSettings.mRequestEndpoint;
+    member.mIncarnation = mIncarnation;
+    const std::lock_guard lock(mMutex);
+    announcement.mWeight = mAdmission->UpdateWeight(RuntimeClock::now());
+    announcement.mAckedGeneration = mFlows->AckedGeneration();
+    member.mState = AnnouncedState();
+    member.mCustodian = mCustodian;
+    return announcement;
+  }
+
+  MemberState AnnouncedState() const
+  {
+    if (mStopState) {
+      return *mStopState;
+    }
+    return mAdmission->State() == UpstreamState::Cold ? MemberState::Cold : MemberState::Serving;
+  }
+
+  void OnAnswer(const AnnouncementAnswer& aAnswer, const NodeState& aState, TimePoint aSentAt)
+  {
+    if (aAnswer.mFenced) {
+      LogEvent(LogLevel::Error, "fenced").With("incarnation", mIncarnation);
+      constexpr int kFencedExit = 4;
+      mPool.Exit(kFencedExit);
+      return;
+    }
+    const TimePoint now = RuntimeClock::now();
+    FlowActions flowActions;
+    HomeActions homeActions;
+    {
+      const std::lock_guard lock(mMutex);
+      if (aAnswer.mLease.count() > 0) {
+        mLeaseEnd = std::max(mLeaseEnd, aSentAt + aAnswer.mLease);
+      }
+      homeActions = mHome->OnLease(now < mLeaseEnd, Now());
+      ApplyState(aState, now, flowActions, homeActions);
+      AppendRecordActions(homeActions);
+    }
+    Perform(std::move(flowActions));
+    Perform(std::move(homeActions));
+  }
+
+  void ApplyState(const NodeState& aState, TimePoint aNow, FlowActions& aFlowActions,
+                  HomeActions& aHomeActions)
+  {
+    const Configuration& configuration = aState.CurrentConfiguration();
+    const View& view = aState.CurrentView();
+    if (const auto* entry = configuration.FindService(mSettings.mService);
+        entry != nullptr && entry->mSpec != mSpec) {
+      mSpec = entry->mSpec;
+      mAdmission->UpdateSpec(mSpec, aNow);
+    }
+    if (!mStopState) {
+      configuration.IsDrained(mSettings.mNode) ? mAdmission->Drain() : mAdmission->Undrain();
+    }
+    if (view.mRevision <= mLastView.mRevision &&
+        configuration.mRevision <= mFlows->ConfigurationRevision()) {
+      return;
+    }
+    NoteLostAgents(view, aHomeActions);
+    mLastView = view;
+    mFlows->OnState(view, configuration, aNow, aFlowActions);
+  }
+
+  // Requests that a lost agent was still running for this one have an unknown outcome.
+  void NoteLostAgents(const View& aView, HomeActions& aHomeActions)
+  {
+    for (const auto& [name, member] : aView.mMembers) {
+      const Member* before = mLastView.FindMember(name);
+      const bool lostNow = member.mState == MemberState::Lost &&
+                           (before == nullptr || before->mState != MemberState::Lost);
+      if (lostNow && member.mService == mSettings.mService) {
+        auto actions = mHome->OnAgentLost(name, Now());
+        std::move(actions.begin(), actions.end(), std::back_inserter(aHomeActions));
+      }
+    }
+  }
+
+  void AppendRecordActions(HomeActions& aActions)
+  {
+    auto actions = mRecords.TakeActions();
+    std::move(actions.begin(), actions.end(), std::back_inserter(aActions));
+  }
+
+  // Runs an event of the flow core and performs what it asks for.
+  template <typename Event>
+  void WithFlows(Event aEvent)
+  {
+    FlowActions flowActions;
+    HomeActions homeActions;
+    {
+      const std::lock_guard lock(mMutex);
+      if (!mFlows) {
+        return;
+      }
+      aEvent(*mFlows, flowActions);
+      AppendRecordActions(homeActions);
+    }
+    Perform(std::move(flowActions));
+    Perform(std::move(homeActions));
+  }
+
+  template <typename Event>
+  void WithHome(Event aEvent)
+  {
+    HomeActions actions;
+    {
+      const std::lock_guard lock(mMutex);
+      if (!mHome) {
+        return;
+      }
+      actions = aEvent(*mHome);
+    }
+    Perform(std::move(actions));
+  }
+
+  // --- Flows ---
+
+  void OnDatagram(std::span<const std::uint8_t> aBytes, const Endpoint& aFrom)
+  {
+    const auto frame = DecodeDatagram(aBytes);
+    if (!frame) {
+      mRegistry.CounterFor("dandelionslip_agent_drops_total", "reason=\"malformed\"").Add();
+      return;
+    }
+    const auto& [header, payload] = frame.value();
+    WithFlows([&](FlowCore& aCore, FlowActions& aOut) {
+      const TimePoint now = RuntimeClock::now();
+      if (header.mKind == DatagramKind::Forward) {
+        aCore.OnForward(header, payload, aFrom, now, aOut);
+      } else if (header.mKind == DatagramKind::Probe) {
+        aCore.OnProbe(header, aFrom, now < mLeaseEnd, aOut);
+      }
+    });
+  }
+
+  void OnUpstreamDatagram(FlowId aFlow, std::span<const std::uint8_t> aPayload)
+  {
+    WithFlows([&](FlowCore& aCore, FlowActions& aOut) {
+      const TimePoint now = RuntimeClock::now();
+      if (const auto sent = mSentToUpstream.extract(aFlow); !sent.empty()) {
+        mAdmission->ObserveReply(now, now - sent.mapped());
+      }
+      aCore.OnUpstreamDatagram(aFlow, aPayload, now, aOut);
+    });
+  }
+
+  void OnFlowTick()
+  {
+    WithFlows([](FlowCore& aCore, FlowActions& aOut) { aCore.OnTick(RuntimeClock::now(), aOut); });
+  }
+
+  void Perform(FlowActions aActions)
+  {
+    for (auto& action : aActions) {
+      std::visit([this](auto& aAction) { Do(aAction); }, action);
+    }
+  }
+
+  void Do(SendDatagram& aAction)
+  {
+    const auto header = EncodeDatagramHeader(aAction.mHeader);
+    Bytes frame(header.begin(), header.end());
+    frame.insert(frame.end(), aAction.mPayload.begin(), aAction.mPayload.end());
+    mSocket->Send(frame, aAction.mTo);
+  }
+
+  void Do(OpenUpstreamPort& aAction)
+  {
+    const std::uint16_t port = mPorts.Open(aAction.mFlow, aAction.mPort);
+    WithFlows([&](FlowCore& aCore, FlowActions& aOut) {
+      aCore.OnUpstreamPortOpened(aAction.mFlow, port, RuntimeClock::now(), aOut);
+    });
+  }
+
+  void Do(SendToUpstream& aAction)
+  {
+    {
+      const std::lock_guard lock(mMutex);
+      mSentToUpstream.try_emplace(aAction.mFlow, RuntimeClock::now());
+    }
+    mPorts.Send(aAction.mFlow, aAction.mPayload);
+  }
+
+  void Do(CloseUpstreamPort& aAction)
+  {
+    {
+      const std::lock_guard lock(mMutex);
+      mSentToUpstream.erase(aAction.mFlow);
+    }
+    mPorts.Close(aAction.mFlow);
+  }
+
+  void Do(SendPeerMessage& aAction)
+  {
+    std::string endpoint;
+    {
+      const std::lock_guard lock(mMutex);
+      if (const Member* member = mLastView.FindMember(aAction.mTo)) {
+        endpoint = member->mRequestEndpoint;
+      }
+    }
+    const auto client = mPeers.For(endpoint);
+    if (!client) {
+      return;
+    }
+    HttpRequest request;
+    request.mPath = "/v1/peer";
+    request.mHeaders = {{"dslip-from", mSettings.mNode}};
+    request.mBody = EncodePeerMessage(aAction.mMessage);
+    client->Send(std::move(request), kPeerTimeout, [](const auto&) {});
+  }
+
+  void Do(FetchView& /*aAction*/) { mLink.AnnounceNow(); }
+
+  void Do(HandoverDone& aAction)
+  {
+    LogEvent(LogLevel::Info, "handed_over").With("custodian", aAction.mCustodian);
+    {
+      const std::lock_guard lock(mMutex);
+      mCustodian = aAction.mCustodian;
+      mStopState = aAction.mCustodian.empty() ? MemberState::Left : MemberState::Restarting;
+    }
+    mLink.Stop();
+    mLink.AnnounceNow([this] { mPool.Exit(0); });
+  }
+
+  void Do(ResumptionDone& aAction)
+  {
+    LogEvent(LogLevel::Info, "resumed").With("state_found", aAction.mAdmission.is_null() ? 0 : 1);
+    {
+      const std::lock_guard lock(mMutex);
+      if (const auto snapshot = FromJson<AdmissionSnapshot>(aAction.mAdmission, "handover")) {
+        mAdmission->Restore(snapshot.value(), RuntimeClock::now());
+      }
+      mResuming = false;
+    }
+    mLink.Start();
+  }
+
+  // --- HTTP/2 ---
+
+  void OnHttp(const std::shared_ptr<HttpExchange>& aExchange)
+  {
+    const std::string& path = aExchange->Request().mPath;
+    if (path == "/v1/request") {
+      OnRequest(aExchange);
+    } else if (path == "/v1/peer") {
+      OnPeer(aExchange);
+    } else if (path == "/v1/record") {
+      OnRecord(aExchange);
+    } else if (path == "/v1/state") {
+      OnStateRequest(aExchange);
+    } else {
+      RespondError(*aExchange, kStatusNotFound, "no such path");
+    }
+  }
+
+  void OnPeer(const std::shared_ptr<HttpExchange>& aExchange)
+  {
+    const auto message = DecodePeerMessage(aExchange->Request().mBody, aExchange->Peer());
+    if (!message) {
+      RespondError(*aExchange, kStatusBadRequest, message.error().Message());
+      return;
+    }
+    const std::string from(FindHeader(aExchange->Request().mHeaders, "dslip-from"));
+    aExchange->Respond({});
+    WithFlows([&](FlowCore& aCore, FlowActions& aOut) {
+      aCore.OnPeerMessage(from, message.value(), RuntimeClock::now(), aOut);
+    });
+  }
+
+  void OnRecord(const std::shared_ptr<HttpExchange>& aExchange)
+  {
+    const auto record = DecodeCbor(aExchange->Request().mBody, aExchange->Peer());
+    aExchange->Respond({});
+    if (!record) {
+      return;
+    }
+    WithHome([&](HomeCore& aCore) {
+      auto actions = aCore.OnRecordUpdate(record.value(), aExchange->Peer(), Now());
+      return actions ? std::move(actions.value()) : HomeActions{};
+    });
+  }
+
+  // Passes on the newest state to a balancer that control does not reach.
+  void OnStateRequest(const std::shared_ptr<HttpExchange>& aExchange)
+  {
+    AnnouncementAnswer answer;
+    {
+      const std::lock_guard lock(mMutex);
+      answer.mConfirmed = mFlows != nullptr;
+      if (mFlows) {
+        answer.mConfiguration = mFlows->CurrentConfiguration();
+        answer.mView = mLastView;
+        answer.mConfigurationRevision = answer.mConfiguration->mRevision;
+        answer.mViewRevision = mLastView.mRevision;
+      }
+    }
+    RespondCbor(*aExchange, answer);
+  }
+
+  // --- Requests ---
+
+  void OnRequest(const std::shared_ptr<HttpExchange>& aExchange)
+  {
+    const ReplyHandle handle = mNextHandle++;
+    const auto& headers = aExchange->Request().mHeaders;
+    bool known = false;
+    {
+      const std::lock_guard lock(mMutex);
+      known = mHome && NumberHeader(headers, kHeaderService) == mServiceId;
+      if (known) {
+        mExchanges[handle] = aExchange;
+      }
+    }
+    if (!known) {
+      mRegistry.CounterFor("dandelionslip_agent_refusals_total", "reason=\"wrong_service\"").Add();
+      aExchange->Respond(ToResponse(NotHomeBecause(RefusalReason::WrongService)));
+      return;
+    }
+    ArrivedRequest request = DecodeRequest(*aExchange, handle);
+    WithHome([&](HomeCore& aCore) { return aCore.OnRequest(std::move(request), Now()); });
+    aExchange->OnCancel(
+      [this, handle] { WithHome([&](HomeCore& aCore) { return aCore.OnCancel(handle, Now()); }); });
+  }
+
+  static ArrivedRequest DecodeRequest(const HttpExchange& aExchange, ReplyHandle aHandle)
+  {
+    const auto& headers = aExchange.Request().mHeaders;
+    ArrivedRequest request;
+    request.mHandle = aHandle;
+    if (const auto id = RequestId::Parse(FindHeader(headers, kHeaderRequestId))) {
+      request.mId = id.value();
+    }
+    request.mAttempt = static_cast<Attempt>(NumberHeader(headers, kHeaderAttempt).value_or(0));
+    request.mIdempotent = FindHeader(headers, kHeaderIdempotent) == "true";
+    request.mRelayed = FindHeader(headers, kHeaderRelayed) == "true";
+    request.mTargetIncarnation = NumberHeader(headers, kHeaderIncarnation).value_or(0);
+    request.mRemaining =
+      Milliseconds(static_cast<std::int64_t>(NumberHeader(headers, kHeaderDeadline).value_or(0)));
+    request.mCaller = NumberHeader(headers, kHeaderCaller).value_or(0);
+    const auto trafficClass = FindHeader(headers, kHeaderClass);
+    for (const auto& [value, name] : EnumNames(TrafficClass{})) {
+      request.mClass = name == trafficClass ? value : request.mClass;
+    }
+    request.mBody = aExchange.Request().mBody;
+    return request;
+  }
+
+  void OnRequestTick()
+  {
+    WithHome([this](HomeCore& aCore) {
+      auto actions = aCore.OnLease(RuntimeClock::now() < mLeaseEnd, Now());
+      auto more = aCore.OnTick(Now());
+      std::move(more.begin(), more.end(), std::back_inserter(actions));
+      return actions;
+    });
+  }
+
+  void Perform(HomeActions aActions)
+  {
+    for (auto& action : aActions) {
+      std::visit([this](auto& aAction) { Do(aAction); }, action);
+    }
+  }
+
+  void Remember(RunId aRun, const std::shared_ptr<Http2Client>& aClient, std::uint64_t aRequest)
+  {
+    const std::lock_guard lock(mRunsMutex);
+    mRuns[aRun] = {aClient, aRequest};
+  }
+
+  void Forget(RunId aRun)
+  {
+    const std::lock_guard lock(mRunsMutex);
+    mRuns.erase(aRun);
+  }
+
+  void Do(RunAtUpstream& aAction)
+  {
+    HttpRequest request;
+    request.mPath = "/run";
+    request.mHeaders = {{kHeaderRequestId, aAction.mId.ToString()},
+                        {kHeaderDeadline, std::to_string(aAction.mRemaining.count())}};
+    request.mBody = std::move(aAction.mBody);
+    const auto client = mPeers.For(mSettings.mUpstreamRequestEndpoint);
+    const auto timeout = std::max(aAction.mRemaining, Milliseconds(1));
+    const RunId run = aAction.mRun;
+    // Send only posts; holding the mutex keeps its callback from running before the id is stored.
+    const std::lock_guard lock(mRunsMutex);
+    mRuns[run] = {client, client->Send(std::move(request), timeout, [this, run](auto aResult) {
+                    Forget(run);
+                    OnUpstreamResult(run, std::move(aResult));
+                  })};
+  }
+
+  void OnUpstreamResult(RunId aRun, Result<HttpResponse> aResult)
+  {
+    WithHome([&](HomeCore& aCore) {
+      if (!aResult) {
+        const bool sent = aResult.error().mCode != ErrorCode::Unavailable;
+        const Refusal unreachable{RefusalReason::NoUpstream, kMaxRetryAfter};
+        return sent ? aCore.OnUpstreamFailed(aRun, Now())
+                    : aCore.OnUpstreamShed(aRun, unreachable, Now());
+      }
+      if (!FindHeader(aResult.value().mHeaders, kHeaderNotRun).empty()) {
+        return aCore.OnUpstreamShed(aRun, {RefusalReason::UpstreamShed, kMaxRetryAfter}, Now());
+      }
+      return aCore.OnUpstreamAnswer(aRun, ReceivedFrom(std::move(aResult.value())), Now());
+    });
+  }
+
+  void Do(RelayToAlternate& aAction)
+  {
+    std::string endpoint;
+    {
+      const std::lock_guard lock(mMutex);
+      if (const Member* member = mLastView.FindMember(aAction.mAgent)) {
+        endpoint = member->mRequestEndpoint;
+      }
+    }
+    const RunId run = aAction.mRun;
+    const auto client = mPeers.For(endpoint);
+    if (!client) {
+      WithHome([run](HomeCore& aCore) { return aCore.OnAlternateFailed(run, false, Now()); });
+      return;
+    }
+    HttpRequest request;
+    request.mPath = "/v1/request";
+    request.mHeaders = {
+      {kHeaderService, std::to_string(mServiceId)},
+      {kHeaderRequestId, aAction.mId.ToString()},
+      {kHeaderAttempt, std::to_string(aAction.mAttempt)},
+      {kHeaderIdempotent, aAction.mIdempotent ? "true" : "false"},
+      {kHeaderRelayed, "true"},
+      {kHeaderIncarnation, std::to_string(aAction.mIncarnation)},
+      {kHeaderDeadline, std::to_string(aAction.mRemaining.count())},
+      {kHeaderCaller, std::to_string(aAction.mCaller)},
+      {kHeaderClass, ToJson(aAction.mClass).get<std::string>()},
+    };
+    request.mBody = std::move(aAction.mBody);
+    const auto timeout = std::max(aAction.mRemaining, Milliseconds(1));
+    const std::lock_guard lock(mRunsMutex);
+    mRuns[run] = {client, client->Send(std::move(request), timeout, [this, run](auto aResult) {
+                    Forget(run);
+                    OnAlternateResult(run, std::move(aResult));
+                  })};
+  }
+
+  void OnAlternateResult(RunId aRun, Result<HttpResponse> aResult)
+  {
+    WithHome([&](HomeCore& aCore) {
+      if (!aResult) {
+        const bool sent = aResult.error().mCode != ErrorCode::Unavailable;
+        return aCore.OnAlternateFailed(aRun, sent, Now());
+      }
+      auto response = FromResponse(std::move(aResult.value()));
+      return aCore.OnAlternateAnswer(aRun, response.mOutcome, response.mRefusal.value_or(Refusal{}),
+                                     std::move(response.mReceived), Now());
+    });
+  }
+
+  void Do(AnswerSender& aAction)
+  {
+    std::shared_ptr<HttpExchange> exchange;
+    {
+      const std::lock_guard lock(mMutex);
+      if (auto node = mExchanges.extract(aAction.mHandle); !node.empty()) {
+        exchange = node.mapped();
+      }
+    }
+    if (exchange) {
+      exchange->Respond(ToResponse(aAction.mAnswer));
+    }
+  }
+
+  void Do(CancelRun& aAction)
+  {
+    std::pair<std::shared_ptr<Http2Client>, std::uint64_t> found;
+    {
+      const std::lock_guard lock(mRunsMutex);
+      if (const auto run = mRuns.find(aAction.mRun); run != mRuns.end()) {
+        found = run->second;
+      }
+    }
+    if (found.first) {
+      found.first->Cancel(found.second);
+    }
+  }
+
+  void Do(SendRecord& aAction)
+  {
+    std::string endpoint;
+    {
+      const std::lock_guard lock(mMutex);
+      if (const Member* member = mLastView.FindMember(aAction.mAgent)) {
+        endpoint = member->mRequestEndpoint;
+      }
+    }
+    mPeers.Post(endpoint, "/v1/record", EncodeCbor(aAction.mRecord), kPeerTimeout,
+                [](const auto&) {});
+  }
+
+  // --- Upstream health ---
+
+  void CheckHealth()
+  {
+    if (mSettings.mUpstreamHealthPath.empty()) {
+      return;
+    }
+    HttpRequest request;
+    request.mMethod = "GET";
+    request.mPath = mSettings.mUpstreamHealthPath;
+    mPeers.For(mSettings.mUpstreamRequestEndpoint)
+      ->Send(std::move(request), kHealthInterval, [this](const auto& aResult) {
+        const bool healthy = aResult && aResult.value().mStatus == kStatusOk;
+        const std::lock_guard lock(mMutex);
+        mAdmission->ReportHealth(RuntimeClock::now(), healthy);
+      });
+  }
+
+  // --- Planned stop ---
+
+  void Stop()
+  {
+    mStopBy = RuntimeClock::now() + mSettings.mStopDeadline;
+    bool running = false;
+    {
+      const std::lock_guard lock(mMutex);
+      running = mFlows != nullptr && !mResuming;
+      if (running) {
+        mStopState = MemberState::Draining;
+        mAdmission->Drain();
+      }
+    }
+    if (!running) {
+      mPool.Exit(0);
+      return;
+    }
+    mLink.AnnounceNow();
+    CallAfter(mPool.Loop(), kDrainTime, [this] {
+      WithHome([](HomeCore& aCore) { return aCore.OnPlannedStop(Now()); });
+      AwaitRequests();
+    });
+  }
+
+  void AwaitRequests()
+  {
+    bool active = false;
+    {
+      const std::lock_guard lock(mMutex);
+      active = mHome->Active();
+    }
+    const bool late = RuntimeClock::now() > mStopBy;
+    if (active && !late) {
+      CallAfter(mPool.Loop(), kStopPoll, [this] { AwaitRequests(); });
+      return;
+    }
+    if (late) {
+      LogEvent(LogLevel::Warning, "stop_deadline_passed")
+        .With("open_requests", mServer->OpenRequests());
+    }
+    WithFlows([this](FlowCore& aCore, FlowActions& aOut) {
+      aCore.BeginHandover(mHome->ExportAll(Now()), ToJson(mAdmission->Snapshot()),
+                          RuntimeClock::now(), aOut);
+    });
+  }
+
+  void RefreshMetrics()
+  {
+    const std::lock_guard lock(mMutex);
+    if (!mFlows) {
+      return;
+    }
+    const auto gauge = [this](const char* aName, auto aValue) {
+      mRegistry.GaugeFor(aName).Set(static_cast<double>(aValue));
+    };
+    gauge("dandelionslip_agent_flows", mAdmission->ConnectionsInUse());
+    gauge("dandelionslip_agent_slots_in_use", mAdmission->SlotsInUse());
+    gauge("dandelionslip_agent_connection_limit",
+          mAdmission->Limit(RuntimeClock::now()).mConnections);
+    gauge("dandelionslip_agent_slot_limit", mAdmission->Limit(RuntimeClock::now()).mSlots);
+    gauge("dandelionslip_agent_acked_generation", mFlows->AckedGeneration());
+    gauge("dandelionslip_view_revision", mLastView.mRevision);
+    gauge("dandelionslip_lease_valid", RuntimeClock::now() < mLeaseEnd ? 1 : 0);
+    gauge("dandelionslip_agent_requests_running", mHome->Running());
+    gauge("dandelionslip_agent_requests_queued", mHome->Queued());
+    for (const auto& [reason, count] : mFlows->Drops()) {
+      SetReason("dandelionslip_agent_drops", reason, count);
+    }
+    for (const auto& [reason, count] : mFlows->Refusals()) {
+      SetReason("dandelionslip_agent_flow_refusals", reason, count);
+    }
+  }
+
+  void SetReason(const char* aName, RefusalReason aReason, std::uint64_t aCount)
+  {
+    mRegistry.GaugeFor(aName, "reason=\"" + std::string(ToString(aReason)) + "\"")
+      .Set(static_cast<double>(aCount));
+  }
+
+  AgentSettings mSettings;
+  MetricsRegistry mRegistry;
+  WorkerPool mPool;
+  PeerClients mPeers;
+  ControlLink mLink;
+  Endpoint mSelf;
+  UpstreamPorts mPorts;
+  std::uint64_t mIncarnation;
+  // Lock order: mMutex, then the ports' mutex, then mRunsMutex.
+  std::mutex mMutex; ///< Guards the cores and the members below up to mLastView.
+  ServiceSpec mSpec;
+  ServiceId mServiceId = 0;
+  std::unique_ptr<UpstreamAdmission> mAdmission;
+  std::unique_ptr<AdmissionSlots> mSlots;
+  HandedRecords mRecords;
+  std::unique_ptr<HomeCore> mHome;
+  std::unique_ptr<FlowCore> mFlows;
+  std::map<ReplyHandle, std::shared_ptr<HttpExchange>> mExchanges;
+  std::unordered_map<FlowId, TimePoint> mSentToUpstream; ///< Oldest unanswered datagram of a flow.
+  TimePoint mLeaseEnd;
+  std::optional<MemberState> mStopState;
+  std::string mCustodian;
+  bool mResuming = false;
+  View mLastView;
+  std::mutex mRunsMutex; ///< Guards mRuns.
+  std::map<RunId, std::pair<std::shared_ptr<Http2Client>, std::uint64_t>> mRuns;
+  std::atomic<ReplyHandle> mNextHandle{1};
+  TimePoint mStopBy;
+  std::unique_ptr<UdpSocket> mSocket;
+  std::unique_ptr<Http2Server> mServer;
+  std::unique_ptr<MetricsEndpoint> mMetrics;
+  std::unique_ptr<RepeatingTimer> mFlowTimer;
+  std::unique_ptr<RepeatingTimer> mRequestTimer;
+  std::unique_ptr<RepeatingTimer> mHealthTimer;
+};
+
+} // namespace
+
+Result<int> RunAgent(const AgentSettings& aSettings)
+{
+  InitialiseLog("dandelionslip-agent", aSettings.mNode, aSettings.mLogLevel);
+  AgentDaemon daemon(aSettings);
+  return daemon.Run();
+}
+
+} // namespace dandelionslip
--- /dev/null
+++ b/lib/Daemon/ControlLink.cpp
@@ -0,0 +1,149 @@
+// Announcements to the control replicas.
+#include "ControlLink.h"
+
+#include "dandelionslip/Support/Log.h"
+
+namespace dandelionslip {
+
+namespace {
+
+constexpr Milliseconds kAnswerTimeout{400};
+constexpr Milliseconds kFetchRetry{100};
+// A replica that gives no lease for this long is replaced by the next one.
+constexpr Milliseconds kMaxWithoutLease{1'000};
+
+} // namespace
+
+ControlLink::ControlLink(boost::asio::io_context& aLoop, PeerClients& aPeers,
+                         const CommonSettings& aSettings, MetricsRegistry& aRegistry,
+                         Handlers aHandlers)
+  : mLoop(aLoop)
+  , mPeers(aPeers)
+  , mSettings(aSettings)
+  , mRegistry(aRegistry)
+  , mHandlers(std::move(aHandlers))
+  , mLastLease(RuntimeClock::now())
+{
+}
+
+std::string ControlLink::Current()
+{
+  const std::lock_guard lock(mMutex);
+  return mSettings.mControlEndpoints[mIndex % mSettings.mControlEndpoints.size()];
+}
+
+void ControlLink::Rotate(const Error& aReason)
+{
+  std::size_t index = 0;
+  {
+    const std::lock_guard lock(mMutex);
+    index = ++mIndex;
+    mLastLease = RuntimeClock::now();
+  }
+  mRegistry.CounterFor("dandelionslip_control_switches_total").Add();
+  LogEvent(LogLevel::Warning, "control_replica_changed")
+    .With("attempt", index)
+    .With("to", Current())
+    .With(aReason);
+}
+
+void ControlLink::FetchState(std::function<void(const NodeState&)> aDone)
+{
+  mPeers.Post(Current(), "/v1/state", {}, kAnswerTimeout,
+              [this, aDone](auto aResult) { OnState(aResult, aDone); });
+}
+
+void ControlLink::OnState(const Result<Bytes>& aResult, std::function<void(const NodeState&)> aDone)
+{
+  const auto answer = aResult ? FromCbor<AnnouncementAnswer>(aResult.value(), Current())
+                              : Result<AnnouncementAnswer>(aResult.as_failure());
+  if (answer && answer.value().mConfirmed) {
+    NodeState state;
+    {
+      const std::lock_guard lock(mMutex);
+      if (mState.Take(answer.value())) {
+        state = mState;
+      }
+    }
+    aDone(state);
+    return;
+  }
+  Rotate(answer ? Error{ErrorCode::Unavailable, "control.fetch", Current(), "not confirmed"}
+                : answer.error());
+  CallAfter(mLoop, kFetchRetry, [this, aDone] { FetchState(aDone); });
+}
+
+void ControlLink::Start()
+{
+  AnnounceNow();
+  mTimer =
+    std::make_unique<RepeatingTimer>(mLoop, mSettings.mAnnounceInterval, [this] { AnnounceNow(); });
+}
+
+void ControlLink::Stop()
+{
+  mTimer.reset();
+}
+
+void ControlLink::AnnounceNow(std::function<void()> aDone)
+{
+  Announcement announcement = mHandlers.mAnnounce();
+  {
+    const std::lock_guard lock(mMutex);
+    if (mInFlight && !aDone) {
+      return;
+    }
+    mInFlight = true;
+    announcement.mConfigurationRevision = mState.CurrentConfiguration().mRevision;
+    announcement.mViewRevision = mState.CurrentView().mRevision;
+  }
+  const TimePoint sentAt = RuntimeClock::now();
+  const std::string endpoint = Current();
+  mPeers.Post(endpoint, "/v1/announce", ToCbor(announcement), kAnswerTimeout,
+              [this, sentAt, endpoint, done = std::move(aDone)](auto aResult) {
+                OnAnswer(aResult, sentAt, endpoint);
+                if (done) {
+                  done();
+                }
+              });
+}
+
+void ControlLink::OnAnswer(const Result<Bytes>& aResult, TimePoint aSentAt,
+                           const std::string& aEndpoint)
+{
+  const auto answer = aResult ? FromCbor<AnnouncementAnswer>(aResult.value(), aEndpoint)
+                              : Result<AnnouncementAnswer>(aResult.as_failure());
+  NodeState state;
+  bool silent = false;
+  {
+    const std::lock_guard lock(mMutex);
+    mInFlight = false;
+    if (answer) {
+      if (const auto taken = mState.Take(answer.value()); !taken) {
+        mRegistry.CounterFor("dandelionslip_state_not_taken_total").Add();
+      }
+      if (answer.value().mLease.count() > 0) {
+        mLastLease = aSentAt;
+      }
+    }
+    silent = RuntimeClock::now() - mLastLease > kMaxWithoutLease;
+    state = mState;
+  }
+  if (!answer || silent) {
+    Rotate(answer ? Error{ErrorCode::Unavailable, "control.announce", aEndpoint, "no lease"}
+                  : answer.error());
+  }
+  if (answer) {
+    mHandlers.mAnswered(answer.value(), state, aSentAt);
+  }
+}
+
+void ControlLink::TakeFromPeer(const AnnouncementAnswer& aAnswer)
+{
+  const std::lock_guard lock(mMutex);
+  if (const auto taken = mState.Take(aAnswer); !taken) {
+    mRegistry.CounterFor("dandelionslip_state_not_taken_total").Add();
+  }
+}
+
+} // namespace dandelionslip
--- /dev/null
+++ b/lib/Daemon/ControlLink.h
@@ -0,0 +1,64 @@
+// A node's link to the control replicas: periodic announcements and state at start.
+#pragma once
+
+#include "PeerClients.h"
+
+#include "dandelionslip/Config/CommonSettings.h"
+#include "dandelionslip/Model/NodeState.h"
+#include "dandelionslip/Net/Timer.h"
+#include "dandelionslip/Support/Metrics.h"
+
+#include <functional>
+#include <mutex>
+
+namespace dandelionslip {
+
+/// Announces the node to one control replica and moves to the next when it gives no lease.
+/// Thread-safe.
+class ControlLink
+{
+public:
+  struct Handlers
+  {
+    /// Builds the announcement; revisions are filled in by the link.
+    std::function<Announcement()> mAnnounce;
+    /// Called after each answer, with the state that the node holds now.
+    std::function<void(const AnnouncementAnswer&, const NodeState&, TimePoint)> mAnswered;
+  };
+
+  ControlLink(boost::asio::io_context& aLoop, PeerClients& aPeers, const CommonSettings& aSettings,
+              MetricsRegistry& aRegistry, Handlers aHandlers);
+
+  /// Fetches the whole state from a replica that confirms it, repeating until one does.
+  void FetchState(std::function<void(const NodeState&)> aDone);
+
+  /// Starts the periodic announcements.
+  void Start();
+  void Stop();
+
+  /// Announces now; aDone runs when the answer or the failure is in.
+  void AnnounceNow(std::function<void()> aDone = {});
+
+  /// Takes state that another node passed on. Lower revisions are ignored.
+  void TakeFromPeer(const AnnouncementAnswer& aAnswer);
+
+private:
+  std::string Current();
+  void Rotate(const Error& aReason);
+  void OnAnswer(const Result<Bytes>& aResult, TimePoint aSentAt, const std::string& aEndpoint);
+  void OnState(const Result<Bytes>& aResult, std::function<void(const NodeState&)> aDone);
+
+  boost::asio::io_context& mLoop;
+  PeerClients& mPeers;
+  CommonSettings mSettings;
+  MetricsRegistry& mRegistry;
+  Handlers mHandlers;
+  std::mutex mMutex; ///< Guards the members below; not held while handlers run.
+  NodeState mState;
+  std::size_t mIndex = 0;
+  TimePoint mLastLease;
+  bool mInFlight = false;
+  std::unique_ptr<RepeatingTimer> mTimer;
+};
+
+} // namespace dandelionslip
--- /dev/null
+++ b/lib/Daemon/PeerClients.cpp
@@ -0,0 +1,45 @@
+// HTTP/2 clients by endpoint.
+#include "PeerClients.h"
+
+namespace dandelionslip {
+
+std::shared_ptr<Http2Client> PeerClients::For(const std::string& aEndpoint)
+{
+  const std::lock_guard lock(mMutex);
+  auto& slot = mClients[aEndpoint];
+  if (!slot) {
+    if (const auto endpoint = Endpoint::Parse(aEndpoint)) {
+      slot = std::make_shared<Http2Client>(mLoop, endpoint.value());
+    }
+  }
+  return slot;
+}
+
+void PeerClients::Post(const std::string& aEndpoint, const std::string& aPath, Bytes aBody,
+                       Milliseconds aTimeout, std::function<void(Result<Bytes>)> aCallback)
+{
+  const auto client = For(aEndpoint);
+  if (!client) {
+    aCallback(Fail(ErrorCode::InvalidInput, "post " + aPath, aEndpoint, "not an endpoint"));
+    return;
+  }
+  HttpRequest request;
+  request.mPath = aPath;
+  request.mBody = std::move(aBody);
+  client->Send(std::move(request), aTimeout,
+               [aEndpoint, aPath, callback = std::move(aCallback)](Result<HttpResponse> aResult) {
+                 if (!aResult) {
+                   callback(aResult.as_failure());
+                   return;
+                 }
+                 constexpr int kStatusOk = 200;
+                 if (aResult.value().mStatus != kStatusOk) {
+                   callback(Fail(ErrorCode::Unavailable, "post " + aPath, aEndpoint,
+                                 "status " + std::to_string(aResult.value().mStatus)));
+                   return;
+                 }
+                 callback(std::move(aResult.value().mBody));
+               });
+}
+
+} // namespace dandelionslip
--- /dev/null
+++ b/lib/Daemon/RaftRuntime.cpp
@@ -0,0 +1,311 @@
+// Carries out the actions of a RaftCore.
+#include "RaftRuntime.h"
+
+#include "dandelionslip/Support/Log.h"
+
+#include <boost/asio/post.hpp>
+
+namespace dandelionslip {
+
+namespace {
+
+constexpr Milliseconds kMessageTimeout{1'000};
+
+} // namespace
+
+RaftRuntime::RaftRuntime(boost::asio::io_context& aLoop, PeerClients& aPeers,
+                         RaftListener& aListener, std::unique_ptr<LogStore> aStore,
+                         RaftSettings aSettings, std::uint32_t aSnapshotEntries, Random aRandom)
+  : mPeers(aPeers)
+  , mListener(aListener)
+  , mStore(std::move(aStore))
+  , mSnapshotEntries(aSnapshotEntries)
+  , mStrand(boost::asio::make_strand(aLoop))
+{
+  RecoveredState recovered = mStore->TakeRecovered();
+  mSelf = recovered.mReplica;
+  mFirstSnapshot = recovered.mSnapshot;
+  mCore = std::make_unique<RaftCore>(std::move(aSettings), std::move(recovered), std::move(aRandom),
+                                     RuntimeClock::now());
+}
+
+Result<void> RaftRuntime::Start()
+{
+  if (!mFirstSnapshot) {
+    return Ok();
+  }
+  mSnapshotIndex = mFirstSnapshot->mIndex;
+  mApplied = mFirstSnapshot->Id();
+  const bool holdsState = !mFirstSnapshot->mState.empty();
+  const auto loaded = holdsState ? mListener.OnState(mFirstSnapshot->mState) : Ok();
+  mFirstSnapshot.reset();
+  return loaded;
+}
+
+void RaftRuntime::Run(const Event& aEvent)
+{
+  boost::asio::post(mStrand, [this, aEvent] {
+    RaftActions actions;
+    {
+      const std::lock_guard lock(mMutex);
+      actions = aEvent(*mCore, RuntimeClock::now());
+    }
+    Perform(std::move(actions));
+  });
+}
+
+void RaftRuntime::Perform(RaftActions aActions)
+{
+  for (auto& action : aActions) {
+    if (mFailed) {
+      return;
+    }
+    std::visit([this](auto& aAction) { Do(aAction); }, action);
+  }
+}
+
+void RaftRuntime::Tick()
+{
+  Run([](RaftCore& aCore, TimePoint aNow) { return aCore.Tick(aNow); });
+}
+
+void RaftRuntime::Receive(RaftMessage aMessage)
+{
+  Run([message = std::move(aMessage)](RaftCore& aCore, TimePoint aNow) {
+    return aCore.Receive(aNow, message);
+  });
+}
+
+void RaftRuntime::Propose(Bytes aPayload, ProposalCallback aCallback)
+{
+  boost::asio::post(
+    mStrand, [this, payload = std::move(aPayload), callback = std::move(aCallback)]() mutable {
+      RaftActions actions;
+      {
+        const std::lock_guard lock(mMutex);
+        const auto entry = mCore->Propose(RuntimeClock::now(), std::move(payload), actions);
+        Track(entry, callback);
+      }
+      Perform(std::move(actions));
+    });
+}
+
+void RaftRuntime::ProposeChange(const MembershipChange& aChange, ProposalCallback aCallback)
+{
+  boost::asio::post(mStrand, [this, change = aChange, callback = std::move(aCallback)] {
+    RaftActions actions;
+    {
+      const std::lock_guard lock(mMutex);
+      Track(mCore->ProposeChange(RuntimeClock::now(), change, actions), callback);
+    }
+    Perform(std::move(actions));
+  });
+}
+
+void RaftRuntime::Track(const Result<EntryId>& aEntry, const ProposalCallback& aCallback)
+{
+  if (!aEntry) {
+    aCallback(aEntry.as_failure());
+    return;
+  }
+  mTracker.Track(aEntry.value());
+  mCallbacks[aEntry.value()] = aCallback;
+}
+
+void RaftRuntime::TransferLeadership(std::function<void()> aCallback)
+{
+  boost::asio::post(mStrand, [this, callback = std::move(aCallback)] {
+    RaftActions actions;
+    {
+      const std::lock_guard lock(mMutex);
+      if (const auto status = mCore->TransferLeadership(RuntimeClock::now(), {}, actions);
+          !status) {
+        LogEvent(LogLevel::Info, "leadership_not_transferred").With(status.error());
+      }
+    }
+    Perform(std::move(actions));
+    callback();
+  });
+}
+
+bool RaftRuntime::Check(const Status& aStatus)
+{
+  if (aStatus) {
+    return true;
+  }
+  mFailed = true;
+  mListener.OnFatal(aStatus.error());
+  return false;
+}
+
+void RaftRuntime::Do(PersistAction& aAction)
+{
+  if (aAction.mHardState && !Check(mStore->SaveHardState(*aAction.mHardState))) {
+    return;
+  }
+  if (aAction.mTruncateFrom && !Check(mStore->TruncateFrom(*aAction.mTruncateFrom))) {
+    return;
+  }
+  if (!aAction.mEntries.empty() && !Check(mStore->Append(aAction.mEntries))) {
+    return;
+  }
+  for (const auto& message : aAction.mThenSend) {
+    Send(message);
+  }
+  if (!aAction.mEntries.empty()) {
+    Run([last = aAction.mEntries.back().Id()](RaftCore& aCore, TimePoint aNow) {
+      return aCore.Persisted(aNow, last);
+    });
+  }
+}
+
+void RaftRuntime::Do(SendAction& aAction)
+{
+  Send(aAction.mMessage);
+}
+
+void RaftRuntime::Do(ApplyAction& aAction)
+{
+  for (const auto& entry : aAction.mEntries) {
+    if (entry.mKind == EntryKind::Command) {
+      mListener.OnCommand(entry);
+    }
+    mApplied = entry.Id();
+    Resolve(mTracker.Applied(entry));
+  }
+  MaybeSnapshot();
+}
+
+void RaftRuntime::Do(InstallSnapshotAction& aAction)
+{
+  const Snapshot& snapshot = *aAction.mSnapshot;
+  if (!Check(mStore->InstallSnapshot(snapshot, aAction.mKeepSuffix))) {
+    return;
+  }
+  if (!snapshot.mState.empty()) {
+    if (const auto loaded = mListener.OnState(snapshot.mState); !loaded) {
+      mFailed = true;
+      mListener.OnFatal(loaded.error());
+      return;
+    }
+  }
+  mSnapshotIndex = snapshot.mIndex;
+  mApplied = snapshot.Id();
+  Resolve(mTracker.SnapshotInstalled(snapshot.mIndex));
+  for (const auto& message : aAction.mThenSend) {
+    Send(message);
+  }
+}
+
+void RaftRuntime::Do(RoleAction& aAction)
+{
+  Membership members;
+  {
+    const std::lock_guard lock(mMutex);
+    members = mCore->Members();
+  }
+  LogEvent(LogLevel::Info, "role_changed")
+    .With("role", ToString(aAction.mRole))
+    .With("term", aAction.mTerm)
+    .With("leader", aAction.mLeader.value_or(""));
+  mListener.OnRole(aAction.mRole, aAction.mTerm, aAction.mLeader.value_or(""), members);
+}
+
+void RaftRuntime::Do(PeerRefusedAction& aAction)
+{
+  LogEvent(LogLevel::Warning, "replica_refused")
+    .With("peer", aAction.mPeer)
+    .With("reason", aAction.mReason);
+}
+
+void RaftRuntime::Do(StopAction& aAction)
+{
+  mFailed = true;
+  mListener.OnFatal(Error{ErrorCode::Conflict, "raft.identity", mSelf, aAction.mReason});
+}
+
+void RaftRuntime::Send(const RaftMessage& aMessage)
+{
+  const std::string address = AddressOf(aMessage.mTo);
+  if (address.empty()) {
+    return;
+  }
+  mPeers.Post(address, "/v1/raft", EncodeRaftMessage(aMessage), kMessageTimeout,
+              [](const auto&) {});
+}
+
+void RaftRuntime::Resolve(const std::vector<ProposalResult>& aResults)
+{
+  for (const auto& result : aResults) {
+    if (const auto node = mCallbacks.extract(result.mEntry); !node.empty()) {
+      node.mapped()(result.mOutcome);
+    }
+  }
+}
+
+void RaftRuntime::MaybeSnapshot()
+{
+  if (mApplied.mIndex - mSnapshotIndex < mSnapshotEntries) {
+    return;
+  }
+  auto snapshot = std::make_shared<Snapshot>();
+  snapshot->mIndex = mApplied.mIndex;
+  snapshot->mTerm = mApplied.mTerm;
+  {
+    const std::lock_guard lock(mMutex);
+    snapshot->mMembership = mCore->CommittedMembers();
+  }
+  snapshot->mState = mListener.EncodeState();
+  if (!Check(mStore->SaveSnapshot(*snapshot))) {
+    return;
+  }
+  mSnapshotIndex = snapshot->mIndex;
+  LogEvent(LogLevel::Info, "snapshot_saved").With("index", snapshot->mIndex);
+  const std::lock_guard lock(mMutex);
+  mCore->Compact(snapshot);
+}
+
+bool RaftRuntime::Confirmed()
+{
+  const std::lock_guard lock(mMutex);
+  return mCore->Confirmed(RuntimeClock::now());
+}
+
+bool RaftRuntime::IsLeader()
+{
+  const std::lock_guard lock(mMutex);
+  return mCore->Role() == RaftRole::Leader;
+}
+
+std::string RaftRuntime::LeaderAddress()
+{
+  const std::lock_guard lock(mMutex);
+  const auto leader = mCore->Leader();
+  const auto* info = leader ? mCore->Members().Find(*leader) : nullptr;
+  return info == nullptr ? "" : info->mAddress;
+}
+
+std::string RaftRuntime::AddressOf(const ReplicaId& aReplica)
+{
+  const std::lock_guard lock(mMutex);
+  const auto* info = mCore->Members().Find(aReplica);
+  return info == nullptr ? "" : info->mAddress;
+}
+
+Json RaftRuntime::Status()
+{
+  const std::lock_guard lock(mMutex);
+  Json status;
+  status["replica"] = mSelf;
+  status["role"] = ToString(mCore->Role());
+  status["term"] = mCore->CurrentTerm();
+  status["leader"] = mCore->Leader().value_or("");
+  status["commit_index"] = mCore->CommitIndex();
+  status["applied_index"] = mCore->AppliedIndex();
+  status["last_index"] = mCore->LastIndex();
+  status["confirmed"] = mCore->Confirmed(RuntimeClock::now());
+  status["members"] = ToJson(mCore->Members());
+  return status;
+}
+
+} // namespace dandelionslip
--- /dev/null
+++ b/lib/Daemon/RaftRuntime.h
@@ -0,0 +1,100 @@
+// Runs a RaftCore: disk, messages to peers and the state machine.
+#pragma once
+
+#include "PeerClients.h"
+
+#include "dandelionslip/Control/LogStore.h"
+#include "dandelionslip/Control/ProposalTracker.h"
+#include "dandelionslip/Control/RaftCore.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/strand.hpp>
+
+#include <functional>
+#include <map>
+#include <mutex>
+
+namespace dandelionslip {
+
+/// What the runtime needs from the state machine.
+class RaftListener
+{
+public:
+  virtual ~RaftListener() = default;
+  /// A committed command entry.
+  virtual void OnCommand(const LogEntry& aEntry) = 0;
+  /// The whole state, at start or from the leader.
+  virtual Result<void> OnState(std::span<const std::uint8_t> aState) = 0;
+  /// The whole state for a snapshot.
+  virtual Bytes EncodeState() = 0;
+  virtual void OnRole(RaftRole aRole, Term aTerm, const std::string& aLeader,
+                      const Membership& aMembers) = 0;
+  /// The replica cannot go on, for example after a failed sync.
+  virtual void OnFatal(const Error& aError) = 0;
+};
+
+/// Serialises the events of a RaftCore on a strand; disk writes block only this strand. The core's
+/// mutex is not held during writes, so reads of its state never wait for the disk.
+class RaftRuntime
+{
+public:
+  using ProposalCallback = std::function<void(Result<ProposalOutcome>)>;
+
+  RaftRuntime(boost::asio::io_context& aLoop, PeerClients& aPeers, RaftListener& aListener,
+              std::unique_ptr<LogStore> aStore, RaftSettings aSettings,
+              std::uint32_t aSnapshotEntries, Random aRandom);
+
+  /// Loads the state machine from the newest snapshot. Call once before any other event.
+  Result<void> Start();
+  void Tick();
+  void Receive(RaftMessage aMessage);
+
+  /// Proposes a command; the callback tells whether it was applied.
+  void Propose(Bytes aPayload, ProposalCallback aCallback);
+  void ProposeChange(const MembershipChange& aChange, ProposalCallback aCallback);
+  /// Hands leadership over before a planned stop; the callback runs on the strand.
+  void TransferLeadership(std::function<void()> aCallback);
+
+  bool Confirmed();
+  bool IsLeader();
+  std::string LeaderAddress();
+  std::string AddressOf(const ReplicaId& aReplica);
+  Json Status();
+  const ReplicaId& Self() const { return mSelf; }
+
+private:
+  using Event = std::function<RaftActions(RaftCore&, TimePoint)>;
+
+  void Run(const Event& aEvent);
+  void Perform(RaftActions aActions);
+  bool Check(const Status& aStatus);
+  void Do(PersistAction& aAction);
+  void Do(SendAction& aAction);
+  void Do(ApplyAction& aAction);
+  void Do(InstallSnapshotAction& aAction);
+  void Do(RoleAction& aAction);
+  void Do(PeerRefusedAction& aAction);
+  void Do(StopAction& aAction);
+  void Send(const RaftMessage& aMessage);
+  void Resolve(const std::vector<ProposalResult>& aResults);
+  void MaybeSnapshot();
+  void Track(const Result<EntryId>& aEntry, const ProposalCallback& aCallback);
+
+  PeerClients& mPeers;
+  RaftListener& mListener;
+  std::unique_ptr<LogStore> mStore;
+  std::uint32_t mSnapshotEntries;
+  ReplicaId mSelf;
+  boost::asio::strand<boost::asio::io_context::executor_type> mStrand;
+  std::mutex mMutex; ///< Guards mCore.
+  std::unique_ptr<RaftCore> mCore;
+  std::shared_ptr<const Snapshot> mFirstSnapshot;
+  // The members below are used on the strand only.
+  ProposalTracker mTracker;
+  std::map<EntryId, ProposalCallback> mCallbacks;
+  LogIndex mSnapshotIndex = 0;
+  EntryId mApplied;
+  bool mFailed = false;
+};
+
+} // namespace dandelionslip
--- /dev/null
+++ b/lib/Daemon/RequestHeaders.cpp
@@ -0,0 +1,91 @@
+// Conversion between request outcomes and HTTP responses.
+#include "RequestHeaders.h"
+
+#include <array>
+#include <charconv>
+
+namespace dandelionslip {
+
+namespace {
+
+constexpr int kStatusByOutcome[] = {200, 503, 502, 499, 421};
+constexpr char kContentType[] = "content-type";
+constexpr char kUpstreamStatus[] = "dslip-upstream-status";
+
+template <typename E>
+std::optional<E> FindEnum(std::string_view aName)
+{
+  for (const auto& [value, name] : EnumNames(E{})) {
+    if (name == aName) {
+      return value;
+    }
+  }
+  return std::nullopt;
+}
+
+} // namespace
+
+std::optional<std::uint64_t> NumberHeader(const std::vector<HttpHeader>& aHeaders,
+                                          std::string_view aName)
+{
+  const auto text = FindHeader(aHeaders, aName);
+  std::uint64_t number = 0;
+  const auto [end, status] = std::from_chars(text.data(), text.data() + text.size(), number);
+  if (text.empty() || status != std::errc() || end != text.data() + text.size()) {
+    return std::nullopt;
+  }
+  return number;
+}
+
+HttpResponse ToResponse(const RequestAnswer& aAnswer)
+{
+  HttpResponse response;
+  response.mStatus = kStatusByOutcome[static_cast<std::size_t>(aAnswer.mOutcome)];
+  response.mHeaders.push_back({kHeaderOutcome, std::string(ToString(aAnswer.mOutcome))});
+  if (aAnswer.mRefusal) {
+    response.mHeaders.push_back({kHeaderReason, std::string(ToString(aAnswer.mRefusal->mReason))});
+    response.mHeaders.push_back(
+      {kHeaderRetryAfter, std::to_string(aAnswer.mRefusal->mRetryAfter.count())});
+  }
+  if (aAnswer.mDigest) {
+    response.mHeaders.push_back({kHeaderDigest, std::to_string(aAnswer.mDigest->mLength) + "-" +
+                                                  std::to_string(aAnswer.mDigest->mHash)});
+  }
+  if (aAnswer.mOutcome == RequestOutcome::Answered) {
+    response.mHeaders.push_back({kUpstreamStatus, std::to_string(aAnswer.mAnswer.mStatus)});
+    if (!aAnswer.mAnswer.mContentType.empty()) {
+      response.mHeaders.push_back({kContentType, aAnswer.mAnswer.mContentType});
+    }
+    response.mStatus = static_cast<int>(aAnswer.mAnswer.mStatus);
+    response.mBody = aAnswer.mAnswer.mBody;
+  }
+  return response;
+}
+
+AgentResponse FromResponse(HttpResponse aResponse)
+{
+  AgentResponse response;
+  const auto& headers = aResponse.mHeaders;
+  response.mOutcome =
+    FindEnum<RequestOutcome>(FindHeader(headers, kHeaderOutcome)).value_or(RequestOutcome::Unknown);
+  if (const auto reason = FindEnum<RefusalReason>(FindHeader(headers, kHeaderReason))) {
+    response.mRefusal = Refusal{*reason, Milliseconds(static_cast<std::int64_t>(
+                                           NumberHeader(headers, kHeaderRetryAfter).value_or(0)))};
+  }
+  response.mReceived = ReceivedFrom(std::move(aResponse));
+  return response;
+}
+
+ReceivedAnswer ReceivedFrom(HttpResponse aResponse)
+{
+  ReceivedAnswer received;
+  received.mAnswer.mStatus = static_cast<std::uint32_t>(aResponse.mStatus);
+  received.mAnswer.mContentType = FindHeader(aResponse.mHeaders, kContentType);
+  received.mDeclaredLength = NumberHeader(aResponse.mHeaders, "content-length");
+  // The HTTP/2 client delivers only messages that ended with END_STREAM.
+  received.mEndOfStream = true;
+  received.mAnswer.mBody = std::move(aResponse.mBody);
+  return received;
+}
+
+} // namespace dandelionslip
--- /dev/null
+++ b/scripts/demo.py
@@ -0,0 +1,291 @@
+"""Runs the whole path on loopback through planned changes and failures.
+
+Prints for each invariant what was tried and what was counted, and exits 0 only if all held.
+"""
+
+import argparse
+import shutil
+import sys
+import time
+
+from cluster import Cluster, wait_for
+
+DATA_CENTRES = ["klang-a", "klang-b", "klang-c"]
+PLANNER = {"name": "planner", "port": 7000, "servers": 7, "slots": 4, "service_ms": 20}
+RENDER = {"name": "render", "port": 7001, "servers": 3, "slots": 4, "service_ms": 20}
+
+# Targets of the design page, in seconds.
+IN_FORCE_S = 2.0
+LAST_PACKET_S = 3.0
+
+SETTLE_S = 4.0
+
+
+class Report:
+    """Collects the checks of a run."""
+
+    def __init__(self):
+        self.failed = 0
+        self.rows = []
+
+    def check(self, invariant, tried, counted, held):
+        self.rows.append((invariant, tried, counted, held))
+        self.failed += 0 if held else 1
+        print(f"{'ok  ' if held else 'FAIL'} {invariant}: {tried}: {counted}", flush=True)
+
+
+def broken(cluster):
+    """Broken and given-up flows of all callers so far."""
+    summaries = [cluster.fresh_summary(name) for name in cluster.callers]
+    flows = [summary["flows"] for summary in summaries]
+    breaks = {}
+    for flow in flows:
+        for what, count in flow["breaks"].items():
+            breaks[what] = breaks.get(what, 0) + count
+    return sum(flow["broken"] for flow in flows), sum(flow["given_up"] for flow in flows), breaks
+
+
+def established(cluster):
+    return sum(cluster.fresh_summary(name)["flows"]["established"] for name in cluster.callers)
+
+
+def planned(cluster, report, what, action):
+    """Runs a planned change and checks that no flow broke."""
+    before, _, _ = broken(cluster)
+    action()
+    time.sleep(SETTLE_S)
+    after, _, breaks = broken(cluster)
+    report.check("I1", what, f"broken flows {after - before}"
+                 + (f" {breaks}" if after != before else ""), after == before)
+
+
+def publish(cluster, *paths, **options):
+    start = time.monotonic()
+    result = cluster.ctl("publish", *paths, **options)
+    fields = dict(field.split("=", 1) for field in result.stdout.split() if "=" in field)
+    return int(fields["revision"]), start
+
+
+def check_in_force(cluster, report, revision, start, what):
+    wait_for(lambda: cluster.in_force(revision), "configuration in force")
+    took = time.monotonic() - start
+    report.check("I10", what, f"in force at {len(cluster.node_endpoints())} nodes after "
+                 f"{took:.2f} s (target {IN_FORCE_S} s)", took <= IN_FORCE_S)
+
+
+def restart(cluster, name):
+    """Planned restart of one process; returns its exit code."""
+    process = cluster.processes[name]
+    code = process.terminate()
+    process.start()
+    return code
+
+
+def restart_and_check(cluster, report, name):
+    code = restart(cluster, name)
+    report.check("I9", f"planned restart of {name}", f"exit code {code}", code == 0)
+    if name in cluster.agents:
+        endpoint = cluster.agents[name]["metrics"]
+        wait_for(lambda: cluster.metrics(endpoint).get("dandelionslip_lease_valid") == 1,
+                 f"{name} has a lease")
+
+
+def leader(cluster):
+    for i in range(len(cluster.control_endpoints)):
+        if cluster.metrics(f"127.0.1.{i + 1}:9100").get("dandelionslip_raft_leader") == 1:
+            return f"control-{i + 1}"
+    return None
+
+
+def forwards(cluster, data_centre):
+    """Datagrams that the agents of a data centre have received from balancers."""
+    return sum(cluster.metrics(agent["metrics"]).get("dandelionslip_agent_forwards_total", 0)
+               for agent in cluster.agents.values() if agent["data_centre"] == data_centre)
+
+
+def data_centre_out(cluster, report, name):
+    start = time.monotonic()
+    cluster.ctl("data-centre", "out", name)
+    last_change = start
+    seen = forwards(cluster, name)
+    while time.monotonic() - start < LAST_PACKET_S + 3:
+        now = forwards(cluster, name)
+        if now != seen:
+            seen, last_change = now, time.monotonic()
+        time.sleep(0.1)
+    took = last_change - start
+    report.check("I4", f"data centre {name} out", f"last datagram to its agents {took:.1f} s after "
+                 f"the command (target {LAST_PACKET_S} s)", took <= LAST_PACKET_S)
+
+
+def refusal_count(cluster):
+    return sum(sum(cluster.fresh_summary(name)["flows"]["refusals"].values())
+               for name in cluster.callers)
+
+
+def data_centre_in(cluster, report, name):
+    before_broken, _, _ = broken(cluster)
+    before = refusal_count(cluster)
+    cluster.ctl("data-centre", "in", name)
+    time.sleep(SETTLE_S + 2)
+    after_broken, _, _ = broken(cluster)
+    refused = refusal_count(cluster) - before
+    report.check("I1", f"data centre {name} returns",
+                 f"broken flows {after_broken - before_broken}, refusals {refused}",
+                 after_broken == before_broken and refused == 0)
+
+
+def check_requests(cluster, report):
+    """Checks the callers' request history against the upstreams' run histories."""
+    runs = {}
+    for name in cluster.agents:
+        for run in cluster.upstream_json(name, "/history") or []:
+            runs.setdefault(run["request_id"], []).append(f"{run['upstream']}/{run['run']}")
+    history = []
+    for name in cluster.callers:
+        history += cluster.summary(name)["history"]
+    outcomes = {}
+    for seen in history:
+        outcomes[seen["outcome"]] = outcomes.get(seen["outcome"], 0) + 1
+    twice = [i for i, where in runs.items() if len(where) > 1]
+    false_refusals = [seen["request_id"] for seen in history
+                      if seen["outcome"] == "not_run" and seen["request_id"] in runs]
+    crossed = [seen["request_id"] for seen in history if seen["outcome"] == "answered"
+               and (not seen["intact"] or seen["run"] not in runs.get(seen["request_id"], []))]
+    report.check("I7", f"{len(history)} non-idempotent requests {outcomes}",
+                 f"{len(runs)} ids ran, {len(twice)} more than once", not twice and len(runs) > 0)
+    report.check("I6", f"{outcomes.get('not_run', 0)} refusals that say not run",
+                 f"{len(false_refusals)} of them ran", not false_refusals)
+    report.check("I5", f"{outcomes.get('answered', 0)} answers",
+                 f"{len(crossed)} crossed, cut short or of no run", not crossed)
+
+
+def check_upstreams(cluster, report):
+    statistics = [cluster.upstream_json(name, "/stats") for name in cluster.agents]
+    statistics = [entry for entry in statistics if entry]
+    slots = max(entry["peak_slot_ratio"] for entry in statistics)
+    connections = max(entry["peak_connection_ratio"] for entry in statistics)
+    report.check("I3", f"{len(statistics)} upstreams from cold start on",
+                 f"highest load over the bearable one: slots {slots:.2f}, connections "
+                 f"{connections:.2f}", slots <= 1 and connections <= 1)
+
+
+def check_foreign(cluster, report):
+    foreign = sum(cluster.summary(name)["flows"]["foreign"] for name in cluster.callers)
+    answers = sum(cluster.summary(name)["flows"]["answers"] for name in cluster.callers)
+    report.check("I2", f"{answers} answers to flows of two services",
+                 f"{foreign} from another service", foreign == 0 and answers > 0)
+
+
+def race(cluster, report, version):
+    """Two operators publish the same version at once; one wins, the other is told."""
+    path = cluster.write_service(RENDER, version, opens_per_second=400)
+    results = [cluster.ctl("publish", path, "--operator=" + name, check=False)
+               for name in ("first", "second")]
+    codes = sorted(result.returncode for result in results)
+    report.check("I10", "two publications under one version", f"exit codes {codes}",
+                 codes == [0, 4])
+
+
+def resend(cluster, report, version):
+    """A resend under the same publication id gets the first answer."""
+    path = cluster.write_service(RENDER, version, opens_per_second=450)
+    publication = "7d0c3a52-53ad-4f0e-9f41-0d9d9a1f6c11"
+    first = cluster.ctl("publish", path, "--id=" + publication)
+    second = cluster.ctl("publish", path, "--id=" + publication)
+    report.check("I10", "resend of an applied publication",
+                 second.stdout.strip(), first.stdout == second.stdout)
+
+
+def start_cluster(cluster, report):
+    cluster.start_control()
+    wait_for(lambda: leader(cluster) is not None, "a control leader")
+    paths = [cluster.write_service(service, 1) for service in cluster.services]
+    cluster.ctl("validate", *paths)
+    revision, _ = publish(cluster, *paths)
+    cluster.start_balancers()
+    cluster.start_upstreams()
+    wait_for(lambda: all(cluster.metrics(endpoint).get("dandelionslip_lease_valid") == 1
+                         for endpoint in cluster.node_endpoints()), "leases at all nodes")
+    wait_for(lambda: cluster.in_force(revision), "configuration in force")
+    report.check("path", "service files published, nodes started",
+                 f"revision {revision} in force at {len(cluster.node_endpoints())} nodes", True)
+
+
+def start_callers(cluster, report, scale):
+    cluster.start_caller("planner-callers", PLANNER,
+                         {"flows": 140 * scale, "feed-ms": 200, "open-over-ms": 3000,
+                          "requests-per-second": 20})
+    cluster.start_caller("render-callers", RENDER,
+                         {"flows": 60 * scale, "open-over-ms": 3000, "requests-per-second": 10,
+                          "seed": 7})
+    wanted = 200 * scale
+    wait_for(lambda: established(cluster) >= wanted, f"{wanted} flows established")
+    report.check("path", "datagrams through three balancers", f"{wanted} flows established", True)
+
+
+def run(cluster, report, scale):
+    start_cluster(cluster, report)
+    start_callers(cluster, report, scale)
+    planned(cluster, report, "no change", lambda: None)
+
+    def publication():
+        path = cluster.write_service(PLANNER, 2, opens_per_second=600)
+        revision, start = publish(cluster, path)
+        check_in_force(cluster, report, revision, start, "publication")
+
+    planned(cluster, report, "publication", publication)
+    race(cluster, report, 2)
+    resend(cluster, report, 3)
+    planned(cluster, report, "balancer restart",
+            lambda: restart_and_check(cluster, report, "balancer-1"))
+    planned(cluster, report, "agent restart",
+            lambda: restart_and_check(cluster, report, "planner-2"))
+    planned(cluster, report, "upstream drain", lambda: cluster.ctl("drain", "planner-3"))
+    planned(cluster, report, "upstream undrain", lambda: cluster.ctl("undrain", "planner-3"))
+    name = leader(cluster)
+    planned(cluster, report, f"restart of the leading {name}",
+            lambda: restart_and_check(cluster, report, name))
+    data_centre_out(cluster, report, "klang-b")
+    data_centre_in(cluster, report, "klang-b")
+    victim = leader(cluster)
+    cluster.processes[victim].kill()
+    planned(cluster, report, f"control leader {victim} killed, publication",
+            lambda: publish(cluster, cluster.write_service(PLANNER, 3, opens_per_second=700)))
+    cluster.processes[victim].start()
+    cluster.processes["planner-5"].kill()
+    cluster.processes["planner-5"].start()
+    wait_for(lambda: cluster.metrics(cluster.agents["planner-5"]["metrics"])
+             .get("dandelionslip_lease_valid") == 1, "planner-5 has a lease")
+    time.sleep(SETTLE_S)
+    for caller in list(cluster.callers):
+        cluster.processes[caller].terminate(timeout=30)
+    check_requests(cluster, report)
+    check_upstreams(cluster, report)
+    check_foreign(cluster, report)
+
+
+def main():
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--scale", type=int, default=1, help="multiplies the number of flows")
+    parser.add_argument("--keep", action="store_true", help="keep logs and settings")
+    arguments = parser.parse_args()
+    cluster = Cluster(DATA_CENTRES, [PLANNER, RENDER])
+    report = Report()
+    try:
+        run(cluster, report, arguments.scale)
+    except (TimeoutError, RuntimeError) as error:
+        report.check("run", "the demo", str(error), False)
+    finally:
+        cluster.stop_all()
+    held = len(report.rows) - report.failed
+    if report.failed or arguments.keep:
+        print("logs are in " + cluster.folder)
+    else:
+        shutil.rmtree(cluster.folder)
+    print(f"demo: {held} checks held, {report.failed} failed")
+    return 1 if report.failed else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/standins/FlowCallers.h
@@ -0,0 +1,108 @@
+// Stand-in callers that keep sessions open over UDP and notice when one breaks.
+#pragma once
+
+#include "dandelionslip/Net/CallerDatagram.h"
+#include "dandelionslip/Net/Timer.h"
+#include "dandelionslip/Net/UdpSocket.h"
+#include "dandelionslip/Support/Random.h"
+
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <vector>
+
+namespace dandelionslip {
+
+/// How the callers behave.
+struct FlowCallerOptions
+{
+  std::vector<Endpoint> mBalancers; ///< Each datagram goes to one of them at random.
+  Endpoint mLocal;                  ///< Address of the callers; port 0.
+  std::size_t mFlows = 100;
+  Milliseconds mInterval{200};     ///< Between two quote messages of a flow.
+  Milliseconds mFeedInterval{0};   ///< Feed asked for in every flow; 0 for none.
+  Milliseconds mBreakAfter{5'000}; ///< A flow without any answer for this time counts as broken.
+  Milliseconds mOpenOver{1'000};   ///< Flows are opened evenly over this time.
+  std::uint64_t mSeed = 1;
+};
+
+/// What the callers have seen.
+struct FlowStatistics
+{
+  std::uint64_t mOpened = 0;
+  std::uint64_t mEstablished = 0; ///< Flows that hold an upstream now.
+  std::uint64_t mAnswers = 0;
+  std::uint64_t mTicks = 0;
+  std::uint64_t mBroken = 0;                      ///< Moved, forgotten or silent.
+  std::uint64_t mGivenUp = 0;                     ///< Ended because the data centre was taken out.
+  std::uint64_t mForeign = 0;                     ///< Answers of another service.
+  std::map<std::string, std::uint64_t> mBreaks;   ///< Broken flows by what was seen.
+  std::map<std::string, std::uint64_t> mRefusals; ///< Refused datagrams by reason.
+  std::map<std::string, std::uint64_t> mPerUpstream; ///< Established flows by upstream.
+};
+
+template <typename V>
+void DescribeFields(V& aVisitor, FlowStatistics& aValue)
+{
+  aVisitor.Field("opened", aValue.mOpened);
+  aVisitor.Field("established", aValue.mEstablished);
+  aVisitor.Field("answers", aValue.mAnswers);
+  aVisitor.Field("ticks", aValue.mTicks);
+  aVisitor.Field("broken", aValue.mBroken);
+  aVisitor.Field("given_up", aValue.mGivenUp);
+  aVisitor.Field("foreign", aValue.mForeign);
+  aVisitor.Field("breaks", aValue.mBreaks);
+  aVisitor.Field("refusals", aValue.mRefusals);
+  aVisitor.Field("per_upstream", aValue.mPerUpstream);
+}
+
+/// A set of callers on one event loop.
+class FlowCallers
+{
+public:
+  /// aPrefix is the start of the names of the service's upstreams.
+  FlowCallers(boost::asio::io_context& aLoop, FlowCallerOptions aOptions, std::string aPrefix);
+  ~FlowCallers();
+
+  /// Opens the sockets and starts sending.
+  Result<void> Start();
+
+  /// Stops opening flows and sends close datagrams.
+  void Stop();
+
+  FlowStatistics Statistics() const;
+
+private:
+  struct Flow
+  {
+    std::unique_ptr<UdpSocket> mSocket;
+    std::uint64_t mTag = 0;
+    std::uint64_t mSequence = 0;
+    std::string mUpstream; ///< Empty until the first answer.
+    std::uint64_t mLastCount = 0;
+    TimePoint mLastAnswer;
+    TimePoint mNextSend;
+  };
+
+  void Tick();
+  void SendQuote(Flow& aFlow);
+  void SendText(Flow& aFlow, CallerDatagramKind aKind, const std::string& aText);
+  void OnDatagram(Flow& aFlow, std::span<const std::uint8_t> aBytes);
+  void OnAnswer(Flow& aFlow, std::string_view aText);
+  void OnRefused(Flow& aFlow, RefusalReason aReason, Milliseconds aRetryAfter);
+  void Break(Flow& aFlow, const std::string& aWhat);
+  void Reopen(Flow& aFlow, Milliseconds aDelay);
+
+  boost::asio::io_context& mLoop;
+  FlowCallerOptions mOptions;
+  std::string mPrefix;
+  mutable std::mutex mMutex;
+  Random mRandom;
+  std::vector<std::unique_ptr<Flow>> mFlows;
+  FlowStatistics mStatistics;
+  std::unique_ptr<RepeatingTimer> mTimer;
+  bool mStopping = false;
+};
+
+} // namespace dandelionslip
--- /dev/null
+++ b/tools/dandelionslipctl/main.cpp
@@ -0,0 +1,333 @@
+// Operators' command-line tool.
+#include "dandelionslip/Config/Publication.h"
+#include "dandelionslip/Control/ReplicaId.h"
+#include "dandelionslip/Daemon/OperatorClient.h"
+#include "dandelionslip/Support/RuntimeClock.h"
+
+#include <docopt/docopt.h>
+
+#include <algorithm>
+#include <array>
+#include <cstdlib>
+#include <iomanip>
+#include <iostream>
+#include <sstream>
+
+namespace dandelionslip {
+
+namespace {
+
+constexpr char kUsage[] = R"(dandelionslipctl
+
+Usage:
+  dandelionslipctl validate FILE...
+  dandelionslipctl publish [options] [--id=UUID] [--operator=NAME] [--expected-version=N] FILE...
+  dandelionslipctl collect [options] [--id=UUID] [--operator=NAME] [--dry-run] FOLDER...
+  dandelionslipctl delete [options] [--id=UUID] [--operator=NAME] SERVICE VERSION
+  dandelionslipctl data-centre (out | in) [options] [--id=UUID] [--operator=NAME] NAME
+  dandelionslipctl (drain | undrain) [options] [--id=UUID] [--operator=NAME] UPSTREAM
+  dandelionslipctl replica add [options] REPLICA ENDPOINT
+  dandelionslipctl replica (promote | remove) [options] REPLICA
+  dandelionslipctl status [options] [--json]
+  dandelionslipctl (-h | --help)
+  dandelionslipctl --version
+
+Options:
+  --control=LIST        Control endpoints, separated by commas
+                        [default: 127.0.0.1:7400,127.0.0.1:7401,127.0.0.1:7402].
+  --timeout-ms=N        Time to wait for a decision [default: 5000].
+  --id=UUID             Publication id; resend with the id of a lost answer to learn its outcome.
+  --operator=NAME       Name shown to the loser of a conflict [default: operator].
+  --expected-version=N  Refuse unless the file's version is N + 1.
+  --dry-run             Show what would be published.
+  --json                Print the whole status as JSON.
+
+Exit codes: 0 done, 1 failed, 2 usage, 3 refused, 4 conflict, 5 not applied, 6 outcome unknown,
+7 publication id expired.
+)";
+
+enum CtlExit : int
+{
+  kExitOk = 0,
+  kExitFailed = 1,
+  kExitUsage = 2,
+  kExitRefused = 3,
+};
+
+using Arguments = std::map<std::string, docopt::value>;
+
+int ExitCodeOf(CommandOutcome aOutcome)
+{
+  static constexpr std::array<int, 6> kCodes{0, 3, 4, 5, 6, 7};
+  return kCodes[static_cast<std::size_t>(aOutcome)];
+}
+
+std::vector<std::string> SplitList(const std::string& aText)
+{
+  std::vector<std::string> items;
+  std::istringstream stream(aText);
+  for (std::string item; std::getline(stream, item, ',');) {
+    items.push_back(item);
+  }
+  return items;
+}
+
+Milliseconds TimeoutOf(const Arguments& aArguments)
+{
+  return Milliseconds(aArguments.at("--timeout-ms").asLong());
+}
+
+OperatorClient ClientFor(const Arguments& aArguments)
+{
+  return OperatorClient(SplitList(aArguments.at("--control").asString()));
+}
+
+int Fail(const Error& aError)
+{
+  std::cerr << aError.Message() << "\n";
+  return aError.mCode == ErrorCode::InvalidInput ? kExitRefused : kExitFailed;
+}
+
+PublicationIdentity IdentityFrom(const Arguments& aArguments)
+{
+  Random random(SystemSeed());
+  const auto& id = aArguments.at("--id");
+  return {id ? id.asString() : NewReplicaId(random), aArguments.at("--operator").asString(),
+          WallClockMs()};
+}
+
+int Report(const CommandAnswer& aAnswer, const std::string& aPublicationId)
+{
+  std::cout << "outcome=" << ToJson(aAnswer.mOutcome).get<std::string>()
+            << " revision=" << aAnswer.mRevision << " publication_id=" << aPublicationId;
+  if (!aAnswer.mDetail.empty()) {
+    std::cout << " detail=" << std::quoted(aAnswer.mDetail);
+  }
+  std::cout << "\n";
+  return ExitCodeOf(aAnswer.mOutcome);
+}
+
+int SendCommand(const Arguments& aArguments, const Command& aCommand)
+{
+  auto client = ClientFor(aArguments);
+  return Report(client.Send(aCommand, TimeoutOf(aArguments)), aCommand.mPublicationId);
+}
+
+Result<std::vector<ServiceFile>> LoadFiles(const Arguments& aArguments)
+{
+  std::vector<ServiceFile> files;
+  for (const auto& path : aArguments.at("FILE").asStringList()) {
+    auto spec = LoadServiceFile(path);
+    if (!spec) {
+      return spec.as_failure();
+    }
+    files.push_back({path, std::move(spec.value())});
+  }
+  return files;
+}
+
+int Validate(const Arguments& aArguments)
+{
+  const auto files = LoadFiles(aArguments);
+  if (!files) {
+    return Fail(files.error());
+  }
+  for (const auto& file : files.value()) {
+    std::cout << file.mPath << ": ok, service " << file.mSpec.mName << " version "
+              << file.mSpec.mVersion << "\n";
+  }
+  return kExitOk;
+}
+
+int PublishFiles(const Arguments& aArguments, const std::vector<ServiceFile>& aFiles)
+{
+  const auto command = BuildPublication(IdentityFrom(aArguments), aFiles);
+  return command ? SendCommand(aArguments, command.value()) : Fail(command.error());
+}
+
+int Publish(const Arguments& aArguments)
+{
+  const auto files = LoadFiles(aArguments);
+  if (!files) {
+    return Fail(files.error());
+  }
+  if (const auto& expected = aArguments.at("--expected-version")) {
+    for (const auto& file : files.value()) {
+      if (file.mSpec.mVersion != static_cast<std::uint64_t>(expected.asLong()) + 1) {
+        return Fail({ErrorCode::InvalidInput, "publish", file.mPath,
+                     "version: found " + std::to_string(file.mSpec.mVersion) + ", expected " +
+                       std::to_string(expected.asLong() + 1)});
+      }
+    }
+  }
+  return PublishFiles(aArguments, files.value());
+}
+
+int Collect(const Arguments& aArguments)
+{
+  const auto files = CollectServices(aArguments.at("FOLDER").asStringList());
+  if (!files) {
+    return Fail(files.error());
+  }
+  const auto inForce = ClientFor(aArguments).FetchConfiguration(TimeoutOf(aArguments));
+  if (!inForce) {
+    return Fail(inForce.error());
+  }
+  const auto changed = ChangedServices(files.value(), inForce.value());
+  for (const auto& file : changed) {
+    std::cout << "service=" << file.mSpec.mName << " version=" << file.mSpec.mVersion
+              << " file=" << file.mPath << "\n";
+  }
+  std::cout << "checked=" << files.value().size() << " changed=" << changed.size() << "\n";
+  if (changed.empty() || aArguments.at("--dry-run").asBool()) {
+    return kExitOk;
+  }
+  return PublishFiles(aArguments, changed);
+}
+
+int Delete(const Arguments& aArguments)
+{
+  const std::array<ServiceDeletion, 1> deletions{
+    {{aArguments.at("SERVICE").asString(),
+      static_cast<std::uint64_t>(aArguments.at("VERSION").asLong())}}};
+  const auto command = BuildPublication(IdentityFrom(aArguments), {}, deletions);
+  return command ? SendCommand(aArguments, command.value()) : Fail(command.error());
+}
+
+Command EmptyCommand(const Arguments& aArguments)
+{
+  const auto identity = IdentityFrom(aArguments);
+  Command command;
+  command.mPublicationId = identity.mPublicationId;
+  command.mOperator = identity.mOperator;
+  command.mIssuedMs = identity.mIssuedMs;
+  return command;
+}
+
+int DataCentre(const Arguments& aArguments)
+{
+  Command command = EmptyCommand(aArguments);
+  command.mDataCentre =
+    DataCentreChange{aArguments.at("NAME").asString(), aArguments.at("out").asBool(), {}};
+  return SendCommand(aArguments, command);
+}
+
+int Drain(const Arguments& aArguments)
+{
+  Command command = EmptyCommand(aArguments);
+  command.mDrain =
+    DrainChange{aArguments.at("UPSTREAM").asString(), aArguments.at("drain").asBool()};
+  return SendCommand(aArguments, command);
+}
+
+int Replica(const Arguments& aArguments)
+{
+  MembershipChange change;
+  change.mReplica = aArguments.at("REPLICA").asString();
+  if (aArguments.at("add").asBool()) {
+    change.mKind = MembershipChangeKind::AddLearner;
+    change.mAddress = aArguments.at("ENDPOINT").asString();
+  } else {
+    change.mKind = aArguments.at("promote").asBool() ? MembershipChangeKind::Promote
+                                                     : MembershipChangeKind::Remove;
+  }
+  auto client = ClientFor(aArguments);
+  return Report(client.Send(change, TimeoutOf(aArguments)), "");
+}
+
+void PrintReplica(const std::string& aEndpoint, const Json& aStatus)
+{
+  if (aStatus.contains("error")) {
+    std::cout << std::left << std::setw(22) << aEndpoint << "unreachable\n";
+    return;
+  }
+  std::cout << std::left << std::setw(22) << aEndpoint << std::setw(14) << aStatus.value("node", "")
+            << std::setw(15) << aStatus.value("role", "") << "term " << std::setw(6)
+            << aStatus.value("term", 0) << "commit " << std::setw(8)
+            << aStatus.value("commit_index", 0)
+            << (aStatus.value("confirmed", false) ? "confirmed" : "unconfirmed") << "\n";
+}
+
+void PrintState(const Json& aStatus)
+{
+  const Json& configuration = aStatus["configuration"];
+  std::cout << "configuration revision " << configuration["revision"] << ", view revision "
+            << aStatus["view"]["revision"] << "\n";
+  for (const auto& [name, entry] : configuration["services"].items()) {
+    std::cout << "service " << std::setw(20) << name << "version " << entry["spec"]["version"]
+              << " addresses " << entry["spec"]["addresses"].dump() << "\n";
+  }
+  for (const auto& [name, state] : configuration["data_centres"].items()) {
+    std::cout << "data centre " << std::setw(16) << name << (state["out"] == true ? "out" : "in")
+              << "\n";
+  }
+  for (const auto& [name, member] : aStatus["view"]["members"].items()) {
+    std::cout << "member " << std::setw(20) << name << std::setw(10)
+              << member["kind"].get<std::string>() << std::setw(12)
+              << member["state"].get<std::string>() << member["data_centre"].get<std::string>()
+              << "\n";
+  }
+}
+
+int ShowStatus(const Arguments& aArguments)
+{
+  const Json status = ClientFor(aArguments).Status(TimeoutOf(aArguments));
+  if (aArguments.at("--json").asBool()) {
+    std::cout << status.dump(2) << "\n";
+  }
+  const Json* newest = nullptr;
+  for (const auto& [endpoint, replica] : status.items()) {
+    if (!aArguments.at("--json").asBool()) {
+      PrintReplica(endpoint, replica);
+    }
+    const bool better =
+      !replica.contains("error") &&
+      (newest == nullptr || replica.value("commit_index", 0) > newest->value("commit_index", 0));
+    newest = better ? &replica : newest;
+  }
+  if (newest == nullptr) {
+    return kExitFailed;
+  }
+  if (!aArguments.at("--json").asBool()) {
+    PrintState(*newest);
+  }
+  return kExitOk;
+}
+
+int RunCtl(const Arguments& aArguments)
+{
+  using Action = int (*)(const Arguments&);
+  static constexpr std::array<std::pair<const char*, Action>, 9> kActions{{
+    {"validate", &Validate},
+    {"publish", &Publish},
+    {"collect", &Collect},
+    {"delete", &Delete},
+    {"data-centre", &DataCentre},
+    {"drain", &Drain},
+    {"undrain", &Drain},
+    {"replica", &Replica},
+    {"status", &ShowStatus},
+  }};
+  for (const auto& [name, action] : kActions) {
+    if (aArguments.at(name).asBool()) {
+      return action(aArguments);
+    }
+  }
+  return kExitUsage;
+}
+
+} // namespace
+
+} // namespace dandelionslip
+
+int main(int aArgc, char** aArgv)
+{
+  try {
+    return dandelionslip::RunCtl(
+      docopt::docopt(dandelionslip::kUsage, {aArgv + 1, aArgv + aArgc}, true,
+                     std::string("dandelionslipctl ") + DANDELIONSLIP_VERSION));
+  } catch (const std::exception& failure) {
+    std::cerr << failure.what() << "\n";
+    return dandelionslip::kExitUsage;
+  }
+}
