Add the interfaces of the replicated log

Cause: the configuration store and the control daemon need the types of the replicated log before its implementation is complete.

--- /dev/null
+++ b/include/dandelionslip/Control/LogEntry.h
@@ -0,0 +1,49 @@
+// One entry of the replicated log.
+#pragma once
+
+#include "dandelionslip/Control/BinaryField.h"
+#include "dandelionslip/Control/ReplicaId.h"
+
+namespace dandelionslip {
+
+enum class EntryKind
+{
+  NoOp,       ///< Appended by a leader at the start of its term; carries nothing.
+  Command,    ///< Payload of the state machine.
+  Membership, ///< Payload is the CBOR form of the resulting Membership.
+};
+
+std::span<const EnumName<EntryKind>> EnumNames(EntryKind);
+
+/// Index and term name an entry uniquely.
+struct EntryId
+{
+  LogIndex mIndex = 0;
+  Term mTerm = 0;
+
+  auto operator<=>(const EntryId&) const = default;
+};
+
+/// One entry of the replicated log.
+struct LogEntry
+{
+  LogIndex mIndex = 0;
+  Term mTerm = 0;
+  EntryKind mKind = EntryKind::NoOp;
+  Bytes mPayload;
+
+  EntryId Id() const { return {mIndex, mTerm}; }
+
+  bool operator==(const LogEntry&) const = default;
+};
+
+template <typename V>
+void DescribeFields(V& aVisitor, LogEntry& aValue)
+{
+  aVisitor.Field("index", aValue.mIndex);
+  aVisitor.Field("term", aValue.mTerm);
+  aVisitor.Field("kind", aValue.mKind);
+  BinaryField(aVisitor, "payload", aValue.mPayload);
+}
+
+} // namespace dandelionslip
--- /dev/null
+++ b/include/dandelionslip/Control/RaftMessage.h
@@ -0,0 +1,243 @@
+// Messages between control replicas.
+#pragma once
+
+#include "dandelionslip/Control/LogEntry.h"
+#include "dandelionslip/Control/Membership.h"
+
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace dandelionslip {
+
+/// Asks whether a vote would be given, without changing the term of the receiver.
+struct PreVoteRequest
+{
+  Term mProposedTerm = 0;
+  LogIndex mLastIndex = 0;
+  Term mLastTerm = 0;
+
+  bool operator==(const PreVoteRequest&) const = default;
+};
+
+template <typename V>
+void DescribeFields(V& aVisitor, PreVoteRequest& aValue)
+{
+  aVisitor.Field("proposed_term", aValue.mProposedTerm);
+  aVisitor.Field("last_index", aValue.mLastIndex);
+  aVisitor.Field("last_term", aValue.mLastTerm);
+}
+
+struct PreVoteAnswer
+{
+  Term mProposedTerm = 0;
+  bool mGranted = false;
+
+  bool operator==(const PreVoteAnswer&) const = default;
+};
+
+template <typename V>
+void DescribeFields(V& aVisitor, PreVoteAnswer& aValue)
+{
+  aVisitor.Field("proposed_term", aValue.mProposedTerm);
+  aVisitor.Field("granted", aValue.mGranted);
+}
+
+/// Asks for a vote in the sender's term.
+struct VoteRequest
+{
+  LogIndex mLastIndex = 0;
+  Term mLastTerm = 0;
+  bool mTransfer = false; ///< The leader asked for this election, so its lease does not count.
+
+  bool operator==(const VoteRequest&) const = default;
+};
+
+template <typename V>
+void DescribeFields(V& aVisitor, VoteRequest& aValue)
+{
+  aVisitor.Field("last_index", aValue.mLastIndex);
+  aVisitor.Field("last_term", aValue.mLastTerm);
+  aVisitor.Field("transfer", aValue.mTransfer);
+}
+
+struct VoteAnswer
+{
+  bool mGranted = false;
+
+  bool operator==(const VoteAnswer&) const = default;
+};
+
+template <typename V>
+void DescribeFields(V& aVisitor, VoteAnswer& aValue)
+{
+  aVisitor.Field("granted", aValue.mGranted);
+}
+
+/// A reading of the sender's clock that the receiver returns unchanged. The session keeps readings
+/// of an earlier process apart.
+struct ClockStamp
+{
+  std::uint64_t mSession = 0;
+  std::int64_t mNs = 0;
+
+  bool operator==(const ClockStamp&) const = default;
+};
+
+template <typename V>
+void DescribeFields(V& aVisitor, ClockStamp& aValue)
+{
+  aVisitor.Field("session", aValue.mSession);
+  aVisitor.Field("ns", aValue.mNs);
+}
+
+/// Log entries and heartbeat of the leader.
+struct AppendRequest
+{
+  LogIndex mPreviousIndex = 0;
+  Term mPreviousTerm = 0;
+  std::vector<LogEntry> mEntries;
+  LogIndex mCommit = 0;
+  std::int64_t mSentNs = 0; ///< Leader's clock, returned in the answer.
+  /// Nanoseconds since the leader's last quorum contact; absent before the leader has committed an
+  /// entry of its term.
+  std::optional<std::int64_t> mQuorumAgeNs;
+  /// Latest stamp received from this follower, and how long the leader has held it.
+  std::optional<ClockStamp> mEcho;
+  std::int64_t mEchoHeldNs = 0;
+
+  bool operator==(const AppendRequest&) const = default;
+};
+
+template <typename V>
+void DescribeFields(V& aVisitor, AppendRequest& aValue)
+{
+  aVisitor.Field("previous_index", aValue.mPreviousIndex);
+  aVisitor.Field("previous_term", aValue.mPreviousTerm);
+  aVisitor.Field("entries", aValue.mEntries);
+  aVisitor.Field("commit", aValue.mCommit);
+  aVisitor.Field("sent_ns", aValue.mSentNs);
+  aVisitor.Field("quorum_age_ns", aValue.mQuorumAgeNs);
+  aVisitor.Field("echo", aValue.mEcho);
+  aVisitor.Field("echo_held_ns", aValue.mEchoHeldNs);
+}
+
+struct AppendAnswer
+{
+  bool mSuccess = false;
+  LogIndex mMatch = 0;         ///< On success: the log is durable and equal up to here.
+  LogIndex mPreviousIndex = 0; ///< Of the request.
+  LogIndex mHint = 0;          ///< On failure: highest index that may match.
+  std::int64_t mSentNs = 0;    ///< Of the request.
+  ClockStamp mStamp;           ///< Follower's clock.
+
+  bool operator==(const AppendAnswer&) const = default;
+};
+
+template <typename V>
+void DescribeFields(V& aVisitor, AppendAnswer& aValue)
+{
+  aVisitor.Field("success", aValue.mSuccess);
+  aVisitor.Field("match", aValue.mMatch);
+  aVisitor.Field("previous_index", aValue.mPreviousIndex);
+  aVisitor.Field("hint", aValue.mHint);
+  aVisitor.Field("sent_ns", aValue.mSentNs);
+  aVisitor.Field("stamp", aValue.mStamp);
+}
+
+/// One chunk of a snapshot. A chunk without data is a heartbeat during the transfer.
+struct SnapshotRequest
+{
+  LogIndex mIndex = 0;
+  Term mLastTerm = 0; ///< Term of the entry at mIndex.
+  Membership mMembership;
+  std::uint64_t mSize = 0; ///< Of the whole state, in bytes.
+  std::uint64_t mOffset = 0;
+  Bytes mData;
+  std::int64_t mSentNs = 0;
+
+  bool operator==(const SnapshotRequest&) const = default;
+};
+
+template <typename V>
+void DescribeFields(V& aVisitor, SnapshotRequest& aValue)
+{
+  aVisitor.Field("index", aValue.mIndex);
+  aVisitor.Field("last_term", aValue.mLastTerm);
+  aVisitor.Field("membership", aValue.mMembership);
+  aVisitor.Field("size", aValue.mSize);
+  aVisitor.Field("offset", aValue.mOffset);
+  BinaryField(aVisitor, "data", aValue.mData);
+  aVisitor.Field("sent_ns", aValue.mSentNs);
+}
+
+struct SnapshotAnswer
+{
+  LogIndex mIndex = 0;
+  std::uint64_t mNextOffset = 0;
+  bool mInstalled = false; ///< The log is durable up to mIndex.
+  std::int64_t mSentNs = 0;
+
+  bool operator==(const SnapshotAnswer&) const = default;
+};
+
+template <typename V>
+void DescribeFields(V& aVisitor, SnapshotAnswer& aValue)
+{
+  aVisitor.Field("index", aValue.mIndex);
+  aVisitor.Field("next_offset", aValue.mNextOffset);
+  aVisitor.Field("installed", aValue.mInstalled);
+  aVisitor.Field("sent_ns", aValue.mSentNs);
+}
+
+/// Asks an up-to-date voter to start an election at once.
+struct TimeoutNow
+{
+  bool operator==(const TimeoutNow&) const = default;
+};
+
+template <typename V>
+void DescribeFields(V&, TimeoutNow&)
+{
+}
+
+/// Tells a replica that its identity must not take part; it stops.
+struct Refusal
+{
+  std::string mReason;
+
+  bool operator==(const Refusal&) const = default;
+};
+
+template <typename V>
+void DescribeFields(V& aVisitor, Refusal& aValue)
+{
+  aVisitor.Field("reason", aValue.mReason);
+}
+
+using RaftBody = std::variant<PreVoteRequest, PreVoteAnswer, VoteRequest, VoteAnswer, AppendRequest,
+                              AppendAnswer, SnapshotRequest, SnapshotAnswer, TimeoutNow, Refusal>;
+
+/// A message with its sender and receiver.
+struct RaftMessage
+{
+  ReplicaId mFrom;
+  ReplicaId mTo;
+  Term mTerm = 0;
+  StoreId mFromStore = 0;
+  bool mFromBlank = false; ///< The sender holds no log.
+  StoreId mToStore = 0;    ///< Receiver's store as known to the sender; zero when unknown.
+  RaftBody mBody;
+
+  bool operator==(const RaftMessage&) const = default;
+};
+
+/// Encodes a message as CBOR.
+Bytes EncodeRaftMessage(const RaftMessage& aMessage);
+
+/// Decodes a message; errors name aSource and the key path.
+Result<RaftMessage> DecodeRaftMessage(std::span<const std::uint8_t> aBytes,
+                                      std::string_view aSource);
+
+} // namespace dandelionslip
