Add the interfaces of the replicated state and membership

Cause: other modules need the types of the configuration store, the lease table, the view builder and the membership core before these are written. Change: public headers in Control; view and configuration differences and NodeState in Model, because nodes apply them and may not use Control; AnnouncementAnswer gains optional differences.

--- /dev/null
+++ b/include/dandelionslip/Control/AttachedNodes.h
@@ -0,0 +1,70 @@
+// The nodes attached to one control replica and the summary of them for the leader.
+#pragma once
+
+#include "dandelionslip/Control/LeaseTable.h"
+#include "dandelionslip/Control/MemberSummary.h"
+
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+
+namespace dandelionslip {
+
+/// Identifies an announcement in a digest; the view revision does not count, because it changes on
+/// every node with every view and the leader does not need it.
+std::uint64_t DigestOf(const Announcement& aAnnouncement);
+
+/// Collects announcements and reports them to the leader. Not thread-safe.
+///
+/// A lease is granted only on the strength of a summary that the leader has acknowledged: the
+/// leader counts the lease from the summary's arrival, so a node never holds a lease longer than
+/// the leader believes, even when the link to the leader is cut between two summaries.
+class AttachedNodes
+{
+public:
+  explicit AttachedNodes(const MembershipSettings& aSettings);
+
+  /// Takes an announcement; Fenced when this replica has seen a higher incarnation.
+  RenewalOutcome Take(const Announcement& aAnnouncement, TimePoint aNow);
+
+  /// Builds the next summary for the leader of aTerm; the first one of a term is whole.
+  MemberSummary NextSummary(const std::string& aReplica, std::uint64_t aTerm,
+                            std::uint64_t aViewRevision, TimePoint aNow);
+
+  /// Takes the leader's answer to a summary.
+  void TakeAnswer(const SummaryAnswer& aAnswer);
+
+  /// What remains at aNow of the lease that the leader has acknowledged for this incarnation.
+  Milliseconds LeaseFor(const std::string& aName, std::uint64_t aIncarnation, TimePoint aNow) const;
+
+  /// Whether the leader or this replica knows a higher incarnation.
+  bool IsFenced(const std::string& aName, std::uint64_t aIncarnation) const;
+
+  /// The announcements of all attached nodes.
+  std::vector<Announcement> All() const;
+
+private:
+  struct Node
+  {
+    Announcement mAnnouncement;
+    std::uint64_t mDigest = 0;
+    TimePoint mLastAnnounced;
+    std::uint64_t mChangedIn = 0;        ///< Sequence of the summary that carries the change.
+    std::optional<TimePoint> mLeaseFrom; ///< When the acknowledged summary was sent.
+    std::uint64_t mFencedIncarnation = 0;
+  };
+
+  void DropSilent(TimePoint aNow);
+
+  MembershipSettings mSettings;
+  std::map<std::string, Node> mNodes;
+  std::set<std::string> mDetached; ///< Not yet acknowledged by the leader.
+  std::uint64_t mTerm = 0;
+  std::uint64_t mSequence = 0;
+  bool mWholeNext = true;
+  TimePoint mSentAt;                               ///< When the newest summary was built.
+  std::map<std::string, std::uint64_t> mSentNodes; ///< Incarnations in the newest summary.
+};
+
+} // namespace dandelionslip
--- /dev/null
+++ b/include/dandelionslip/Control/ConfigurationStore.h
@@ -0,0 +1,51 @@
+// The replicated state machine of operators' commands.
+#pragma once
+
+#include "dandelionslip/Control/StoreState.h"
+
+#include <optional>
+#include <string>
+
+namespace dandelionslip {
+
+/// Applies committed commands in log order. Deterministic: equal entries give equal state and
+/// answers on every replica. Not thread-safe.
+class ConfigurationStore
+{
+public:
+  /// Applies the command of log entry aIndex, whole or not at all. A known publication id gets its
+  /// first answer. An entry at or below the last applied index changes nothing.
+  CommandAnswer Apply(std::uint64_t aIndex, const Command& aCommand);
+
+  /// The configuration in force; its revision is the index of the last entry that changed it.
+  const Configuration& Current() const { return mState.mConfiguration; }
+
+  /// The kept answer to a publication id.
+  std::optional<CommandAnswer> AnswerFor(const std::string& aPublicationId) const;
+
+  /// Index of the last entry seen by Apply.
+  std::uint64_t AppliedIndex() const { return mState.mAppliedIndex; }
+
+  /// The whole state, including kept answers.
+  Json Snapshot() const;
+
+  /// Replaces the whole state. InvalidInput: malformed or inconsistent; Conflict: the snapshot is
+  /// older than the state. Nothing changes on an error.
+  Result<void> Restore(const Json& aSnapshot);
+
+private:
+  CommandAnswer Decide(std::uint64_t aIndex, const Command& aCommand);
+  void Keep(std::uint64_t aIndex, const Command& aCommand, const CommandAnswer& aAnswer);
+  void EvictAnswers();
+  void IndexAnswers();
+
+  StoreState mState;
+  std::map<std::string, CommandAnswer> mAnswerById;
+};
+
+/// Checks a new command's issue time against the wall clock of the leader before the append; the
+/// state machine has no clock. InvalidInput: more than 5 minutes in the future, which would make
+/// answers look older than they are, or older than the retention of answers.
+Result<void> CheckIssueTime(const Command& aCommand, std::int64_t aNowMs);
+
+} // namespace dandelionslip
--- /dev/null
+++ b/include/dandelionslip/Control/LeaseTable.h
@@ -0,0 +1,68 @@
+// Leases and announcements of all nodes, held by the control leader.
+#pragma once
+
+#include "dandelionslip/Control/MembershipSettings.h"
+#include "dandelionslip/Model/Announcement.h"
+
+#include <map>
+#include <string>
+#include <vector>
+
+namespace dandelionslip {
+
+/// What became of an announcement.
+enum class RenewalOutcome
+{
+  Accepted,
+  Fenced, ///< A higher incarnation exists, or this incarnation has left; the process must stop.
+  Full,   ///< The table has no room for another member.
+  Invalid ///< The announcement breaks a rule, for example an empty name or the state `lost`.
+};
+
+/// One node with its lease.
+struct LeaseEntry
+{
+  Announcement mAnnouncement;                 ///< mMember.mState is the state in force.
+  MemberState mAnnounced = MemberState::Cold; ///< State before the lease ended.
+  TimePoint
+    mDeadline; ///< When the member is lost; for a lost or left member, when it is forgotten.
+  bool mHeard = false; ///< False while the entry comes only from an adopted view.
+};
+
+/// Tracks leases, fencing and planned stops. Not thread-safe.
+class LeaseTable
+{
+public:
+  explicit LeaseTable(const MembershipSettings& aSettings);
+
+  /// Takes an announcement received at aNow.
+  RenewalOutcome Renew(const Announcement& aAnnouncement, TimePoint aNow);
+
+  /// Extends the lease of a member whose announcement is unchanged. Returns false when this
+  /// incarnation is unknown or replaced.
+  bool Touch(const std::string& aName, std::uint64_t aIncarnation, TimePoint aNow);
+
+  /// Marks members whose lease or restart grace has ended as lost; returns their names.
+  std::vector<std::string> Expire(TimePoint aNow);
+
+  /// Drops members that were lost or left long ago and that no generation of aView names.
+  void Forget(const View& aView, TimePoint aNow);
+
+  /// Takes over the members of a view and gives each one full lease with margin from aNow, so that
+  /// a new leader declares no member lost early.
+  void Adopt(const View& aView, TimePoint aNow);
+
+  /// The entry with this name, or null.
+  const LeaseEntry* Find(const std::string& aName) const;
+
+  const std::map<std::string, LeaseEntry>& Entries() const { return mEntries; }
+
+private:
+  TimePoint DeadlineFor(MemberState aState, TimePoint aNow) const;
+  RenewalOutcome Insert(const Announcement& aAnnouncement, TimePoint aNow);
+
+  MembershipSettings mSettings;
+  std::map<std::string, LeaseEntry> mEntries;
+};
+
+} // namespace dandelionslip
--- /dev/null
+++ b/include/dandelionslip/Control/MemberSummary.h
@@ -0,0 +1,78 @@
+// What a control replica tells the leader about its attached nodes, and the leader's answer.
+#pragma once
+
+#include "dandelionslip/Model/Announcement.h"
+
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace dandelionslip {
+
+/// Largest summary, view message or answer that is decoded. A whole view of the target size takes
+/// less than 2 MiB.
+inline constexpr std::size_t kMaxControlMessageBytes = std::size_t{8} << 20U;
+
+/// Most members that one message may list; equals the default size of the lease table.
+inline constexpr std::size_t kMaxListedMembers = 8'192;
+
+/// Sent by a replica to the leader every 250 ms.
+struct MemberSummary
+{
+  std::string mReplica;
+  std::uint64_t mTerm = 0;     ///< Term of the leader it is meant for.
+  std::uint64_t mSequence = 0; ///< Increases by one with each summary in a term.
+  bool mWhole = false;         ///< mChanged lists every attached node.
+  std::vector<Announcement> mChanged;
+  std::vector<std::string> mDetached;
+  std::uint64_t mDigest = 0; ///< Over all attached nodes after this summary.
+  std::uint64_t mViewRevision = 0;
+  std::optional<View> mView; ///< Present when the leader asked for it.
+
+  bool operator==(const MemberSummary&) const = default;
+};
+
+template <typename V>
+void DescribeFields(V& aVisitor, MemberSummary& aValue)
+{
+  aVisitor.Field("replica", aValue.mReplica);
+  aVisitor.Field("term", aValue.mTerm);
+  aVisitor.Field("sequence", aValue.mSequence);
+  aVisitor.Optional("whole", aValue.mWhole);
+  aVisitor.Optional("changed", aValue.mChanged);
+  aVisitor.Optional("detached", aValue.mDetached);
+  aVisitor.Field("digest", aValue.mDigest);
+  aVisitor.Field("view_revision", aValue.mViewRevision);
+  aVisitor.Optional("view", aValue.mView);
+}
+
+/// The leader's answer to a summary.
+struct SummaryAnswer
+{
+  std::uint64_t mTerm = 0;
+  std::uint64_t mSequence = 0; ///< Of the summary that is answered.
+  bool mAccepted = false;      ///< All attached nodes were renewed, except those in mFenced.
+  bool mWholeWanted = false;   ///< The digest differs; the next summary must be whole.
+  bool mViewWanted = false;    ///< The replica holds a newer view than a starting leader.
+  std::vector<std::string> mFenced;
+
+  bool operator==(const SummaryAnswer&) const = default;
+};
+
+template <typename V>
+void DescribeFields(V& aVisitor, SummaryAnswer& aValue)
+{
+  aVisitor.Field("term", aValue.mTerm);
+  aVisitor.Field("sequence", aValue.mSequence);
+  aVisitor.Field("accepted", aValue.mAccepted);
+  aVisitor.Optional("whole_wanted", aValue.mWholeWanted);
+  aVisitor.Optional("view_wanted", aValue.mViewWanted);
+  aVisitor.Optional("fenced", aValue.mFenced);
+}
+
+/// Decodes a summary within the size bounds. LimitExceeded: a bound is exceeded; InvalidInput:
+/// malformed.
+Result<MemberSummary> DecodeMemberSummary(std::span<const std::uint8_t> aBytes,
+                                          std::string_view aSource);
+
+} // namespace dandelionslip
--- /dev/null
+++ b/include/dandelionslip/Control/MembershipCore.h
@@ -0,0 +1,122 @@
+// The membership part of one control replica as a pure decision core.
+#pragma once
+
+#include "dandelionslip/Control/AttachedNodes.h"
+#include "dandelionslip/Control/ConfigurationStore.h"
+#include "dandelionslip/Control/SummaryReceiver.h"
+#include "dandelionslip/Control/ViewBuilder.h"
+#include "dandelionslip/Control/ViewUpdate.h"
+#include "dandelionslip/Model/RevisionHistory.h"
+
+#include <map>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace dandelionslip {
+
+/// What the Raft core says about leadership.
+struct RoleChange
+{
+  std::uint64_t mTerm = 0;
+  bool mLeading = false;            ///< This replica leads the term.
+  std::string mLeader;              ///< Empty while unknown.
+  std::vector<std::string> mVoters; ///< All voting replicas, this one included.
+};
+
+/// Send the summary to the leader over /v1/summary; the answer goes to OnSummaryAnswer.
+struct SendSummary
+{
+  std::string mTo;
+  MemberSummary mSummary;
+};
+
+/// Send the update to a replica over /v1/view; the answer goes to OnViewUpdateAnswer.
+struct SendViewUpdate
+{
+  std::string mTo;
+  ViewUpdate mUpdate;
+};
+
+using MembershipAction = std::variant<SendSummary, SendViewUpdate>;
+
+/// Takes typed events and returns typed answers and actions. Has no socket, thread, clock or random
+/// source. Not thread-safe.
+class MembershipCore
+{
+public:
+  MembershipCore(std::string aReplica, const MembershipSettings& aSettings);
+
+  /// An announcement from an attached node. aConfirmed comes from the Raft core: the leader this
+  /// replica follows reached a quorum within the last 500 ms and this replica has applied that
+  /// leader's commit index. Without it the answer carries neither lease nor state.
+  AnnouncementAnswer OnAnnouncement(const Announcement& aAnnouncement, bool aConfirmed,
+                                    TimePoint aNow);
+
+  /// A summary from another replica; only the leader of the summary's term accepts it.
+  SummaryAnswer OnSummary(const MemberSummary& aSummary, TimePoint aNow);
+
+  /// The leader's answer to this replica's newest summary.
+  void OnSummaryAnswer(const SummaryAnswer& aAnswer);
+
+  /// A view from the leader. A lower revision or an older term is not taken.
+  ViewUpdateAnswer OnViewUpdate(const ViewUpdate& aUpdate);
+
+  /// A replica's answer to a view update.
+  void OnViewUpdateAnswer(const ViewUpdateAnswer& aAnswer);
+
+  /// A committed log entry with a command.
+  CommandAnswer OnCommitted(std::uint64_t aIndex, const Command& aCommand);
+
+  /// A snapshot of the configuration store, at start or from the leader.
+  Result<void> OnSnapshot(const Json& aSnapshot);
+
+  /// A new term, leader or set of voters.
+  void OnRoleChange(const RoleChange& aChange, TimePoint aNow);
+
+  /// Lets time pass; called every 20 ms.
+  std::vector<MembershipAction> OnTick(TimePoint aNow);
+
+  const ConfigurationStore& Store() const { return mStore; }
+  const View& CurrentView() const { return mViews.Newest(); }
+  const LeaseTable& Leases() const { return mLeases; }
+
+  /// Whether this replica leads and has heard the views of a quorum, so that it issues views.
+  bool IssuesViews() const { return mIssuing; }
+
+private:
+  struct Peer
+  {
+    SummaryReceiver mReceiver;
+    bool mHeard = false;             ///< Its view is not newer than ours, in this term.
+    std::uint64_t mViewRevision = 0; ///< Newest revision it is known to hold.
+    TimePoint mSentAt;
+    std::uint64_t mSentRevision = 0;
+  };
+
+  Milliseconds GrantLease(const Announcement& aAnnouncement, TimePoint aNow) const;
+  void AddState(const Announcement& aAnnouncement, AnnouncementAnswer& aAnswer) const;
+  bool KnowsHigherIncarnation(const Member& aMember) const;
+  void StartIssuing(TimePoint aNow);
+  void UpdateView(TimePoint aNow);
+  std::uint64_t QuorumRevision() const;
+  void AddViewUpdates(std::vector<MembershipAction>& aActions, TimePoint aNow);
+  void AddSummary(std::vector<MembershipAction>& aActions, TimePoint aNow);
+  bool HasQuorum(std::size_t aVoters) const;
+
+  std::string mReplica;
+  MembershipSettings mSettings;
+  ConfigurationStore mStore;
+  RevisionHistory<Configuration, ConfigurationDifference> mConfigurations;
+  RevisionHistory<View, ViewDifference> mViews;
+  AttachedNodes mAttached;
+  LeaseTable mLeases;
+  ViewBuilder mBuilder;
+  RoleChange mRole;
+  bool mIssuing = false;
+  bool mSendView = false; ///< The leader asked for this replica's view.
+  std::map<std::string, Peer> mPeers;
+  std::optional<TimePoint> mSummarySentAt;
+};
+
+} // namespace dandelionslip
--- /dev/null
+++ b/include/dandelionslip/Control/MembershipSettings.h
@@ -0,0 +1,32 @@
+// Periods and bounds of leases, summaries and generations.
+#pragma once
+
+#include "dandelionslip/Support/RuntimeClock.h"
+
+#include <cstddef>
+#include <cstdint>
+
+namespace dandelionslip {
+
+/// Settings of the membership protocol; equal on all control replicas.
+struct MembershipSettings
+{
+  Milliseconds mLease{2'000};
+  Milliseconds mLeaseMargin{500}; ///< Added before a member is declared lost.
+  Milliseconds mRestartGrace{10'000};
+  Milliseconds mSummaryInterval{250};
+  Milliseconds mViewResend{250}; ///< Pause before an unacknowledged view is sent again.
+  /// A replica counts a node as attached this long after its last announcement: one and a half
+  /// announcement intervals of 500 ms.
+  Milliseconds mAttachWindow{750};
+  Milliseconds mStepInterval{1'000}; ///< Shortest time between weight steps of a service.
+  /// Lost and left members stay in the view this long, so that nodes see why a member is gone.
+  Milliseconds mForgetAfter{600'000};
+  std::size_t mMaxMembers = 8'192; ///< About twice the 3,720 nodes and servers of the target size.
+};
+
+/// Views that a leader issues beyond the newest one that a quorum holds. Bounds how many generation
+/// numbers a deposed leader can have used that its successor does not know.
+inline constexpr std::uint64_t kMaxUnheldViews = 16;
+
+} // namespace dandelionslip
--- /dev/null
+++ b/include/dandelionslip/Control/StoreState.h
@@ -0,0 +1,94 @@
+// The serialized state of the configuration store.
+#pragma once
+
+#include "dandelionslip/Model/Command.h"
+
+#include <map>
+#include <string>
+#include <vector>
+
+namespace dandelionslip {
+
+/// Answers kept regardless of age.
+inline constexpr std::size_t kKeptAnswers = 4096;
+
+/// Answers younger than this, by the issue times in the log, are kept regardless of their number.
+inline constexpr std::int64_t kAnswerRetentionMs = 24LL * 60 * 60 * 1000;
+
+/// Answers kept at most. More than 200 times the 280 changes a day of the target size; beyond it,
+/// commands are answered not_applied, so that replicas' memory stays bounded.
+inline constexpr std::size_t kMaxAnswers = 65'536;
+
+/// Bounds of the configuration, at several times the target size of 710 addresses, 6 data centres
+/// and 3,300 upstreams.
+inline constexpr std::size_t kMaxServices = 2'048;
+inline constexpr std::size_t kMaxAddressesPerService = 64;
+inline constexpr std::size_t kMaxDataCentres = 64;
+inline constexpr std::size_t kMaxDrained = 16'384;
+inline constexpr std::size_t kMaxOperatorLength = 128;
+
+/// An answer with what its retention depends on.
+struct KeptAnswer
+{
+  std::string mPublicationId;
+  std::int64_t mIssuedMs = 0;
+  std::uint64_t mIndex = 0;
+  CommandAnswer mAnswer;
+
+  bool operator==(const KeptAnswer&) const = default;
+};
+
+template <typename V>
+void DescribeFields(V& aVisitor, KeptAnswer& aValue)
+{
+  aVisitor.Field("publication_id", aValue.mPublicationId);
+  aVisitor.Field("issued_ms", aValue.mIssuedMs);
+  aVisitor.Field("index", aValue.mIndex);
+  aVisitor.Field("answer", aValue.mAnswer);
+}
+
+/// The publication that last changed a service or data centre.
+struct LastWriter
+{
+  std::string mPublicationId;
+  std::string mOperator;
+  std::uint64_t mRevision = 0;
+
+  bool operator==(const LastWriter&) const = default;
+};
+
+template <typename V>
+void DescribeFields(V& aVisitor, LastWriter& aValue)
+{
+  aVisitor.Field("publication_id", aValue.mPublicationId);
+  aVisitor.Field("operator", aValue.mOperator);
+  aVisitor.Field("revision", aValue.mRevision);
+}
+
+/// Everything that a snapshot holds.
+struct StoreState
+{
+  std::uint64_t mAppliedIndex = 0;
+  std::int64_t mLogTimeMs = 0;        ///< Highest issue time seen.
+  std::int64_t mExpiredThroughMs = 0; ///< Highest issue time of an evicted answer.
+  Configuration mConfiguration;
+  std::vector<KeptAnswer> mAnswers;                  ///< In log order.
+  std::map<std::string, LastWriter> mServiceWriters; ///< Also of deleted services.
+  std::map<std::string, LastWriter> mDataCentreWriters;
+
+  bool operator==(const StoreState&) const = default;
+};
+
+template <typename V>
+void DescribeFields(V& aVisitor, StoreState& aValue)
+{
+  aVisitor.Field("applied_index", aValue.mAppliedIndex);
+  aVisitor.Field("log_time_ms", aValue.mLogTimeMs);
+  aVisitor.Field("expired_through_ms", aValue.mExpiredThroughMs);
+  aVisitor.Field("configuration", aValue.mConfiguration);
+  aVisitor.Field("answers", aValue.mAnswers);
+  aVisitor.Field("service_writers", aValue.mServiceWriters);
+  aVisitor.Field("data_centre_writers", aValue.mDataCentreWriters);
+}
+
+} // namespace dandelionslip
--- /dev/null
+++ b/include/dandelionslip/Control/SummaryReceiver.h
@@ -0,0 +1,31 @@
+// The leader's record of the summaries of one replica.
+#pragma once
+
+#include "dandelionslip/Control/LeaseTable.h"
+#include "dandelionslip/Control/MemberSummary.h"
+
+#include <map>
+#include <string>
+
+namespace dandelionslip {
+
+/// Applies one replica's summaries to the lease table. Not thread-safe.
+class SummaryReceiver
+{
+public:
+  /// Renews the nodes that the summary covers. When the digest does not match, only the listed
+  /// announcements are renewed and a whole summary is requested.
+  SummaryAnswer Take(const MemberSummary& aSummary, LeaseTable& aLeases, TimePoint aNow);
+
+private:
+  struct Known
+  {
+    std::uint64_t mIncarnation = 0;
+    std::uint64_t mDigest = 0;
+  };
+
+  std::map<std::string, Known> mNodes;
+  std::uint64_t mSequence = 0;
+};
+
+} // namespace dandelionslip
--- /dev/null
+++ b/include/dandelionslip/Control/ViewBuilder.h
@@ -0,0 +1,79 @@
+// Builds the next view from the configuration and the leases.
+#pragma once
+
+#include "dandelionslip/Control/LeaseTable.h"
+#include "dandelionslip/Model/View.h"
+
+#include <map>
+#include <string>
+#include <vector>
+
+namespace dandelionslip {
+
+/// Lowest weight of a member that takes part in a generation: 1% of kFullWeight. A factor of 1.25
+/// still moves it by whole units.
+inline constexpr std::uint32_t kMinWeight = kFullWeight / 100;
+
+/// Weight with which a member joins a generation that others already serve: 5% of kFullWeight, the
+/// default cold limit of connections.
+inline constexpr std::uint32_t kJoinWeight = kFullWeight / 20;
+
+/// A weight that differs from its target by less than this part of itself (3%) is left alone: noise
+/// of the estimate then moves no buckets, and bucket rounding (0.7% with 1,024 buckets and 7
+/// members) still fits into the steady imbalance target of 1.05.
+inline constexpr std::uint32_t kDeadBandPermille = 30;
+
+/// Generation numbers that a new term skips. Larger than kMaxUnheldViews, so no number is used for
+/// two different assignments even when the deposed leader's last views were seen only by nodes.
+inline constexpr std::uint32_t kTermGenerationGap = 64;
+
+/// Issues views in one leader term after another. Not thread-safe.
+///
+/// A planned change (join, drain, leave, weight step) waits until every live member of the newest
+/// generation has acknowledged it. A change forced by a loss or by a data centre that is out does
+/// not wait, because the buckets of that member have no live owner; it only removes members. It is
+/// still held back when the last generation that all live members have acknowledged would drop out
+/// of the kMaxGenerations that a view holds: agents could then no longer find where a flow is.
+class ViewBuilder
+{
+public:
+  explicit ViewBuilder(const MembershipSettings& aSettings);
+
+  /// Begins a leader term from the newest view known. The next Update issues a new revision even
+  /// when nothing changed, because it has to replace views of the old term.
+  void StartTerm(std::uint64_t aTerm, const View& aNewest);
+
+  /// Brings the view up to date; returns whether a new revision was issued.
+  bool Update(const Configuration& aConfiguration, const LeaseTable& aLeases, TimePoint aNow);
+
+  const View& Current() const { return mView; }
+
+  /// Live members whose acknowledgement the next generation of a service waits for.
+  static std::vector<std::string> Unacknowledged(const ServiceView& aService,
+                                                 const LeaseTable& aLeases);
+
+private:
+  struct Pace
+  {
+    ServiceId mServiceId = 0;
+    TimePoint mLastStep;
+    bool mStepped = false;        ///< mLastStep is valid.
+    bool mNumberedInTerm = false; ///< A generation was issued in this term.
+  };
+
+  std::map<std::string, Member> BuildMembers(const Configuration& aConfiguration,
+                                             const LeaseTable& aLeases) const;
+  ServiceView BuildService(const std::string& aName, ServiceId aId,
+                           const Configuration& aConfiguration, const LeaseTable& aLeases,
+                           TimePoint aNow);
+  std::uint32_t NextNumber(const ServiceView& aService, Pace& aPace) const;
+
+  MembershipSettings mSettings;
+  std::uint64_t mTerm = 0;
+  std::uint64_t mPreviousTerm = 0;
+  bool mIssuedInTerm = false;
+  View mView;
+  std::map<std::string, Pace> mPace;
+};
+
+} // namespace dandelionslip
--- /dev/null
+++ b/include/dandelionslip/Control/ViewUpdate.h
@@ -0,0 +1,51 @@
+// A view sent by the leader to a replica, and the replica's answer.
+#pragma once
+
+#include "dandelionslip/Model/ViewDifference.h"
+
+#include <optional>
+#include <string>
+
+namespace dandelionslip {
+
+/// Carries the leader's newest view, as a difference where the replica's revision is known.
+struct ViewUpdate
+{
+  std::uint64_t mTerm = 0;
+  std::optional<View> mView;
+  std::optional<ViewDifference> mDifference;
+
+  bool operator==(const ViewUpdate&) const = default;
+};
+
+template <typename V>
+void DescribeFields(V& aVisitor, ViewUpdate& aValue)
+{
+  aVisitor.Field("term", aValue.mTerm);
+  aVisitor.Optional("view", aValue.mView);
+  aVisitor.Optional("difference", aValue.mDifference);
+}
+
+/// What the replica holds after a view update, whether or not it took the update.
+struct ViewUpdateAnswer
+{
+  std::string mReplica;
+  std::uint64_t mTerm = 0;
+  std::uint64_t mViewRevision = 0;
+
+  bool operator==(const ViewUpdateAnswer&) const = default;
+};
+
+template <typename V>
+void DescribeFields(V& aVisitor, ViewUpdateAnswer& aValue)
+{
+  aVisitor.Field("replica", aValue.mReplica);
+  aVisitor.Field("term", aValue.mTerm);
+  aVisitor.Field("view_revision", aValue.mViewRevision);
+}
+
+/// Decodes a view update within the size bounds. LimitExceeded: a bound is exceeded; InvalidInput:
+/// malformed.
+Result<ViewUpdate> DecodeViewUpdate(std::span<const std::uint8_t> aBytes, std::string_view aSource);
+
+} // namespace dandelionslip
--- a/include/dandelionslip/Model/Announcement.h
+++ b/include/dandelionslip/Model/Announcement.h
@@ -1,7 +1,9 @@
 // The periodic exchange between a node and a control replica.
 #pragma once
 
+#include "dandelionslip/Model/ConfigurationDifference.h"
 #include "dandelionslip/Model/View.h"
+#include "dandelionslip/Model/ViewDifference.h"
 
 #include <optional>
 
@@ -29,16 +31,20 @@
   aVisitor.Field("view_revision", aValue.mViewRevision);
 }
 
-/// A control replica's answer. Without a confirmed lease it carries no state.
+/// A control replica's answer. An unconfirmed answer carries neither a lease nor state.
 struct AnnouncementAnswer
 {
   bool mConfirmed = false; ///< The replica has confirmed a quorum recently.
   bool mFenced = false; ///< A higher incarnation of the same member exists; the process must stop.
-  Milliseconds mLease{0}; ///< Validity from the moment the announcement was sent.
+  /// Validity from the moment the announcement was sent. Zero grants nothing; it does not shorten
+  /// a lease that an earlier answer granted.
+  Milliseconds mLease{0};
   std::uint64_t mConfigurationRevision = 0;
   std::uint64_t mViewRevision = 0;
-  std::optional<Configuration> mConfiguration; ///< Present when the node is behind.
-  std::optional<View> mView;                   ///< Present when the node is behind.
+  std::optional<Configuration> mConfiguration; ///< Present when the node is far behind.
+  std::optional<ConfigurationDifference> mConfigurationDifference; ///< From the announced revision.
+  std::optional<View> mView;                     ///< Present when the node is far behind.
+  std::optional<ViewDifference> mViewDifference; ///< From the announced revision.
 
   bool operator==(const AnnouncementAnswer&) const = default;
 };
@@ -52,7 +58,9 @@
   aVisitor.Field("configuration_revision", aValue.mConfigurationRevision);
   aVisitor.Field("view_revision", aValue.mViewRevision);
   aVisitor.Optional("configuration", aValue.mConfiguration);
+  aVisitor.Optional("configuration_difference", aValue.mConfigurationDifference);
   aVisitor.Optional("view", aValue.mView);
+  aVisitor.Optional("view_difference", aValue.mViewDifference);
 }
 
 } // namespace dandelionslip
--- /dev/null
+++ b/include/dandelionslip/Model/ConfigurationDifference.h
@@ -0,0 +1,51 @@
+// The change from one configuration to a later one.
+#pragma once
+
+#include "dandelionslip/Model/Configuration.h"
+
+#include <map>
+#include <string>
+#include <vector>
+
+namespace dandelionslip {
+
+/// What changed between two configurations; applies only to the one with revision mFrom.
+struct ConfigurationDifference
+{
+  std::uint64_t mFrom = 0;
+  std::uint64_t mTo = 0;
+  std::map<std::string, ServiceEntry> mServices;
+  std::vector<std::string> mRemovedServices;
+  std::map<std::string, DataCentreState> mDataCentres;
+  std::vector<std::string> mRemovedDataCentres;
+  std::map<std::string, bool> mDrained;
+  std::vector<std::string> mRemovedDrained;
+
+  bool operator==(const ConfigurationDifference&) const = default;
+};
+
+template <typename V>
+void DescribeFields(V& aVisitor, ConfigurationDifference& aValue)
+{
+  aVisitor.Field("from", aValue.mFrom);
+  aVisitor.Field("to", aValue.mTo);
+  aVisitor.Optional("services", aValue.mServices);
+  aVisitor.Optional("removed_services", aValue.mRemovedServices);
+  aVisitor.Optional("data_centres", aValue.mDataCentres);
+  aVisitor.Optional("removed_data_centres", aValue.mRemovedDataCentres);
+  aVisitor.Optional("drained", aValue.mDrained);
+  aVisitor.Optional("removed_drained", aValue.mRemovedDrained);
+}
+
+/// The difference that leads from aFrom to aTo.
+ConfigurationDifference DifferenceBetween(const Configuration& aFrom, const Configuration& aTo);
+
+/// Extends aFirst by aSecond, which starts where aFirst ends.
+void AppendDifference(ConfigurationDifference& aFirst, const ConfigurationDifference& aSecond);
+
+/// Applies the difference whole or not at all. Conflict: aConfiguration has another revision than
+/// mFrom; InvalidInput: the difference does not lead to a higher revision.
+Result<void> ApplyDifference(Configuration& aConfiguration,
+                             const ConfigurationDifference& aDifference);
+
+} // namespace dandelionslip
--- /dev/null
+++ b/include/dandelionslip/Model/RevisionHistory.h
@@ -0,0 +1,56 @@
+// The newest state and the recent differences that lead to it.
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <optional>
+#include <utility>
+
+namespace dandelionslip {
+
+/// Differences kept by a RevisionHistory. At one view a second this covers a node that was away
+/// for about a minute; one that was away longer receives the whole state.
+inline constexpr std::size_t kKeptDifferences = 64;
+
+/// Keeps the newest State with the chain of Differences before it. Not thread-safe.
+template <typename State, typename Difference>
+class RevisionHistory
+{
+public:
+  const State& Newest() const { return mNewest; }
+
+  /// Takes a state with a higher revision; others are ignored. Returns whether it was taken.
+  bool Advance(State aNext)
+  {
+    if (aNext.mRevision <= mNewest.mRevision) {
+      return false;
+    }
+    mDifferences.push_back(DifferenceBetween(mNewest, aNext));
+    if (mDifferences.size() > kKeptDifferences) {
+      mDifferences.pop_front();
+    }
+    mNewest = std::move(aNext);
+    return true;
+  }
+
+  /// The difference from the given revision to the newest state; empty when it is not kept.
+  std::optional<Difference> DifferenceFrom(std::uint64_t aRevision) const
+  {
+    std::optional<Difference> total;
+    for (const Difference& step : mDifferences) {
+      if (total) {
+        AppendDifference(*total, step);
+      } else if (step.mFrom == aRevision) {
+        total = step;
+      }
+    }
+    return total;
+  }
+
+private:
+  State mNewest;
+  std::deque<Difference> mDifferences;
+};
+
+} // namespace dandelionslip
