--- /dev/null
+++ b/include/dandelionslip/Agent/FlowMessages.h
@@ -0,0 +1,299 @@
+// Messages between agents about flows and bucket directories.
+#pragma once
+
+#include "dandelionslip/Agent/FlowTable.h"
+#include "dandelionslip/Model/Configuration.h"
+#include "dandelionslip/Support/Fields.h"
+
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace dandelionslip {
+
+/// Orders the tables of two nodes: by view revision, then by configuration revision.
+struct TableEpoch
+{
+  std::uint64_t mViewRevision = 0;
+  std::uint64_t mConfigurationRevision = 0;
+
+  auto operator<=>(const TableEpoch&) const = default;
+};
+
+template <typename V>
+void DescribeFields(V& aVisitor, TableEpoch& aValue)
+{
+  aVisitor.Field("view_revision", aValue.mViewRevision);
+  aVisitor.Field("configuration_revision", aValue.mConfigurationRevision);
+}
+
+/// Where one flow is held.
+struct DirectoryEntry
+{
+  FlowId mFlow = 0;
+  std::string mHolder; ///< Agent name.
+
+  bool operator==(const DirectoryEntry&) const = default;
+};
+
+template <typename V>
+void DescribeFields(V& aVisitor, DirectoryEntry& aValue)
+{
+  aVisitor.Field("flow", aValue.mFlow);
+  aVisitor.Field("holder", aValue.mHolder);
+}
+
+enum class TransferStatus
+{
+  Complete, ///< The entries are all flows of the bucket.
+  Partial,  ///< The entries are what the member knows; mNext knows the others.
+  Unknown,  ///< The member never owned the bucket; the entries are the flows that it holds.
+  Stale,    ///< The member owns the bucket in a newer table; the requester must update.
+};
+
+std::span<const EnumName<TransferStatus>> EnumNames(TransferStatus);
+
+/// One bucket in a transfer.
+struct BucketTransfer
+{
+  std::uint32_t mBucket = 0;
+  TransferStatus mStatus = TransferStatus::Complete;
+  std::string mNext; ///< Status Partial: the member to ask next.
+  std::vector<DirectoryEntry> mFlows;
+
+  bool operator==(const BucketTransfer&) const = default;
+};
+
+template <typename V>
+void DescribeFields(V& aVisitor, BucketTransfer& aValue)
+{
+  aVisitor.Field("bucket", aValue.mBucket, {0, 65'535});
+  aVisitor.Field("status", aValue.mStatus);
+  aVisitor.Optional("next", aValue.mNext);
+  aVisitor.Field("flows", aValue.mFlows);
+}
+
+/// The new owner of buckets asks a previous owner for their directory and request records.
+struct TransferRequest
+{
+  std::string mRequester;
+  std::string mOwner; ///< The previous owner; the receiver may be its custodian.
+  ServiceId mServiceId = 0;
+  TableEpoch mEpoch;
+  std::vector<std::uint32_t> mBuckets;
+
+  bool operator==(const TransferRequest&) const = default;
+};
+
+template <typename V>
+void DescribeFields(V& aVisitor, TransferRequest& aValue)
+{
+  aVisitor.Field("requester", aValue.mRequester);
+  aVisitor.Field("owner", aValue.mOwner);
+  aVisitor.Field("service_id", aValue.mServiceId);
+  aVisitor.Field("epoch", aValue.mEpoch);
+  aVisitor.Field("buckets", aValue.mBuckets, {0, 65'535});
+}
+
+/// Answer to TransferRequest.
+struct TransferAnswer
+{
+  std::string mOwner;
+  ServiceId mServiceId = 0;
+  TableEpoch mEpoch; ///< Of the answering member's table.
+  std::vector<BucketTransfer> mBuckets;
+  Json mRecords; ///< Request records of the complete buckets, opaque here.
+
+  bool operator==(const TransferAnswer&) const = default;
+};
+
+template <typename V>
+void DescribeFields(V& aVisitor, TransferAnswer& aValue)
+{
+  aVisitor.Field("owner", aValue.mOwner);
+  aVisitor.Field("service_id", aValue.mServiceId);
+  aVisitor.Field("epoch", aValue.mEpoch);
+  aVisitor.Field("buckets", aValue.mBuckets);
+  aVisitor.Optional("records", aValue.mRecords);
+}
+
+/// After the loss of a bucket's owner, its new owner asks every live member which flows of the
+/// buckets it holds. A receiver that still acts as the buckets' owner stops doing so.
+struct HeldFlowsQuery
+{
+  std::string mRequester;
+  ServiceId mServiceId = 0;
+  TableEpoch mEpoch;
+  std::vector<std::uint32_t> mBuckets;
+
+  bool operator==(const HeldFlowsQuery&) const = default;
+};
+
+template <typename V>
+void DescribeFields(V& aVisitor, HeldFlowsQuery& aValue)
+{
+  aVisitor.Field("requester", aValue.mRequester);
+  aVisitor.Field("service_id", aValue.mServiceId);
+  aVisitor.Field("epoch", aValue.mEpoch);
+  aVisitor.Field("buckets", aValue.mBuckets, {0, 65'535});
+}
+
+/// Answer to HeldFlowsQuery.
+struct HeldFlowsAnswer
+{
+  std::string mMember;
+  ServiceId mServiceId = 0;
+  TableEpoch mEpoch; ///< Of the query that is answered.
+  std::vector<std::uint32_t> mBuckets;
+  std::vector<DirectoryEntry> mFlows;
+
+  bool operator==(const HeldFlowsAnswer&) const = default;
+};
+
+template <typename V>
+void DescribeFields(V& aVisitor, HeldFlowsAnswer& aValue)
+{
+  aVisitor.Field("member", aValue.mMember);
+  aVisitor.Field("service_id", aValue.mServiceId);
+  aVisitor.Field("epoch", aValue.mEpoch);
+  aVisitor.Field("buckets", aValue.mBuckets, {0, 65'535});
+  aVisitor.Field("flows", aValue.mFlows);
+}
+
+/// A holder tells a bucket's owner about flows that it began or ceased to hold.
+struct DirectoryUpdate
+{
+  std::string mHolder;
+  std::string mOwner; ///< The owner; the receiver may be its custodian.
+  ServiceId mServiceId = 0;
+  std::vector<FlowId> mHeld;
+  std::vector<FlowId> mEnded;
+  std::uint32_t mForwards = 0; ///< How often an earlier owner passed it on.
+
+  bool operator==(const DirectoryUpdate&) const = default;
+};
+
+template <typename V>
+void DescribeFields(V& aVisitor, DirectoryUpdate& aValue)
+{
+  aVisitor.Field("holder", aValue.mHolder);
+  aVisitor.Field("owner", aValue.mOwner);
+  aVisitor.Field("service_id", aValue.mServiceId);
+  aVisitor.Field("held", aValue.mHeld);
+  aVisitor.Field("ended", aValue.mEnded);
+  aVisitor.Field("forwards", aValue.mForwards, {0, 255});
+}
+
+/// A flow as handed to a custodian.
+struct FlowState
+{
+  FlowId mFlow = 0;
+  std::string mCaller;
+  std::string mService;
+  std::string mBalancer;
+  std::uint16_t mUpstreamPort = 0;
+  bool mEstablished = false;
+
+  bool operator==(const FlowState&) const = default;
+};
+
+template <typename V>
+void DescribeFields(V& aVisitor, FlowState& aValue)
+{
+  aVisitor.Field("flow", aValue.mFlow);
+  aVisitor.Field("caller", aValue.mCaller);
+  aVisitor.Field("service", aValue.mService);
+  aVisitor.Field("balancer", aValue.mBalancer);
+  aVisitor.Field("upstream_port", aValue.mUpstreamPort);
+  aVisitor.Field("established", aValue.mEstablished);
+}
+
+/// The whole state of an agent that stops as planned, for its custodian.
+struct Handover
+{
+  std::string mMember;
+  ServiceId mServiceId = 0;
+  std::uint64_t mIncarnation = 0;
+  std::vector<FlowState> mFlows;
+  std::vector<BucketTransfer> mDirectory; ///< Buckets owned, and, as Partial, buckets handed off.
+  Json mRecords;                          ///< Request records, opaque here.
+  Json mAdmission;                        ///< Ramp and weights, opaque here.
+
+  bool operator==(const Handover&) const = default;
+};
+
+template <typename V>
+void DescribeFields(V& aVisitor, Handover& aValue)
+{
+  aVisitor.Field("member", aValue.mMember);
+  aVisitor.Field("service_id", aValue.mServiceId);
+  aVisitor.Field("incarnation", aValue.mIncarnation);
+  aVisitor.Field("flows", aValue.mFlows);
+  aVisitor.Field("directory", aValue.mDirectory);
+  aVisitor.Optional("records", aValue.mRecords);
+  aVisitor.Optional("admission", aValue.mAdmission);
+}
+
+/// The custodian holds the state; the sender of the handover may exit.
+struct HandoverAck
+{
+  std::string mCustodian;
+  std::uint64_t mIncarnation = 0;
+
+  bool operator==(const HandoverAck&) const = default;
+};
+
+template <typename V>
+void DescribeFields(V& aVisitor, HandoverAck& aValue)
+{
+  aVisitor.Field("custodian", aValue.mCustodian);
+  aVisitor.Field("incarnation", aValue.mIncarnation);
+}
+
+/// The restarted agent asks its custodian for the state.
+struct ResumeRequest
+{
+  std::string mMember;
+  std::uint64_t mIncarnation = 0; ///< Of the new process.
+
+  bool operator==(const ResumeRequest&) const = default;
+};
+
+template <typename V>
+void DescribeFields(V& aVisitor, ResumeRequest& aValue)
+{
+  aVisitor.Field("member", aValue.mMember);
+  aVisitor.Field("incarnation", aValue.mIncarnation);
+}
+
+/// Answer to ResumeRequest; without state when the custodian holds none.
+struct ResumeAnswer
+{
+  std::string mCustodian;
+  std::uint64_t mIncarnation = 0; ///< Of the request.
+  std::optional<Handover> mState;
+
+  bool operator==(const ResumeAnswer&) const = default;
+};
+
+template <typename V>
+void DescribeFields(V& aVisitor, ResumeAnswer& aValue)
+{
+  aVisitor.Field("custodian", aValue.mCustodian);
+  aVisitor.Field("incarnation", aValue.mIncarnation);
+  aVisitor.Optional("state", aValue.mState);
+}
+
+/// Any message between agents.
+using PeerMessage =
+  std::variant<TransferRequest, TransferAnswer, HeldFlowsQuery, HeldFlowsAnswer, DirectoryUpdate,
+               Handover, HandoverAck, ResumeRequest, ResumeAnswer>;
+
+/// Encodes the message with its type as CBOR.
+Bytes EncodePeerMessage(const PeerMessage& aMessage);
+
+/// Decodes a message. Error: InvalidInput with aSource and the key.
+Result<PeerMessage> DecodePeerMessage(std::span<const std::uint8_t> aBytes,
+                                      std::string_view aSource);
+
+} // namespace dandelionslip
--- /dev/null
+++ b/include/dandelionslip/Route/ServiceTable.h
@@ -0,0 +1,69 @@
+// Members and assignment of one service, computed from a view and a configuration.
+#pragma once
+
+#include "dandelionslip/Model/Endpoint.h"
+#include "dandelionslip/Model/View.h"
+#include "dandelionslip/Route/AssignmentTable.h"
+
+#include <string>
+#include <vector>
+
+namespace dandelionslip {
+
+/// What routing needs to know about a member of a service.
+struct TableMember
+{
+  std::string mName;
+  std::string mDataCentre;
+  std::string mCustodian; ///< Peer that acts for the member while it restarts; may be empty.
+  std::string mRequestEndpoint;
+  Endpoint mDatagramEndpoint;
+  MemberState mState = MemberState::Cold;
+  bool mOut = false; ///< Its data centre is out, or it is lost, left or not in the view.
+
+  bool operator==(const TableMember&) const = default;
+};
+
+/// Assignment of one service in force at a node: a pure function of view and configuration.
+/// Members that are out own no buckets, so that a data centre leaves without a new generation.
+class ServiceTable
+{
+public:
+  ServiceTable() = default;
+  ServiceTable(const View& aView, const Configuration& aConfiguration,
+               const std::string& aServiceName);
+
+  ServiceId Id() const { return mId; }
+  std::uint32_t Generation() const { return mGeneration; }
+  std::uint32_t Buckets() const { return mTable.Buckets(); }
+  const std::vector<TableMember>& Members() const { return mMembers; }
+  const AssignmentTable& Assignment() const { return mTable; }
+
+  /// Whether every member that could own buckets is excluded because its data centre is out.
+  bool AllDataCentresOut() const { return mAllDataCentresOut; }
+
+  /// Index of a member, or kNoMember.
+  MemberIndex Find(std::string_view aName) const;
+
+  /// The member that acts for aMember: its custodian while it restarts, else itself.
+  MemberIndex ActingFor(MemberIndex aMember) const;
+
+  /// Owner of the bucket in the generation before the newest with today's exclusions lifted; empty
+  /// when the view has no earlier generation.
+  std::string PreviousOwner(std::uint32_t aBucket) const;
+
+private:
+  void AddMembers(const View& aView, const Configuration& aConfiguration,
+                  const dandelionslip::Generation& aNewest);
+
+  ServiceId mId = 0;
+  std::uint32_t mGeneration = 0;
+  bool mAllDataCentresOut = false;
+  std::vector<TableMember> mMembers; ///< Ordered by name.
+  std::vector<MemberIndex> mActing;
+  AssignmentTable mTable;
+  std::vector<std::string> mPreviousNames;
+  AssignmentTable mPrevious;
+};
+
+} // namespace dandelionslip
