Add the interfaces of the request module

The daemons and the admission code are written in parallel and need the types of the request cores before these are implemented.

--- /dev/null
+++ b/include/dandelionslip/Request/RelayActions.h
@@ -0,0 +1,67 @@
+// Inputs and outputs of RelayCore.
+#pragma once
+
+#include "dandelionslip/Model/Configuration.h"
+#include "dandelionslip/Request/HomeEvents.h"
+
+#include <variant>
+#include <vector>
+
+namespace dandelionslip {
+
+/// A request as it arrived at a balancer.
+struct CallerRequest
+{
+  ReplyHandle mHandle = 0;
+  ServiceId mService = 0;
+  std::optional<std::string> mIdText; ///< Empty when the caller sent none; the balancer makes one.
+  std::uint32_t mCallerAttempt = 1;   ///< Raised by the caller with each resend of the same id.
+  bool mIdempotent = false;           ///< Only if both the service and the request say so.
+  Milliseconds mRemaining{0};
+  CallerKey mCaller = 0;
+  TrafficClass mClass = TrafficClass::Quote;
+  Bytes mBody;
+};
+
+/// Identifies one attempt towards an agent.
+struct AttemptKey
+{
+  RequestId mId;
+  Attempt mAttempt = 0;
+
+  auto operator<=>(const AttemptKey&) const = default;
+};
+
+/// Send a request to an agent. Ends with at most one of RelayCore::OnAgentAnswer and
+/// OnAgentUnreachable.
+struct SendToAgent
+{
+  std::string mAgent;
+  AttemptKey mKey;
+  ServiceId mService = 0;
+  bool mIdempotent = false;
+  Milliseconds mRemaining{0};
+  CallerKey mCaller = 0;
+  TrafficClass mClass = TrafficClass::Quote;
+  Bytes mBody;
+};
+
+/// Cancel an attempt at an agent (RST_STREAM).
+struct CancelAtAgent
+{
+  std::string mAgent;
+  AttemptKey mKey;
+};
+
+/// Send the outcome to the caller.
+struct AnswerCaller
+{
+  ReplyHandle mHandle = 0;
+  RequestId mId; ///< The id to resend with.
+  RequestAnswer mAnswer;
+};
+
+using RelayAction = std::variant<SendToAgent, CancelAtAgent, AnswerCaller>;
+using RelayActions = std::vector<RelayAction>;
+
+} // namespace dandelionslip
--- /dev/null
+++ b/include/dandelionslip/Request/RetryBudget.h
@@ -0,0 +1,55 @@
+// Bounds how many retries a caller of a service may cause.
+#pragma once
+
+#include "dandelionslip/Model/Configuration.h"
+#include "dandelionslip/Request/RequestQueue.h"
+#include "dandelionslip/Support/RuntimeClock.h"
+
+#include <list>
+#include <map>
+
+namespace dandelionslip {
+
+/// Rates of a retry budget.
+struct RetryBudgetLimits
+{
+  double mSuccessShare = 0.1;     ///< Tokens earned by each success.
+  double mTokensPerSecond = 1;    ///< Tokens earned by time, so that a silent caller can retry.
+  double mMaxTokens = 10;         ///< Largest burst of retries.
+  std::size_t mMaxCallers = 4096; ///< Further callers share one budget for each service.
+  Milliseconds mIdle{60'000};     ///< A budget unused for this long can be given to another caller.
+};
+
+/// Token buckets by service and caller. Not thread-safe.
+class RetryBudget
+{
+public:
+  explicit RetryBudget(RetryBudgetLimits aLimits = {});
+
+  /// Adds the share earned by one success.
+  void OnSuccess(ServiceId aService, CallerKey aCaller, TimePoint aNow);
+
+  /// Takes one token; false when there is none.
+  bool TryRetry(ServiceId aService, CallerKey aCaller, TimePoint aNow);
+
+  std::size_t TrackedCallers() const { return mBuckets.size(); }
+
+private:
+  using Key = std::pair<ServiceId, CallerKey>;
+  struct Bucket
+  {
+    double mTokens = 1;
+    TimePoint mUpdated;
+    std::list<Key>::iterator mPlace;
+  };
+
+  Bucket& Refill(Bucket& aBucket, TimePoint aNow) const;
+  Bucket& BucketFor(const Key& aKey, TimePoint aNow);
+
+  RetryBudgetLimits mLimits;
+  std::map<Key, Bucket> mBuckets;
+  std::list<Key> mLeastRecent; ///< Keys of mBuckets, least recently used first.
+  std::map<ServiceId, Bucket> mShared;
+};
+
+} // namespace dandelionslip
