Declare admission, settings and service-file interfaces

Cause: the balancer, agent, control and operator programs need these types before their own code can be written. Change: public headers of upstream admission (Agent) and of settings, service files and publications (Config). No implementation yet.

--- /dev/null
+++ b/include/dandelionslip/Agent/AdmissionSnapshot.h
@@ -0,0 +1,35 @@
+// Admission state that an agent hands to a peer on a planned stop.
+#pragma once
+
+#include "dandelionslip/Support/Fields.h"
+
+#include <cstdint>
+
+namespace dandelionslip {
+
+/// Ramp, baselines and weight of an upstream. Work in progress is not part of it: the new process
+/// counts its flows again while it restores the flow table.
+struct AdmissionSnapshot
+{
+  std::uint32_t mSlotLimit = 0;
+  std::uint32_t mConnectionLimit = 0;
+  std::int64_t mRequestBaselineNs = 0; ///< 0 when unknown.
+  std::int64_t mFlowBaselineNs = 0;    ///< 0 when unknown.
+  std::uint32_t mWeight = 0;
+  double mCompletionRate = 0; ///< Completions a second of one busy slot; 0 when unknown.
+
+  bool operator==(const AdmissionSnapshot&) const = default;
+};
+
+template <typename V>
+void DescribeFields(V& aVisitor, AdmissionSnapshot& aValue)
+{
+  aVisitor.Field("slot_limit", aValue.mSlotLimit);
+  aVisitor.Field("connection_limit", aValue.mConnectionLimit);
+  aVisitor.Field("request_baseline_ns", aValue.mRequestBaselineNs);
+  aVisitor.Field("flow_baseline_ns", aValue.mFlowBaselineNs);
+  aVisitor.Field("weight", aValue.mWeight);
+  aVisitor.Field("completion_rate", aValue.mCompletionRate);
+}
+
+} // namespace dandelionslip
--- /dev/null
+++ b/include/dandelionslip/Agent/ColdStartRamp.h
@@ -0,0 +1,77 @@
+// Load limit of an upstream that starts cold or has become cold again.
+#pragma once
+
+#include "dandelionslip/Agent/CompletionResult.h"
+#include "dandelionslip/Agent/LatencyBaseline.h"
+#include "dandelionslip/Agent/LoadLimit.h"
+#include "dandelionslip/Agent/WorkKind.h"
+
+#include <optional>
+#include <string_view>
+
+namespace dandelionslip {
+
+/// Shortest time between two steps up.
+inline constexpr Milliseconds kRampStepInterval{1000};
+
+/// Why a ramp went back to the cold limit.
+enum class ColdReason
+{
+  Started,     ///< First start.
+  LatencyStep, ///< kStepCompletions completions at kStepFactor times the baseline.
+  Shed,        ///< The upstream shed load.
+  Failures,    ///< kStepCompletions failures in a row.
+  Restarted,   ///< The upstream was seen to restart.
+};
+
+std::span<const EnumName<ColdReason>> EnumNames(ColdReason);
+
+/// Grows the limit from the cold to the full one by windows of successes at normal latency. Health
+/// and load endpoints are not an input. Not thread-safe.
+class ColdStartRamp
+{
+public:
+  using Duration = RuntimeClock::duration;
+
+  ColdStartRamp(const ServiceSpec& aSpec, TimePoint aNow);
+
+  /// Records how work ended. Returns the reason when this sent the ramp back to the cold limit.
+  std::optional<ColdReason> OnCompletion(TimePoint aNow, Duration aLatency,
+                                         CompletionResult aResult, WorkKind aKind);
+
+  /// Goes back to the cold limit at once.
+  void FallBack(TimePoint aNow, ColdReason aReason);
+
+  /// Takes over changed limits; the current limit never grows by this.
+  void UpdateSpec(const ServiceSpec& aSpec, TimePoint aNow);
+
+  const LoadLimit& Limit() const { return mLimit; }
+  const LoadLimit& Full() const { return mFull; }
+  const LoadLimit& Cold() const { return mCold; }
+  bool IsComplete() const { return mLimit == mFull; }
+  ColdReason LastReason() const { return mReason; }
+  const LatencyBaseline& Baseline(WorkKind aKind) const;
+
+  /// Current over full limit, the smaller of slots and connections; 0 to 1.
+  double Share() const;
+
+  /// Takes over the limit and baselines of an earlier process; the limit stays within bounds.
+  void Restore(const LoadLimit& aLimit, Duration aRequestBaseline, Duration aFlowBaseline,
+               TimePoint aNow);
+
+private:
+  void CountSuccess(TimePoint aNow, Duration aLatency, const LatencyBaseline& aBaseline);
+  void StepUp(TimePoint aNow);
+  std::uint32_t Window() const;
+
+  LoadLimit mFull;
+  LoadLimit mCold;
+  LoadLimit mLimit;
+  ColdReason mReason = ColdReason::Started;
+  TimePoint mChangedAt;
+  std::uint32_t mSuccesses = 0;
+  std::uint32_t mFailuresInRow = 0;
+  std::array<LatencyBaseline, kWorkKinds> mBaselines;
+};
+
+} // namespace dandelionslip
--- /dev/null
+++ b/include/dandelionslip/Agent/CompletionResult.h
@@ -0,0 +1,14 @@
+// How a unit of work ended at the upstream.
+#pragma once
+
+namespace dandelionslip {
+
+enum class CompletionResult
+{
+  Success,   ///< The upstream answered completely.
+  Failed,    ///< The upstream answered with a server error, broke off or missed the deadline.
+  Shed,      ///< The upstream refused the work because of its load.
+  Cancelled, ///< The caller withdrew the work; says nothing about the upstream.
+};
+
+} // namespace dandelionslip
--- /dev/null
+++ b/include/dandelionslip/Agent/LatencyBaseline.h
@@ -0,0 +1,55 @@
+// The latency that is normal for an upstream, and steps away from it.
+#pragma once
+
+#include "dandelionslip/Support/Fields.h"
+#include "dandelionslip/Support/RuntimeClock.h"
+
+#include <array>
+#include <cstddef>
+
+namespace dandelionslip {
+
+/// Completions over which a latency step is recognised and after which a baseline exists.
+inline constexpr std::size_t kStepCompletions = 8;
+
+/// A latency this many times the baseline is a step.
+inline constexpr std::int64_t kStepFactor = 4;
+
+/// Learns the normal latency of one kind of work. Not thread-safe.
+class LatencyBaseline
+{
+public:
+  using Duration = RuntimeClock::duration;
+
+  /// Records one completion. Failed work counts towards a step but is not learnt.
+  void Record(TimePoint aNow, Duration aLatency, bool aSucceeded);
+
+  bool IsKnown() const { return mKnown; }
+  Duration Baseline() const { return mBaseline; }
+
+  /// Whether a latency is normal: a baseline exists and it is not above twice the baseline.
+  bool IsNormal(Duration aLatency) const;
+
+  /// Whether the last kStepCompletions completions, but for at most one, were at least kStepFactor
+  /// times the baseline.
+  bool IsStepped() const;
+
+  /// Forgets the recent completions but keeps the baseline.
+  void ClearRecent();
+
+  /// Sets a baseline learnt by an earlier process; zero means unknown.
+  void Restore(Duration aBaseline);
+
+private:
+  void Learn(TimePoint aNow, Duration aLatency);
+
+  std::array<Duration, kStepCompletions> mRecent{};
+  std::size_t mRecentCount = 0;
+  std::size_t mNext = 0;
+  std::size_t mLearnt = 0;
+  bool mKnown = false;
+  Duration mBaseline{0};
+  TimePoint mLearntAt{};
+};
+
+} // namespace dandelionslip
--- /dev/null
+++ b/include/dandelionslip/Agent/LoadLimit.h
@@ -0,0 +1,28 @@
+// Bound on the load that an upstream is given.
+#pragma once
+
+#include "dandelionslip/Model/ServiceSpec.h"
+
+#include <cstdint>
+
+namespace dandelionslip {
+
+/// Work that an upstream may hold at once.
+struct LoadLimit
+{
+  std::uint32_t mSlots = 0;       ///< Requests running.
+  std::uint32_t mConnections = 0; ///< Flows open.
+
+  bool operator==(const LoadLimit&) const = default;
+};
+
+/// The limit of an upstream that is warm.
+LoadLimit FullLimit(const ServiceSpec& aSpec);
+
+/// The limit of an upstream in cold start, not above the full limit.
+LoadLimit ColdLoadLimit(const ServiceSpec& aSpec);
+
+/// The smaller limit of both in each dimension.
+LoadLimit Smaller(const LoadLimit& aFirst, const LoadLimit& aSecond);
+
+} // namespace dandelionslip
--- /dev/null
+++ b/include/dandelionslip/Agent/UpstreamAdmission.h
@@ -0,0 +1,108 @@
+// The single place that decides how much load the upstream beside the agent gets.
+#pragma once
+
+#include "dandelionslip/Agent/AdmissionSnapshot.h"
+#include "dandelionslip/Agent/ColdStartRamp.h"
+#include "dandelionslip/Agent/EndpointHints.h"
+#include "dandelionslip/Agent/FlowAdmission.h"
+#include "dandelionslip/Agent/RetrySchedule.h"
+#include "dandelionslip/Agent/TokenBucket.h"
+#include "dandelionslip/Agent/UpstreamStateMachine.h"
+#include "dandelionslip/Agent/WeightEstimator.h"
+
+#include <cstdint>
+#include <optional>
+
+namespace dandelionslip {
+
+/// Admits flows and requests within the ramp's limit. Work that is already admitted is never
+/// withdrawn when the limit falls. Not thread-safe.
+class UpstreamAdmission : public FlowAdmission
+{
+public:
+  using Duration = RuntimeClock::duration;
+
+  UpstreamAdmission(const ServiceSpec& aSpec, TimePoint aNow);
+
+  /// Reserves room for one opening flow. Refusals: Draining, ConnectionsFull, Cold, Paced.
+  std::optional<Refusal> TryOpenFlow(TimePoint aNow) override;
+
+  /// Releases the room of one flow.
+  void CloseFlow(TimePoint aNow) override;
+
+  /// Counts a flow that was taken over from an earlier process, even above the limit.
+  void AdoptFlow();
+
+  /// Reserves a slot for one request. Refusals: Draining, SlotsFull, Cold.
+  std::optional<Refusal> TryStartSlot(TimePoint aNow);
+
+  /// Releases the slot of a request that ended after aLatency.
+  void FinishSlot(TimePoint aNow, Duration aLatency, CompletionResult aResult);
+
+  /// Records that the upstream answered a caller's datagram after aLatency. Answers on established
+  /// flows count too; without them a service that has only flows could not ramp up again.
+  void ObserveReply(TimePoint aNow, Duration aLatency);
+
+  /// Records that the upstream shed a flow or datagram.
+  void ObserveShed(TimePoint aNow);
+
+  /// Records that the upstream was seen to restart.
+  void ObserveRestart(TimePoint aNow);
+
+  /// Reports of the upstream's endpoints; they can lower the limit and never raise it.
+  void ReportHealth(TimePoint aNow, bool aHealthy);
+  void ReportLoad(TimePoint aNow, double aLoad);
+
+  /// Mean completion rate of the service, see WeightEstimator.
+  void SetServiceMean(double aCompletionRate);
+
+  void Drain();
+  void Undrain();
+  void Stop();
+
+  /// Takes over a changed service declaration. Limits never grow by this other than by the ramp.
+  void UpdateSpec(const ServiceSpec& aSpec, TimePoint aNow);
+
+  UpstreamState State() const { return mState.State(); }
+  std::uint32_t SlotsInUse() const { return mSlotsInUse; }
+  std::uint32_t ConnectionsInUse() const { return mConnectionsInUse; }
+
+  /// The limit now in force: the ramp's, lowered by the endpoints' reports.
+  LoadLimit Limit(TimePoint aNow) const;
+
+  const ColdStartRamp& Ramp() const { return mRamp; }
+  const WeightEstimator& Estimator() const { return mWeight; }
+
+  /// Advances the estimate and returns the weight to announce; 0 while draining or stopped.
+  std::uint32_t UpdateWeight(TimePoint aNow);
+
+  AdmissionSnapshot Snapshot() const;
+
+  /// Takes over the state of an earlier process of this agent. Call before any admission.
+  void Restore(const AdmissionSnapshot& aSnapshot, TimePoint aNow);
+
+private:
+  bool TakesNewWork() const;
+  RefusalReason FullReason(std::uint32_t aInUse, std::uint32_t aFull, RefusalReason aReason) const;
+  void Observe(TimePoint aNow, Duration aLatency, CompletionResult aResult, WorkKind aKind);
+  void FallBack(TimePoint aNow, ColdReason aReason);
+  void FollowRamp(TimePoint aNow);
+  double OpensPerSecond() const;
+  Duration CloseInterval() const;
+  Duration SlotInterval() const;
+
+  std::uint32_t mDeclaredOpensPerSecond;
+  std::uint32_t mSlotsInUse = 0;
+  std::uint32_t mConnectionsInUse = 0;
+  ColdStartRamp mRamp;
+  EndpointHints mHints;
+  UpstreamStateMachine mState;
+  TokenBucket mOpens;
+  RetrySchedule mFlowRetries;
+  RetrySchedule mSlotRetries;
+  WeightEstimator mWeight;
+  double mClosesPerSecond = 0;
+  TimePoint mClosedAt;
+};
+
+} // namespace dandelionslip
--- /dev/null
+++ b/include/dandelionslip/Agent/WeightEstimator.h
@@ -0,0 +1,64 @@
+// The weight that an agent announces for its upstream.
+#pragma once
+
+#include "dandelionslip/Agent/CompletionResult.h"
+#include "dandelionslip/Model/View.h"
+#include "dandelionslip/Support/RuntimeClock.h"
+
+#include <cstdint>
+
+namespace dandelionslip {
+
+/// Estimates the capacity of an upstream relative to the mean of its service from completions and
+/// occupancy: successes for each second that a slot was busy. Reports of the load endpoint are not
+/// an input. Not thread-safe.
+class WeightEstimator
+{
+public:
+  static constexpr Milliseconds kTimeConstant{10'000};
+  static constexpr Milliseconds kStepInterval{1'000};
+  static constexpr double kStepFactor = 1.25;
+
+  explicit WeightEstimator(TimePoint aNow);
+
+  /// Records that the number of busy slots changes to aSlotsInUse at aNow.
+  void OnOccupancy(TimePoint aNow, std::uint32_t aSlotsInUse);
+
+  /// Records the end of a request.
+  void OnCompletion(TimePoint aNow, CompletionResult aResult);
+
+  /// Sets the mean completion rate over the upstreams of the service, as distributed by control; it
+  /// may be old. Without it the upstream counts as an average one. Not positive: ignored.
+  void SetServiceMean(double aCompletionRate);
+
+  /// Advances the estimate to aNow and returns the weight to announce. aRampShare (0 to 1) bounds
+  /// the weight of a cold upstream at once; the weight grows by at most kStepFactor a second.
+  std::uint32_t Update(TimePoint aNow, double aRampShare);
+
+  /// Successes a second of one busy slot, damped; 0 while unknown.
+  double CompletionRate() const { return mRate; }
+
+  /// The last result of Update.
+  std::uint32_t Weight() const { return mWeight; }
+
+  /// Takes over the estimate of an earlier process.
+  void Restore(double aCompletionRate, std::uint32_t aWeight);
+
+private:
+  void AccumulateBusyTime(TimePoint aNow);
+  void FoldSample(TimePoint aNow);
+  double Target(double aRampShare) const;
+
+  std::uint32_t mSlotsInUse = 0;
+  TimePoint mOccupiedAt;
+  double mBusySeconds = 0;
+  std::uint32_t mSuccesses = 0;
+  std::uint32_t mEnded = 0;
+  TimePoint mSampledAt;
+  double mRate = 0;
+  double mServiceMean = 0;
+  TimePoint mSteppedAt;
+  std::uint32_t mWeight = 0;
+};
+
+} // namespace dandelionslip
--- /dev/null
+++ b/include/dandelionslip/Config/ControlSettings.h
@@ -0,0 +1,60 @@
+// Settings of dandelionslip-control.
+#pragma once
+
+#include "dandelionslip/Config/CommonSettings.h"
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace dandelionslip {
+
+/// Another control replica.
+struct PeerSettings
+{
+  std::string mName;     ///< The peer's node name.
+  std::string mEndpoint; ///< TCP "address:port" of the peer.
+
+  bool operator==(const PeerSettings&) const = default;
+};
+
+template <typename V>
+void DescribeFields(V& aVisitor, PeerSettings& aValue)
+{
+  aVisitor.Field("name", aValue.mName);
+  aVisitor.Field("endpoint", aValue.mEndpoint);
+}
+
+/// The settings file of a control replica. The replica's identity is not a setting: it is created
+/// in the data folder at first start.
+struct ControlSettings : CommonSettings
+{
+  std::string mEndpoint;            ///< TCP "address:port" for peers, nodes and operators.
+  std::vector<PeerSettings> mPeers; ///< The other replicas, without this one.
+  std::string mDataFolder;          ///< Holds the log, the snapshots and the replica's identity.
+  Milliseconds mHeartbeat{100};
+  Milliseconds mElectionTimeoutMin{500};
+  Milliseconds mElectionTimeoutMax{1'000};
+  std::uint32_t mSnapshotEntries = 4'096; ///< Log entries between two snapshots.
+  Milliseconds mLease{2'000};
+  bool mJoin = false; ///< Start as a learner of an existing group.
+
+  bool operator==(const ControlSettings&) const = default;
+};
+
+template <typename V>
+void DescribeFields(V& aVisitor, ControlSettings& aValue)
+{
+  DescribeCommonFields(aVisitor, aValue);
+  aVisitor.Field("endpoint", aValue.mEndpoint);
+  aVisitor.Optional("peers", aValue.mPeers);
+  aVisitor.Field("data_folder", aValue.mDataFolder);
+  aVisitor.Optional("heartbeat_ms", aValue.mHeartbeat, {10, 5'000});
+  aVisitor.Optional("election_timeout_min_ms", aValue.mElectionTimeoutMin, {50, 60'000});
+  aVisitor.Optional("election_timeout_max_ms", aValue.mElectionTimeoutMax, {50, 120'000});
+  aVisitor.Optional("snapshot_entries", aValue.mSnapshotEntries, {16, 1'000'000});
+  aVisitor.Optional("lease_ms", aValue.mLease, {500, 60'000});
+  aVisitor.Optional("join", aValue.mJoin);
+}
+
+} // namespace dandelionslip
--- /dev/null
+++ b/include/dandelionslip/Config/Publication.h
@@ -0,0 +1,43 @@
+// Assembles operators' commands from service files.
+#pragma once
+
+#include "dandelionslip/Config/ServiceFiles.h"
+#include "dandelionslip/Model/Command.h"
+
+#include <span>
+#include <string>
+#include <vector>
+
+namespace dandelionslip {
+
+/// Who publishes, when and under which id.
+struct PublicationIdentity
+{
+  std::string mPublicationId; ///< UUID in its 36-character text form.
+  std::string mOperator;
+  std::int64_t mIssuedMs = 0; ///< Wall-clock milliseconds since 1970.
+
+  bool operator==(const PublicationIdentity&) const = default;
+};
+
+/// A service to delete and the version that the operator believes to be in force.
+struct ServiceDeletion
+{
+  std::string mName;
+  std::uint64_t mExpectedVersion = 0;
+
+  bool operator==(const ServiceDeletion&) const = default;
+};
+
+/// The files whose declaration differs from the one in force.
+std::vector<ServiceFile> ChangedServices(std::span<const ServiceFile> aFiles,
+                                         const Configuration& aInForce);
+
+/// Builds one atomic command; the version in force that each service file expects is its own
+/// version less one. Errors (InvalidInput): malformed publication id, no operator, no change, a
+/// service named twice, an address used by two services, a deletion without a version.
+Result<Command> BuildPublication(const PublicationIdentity& aIdentity,
+                                 std::span<const ServiceFile> aFiles,
+                                 std::span<const ServiceDeletion> aDeletions = {});
+
+} // namespace dandelionslip
