--- a/include/dandelionslip/Model/Endpoint.h
+++ b/include/dandelionslip/Model/Endpoint.h
@@ -25,7 +25,8 @@
   /// The address without the port.
   std::string AddressText() const;
 
-  auto operator<=>(const Endpoint&) const = default;
+  // clang-tidy mistakes the zero in generated comparisons for a null pointer.
+  auto operator<=>(const Endpoint&) const = default; // NOLINT(modernize-use-nullptr)
 };
 
 /// Hash of address and port.
