--- a/lib/Daemon/AgentDaemon.cpp
+++ b/lib/Daemon/AgentDaemon.cpp
@@ -25,6 +25,8 @@
 constexpr Milliseconds kHealthInterval{500};
 constexpr Milliseconds kPeerTimeout{1'000};
 constexpr Milliseconds kStopPoll{50};
+// Retry-after time of requests that the upstream shed or that did not reach it.
+constexpr Milliseconds kUpstreamRetryAfter{200};
 // Balancers send no new work this long after the draining announcement.
 constexpr Milliseconds kDrainTime{1'200};
 
@@ -42,7 +44,7 @@
   void Finished(TimePoint aNow, RuntimeClock::duration aLatency, RunResult aResult) override
   {
     static constexpr std::array<CompletionResult, 4> kResults{
-      CompletionResult::Success, CompletionResult::Failure, CompletionResult::Shed,
+      CompletionResult::Success, CompletionResult::Failed, CompletionResult::Shed,
       CompletionResult::Cancelled};
     mAdmission.FinishSlot(aNow, aLatency, kResults[static_cast<std::size_t>(aResult)]);
   }
@@ -661,12 +663,12 @@
     WithHome([&](HomeCore& aCore) {
       if (!aResult) {
         const bool sent = aResult.error().mCode != ErrorCode::Unavailable;
-        const Refusal unreachable{RefusalReason::NoUpstream, kMaxRetryAfter};
+        const Refusal unreachable{RefusalReason::NoUpstream, kUpstreamRetryAfter};
         return sent ? aCore.OnUpstreamFailed(aRun, Now())
                     : aCore.OnUpstreamShed(aRun, unreachable, Now());
       }
       if (!FindHeader(aResult.value().mHeaders, kHeaderNotRun).empty()) {
-        return aCore.OnUpstreamShed(aRun, {RefusalReason::UpstreamShed, kMaxRetryAfter}, Now());
+        return aCore.OnUpstreamShed(aRun, {RefusalReason::UpstreamShed, kUpstreamRetryAfter}, Now());
       }
       return aCore.OnUpstreamAnswer(aRun, ReceivedFrom(std::move(aResult.value())), Now());
     });
--- a/lib/Daemon/ControlDaemon.cpp
+++ b/lib/Daemon/ControlDaemon.cpp
@@ -210,7 +210,7 @@
 
   void RefreshMetrics()
   {
-    const Json status = mRaft.Status();
+    const Json status = mRaft.Report();
     mRegistry.GaugeFor("dandelionslip_raft_term").Set(status["term"].get<double>());
     mRegistry.GaugeFor("dandelionslip_raft_commit_index").Set(status["commit_index"].get<double>());
     mRegistry.GaugeFor("dandelionslip_raft_leader").Set(status["role"] == "leader" ? 1 : 0);
@@ -424,7 +424,7 @@
 
   void OnStatusRequest(const std::shared_ptr<HttpExchange>& aExchange)
   {
-    Json status = mRaft.Status();
+    Json status = mRaft.Report();
     status["node"] = mSettings.mNode;
     status["leader_endpoint"] = mRaft.LeaderAddress();
     {
--- a/lib/Daemon/RaftRuntime.cpp
+++ b/lib/Daemon/RaftRuntime.cpp
@@ -292,7 +292,7 @@
   return info == nullptr ? "" : info->mAddress;
 }
 
-Json RaftRuntime::Status()
+Json RaftRuntime::Report()
 {
   const std::lock_guard lock(mMutex);
   Json status;
--- a/lib/Daemon/RaftRuntime.h
+++ b/lib/Daemon/RaftRuntime.h
@@ -59,7 +59,7 @@
   bool IsLeader();
   std::string LeaderAddress();
   std::string AddressOf(const ReplicaId& aReplica);
-  Json Status();
+  Json Report();
   const ReplicaId& Self() const { return mSelf; }
 
 private:
