--- a/include/dandelionslip/Net/Http2Client.h
+++ b/include/dandelionslip/Net/Http2Client.h
@@ -5,6 +5,7 @@
 #include "dandelionslip/Net/HttpMessage.h"
 #include "dandelionslip/Support/RuntimeClock.h"
 
+#include <atomic>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -15,6 +16,13 @@
 
 namespace dandelionslip {
 
+/// Bytes on the wire of one client, frames included.
+struct TrafficCount
+{
+  std::atomic<std::uint64_t> mRead{0};
+  std::atomic<std::uint64_t> mWritten{0};
+};
+
 /// Sends requests to one peer. Thread-safe.
 class Http2Client
 {
@@ -36,6 +44,8 @@
   /// Closes the connection; requests in flight fail.
   void Close();
 
+  const TrafficCount& Traffic() const;
+
 private:
   struct State;
   std::shared_ptr<State> mState;
--- a/lib/Daemon/AgentDaemon.cpp
+++ b/lib/Daemon/AgentDaemon.cpp
@@ -668,7 +668,8 @@
                     : aCore.OnUpstreamShed(aRun, unreachable, Now());
       }
       if (!FindHeader(aResult.value().mHeaders, kHeaderNotRun).empty()) {
-        return aCore.OnUpstreamShed(aRun, {RefusalReason::UpstreamShed, kUpstreamRetryAfter}, Now());
+        return aCore.OnUpstreamShed(aRun, {RefusalReason::UpstreamShed, kUpstreamRetryAfter},
+                                    Now());
       }
       return aCore.OnUpstreamAnswer(aRun, ReceivedFrom(std::move(aResult.value())), Now());
     });
@@ -832,6 +833,7 @@
 
   void RefreshMetrics()
   {
+    mRegistry.GaugeFor("dandelionslip_control_bytes").Set(static_cast<double>(mLink.TrafficBytes()));
     const std::lock_guard lock(mMutex);
     if (!mFlows) {
       return;
--- a/lib/Daemon/BalancerDaemon.cpp
+++ b/lib/Daemon/BalancerDaemon.cpp
@@ -565,6 +565,7 @@
 
   void RefreshMetrics()
   {
+    mRegistry.GaugeFor("dandelionslip_control_bytes").Set(static_cast<double>(mLink.TrafficBytes()));
     mRegistry.GaugeFor("dandelionslip_balancer_open_requests")
       .Set(static_cast<double>(OpenRequests()));
     const std::lock_guard lock(mRoutingMutex);
--- a/lib/Daemon/ControlLink.cpp
+++ b/lib/Daemon/ControlLink.cpp
@@ -138,6 +138,16 @@
   }
 }
 
+std::uint64_t ControlLink::TrafficBytes()
+{
+  std::uint64_t bytes = 0;
+  for (const auto& endpoint : mSettings.mControlEndpoints) {
+    const TrafficCount& traffic = mPeers.For(endpoint)->Traffic();
+    bytes += traffic.mRead + traffic.mWritten;
+  }
+  return bytes;
+}
+
 void ControlLink::TakeFromPeer(const AnnouncementAnswer& aAnswer)
 {
   const std::lock_guard lock(mMutex);
--- a/lib/Daemon/ControlLink.h
+++ b/lib/Daemon/ControlLink.h
@@ -39,6 +39,9 @@
   /// Announces now; aDone runs when the answer or the failure is in.
   void AnnounceNow(std::function<void()> aDone = {});
 
+  /// Bytes sent to and received from all control replicas.
+  std::uint64_t TrafficBytes();
+
   /// Takes state that another node passed on. Lower revisions are ignored.
   void TakeFromPeer(const AnnouncementAnswer& aAnswer);
 
--- a/lib/Net/Http2Client.cpp
+++ b/lib/Net/Http2Client.cpp
@@ -44,8 +44,9 @@
     virtual void Disconnected(const ClientSession* aSession) = 0;
   };
 
-  ClientSession(Socket aSocket, std::string aPeer, std::weak_ptr<Listener> aListener)
-    : Http2Session(std::move(aSocket), Side::Client, std::move(aPeer))
+  ClientSession(Socket aSocket, std::string aPeer, std::shared_ptr<TrafficCount> aTraffic,
+                std::weak_ptr<Listener> aListener)
+    : Http2Session(std::move(aSocket), Side::Client, std::move(aPeer), std::move(aTraffic))
     , mListener(std::move(aListener))
   {
   }
@@ -291,6 +292,7 @@
 
   Strand mStrand;
   Endpoint mPeer;
+  std::shared_ptr<TrafficCount> mTraffic = std::make_shared<TrafficCount>();
   std::shared_ptr<ClientSession> mSession;
   std::vector<std::shared_ptr<Pending>> mWaiting;
   std::map<std::uint64_t, std::shared_ptr<Pending>> mActive;
@@ -335,4 +337,9 @@
   });
 }
 
+const TrafficCount& Http2Client::Traffic() const
+{
+  return *mState->mTraffic;
+}
+
 } // namespace dandelionslip
--- a/lib/Net/Http2Session.cpp
+++ b/lib/Net/Http2Session.cpp
@@ -63,10 +63,12 @@
   return callbacks;
 }
 
-Http2Session::Http2Session(Socket aSocket, Side aSide, std::string aPeer)
+Http2Session::Http2Session(Socket aSocket, Side aSide, std::string aPeer,
+                           std::shared_ptr<TrafficCount> aTraffic)
   : mSocket(std::move(aSocket))
   , mSide(aSide)
   , mPeer(std::move(aPeer))
+  , mTraffic(std::move(aTraffic))
 {
   static nghttp2_session_callbacks* const callbacks = MakeCallbacks();
   if (mSide == Side::Server) {
@@ -194,6 +196,7 @@
 void Http2Session::Write()
 {
   mWriting = true;
+  mTraffic->mWritten += mWriteBuffer.size();
   asio::async_write(
     mSocket, asio::buffer(mWriteBuffer),
     [self = shared_from_this()](const boost::system::error_code& aError, std::size_t) {
@@ -215,6 +218,7 @@
         self->Shut(aError.message());
         return;
       }
+      self->mTraffic->mRead += aSize;
       self->mReceiving = true;
       const ssize_t used =
         nghttp2_session_mem_recv(self->mSession, self->mReadBuffer.data(), aSize);
--- a/lib/Net/Http2Session.h
+++ b/lib/Net/Http2Session.h
@@ -1,6 +1,7 @@
 // One HTTP/2 connection: nghttp2 on an Asio socket, shared by server and client.
 #pragma once
 
+#include "dandelionslip/Net/Http2Client.h"
 #include "dandelionslip/Net/HttpMessage.h"
 #include "dandelionslip/Support/Error.h"
 
@@ -51,7 +52,8 @@
     Client,
   };
 
-  Http2Session(Socket aSocket, Side aSide, std::string aPeer);
+  Http2Session(Socket aSocket, Side aSide, std::string aPeer,
+               std::shared_ptr<TrafficCount> aTraffic = std::make_shared<TrafficCount>());
 
   virtual void OnHeader(std::int32_t aStream, std::string_view aName, std::string_view aValue) = 0;
   virtual void OnBody(std::int32_t aStream, std::span<const std::uint8_t> aBytes) = 0;
@@ -84,6 +86,7 @@
   Socket mSocket;
   Side mSide;
   std::string mPeer;
+  std::shared_ptr<TrafficCount> mTraffic;
   nghttp2_session* mSession = nullptr;
   std::map<std::int32_t, Outgoing> mOutgoing;
   std::array<std::uint8_t, 65'536> mReadBuffer{};
--- a/lib/Net/MetricsEndpoint.cpp
+++ b/lib/Net/MetricsEndpoint.cpp
@@ -3,6 +3,8 @@
 
 #include "AsioEndpoint.h"
 
+#include "dandelionslip/Support/ProcessUsage.h"
+
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/strand.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
@@ -19,6 +21,15 @@
 
 constexpr std::chrono::seconds kConnectionTimeout{5};
 
+std::string RenderProcess()
+{
+  const ProcessUsage usage = ReadProcessUsage();
+  return "# TYPE process_cpu_seconds_total counter\nprocess_cpu_seconds_total " +
+         std::to_string(usage.mCpuSeconds) +
+         "\n# TYPE process_resident_memory_bytes gauge\nprocess_resident_memory_bytes " +
+         std::to_string(usage.mResidentBytes) + "\n";
+}
+
 // One connection: a request, its answer, close.
 struct Connection : std::enable_shared_from_this<Connection>
 {
@@ -79,7 +90,7 @@
     response.keep_alive(false);
     if (found) {
       mRefresh();
-      response.body() = mRegistry.Render();
+      response.body() = mRegistry.Render() + RenderProcess();
     }
     response.prepare_payload();
     http::async_write(aConnection->mStream, response,
