--- a/include/dandelionslip/Control/LogStore.h
+++ b/include/dandelionslip/Control/LogStore.h
@@ -22,6 +22,7 @@
   HardState mHardState;
   std::shared_ptr<const Snapshot> mSnapshot; ///< Null when none was taken.
   std::vector<LogEntry> mEntries;            ///< Entries after the snapshot.
+  std::optional<Error> mDroppedTail;         ///< Where an incomplete record was dropped; for logs.
 
   /// Whether the disk holds no log at all, as on the first start of a replica.
   bool Blank() const { return !mSnapshot && mEntries.empty(); }
@@ -91,14 +92,18 @@
 
   Status Load(Random& aRandom);
   Status RemoveTemporaryFiles(std::vector<std::string>& aNames);
-  Status LoadIdentity(Random& aRandom);
+  Status LoadIdentity();
+  Status CreateIdentity(Random& aRandom);
   Status LoadHardState();
   Status LoadSnapshot(const std::vector<std::string>& aNames);
   Status LoadSegments(const std::vector<std::string>& aNames);
   Status LoadSegment(LogIndex aFirst, bool aNewest);
+  Status LoadEntries(Segment& aSegment, LogIndex aFirst, std::span<const std::uint8_t> aBytes,
+                     bool aNewest);
   Status CutTail(Segment& aSegment, std::uint64_t aSize);
   Status DropCoveredEntries();
   std::optional<Term> TermAt(LogIndex aIndex) const;
+  std::optional<Term> SegmentTermAt(LogIndex aIndex) const;
 
   Status Guard(Status aStatus);
   Status CheckUsable(const char* aStep) const;
--- a/include/dandelionslip/Control/RaftCore.h
+++ b/include/dandelionslip/Control/RaftCore.h
@@ -58,6 +58,9 @@
   /// Hands leadership to an up-to-date voter before a planned stop; any voter when aTarget is
   /// empty. Proposals are refused until it succeeds or one election timeout has passed.
   Status TransferLeadership(TimePoint aNow, const ReplicaId& aTarget, RaftActions& aActions);
+  /// Builds a snapshot of the applied entries. Call it only when every ApplyAction returned so far
+  /// is carried out; aState is the state machine's state at that time.
+  Snapshot MakeSnapshot(Bytes aState) const;
   /// A snapshot of applied entries is stored; drops the entries it covers.
   void Compact(std::shared_ptr<const Snapshot> aSnapshot);
 
--- /dev/null
+++ b/lib/Control/RaftElection.cpp
@@ -0,0 +1,182 @@
+// Pre-vote, votes, terms and refused identities.
+#include "RaftNode.h"
+
+namespace dandelionslip {
+
+std::optional<std::string> RaftCore::Node::ReasonToRefuse(const RaftMessage& aMessage) const
+{
+  // Only the committed membership counts: a change that is not committed may be taken back.
+  const Membership& members = mLog.MembershipAt(mCommit);
+  if (members.IsRemoved(aMessage.mFrom)) {
+    return "identity " + aMessage.mFrom + " was removed from the membership";
+  }
+  const ReplicaInfo* info = members.Find(aMessage.mFrom);
+  if (info == nullptr || !info->mVoter) {
+    return std::nullopt;
+  }
+  if (aMessage.mFromBlank) {
+    return "identity " + aMessage.mFrom + " is a voter but its disk is empty";
+  }
+  if (info->mStore != 0 && info->mStore != aMessage.mFromStore) {
+    return "identity " + aMessage.mFrom + " was promoted with another disk";
+  }
+  return std::nullopt;
+}
+
+bool RaftCore::Node::HeardFromLeader() const
+{
+  if (Role() == RaftRole::Leader) {
+    return true;
+  }
+  return mLeader && mLeaderHeard && mNow - *mLeaderHeard < mSettings.mElectionMin;
+}
+
+// Compares the sender's term with the own one; false if the message must not be handled.
+bool RaftCore::Node::AdoptTerm(const RaftMessage& aMessage)
+{
+  const bool isPreVote = std::holds_alternative<PreVoteRequest>(aMessage.mBody);
+  if (aMessage.mTerm == mHardState.mTerm || isPreVote) {
+    return true;
+  }
+  if (aMessage.mTerm > mHardState.mTerm) {
+    const auto* vote = std::get_if<VoteRequest>(&aMessage.mBody);
+    if (vote != nullptr && !vote->mTransfer && HeardFromLeader()) {
+      return false;
+    }
+    BecomeFollower(aMessage.mTerm, std::nullopt);
+    return true;
+  }
+  // A sender with an older term learns the newer one from the answer.
+  if (const auto* append = std::get_if<AppendRequest>(&aMessage.mBody)) {
+    AnswerAppend(aMessage, *append, false, 0);
+  } else if (const auto* snapshot = std::get_if<SnapshotRequest>(&aMessage.mBody)) {
+    Answer(aMessage, SnapshotAnswer{snapshot->mIndex, 0, false, snapshot->mSentNs});
+  } else if (std::holds_alternative<VoteRequest>(aMessage.mBody)) {
+    Answer(aMessage, VoteAnswer{false});
+  }
+  return false;
+}
+
+bool RaftCore::Node::LogIsUpToDate(LogIndex aLastIndex, Term aLastTerm) const
+{
+  const Term own = mLog.LastTerm();
+  return aLastTerm > own || (aLastTerm == own && aLastIndex >= mLog.LastIndex());
+}
+
+void RaftCore::Node::StartPreVote()
+{
+  mRole.Process(RoleEvent::ElectionDue);
+  mLeader.reset();
+  ResetElectionDeadline();
+  mVotes = {mSelf};
+  const PreVoteRequest request{mHardState.mTerm + 1, mLog.LastIndex(), mLog.LastTerm()};
+  for (const auto& [id, info] : mLog.LatestMembership().mReplicas) {
+    if (info.mVoter && id != mSelf) {
+      Send(id, request);
+    }
+  }
+  if (mVotes.size() >= mLog.LatestMembership().Quorum()) {
+    StartElection(false);
+  }
+}
+
+void RaftCore::Node::StartElection(bool aTransfer)
+{
+  mRole.Process(aTransfer ? RoleEvent::TransferAsked : RoleEvent::PreVoteWon);
+  mLeader.reset();
+  ResetElectionDeadline();
+  SetHardState(mHardState.mTerm + 1, mSelf);
+  mVotes = {mSelf};
+  const VoteRequest request{mLog.LastIndex(), mLog.LastTerm(), aTransfer};
+  for (const auto& [id, info] : mLog.LatestMembership().mReplicas) {
+    if (info.mVoter && id != mSelf) {
+      Send(id, request);
+    }
+  }
+  if (mVotes.size() >= mLog.LatestMembership().Quorum()) {
+    BecomeLeader();
+  }
+}
+
+void RaftCore::Node::BecomeLeader()
+{
+  mRole.Process(RoleEvent::VoteWon);
+  mLeader = mSelf;
+  mLeaderSince = mNow;
+  mHeartbeatDue = mNow + mSettings.mHeartbeat;
+  mPeers.clear();
+  SyncPeers();
+  // Entries of earlier terms are committed only through an entry of the leader's own term.
+  mTermStart = ProposeEntry(EntryKind::NoOp, {}).mIndex;
+  for (auto& [id, peer] : mPeers) {
+    SendHeartbeat(id, peer);
+  }
+}
+
+// Counts a vote of a voter whose disk is the promoted one; true when that makes a majority.
+bool RaftCore::Node::CountVote(const RaftMessage& aMessage)
+{
+  const Membership& members = mLog.LatestMembership();
+  const ReplicaInfo* info = members.Find(aMessage.mFrom);
+  if (info == nullptr || !info->mVoter || aMessage.mFromBlank ||
+      (info->mStore != 0 && info->mStore != aMessage.mFromStore)) {
+    return false;
+  }
+  mVotes.insert(aMessage.mFrom);
+  return mVotes.size() >= members.Quorum();
+}
+
+void RaftCore::Node::Handle(const RaftMessage& aMessage, const PreVoteRequest& aRequest)
+{
+  const bool granted = !mLog.Blank() && aRequest.mProposedTerm > mHardState.mTerm &&
+                       !HeardFromLeader() && LogIsUpToDate(aRequest.mLastIndex, aRequest.mLastTerm);
+  Answer(aMessage, PreVoteAnswer{aRequest.mProposedTerm, granted});
+}
+
+void RaftCore::Node::Handle(const RaftMessage& aMessage, const PreVoteAnswer& aAnswer)
+{
+  const bool current = Role() == RaftRole::PreCandidate && aMessage.mToStore == mStore &&
+                       aAnswer.mProposedTerm == mHardState.mTerm + 1;
+  if (current && aAnswer.mGranted && CountVote(aMessage)) {
+    StartElection(false);
+  }
+}
+
+void RaftCore::Node::Handle(const RaftMessage& aMessage, const VoteRequest& aRequest)
+{
+  // A learner votes too: it may not have received its promotion yet. The candidate counts only
+  // the voters of its own membership.
+  const bool free = mHardState.mVotedFor.empty() || mHardState.mVotedFor == aMessage.mFrom;
+  const bool granted =
+    free && !mLog.Blank() && LogIsUpToDate(aRequest.mLastIndex, aRequest.mLastTerm);
+  if (granted) {
+    SetHardState(mHardState.mTerm, aMessage.mFrom);
+    ResetElectionDeadline();
+  }
+  Answer(aMessage, VoteAnswer{granted});
+}
+
+void RaftCore::Node::Handle(const RaftMessage& aMessage, const VoteAnswer& aAnswer)
+{
+  const bool current = Role() == RaftRole::Candidate && aMessage.mToStore == mStore;
+  if (current && aAnswer.mGranted && CountVote(aMessage)) {
+    BecomeLeader();
+  }
+}
+
+void RaftCore::Node::Handle(const RaftMessage& aMessage, const TimeoutNow& /*aRequest*/)
+{
+  if (Role() == RaftRole::Follower && mLeader == aMessage.mFrom && aMessage.mToStore == mStore &&
+      IsCandidateEligible()) {
+    StartElection(true);
+  }
+}
+
+void RaftCore::Node::Handle(const RaftMessage& aMessage, const Refusal& aRefusal)
+{
+  if (aMessage.mToStore == mStore) {
+    StopSelf("refused by " + aMessage.mFrom + ": " + aRefusal.mReason);
+  }
+}
+
+} // namespace dandelionslip
--- /dev/null
+++ b/lib/Control/RaftNode.h
@@ -0,0 +1,166 @@
+// State and steps behind RaftCore.
+#pragma once
+
+#include "RaftLog.h"
+#include "RaftPeer.h"
+#include "RoleMachine.h"
+
+#include "dandelionslip/Control/RaftCore.h"
+
+#include <map>
+#include <set>
+
+namespace dandelionslip {
+
+/// State and steps behind RaftCore. Each public event function returns the actions it caused.
+class RaftCore::Node
+{
+public:
+  Node(RaftSettings aSettings, RecoveredState aState, Random aRandom, TimePoint aNow);
+
+  RaftActions Tick(TimePoint aNow);
+  RaftActions Receive(TimePoint aNow, const RaftMessage& aMessage);
+  RaftActions Persisted(TimePoint aNow, EntryId aLast);
+  Result<EntryId> Propose(TimePoint aNow, Bytes aPayload, RaftActions& aActions);
+  Result<EntryId> ProposeChange(TimePoint aNow, const MembershipChange& aChange,
+                                RaftActions& aActions);
+  Status TransferLeadership(TimePoint aNow, const ReplicaId& aTarget, RaftActions& aActions);
+  void Compact(std::shared_ptr<const Snapshot> aSnapshot);
+
+  bool Confirmed(TimePoint aNow) const;
+  const std::optional<ReplicaId>& Leader() const { return mLeader; }
+  RaftRole Role() const { return mRole.Role(); }
+  Term CurrentTerm() const { return mHardState.mTerm; }
+  LogIndex CommitIndex() const { return mCommit; }
+  LogIndex AppliedIndex() const { return mApplied; }
+  const RaftLog& Log() const { return mLog; }
+  LogIndex MatchOf(const ReplicaId& aReplica) const;
+
+private:
+  struct IncomingSnapshot
+  {
+    EntryId mId;
+    Bytes mState;
+  };
+
+  // Steps common to all events.
+  void Begin(TimePoint aNow) { mNow = aNow; }
+  RaftActions Finish();
+  void FinishMessages(RaftActions& aActions);
+  void Send(const ReplicaId& aTo, RaftBody aBody, StoreId aToStore = 0);
+  void Answer(const RaftMessage& aRequest, RaftBody aBody);
+  void AppendToLog(LogEntry aEntry);
+  void SetHardState(Term aTerm, ReplicaId aVotedFor);
+  void AdvanceCommit(LogIndex aCommit);
+  void ResetElectionDeadline();
+  void BecomeFollower(Term aTerm, std::optional<ReplicaId> aLeader);
+  void StopSelf(std::string aReason);
+  void CheckSelf();
+  bool IsCandidateEligible() const;
+
+  // Checks before a message is handled.
+  std::optional<std::string> ReasonToRefuse(const RaftMessage& aMessage) const;
+  bool AdoptTerm(const RaftMessage& aMessage);
+  bool HeardFromLeader() const;
+
+  // Elections.
+  void StartPreVote();
+  void StartElection(bool aTransfer);
+  void BecomeLeader();
+  bool LogIsUpToDate(LogIndex aLastIndex, Term aLastTerm) const;
+  bool CountVote(const RaftMessage& aMessage);
+  void Handle(const RaftMessage& aMessage, const PreVoteRequest& aRequest);
+  void Handle(const RaftMessage& aMessage, const PreVoteAnswer& aAnswer);
+  void Handle(const RaftMessage& aMessage, const VoteRequest& aRequest);
+  void Handle(const RaftMessage& aMessage, const VoteAnswer& aAnswer);
+  void Handle(const RaftMessage& aMessage, const TimeoutNow& aRequest);
+  void Handle(const RaftMessage& aMessage, const Refusal& aRefusal);
+
+  // Follower side of replication.
+  void FollowLeader(const ReplicaId& aLeader);
+  bool EntriesAreSound(const AppendRequest& aRequest) const;
+  bool PreviousMatches(const AppendRequest& aRequest) const;
+  LogIndex HintFor(const AppendRequest& aRequest) const;
+  bool TakeEntries(const AppendRequest& aRequest);
+  void TakeConfirmation(const AppendRequest& aRequest);
+  void AnswerAppend(const RaftMessage& aMessage, const AppendRequest& aRequest, bool aSuccess,
+                    LogIndex aMatch);
+  void Handle(const RaftMessage& aMessage, const AppendRequest& aRequest);
+  void Handle(const RaftMessage& aMessage, const SnapshotRequest& aRequest);
+  bool TakeChunk(const SnapshotRequest& aRequest);
+  void Install(const SnapshotRequest& aRequest);
+
+  // Leader side of replication.
+  void Handle(const RaftMessage& aMessage, const AppendAnswer& aAnswer);
+  void Handle(const RaftMessage& aMessage, const SnapshotAnswer& aAnswer);
+  RaftPeer* PeerOf(const RaftMessage& aMessage);
+  bool CheckStore(const RaftMessage& aMessage, RaftPeer& aPeer);
+  void NoteContact(RaftPeer& aPeer, std::int64_t aSentNs) const;
+  void TakeMatch(RaftPeer& aPeer, LogIndex aMatch);
+  void TakeMismatch(RaftPeer& aPeer, const AppendAnswer& aAnswer);
+  void Replicate(const ReplicaId& aId, RaftPeer& aPeer);
+  void SendAppend(const ReplicaId& aId, RaftPeer& aPeer, bool aWithEntries);
+  void SendHeartbeat(const ReplicaId& aId, RaftPeer& aPeer);
+  void SendChunk(const ReplicaId& aId, RaftPeer& aPeer, bool aWithData);
+  void StartSnapshot(const ReplicaId& aId, RaftPeer& aPeer);
+  void BroadcastAppends();
+  void MaybeCommit();
+  std::optional<TimePoint> QuorumContact() const;
+  bool HasCommittedInTerm() const;
+  void TickLeader();
+  void ContinueTransfer();
+
+  // Proposals and membership.
+  Status CheckMayPropose(const char* aStep) const;
+  EntryId ProposeEntry(EntryKind aKind, Bytes aPayload);
+  void SyncPeers();
+  Result<Membership> Changed(const MembershipChange& aChange) const;
+  Status AddLearner(Membership& aMembers, const MembershipChange& aChange) const;
+  Status Promote(Membership& aMembers, const MembershipChange& aChange) const;
+  Status Remove(Membership& aMembers, const MembershipChange& aChange) const;
+
+  const RaftSettings mSettings;
+  const ReplicaId mSelf;
+  const StoreId mStore;
+  Random mRandom;
+  const std::uint64_t mSession; ///< Tells clock stamps of this process from earlier ones.
+  TimePoint mNow;
+
+  RoleMachine mRole;
+  HardState mHardState;
+  RaftLog mLog;
+  LogIndex mPersisted; ///< Own log is synced up to here.
+  LogIndex mCommit;
+  LogIndex mApplied;
+  std::optional<ReplicaId> mLeader;
+  TimePoint mElectionDeadline;
+  bool mSelfChecked = false;
+
+  // Follower.
+  std::optional<TimePoint> mLeaderHeard;
+  std::optional<TimePoint> mConfirmedAt; ///< Own clock, not after the leader's quorum contact.
+  std::optional<IncomingSnapshot> mIncoming;
+
+  // Candidate.
+  std::set<ReplicaId> mVotes;
+
+  // Leader.
+  std::map<ReplicaId, RaftPeer> mPeers;
+  LogIndex mTermStart = 0; ///< Index of the no-op entry of this term.
+  TimePoint mLeaderSince;
+  TimePoint mHeartbeatDue;
+  std::optional<ReplicaId> mTransferTarget;
+  TimePoint mTransferDeadline;
+  bool mTransferSent = false;
+
+  // Effects of the current event, turned into actions by Finish.
+  PersistAction mPersist;
+  std::shared_ptr<const Snapshot> mInstall;
+  bool mInstallKeepsSuffix = false;
+  std::vector<RaftMessage> mMessages;
+  std::vector<PeerRefusedAction> mRefusedPeers;
+  std::optional<std::string> mStopReason;
+  RoleAction mReported;
+};
+
+} // namespace dandelionslip
--- /dev/null
+++ b/lib/Control/RaftProposal.cpp
@@ -0,0 +1,183 @@
+// Proposals, membership changes and leadership transfer.
+#include "RaftNode.h"
+
+#include <boost/outcome/try.hpp>
+
+namespace dandelionslip {
+
+Status RaftCore::Node::CheckMayPropose(const char* aStep) const
+{
+  if (Role() != RaftRole::Leader) {
+    return Fail(ErrorCode::Unavailable, aStep, mLeader.value_or(""), "this replica is not leader");
+  }
+  if (mTransferTarget) {
+    return Fail(ErrorCode::Unavailable, aStep, *mTransferTarget, "leadership is being handed over");
+  }
+  return Ok();
+}
+
+EntryId RaftCore::Node::ProposeEntry(EntryKind aKind, Bytes aPayload)
+{
+  LogEntry entry{mLog.LastIndex() + 1, mHardState.mTerm, aKind, std::move(aPayload)};
+  const EntryId id = entry.Id();
+  AppendToLog(std::move(entry));
+  BroadcastAppends();
+  return id;
+}
+
+Result<EntryId> RaftCore::Node::Propose(TimePoint aNow, Bytes aPayload, RaftActions& aActions)
+{
+  Begin(aNow);
+  BOOST_OUTCOME_TRY(CheckMayPropose("raft.propose"));
+  if (aPayload.size() > mSettings.mMaxPayloadBytes) {
+    return Fail(ErrorCode::LimitExceeded, "raft.propose", mSelf,
+                "payload of " + std::to_string(aPayload.size()) + " bytes, at most " +
+                  std::to_string(mSettings.mMaxPayloadBytes) + " are accepted");
+  }
+  const EntryId id = ProposeEntry(EntryKind::Command, std::move(aPayload));
+  aActions = Finish();
+  return id;
+}
+
+Result<EntryId> RaftCore::Node::ProposeChange(TimePoint aNow, const MembershipChange& aChange,
+                                              RaftActions& aActions)
+{
+  Begin(aNow);
+  BOOST_OUTCOME_TRY(CheckMayPropose("raft.change"));
+  if (!HasCommittedInTerm()) {
+    return Fail(ErrorCode::Conflict, "raft.change", mSelf, "no entry of this term is committed");
+  }
+  if (mLog.LatestMembershipIndex() > mCommit) {
+    return Fail(ErrorCode::Conflict, "raft.change", mSelf,
+                "the change at entry " + std::to_string(mLog.LatestMembershipIndex()) +
+                  " is not committed");
+  }
+  BOOST_OUTCOME_TRY(const auto members, Changed(aChange));
+  const EntryId id = ProposeEntry(EntryKind::Membership, ToCbor(members));
+  SyncPeers();
+  MaybeCommit();
+  aActions = Finish();
+  return id;
+}
+
+// Creates and drops peers so that they equal the newest membership.
+void RaftCore::Node::SyncPeers()
+{
+  const Membership& members = mLog.LatestMembership();
+  std::erase_if(mPeers, [&](const auto& aItem) { return members.Find(aItem.first) == nullptr; });
+  for (const auto& [id, info] : members.mReplicas) {
+    if (id != mSelf && !mPeers.contains(id)) {
+      mPeers[id].mNext = mLog.LastIndex() + 1;
+    }
+  }
+}
+
+Result<Membership> RaftCore::Node::Changed(const MembershipChange& aChange) const
+{
+  Membership members = mLog.LatestMembership();
+  if (members.IsRemoved(aChange.mReplica)) {
+    return Fail(ErrorCode::InvalidInput, "raft.change", aChange.mReplica,
+                "the identity was removed for good");
+  }
+  const bool present = members.Find(aChange.mReplica) != nullptr;
+  if (!present && aChange.mKind != MembershipChangeKind::AddLearner) {
+    return Fail(ErrorCode::NotFound, "raft.change", aChange.mReplica, "not in the membership");
+  }
+  Status changed = Ok();
+  switch (aChange.mKind) {
+    case MembershipChangeKind::AddLearner:
+      changed = AddLearner(members, aChange);
+      break;
+    case MembershipChangeKind::Promote:
+      changed = Promote(members, aChange);
+      break;
+    case MembershipChangeKind::Remove:
+      changed = Remove(members, aChange);
+      break;
+  }
+  BOOST_OUTCOME_TRY(std::move(changed));
+  return members;
+}
+
+Status RaftCore::Node::AddLearner(Membership& aMembers, const MembershipChange& aChange) const
+{
+  if (!IsReplicaId(aChange.mReplica)) {
+    return Fail(ErrorCode::InvalidInput, "raft.change", aChange.mReplica,
+                "expected a UUID in lower-case form");
+  }
+  if (aMembers.Find(aChange.mReplica) != nullptr) {
+    return Fail(ErrorCode::InvalidInput, "raft.change", aChange.mReplica,
+                "already in the membership");
+  }
+  aMembers.mReplicas[aChange.mReplica] = {aChange.mAddress, false, 0};
+  return Ok();
+}
+
+Status RaftCore::Node::Promote(Membership& aMembers, const MembershipChange& aChange) const
+{
+  ReplicaInfo& info = aMembers.mReplicas[aChange.mReplica];
+  if (info.mVoter) {
+    return Fail(ErrorCode::InvalidInput, "raft.change", aChange.mReplica, "already a voter");
+  }
+  const RaftPeer& peer = mPeers.at(aChange.mReplica);
+  const bool fresh = peer.mContact && mNow - *peer.mContact <= mSettings.mElectionMin;
+  if (!fresh || peer.mStore == 0 || peer.mMatch < mCommit) {
+    return Fail(ErrorCode::Conflict, "raft.change", aChange.mReplica,
+                "log is durable up to entry " + std::to_string(peer.mMatch) + ", needed " +
+                  std::to_string(mCommit) + (fresh ? "" : ", and no recent contact"));
+  }
+  info.mVoter = true;
+  info.mStore = peer.mStore;
+  return Ok();
+}
+
+Status RaftCore::Node::Remove(Membership& aMembers, const MembershipChange& aChange) const
+{
+  if (aChange.mReplica == mSelf) {
+    return Fail(ErrorCode::InvalidInput, "raft.change", mSelf,
+                "the leader cannot remove itself; transfer leadership first");
+  }
+  aMembers.mReplicas.erase(aChange.mReplica);
+  aMembers.mRemoved.push_back(aChange.mReplica);
+  return Ok();
+}
+
+Status RaftCore::Node::TransferLeadership(TimePoint aNow, const ReplicaId& aTarget,
+                                          RaftActions& aActions)
+{
+  Begin(aNow);
+  BOOST_OUTCOME_TRY(CheckMayPropose("raft.transfer"));
+  const Membership& members = mLog.LatestMembership();
+  const std::pair<const ReplicaId, RaftPeer>* best = nullptr;
+  for (const auto& item : mPeers) {
+    const bool wanted = aTarget.empty() || item.first == aTarget;
+    const bool usable = members.IsVoter(item.first) && item.second.mContact &&
+                        item.second.mMachine.State() != ReplicaState::Refused;
+    if (wanted && usable && (best == nullptr || item.second.mMatch > best->second.mMatch)) {
+      best = &item;
+    }
+  }
+  if (best == nullptr) {
+    return Fail(ErrorCode::NotFound, "raft.transfer", aTarget, "no such voter is in contact");
+  }
+  mTransferTarget = best->first;
+  mTransferDeadline = mNow + mSettings.mElectionMax;
+  mTransferSent = false;
+  ContinueTransfer();
+  aActions = Finish();
+  return Ok();
+}
+
+void RaftCore::Node::ContinueTransfer()
+{
+  if (!mTransferTarget || mTransferSent) {
+    return;
+  }
+  const RaftPeer& peer = mPeers.at(*mTransferTarget);
+  if (peer.mMatch == mLog.LastIndex()) {
+    mTransferSent = true;
+    Send(*mTransferTarget, TimeoutNow{}, peer.mStore);
+  }
+}
+
+} // namespace dandelionslip
--- /dev/null
+++ b/lib/Control/RecordCodec.cpp
@@ -0,0 +1,81 @@
+// Framing of records in segments and small files.
+#include "RecordCodec.h"
+
+#include "dandelionslip/Support/Hash.h"
+
+#include <algorithm>
+
+namespace dandelionslip {
+
+namespace {
+
+constexpr std::size_t kLengthBytes = 4;
+constexpr unsigned kBitsPerByte = 8;
+
+template <typename T>
+void Put(Bytes& aOut, T aValue)
+{
+  for (std::size_t i = 0; i < sizeof(T); ++i) {
+    aOut.push_back(static_cast<std::uint8_t>(aValue >> (i * kBitsPerByte)));
+  }
+}
+
+template <typename T>
+T Get(std::span<const std::uint8_t> aBytes)
+{
+  T value = 0;
+  for (std::size_t i = 0; i < sizeof(T); ++i) {
+    value |= static_cast<T>(static_cast<T>(aBytes[i]) << (i * kBitsPerByte));
+  }
+  return value;
+}
+
+std::uint32_t LengthCheck(std::span<const std::uint8_t> aLength)
+{
+  return static_cast<std::uint32_t>(Hash64(aLength));
+}
+
+bool AllZero(std::span<const std::uint8_t> aBytes)
+{
+  return std::all_of(aBytes.begin(), aBytes.end(), [](std::uint8_t aByte) { return aByte == 0; });
+}
+
+} // namespace
+
+Bytes EncodeRecord(std::span<const std::uint8_t> aPayload)
+{
+  Bytes out;
+  out.reserve(kRecordHeaderBytes + aPayload.size());
+  Put(out, static_cast<std::uint32_t>(aPayload.size()));
+  Put(out, LengthCheck(out));
+  Put(out, Hash64(aPayload, aPayload.size()));
+  out.insert(out.end(), aPayload.begin(), aPayload.end());
+  return out;
+}
+
+RecordView ReadRecord(std::span<const std::uint8_t> aFile, std::uint64_t aOffset)
+{
+  const auto rest = aFile.subspan(aOffset);
+  if (rest.size() < kRecordHeaderBytes) {
+    return {RecordStatus::Cut, {}, aFile.size(), "record header is incomplete"};
+  }
+  // File systems may extend a file with zeros before a crash interrupts the write of its data.
+  if (AllZero(rest)) {
+    return {RecordStatus::Cut, {}, aFile.size(), "only zeros up to the end"};
+  }
+  const auto length = Get<std::uint32_t>(rest);
+  if (Get<std::uint32_t>(rest.subspan(kLengthBytes)) != LengthCheck(rest.first(kLengthBytes)) ||
+      length > kMaxRecordBytes) {
+    return {RecordStatus::Damaged, {}, aOffset, "check of the record length fails"};
+  }
+  if (rest.size() - kRecordHeaderBytes < length) {
+    return {RecordStatus::Cut, {}, aFile.size(), "record is incomplete"};
+  }
+  const auto payload = rest.subspan(kRecordHeaderBytes, length);
+  if (Get<std::uint64_t>(rest.subspan(2 * kLengthBytes)) != Hash64(payload, length)) {
+    return {RecordStatus::Damaged, {}, aOffset, "checksum of the record fails"};
+  }
+  return {RecordStatus::Complete, payload, aOffset + kRecordHeaderBytes + length, {}};
+}
+
+} // namespace dandelionslip
--- /dev/null
+++ b/lib/Control/RoleMachine.cpp
@@ -0,0 +1,111 @@
+// State machine of a replica's own role, on Boost.MSM.
+#include "RoleMachine.h"
+
+#include <boost/msm/back/state_machine.hpp>
+#include <boost/msm/front/state_machine_def.hpp>
+
+#include <array>
+
+namespace dandelionslip {
+
+namespace {
+
+template <RoleEvent E>
+struct On
+{
+};
+
+// Names that Boost.MSM looks up keep the library's spelling.
+// NOLINTBEGIN(readability-identifier-naming)
+struct RoleDefinition : boost::msm::front::state_machine_def<RoleDefinition>
+{
+  template <RaftRole R>
+  struct In : boost::msm::front::state<>
+  {
+    template <typename E, typename Machine>
+    void on_entry(const E& /*aEvent*/, Machine& aMachine)
+    {
+      aMachine.mRole = R;
+    }
+  };
+
+  using Follower = In<RaftRole::Follower>;
+  using PreCandidate = In<RaftRole::PreCandidate>;
+  using Candidate = In<RaftRole::Candidate>;
+  using Leader = In<RaftRole::Leader>;
+  using Stopped = In<RaftRole::Stopped>;
+  using initial_state = Follower;
+
+  struct transition_table
+    : boost::mpl::vector<_row<Follower, On<RoleEvent::ElectionDue>, PreCandidate>,
+                         _row<PreCandidate, On<RoleEvent::ElectionDue>, PreCandidate>,
+                         _row<Candidate, On<RoleEvent::ElectionDue>, PreCandidate>,
+                         _row<PreCandidate, On<RoleEvent::PreVoteWon>, Candidate>,
+                         _row<Follower, On<RoleEvent::TransferAsked>, Candidate>,
+                         _row<Candidate, On<RoleEvent::VoteWon>, Leader>,
+                         _row<PreCandidate, On<RoleEvent::StepDown>, Follower>,
+                         _row<Candidate, On<RoleEvent::StepDown>, Follower>,
+                         _row<Leader, On<RoleEvent::StepDown>, Follower>,
+                         _row<Follower, On<RoleEvent::Refused>, Stopped>,
+                         _row<PreCandidate, On<RoleEvent::Refused>, Stopped>,
+                         _row<Candidate, On<RoleEvent::Refused>, Stopped>,
+                         _row<Leader, On<RoleEvent::Refused>, Stopped>>
+  {};
+
+  template <typename E, typename Machine>
+  void no_transition(const E& /*aEvent*/, Machine& /*aMachine*/, int /*aState*/)
+  {
+  }
+
+  RaftRole mRole = RaftRole::Follower;
+};
+// NOLINTEND(readability-identifier-naming)
+
+using Machine = boost::msm::back::state_machine<RoleDefinition>;
+
+template <RoleEvent E>
+bool ProcessOn(Machine& aMachine)
+{
+  return aMachine.process_event(On<E>()) == boost::msm::back::HANDLED_TRUE;
+}
+
+// One processor for each event, in the order of RoleEvent.
+constexpr std::array kProcessors{
+  &ProcessOn<RoleEvent::ElectionDue>, &ProcessOn<RoleEvent::PreVoteWon>,
+  &ProcessOn<RoleEvent::VoteWon>,     &ProcessOn<RoleEvent::TransferAsked>,
+  &ProcessOn<RoleEvent::StepDown>,    &ProcessOn<RoleEvent::Refused>,
+};
+
+} // namespace
+
+struct RoleMachine::Impl
+{
+  Machine mMachine;
+};
+
+RoleMachine::RoleMachine()
+  : mImpl(std::make_unique<Impl>())
+{
+  mImpl->mMachine.start();
+}
+
+RoleMachine::~RoleMachine() = default;
+
+RaftRole RoleMachine::Role() const
+{
+  return mImpl->mMachine.mRole;
+}
+
+bool RoleMachine::Process(RoleEvent aEvent)
+{
+  return kProcessors.at(static_cast<std::size_t>(aEvent))(mImpl->mMachine);
+}
+
+std::string_view ToString(RaftRole aRole)
+{
+  constexpr std::array<std::string_view, 5> kNames{"follower", "pre_candidate", "candidate",
+                                                   "leader", "stopped"};
+  return kNames.at(static_cast<std::size_t>(aRole));
+}
+
+} // namespace dandelionslip
--- /dev/null
+++ b/lib/Control/RoleMachine.h
@@ -0,0 +1,38 @@
+// State machine of a replica's own role.
+#pragma once
+
+#include "dandelionslip/Control/RaftAction.h"
+
+#include <memory>
+
+namespace dandelionslip {
+
+enum class RoleEvent
+{
+  ElectionDue,   ///< No leader was heard for one election timeout.
+  PreVoteWon,    ///< A majority would vote for this replica.
+  VoteWon,       ///< A majority voted for this replica.
+  TransferAsked, ///< The leader hands over.
+  StepDown,      ///< A newer term or a leader appeared, or the quorum contact was lost.
+  Refused,       ///< The identity must not take part.
+};
+
+/// State machine of a replica's own role.
+class RoleMachine
+{
+public:
+  RoleMachine();
+  ~RoleMachine();
+  RoleMachine(const RoleMachine&) = delete;
+  RoleMachine& operator=(const RoleMachine&) = delete;
+
+  RaftRole Role() const;
+  /// Takes the transition for the event; false if the role has none.
+  bool Process(RoleEvent aEvent);
+
+private:
+  struct Impl;
+  std::unique_ptr<Impl> mImpl;
+};
+
+} // namespace dandelionslip
--- /dev/null
+++ b/unittests/Control/FakeFileLayer.cpp
@@ -0,0 +1,183 @@
+// FileLayer in memory that simulates crashes and failed syncs.
+#include "Control/FakeFileLayer.h"
+
+#include <boost/outcome/try.hpp>
+
+#include <algorithm>
+
+namespace dandelionslip {
+
+namespace {
+
+Bytes DataAfterCrash(const Bytes& aSynced, const Bytes& aData, CrashMode aMode, Random& aRandom)
+{
+  if (aMode == CrashMode::DropAll) {
+    return aSynced;
+  }
+  const bool appended =
+    aData.size() >= aSynced.size() && std::equal(aSynced.begin(), aSynced.end(), aData.begin());
+  if (!appended) {
+    return aRandom.Below(2) == 0 ? aSynced : aData;
+  }
+  const std::size_t kept = aSynced.size() + aRandom.Below(aData.size() - aSynced.size() + 1);
+  return {aData.begin(), aData.begin() + static_cast<std::ptrdiff_t>(kept)};
+}
+
+} // namespace
+
+void FakeFileLayer::Restart(CrashMode aMode, Random& aRandom)
+{
+  mNames = NamesAfterCrash(aMode, aRandom);
+  for (auto& [name, file] : mNames) {
+    file->mData = DataAfterCrash(file->mSynced, file->mData, aMode, aRandom);
+    file->mSynced = file->mData;
+  }
+  mSyncedNames = mNames;
+  mOpen.clear();
+  mCrashed = false;
+  mCrashAt = std::numeric_limits<std::size_t>::max();
+  mFailSyncAt = mCrashAt;
+}
+
+FakeFileLayer::Names FakeFileLayer::NamesAfterCrash(CrashMode aMode, Random& aRandom) const
+{
+  Names names = mSyncedNames;
+  if (aMode == CrashMode::DropAll) {
+    return names;
+  }
+  for (const auto& [name, file] : mSyncedNames) {
+    if (!mNames.contains(name) && aRandom.Below(2) == 0) {
+      names.erase(name);
+    }
+  }
+  for (const auto& [name, file] : mNames) {
+    const auto synced = mSyncedNames.find(name);
+    const bool changed = synced == mSyncedNames.end() || synced->second != file;
+    if (changed && aRandom.Below(2) == 0) {
+      names[name] = file;
+    }
+  }
+  return names;
+}
+
+void FakeFileLayer::Wipe()
+{
+  mNames.clear();
+  mSyncedNames.clear();
+  mOpen.clear();
+}
+
+Bytes& FakeFileLayer::Contents(const std::string& aPath)
+{
+  return mNames.at(aPath)->mData;
+}
+
+Status FakeFileLayer::Step(const std::string& aPath)
+{
+  mCrashed = mCrashed || mOperations >= mCrashAt;
+  ++mOperations;
+  if (mCrashed) {
+    return Fail(ErrorCode::Io, "fake", aPath, "simulated crash");
+  }
+  return Ok();
+}
+
+Status FakeFileLayer::StepSync(const std::string& aPath)
+{
+  BOOST_OUTCOME_TRY(Step(aPath));
+  if (mSyncs++ == mFailSyncAt) {
+    return Fail(ErrorCode::Io, "fake", aPath, "simulated sync failure");
+  }
+  return Ok();
+}
+
+Result<FileHandle> FakeFileLayer::Open(const std::string& aPath, OpenMode aMode)
+{
+  BOOST_OUTCOME_TRY(Step(aPath));
+  if (aMode == OpenMode::Create) {
+    mNames[aPath] = std::make_shared<File>();
+  }
+  const auto found = mNames.find(aPath);
+  if (found == mNames.end()) {
+    return Fail(ErrorCode::Io, "fake", aPath, "no such file");
+  }
+  mOpen[mNextHandle] = found->second;
+  return mNextHandle++;
+}
+
+Status FakeFileLayer::Append(FileHandle aFile, std::span<const std::uint8_t> aBytes)
+{
+  BOOST_OUTCOME_TRY(Step("append"));
+  Bytes& data = mOpen.at(aFile)->mData;
+  data.insert(data.end(), aBytes.begin(), aBytes.end());
+  return Ok();
+}
+
+Status FakeFileLayer::Sync(FileHandle aFile)
+{
+  BOOST_OUTCOME_TRY(StepSync("sync"));
+  File& file = *mOpen.at(aFile);
+  file.mSynced = file.mData;
+  return Ok();
+}
+
+Status FakeFileLayer::Truncate(FileHandle aFile, std::uint64_t aSize)
+{
+  BOOST_OUTCOME_TRY(Step("truncate"));
+  mOpen.at(aFile)->mData.resize(aSize);
+  return Ok();
+}
+
+void FakeFileLayer::Close(FileHandle aFile)
+{
+  mOpen.erase(aFile);
+}
+
+Result<Bytes> FakeFileLayer::Read(const std::string& aPath)
+{
+  const auto found = mNames.find(aPath);
+  if (mCrashed || found == mNames.end()) {
+    return Fail(ErrorCode::Io, "fake", aPath, "no such file");
+  }
+  return found->second->mData;
+}
+
+Status FakeFileLayer::Rename(const std::string& aFrom, const std::string& aTo)
+{
+  BOOST_OUTCOME_TRY(Step(aFrom));
+  mNames[aTo] = mNames.at(aFrom);
+  mNames.erase(aFrom);
+  return Ok();
+}
+
+Status FakeFileLayer::Remove(const std::string& aPath)
+{
+  BOOST_OUTCOME_TRY(Step(aPath));
+  if (mNames.erase(aPath) == 0) {
+    return Fail(ErrorCode::Io, "fake", aPath, "no such file");
+  }
+  return Ok();
+}
+
+Status FakeFileLayer::MakeDirectory(const std::string& aPath)
+{
+  return Step(aPath);
+}
+
+Status FakeFileLayer::SyncDirectory(const std::string& aPath)
+{
+  BOOST_OUTCOME_TRY(StepSync(aPath));
+  mSyncedNames = mNames;
+  return Ok();
+}
+
+Result<std::vector<std::string>> FakeFileLayer::List(const std::string& aPath)
+{
+  std::vector<std::string> names;
+  for (const auto& [name, file] : mNames) {
+    names.push_back(name.substr(aPath.size() + 1));
+  }
+  return names;
+}
+
+} // namespace dandelionslip
--- /dev/null
+++ b/unittests/Control/FakeFileLayer.h
@@ -0,0 +1,73 @@
+// FileLayer in memory that simulates crashes and failed syncs.
+#pragma once
+
+#include "dandelionslip/Control/FileLayer.h"
+#include "dandelionslip/Support/Random.h"
+
+#include <limits>
+#include <map>
+#include <memory>
+
+namespace dandelionslip {
+
+/// What a crash leaves of the changes that were not synced.
+enum class CrashMode
+{
+  DropAll, ///< Nothing.
+  Random,  ///< Any subset of the name changes and any part of the appended bytes.
+};
+
+/// FileLayer in memory for one directory. Counts the operations that change something, and can
+/// crash before any of them or fail any sync.
+class FakeFileLayer : public FileLayer
+{
+public:
+  /// Crashes before the operation with this number, counted from now on, starting with 0.
+  void CrashBefore(std::size_t aOperation) { mCrashAt = mOperations + aOperation; }
+  /// Fails the sync with this number, counted from now on, starting with 0.
+  void FailSync(std::size_t aSync) { mFailSyncAt = mSyncs + aSync; }
+  bool Crashed() const { return mCrashed; }
+  std::size_t Operations() const { return mOperations; }
+  /// Loses what was not synced and makes the files usable again.
+  void Restart(CrashMode aMode, Random& aRandom);
+  /// Removes all files.
+  void Wipe();
+  /// Contents of a file, to damage it.
+  Bytes& Contents(const std::string& aPath);
+
+  Result<FileHandle> Open(const std::string& aPath, OpenMode aMode) override;
+  Status Append(FileHandle aFile, std::span<const std::uint8_t> aBytes) override;
+  Status Sync(FileHandle aFile) override;
+  Status Truncate(FileHandle aFile, std::uint64_t aSize) override;
+  void Close(FileHandle aFile) override;
+  Result<Bytes> Read(const std::string& aPath) override;
+  Status Rename(const std::string& aFrom, const std::string& aTo) override;
+  Status Remove(const std::string& aPath) override;
+  Status MakeDirectory(const std::string& aPath) override;
+  Status SyncDirectory(const std::string& aPath) override;
+  Result<std::vector<std::string>> List(const std::string& aPath) override;
+
+private:
+  struct File
+  {
+    Bytes mData;
+    Bytes mSynced;
+  };
+  using Names = std::map<std::string, std::shared_ptr<File>>;
+
+  Status Step(const std::string& aPath);
+  Status StepSync(const std::string& aPath);
+  Names NamesAfterCrash(CrashMode aMode, Random& aRandom) const;
+
+  Names mNames;
+  Names mSyncedNames;
+  std::map<FileHandle, std::shared_ptr<File>> mOpen;
+  FileHandle mNextHandle = 1;
+  std::size_t mOperations = 0;
+  std::size_t mSyncs = 0;
+  std::size_t mCrashAt = std::numeric_limits<std::size_t>::max();
+  std::size_t mFailSyncAt = std::numeric_limits<std::size_t>::max();
+  bool mCrashed = false;
+};
+
+} // namespace dandelionslip
--- /dev/null
+++ b/unittests/Control/SimulatedReplica.h
@@ -0,0 +1,79 @@
+// One control replica with a simulated disk, for runs in one process.
+#pragma once
+
+#include "Control/FakeFileLayer.h"
+#include "Control/HistoryChecker.h"
+#include "dandelionslip/Control/ProposalTracker.h"
+#include "dandelionslip/Control/RaftCore.h"
+
+#include <deque>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace dandelionslip {
+
+/// One control replica with a simulated disk.
+class SimulatedReplica
+{
+public:
+  SimulatedReplica(ReplicaId aId, RaftSettings aSettings, std::uint64_t aSeed,
+                   HistoryChecker& aChecker);
+
+  /// Starts the process on what the disk holds; false if the store refuses to open.
+  bool Start(TimePoint aNow);
+  /// Writes the first membership to the blank disk of a process that is not started.
+  void Bootstrap(const Membership& aMembers);
+  /// Ends the process without notice.
+  void Crash();
+  bool Running() const { return mCore != nullptr; }
+  /// Whether the process ended because the identity was refused.
+  const std::string& StopReason() const { return mStopReason; }
+
+  void Tick(TimePoint aNow);
+  void Receive(TimePoint aNow, const RaftMessage& aMessage);
+  /// Proposes a unique command; its outcome goes to the checker.
+  Result<EntryId> Propose(TimePoint aNow, const Bytes& aPayload);
+  Result<EntryId> Change(TimePoint aNow, const MembershipChange& aChange);
+  Status Transfer(TimePoint aNow, const ReplicaId& aTarget = {});
+  /// Stores a snapshot of the applied entries and compacts the log.
+  void TakeSnapshot();
+  /// Messages sent since the last call.
+  std::vector<RaftMessage> TakeSent();
+
+  const RaftCore& Core() const { return *mCore; }
+  bool IsLeader() const { return Running() && mCore->Role() == RaftRole::Leader; }
+  const ReplicaId& Id() const { return mId; }
+  FakeFileLayer& Files() { return mFiles; }
+  std::size_t PeersRefused() const { return mPeersRefused; }
+  std::size_t SnapshotsInstalled() const { return mSnapshotsInstalled; }
+
+private:
+  void Run(TimePoint aNow, RaftActions aActions);
+  Status Do(TimePoint aNow, PersistAction& aAction);
+  Status Do(TimePoint aNow, InstallSnapshotAction& aAction);
+  Status Do(TimePoint aNow, ApplyAction& aAction);
+  Status Do(TimePoint aNow, SendAction& aAction);
+  Status Do(TimePoint aNow, RoleAction& aAction);
+  Status Do(TimePoint aNow, PeerRefusedAction& aAction);
+  Status Do(TimePoint aNow, StopAction& aAction);
+  void Report(TimePoint aNow, const std::vector<ProposalResult>& aResults, const LogEntry* aEntry);
+
+  ReplicaId mId;
+  RaftSettings mSettings;
+  Random mRandom;
+  HistoryChecker& mChecker;
+  FakeFileLayer mFiles;
+  std::unique_ptr<LogStore> mStore;
+  std::unique_ptr<RaftCore> mCore;
+  std::deque<RaftAction> mActions; ///< Not carried out yet.
+  ProposalTracker mProposals;
+  std::map<EntryId, Bytes> mPayloads;
+  std::vector<RaftMessage> mSent;
+  std::string mStopReason;
+  std::size_t mPeersRefused = 0;
+  std::size_t mSnapshotsInstalled = 0;
+};
+
+} // namespace dandelionslip
