Add the decision cores of the request path

A non-idempotent request must run at most once, and a refusal that reports "not run" must stay true, although messages are repeated, delayed and crossed and owners change.

The home agent writes a record before a run and serves resends from it. The balancer retries within a budget and reports only what its attempts prove. Refused attempts are recorded, so that a late copy of one is refused as well; without room to record a refusal the outcome is unknown. Hand-offs carry the generation of the view, so that a late hand-off message has no effect.

--- a/include/dandelionslip/Request/HomeCore.h
+++ b/include/dandelionslip/Request/HomeCore.h
@@ -70,18 +70,27 @@
   /// while Active() is true.
   HomeActions OnTick(const RequestTime& aTime);
 
-  /// This agent became the owner of a bucket; non-idempotent requests wait until it is complete.
-  HomeActions OnBucketAcquired(std::uint32_t aBucket, const RequestTime& aTime);
-  /// The bucket never had an owner before.
-  HomeActions OnBucketFirstOwner(std::uint32_t aBucket, const RequestTime& aTime);
+  /// This agent became the owner of a bucket in aGeneration; non-idempotent requests wait until its
+  /// history is settled by OnHandoff or OnPreviousOwnerLost.
+  HomeActions OnBucketAcquired(std::uint32_t aBucket, std::uint32_t aGeneration,
+                               const RequestTime& aTime);
+  /// The bucket never had an owner before aGeneration.
+  HomeActions OnBucketFirstOwner(std::uint32_t aBucket, std::uint32_t aGeneration,
+                                 const RequestTime& aTime);
   /// The hand-off message of the previous owner arrived.
   Result<HomeActions> OnHandoff(const Json& aHandoff, std::string_view aPeer,
                                 const RequestTime& aTime);
   /// The previous owner's lease has ended and it cannot hand over.
   HomeActions OnPreviousOwnerLost(std::uint32_t aBucket, const RequestTime& aTime);
-  /// A newer owner asks for buckets; from here on this agent decides about no new id in them.
+  /// Another agent took the bucket over after this agent's lease had ended. Has to be reported
+  /// before the lease is reported valid again.
+  HomeActions OnBucketDropped(std::uint32_t aBucket, std::uint32_t aGeneration,
+                              const RequestTime& aTime);
+  /// The owner in aGeneration asks for buckets; from here on this agent decides about no new id in
+  /// them. Errors as RequestRecords::FreezeAndExport; the new owner asks again later.
   Result<Json> FreezeAndExport(const std::set<std::uint32_t>& aBuckets,
-                               const std::string& aNewOwner, const RequestTime& aTime);
+                               const std::string& aNewOwner, std::uint32_t aGeneration,
+                               const RequestTime& aTime);
   /// A record that ended at the previous owner after the hand-off.
   Result<HomeActions> OnRecordUpdate(const Json& aRecord, std::string_view aPeer,
                                      const RequestTime& aTime);
--- a/include/dandelionslip/Request/RequestQueue.h
+++ b/include/dandelionslip/Request/RequestQueue.h
@@ -81,7 +81,7 @@
 
   void Append(const QueueEntry& aEntry);
   std::optional<QueueEntry> DisplaceFor(const QueueEntry& aEntry);
-  std::size_t CountAhead(TrafficClass aClass) const;
+  std::size_t CountAhead(const QueueEntry& aEntry) const;
 
   std::size_t mCapacity;
   std::size_t mSize = 0;
--- a/include/dandelionslip/Request/RequestRecords.h
+++ b/include/dandelionslip/Request/RequestRecords.h
@@ -43,6 +43,7 @@
 {
   RecordState mState = RecordState::Pending;
   Attempt mAttempt = 0;                  ///< Highest attempt that the state covers.
+  Attempt mFirstAttempt = 0;             ///< Pending: the attempt that its holder started with.
   std::string mHolder;                   ///< Pending: the agent that runs it.
   std::optional<UpstreamAnswer> mAnswer; ///< Done, when small enough to keep.
   AnswerDigest mDigest;                  ///< Done.
@@ -110,21 +111,28 @@
   const std::string& NewOwner(std::uint32_t aBucket) const;
   std::int64_t CompleteSince(std::uint32_t aBucket) const;
 
-  /// This agent became the owner; the bucket stays incomplete until its history is settled.
-  void Acquire(std::uint32_t aBucket);
-  /// The bucket never had an owner.
-  void CompleteFirst(std::uint32_t aBucket);
+  /// This agent became the owner in generation aGeneration; the bucket stays incomplete until its
+  /// history is settled. Has no effect for a generation that is not newer than the bucket's.
+  void Acquire(std::uint32_t aBucket, std::uint32_t aGeneration);
+  /// The bucket never had an owner before aGeneration.
+  void CompleteFirst(std::uint32_t aBucket, std::uint32_t aGeneration);
   /// The previous owner was lost: nothing is known about ids made until now.
   void CompleteAfterLoss(std::uint32_t aBucket, std::int64_t aWallMs);
+  /// Another agent took the bucket over after this agent's lease had ended.
+  void Drop(std::uint32_t aBucket, std::uint32_t aGeneration);
 
-  /// Freezes the buckets for a hand-off to aNewOwner and returns their records and completeness.
-  /// Can be repeated after a lost message. Fails with Unavailable while a bucket is incomplete or
-  /// was never owned.
+  /// Freezes the buckets for a hand-off to aNewOwner, the owner in aGeneration, and returns their
+  /// records and completeness. Can be repeated after a lost message. Fails with Unavailable,
+  /// without any change, when a bucket is incomplete, is not owned or was acquired in a newer
+  /// generation.
   Result<Json> FreezeAndExport(const std::set<std::uint32_t>& aBuckets,
-                               const std::string& aNewOwner, std::int64_t aWallMs);
+                               const std::string& aNewOwner, std::uint32_t aGeneration,
+                               std::int64_t aWallMs);
 
-  /// Takes over handed-off buckets that are incomplete here and returns them; others are left as
-  /// they are. Nothing changes when the message is invalid.
+  /// Takes over those handed-off buckets that were acquired here in the generation of the message
+  /// and are incomplete; returns them. Others are left as they are, so that a late or repeated
+  /// message has no effect. Nothing changes when the message is invalid. Imported records may
+  /// exceed the limits; answers beyond the byte limit are reduced to digests.
   Result<std::vector<std::uint32_t>> Import(const Json& aHandoff, std::string_view aPeer);
 
   /// The whole table for the successor of this process.
@@ -150,29 +158,31 @@
   struct Bucket
   {
     BucketState mState = BucketState::NotOwned;
+    std::uint32_t mGeneration = 0; ///< Generation in which the state was entered.
     std::int64_t mCompleteSince = 0;
     std::string mNewOwner;
   };
-  struct Wire;
 
-  bool HasRoomForAnswer(const RequestRecord* aPrevious) const;
+  bool IsOwnPending(const RequestRecord& aRecord) const;
   std::size_t BytesOf(const RequestRecord& aRecord) const;
   void Store(const RequestId& aId, RequestRecord aRecord);
   void Erase(const RequestId& aId);
   void Merge(const RequestId& aId, RequestRecord aIncoming);
+  void MergePending(const RequestId& aId, RequestRecord aLocal, RequestRecord aIncoming);
+  void MergeRefused(const RequestId& aId, RequestRecord aLocal, RequestRecord aIncoming);
   void RaiseCutoff(std::int64_t aWallMs);
-  Json EncodeRecord(const RequestId& aId, const RequestRecord& aRecord) const;
-  Json EncodeTable(const std::set<std::uint32_t>& aBuckets) const;
+  Result<void> CheckFreeze(std::uint32_t aBucket, const std::string& aNewOwner,
+                           std::uint32_t aGeneration) const;
 
   std::string mSelf;
   std::uint32_t mBuckets;
   RecordLimits mLimits;
   std::vector<Bucket> mBucketStates;
   std::unordered_map<RequestId, RequestRecord, RequestIdHash> mRecords;
-  std::set<RequestId> mByAge; ///< Ids order by timestamp, because it is their first field.
+  std::set<RequestId> mByAge; ///< Ids sort by timestamp, which is their first field.
   std::size_t mRefused = 0;
   std::size_t mBytes = 0;
-  std::int64_t mCutoffMs = 0;
+  std::int64_t mCutoffMs = 0; ///< Ids older than this may have been removed.
 };
 
 } // namespace dandelionslip
--- /dev/null
+++ b/lib/Request/HomeArrival.cpp
@@ -0,0 +1,171 @@
+// What happens to a request when it arrives at an agent.
+#include "HomeInternals.h"
+
+#include <algorithm>
+
+namespace dandelionslip {
+
+void HomeCore::Internals::Arrive(ArrivedRequest aRequest, TimePoint aDeadline,
+                                 const RequestTime& aTime)
+{
+  if (!aRequest.mIdempotent) {
+    ArriveRecorded(std::move(aRequest), aDeadline, aTime);
+    return;
+  }
+  if (mStopping) {
+    RefuseNew(aRequest, {RefusalReason::Draining, Milliseconds(0)});
+    return;
+  }
+  Dispatch(AddJob(std::move(aRequest), aDeadline), aTime);
+}
+
+void HomeCore::Internals::ArriveRecorded(ArrivedRequest aRequest, TimePoint aDeadline,
+                                         const RequestTime& aTime)
+{
+  if (!aRequest.mId) {
+    mCounters.CountRefusal(RefusalReason::BadRequestId);
+    Reply(aRequest.mHandle, NotRunBecause({RefusalReason::BadRequestId, Milliseconds(0)}));
+    return;
+  }
+  // A message for an earlier process may have reached that process too.
+  if (aRequest.mRelayed && aRequest.mTargetIncarnation != mSettings.mIncarnation) {
+    Reply(aRequest.mHandle, UnknownOutcome());
+    return;
+  }
+  if (ServeFromRecord(aRequest, aDeadline)) {
+    return;
+  }
+  if (!aRequest.mRelayed) {
+    const BucketState state = mRecords.StateOf(mRecords.BucketFor(*aRequest.mId));
+    if (state == BucketState::Incomplete) {
+      Hold(std::move(aRequest), aDeadline);
+      return;
+    }
+    if (state != BucketState::Complete) {
+      Reply(aRequest.mHandle, NotHomeBecause(RefusalReason::HandoffPending));
+      return;
+    }
+    // Another agent may own the bucket by now, so nothing may be recorded about a new attempt.
+    if (!mLeaseValid) {
+      Reply(aRequest.mHandle, NotHomeBecause(RefusalReason::NoControl));
+      return;
+    }
+  }
+  if (DecideUnknownId(aRequest, aTime)) {
+    return;
+  }
+  RequestRecords& table = TableFor(aRequest.mRelayed);
+  if (!table.TryPending(*aRequest.mId, aRequest.mAttempt)) {
+    RefuseNew(aRequest, {RefusalReason::RecordsFull, Milliseconds(1'000)});
+    return;
+  }
+  Dispatch(AddJob(std::move(aRequest), aDeadline), aTime);
+}
+
+// Handles a resend. A refused record lets a higher attempt pass.
+bool HomeCore::Internals::ServeFromRecord(const ArrivedRequest& aRequest, TimePoint aDeadline)
+{
+  const RequestRecord* record = TableFor(aRequest.mRelayed).Find(*aRequest.mId);
+  if (record == nullptr) {
+    return false;
+  }
+  if (record->mState == RecordState::Refused && aRequest.mAttempt > record->mAttempt) {
+    return false;
+  }
+  mCounters.CountResend(EnumNames(record->mState)[static_cast<std::size_t>(record->mState)].mName);
+  if (record->mState == RecordState::Pending) {
+    JoinPending(aRequest, aDeadline);
+    return true;
+  }
+  Reply(aRequest.mHandle, AnswerFromRecord(*record));
+  return true;
+}
+
+void HomeCore::Internals::JoinPending(const ArrivedRequest& aRequest, TimePoint aDeadline)
+{
+  TableFor(aRequest.mRelayed).Join(*aRequest.mId, aRequest.mAttempt);
+  auto& index = IndexFor(aRequest.mRelayed);
+  const auto found = index.find(*aRequest.mId);
+  if (found == index.end()) {
+    // Only records that arrived in a hand-off are pending without a job.
+    HomeJob& job = AddJob(aRequest, aDeadline);
+    job.mPhase = JobPhase::Elsewhere;
+    return;
+  }
+  HomeJob& job = mJobs.at(found->second);
+  job.mWaiters.push_back({aRequest.mHandle, aDeadline});
+  mWaiting[aRequest.mHandle] = job.mToken;
+  if (aDeadline > job.mDeadline) {
+    job.mDeadline = aDeadline;
+    mQueue.Extend(job.mToken, aDeadline);
+  }
+}
+
+// Decides about an attempt without looking at the upstream; true when that settled it.
+bool HomeCore::Internals::DecideUnknownId(const ArrivedRequest& aRequest, const RequestTime& aTime)
+{
+  RequestRecords& table = TableFor(aRequest.mRelayed);
+  const bool known = table.Find(*aRequest.mId) != nullptr;
+  const IdKnowledge knowledge =
+    known ? IdKnowledge::New : table.Judge(*aRequest.mId, aTime.mWallMs);
+  if (knowledge == IdKnowledge::TooOld) {
+    Reply(aRequest.mHandle, UnknownOutcome());
+    return true;
+  }
+  if (knowledge == IdKnowledge::InFuture) {
+    const Refusal refusal{RefusalReason::BadRequestId, Milliseconds(0)};
+    const auto ahead = Milliseconds(aRequest.mId->TimestampMs() - aTime.mWallMs);
+    // The refusal has to be remembered until the id is too old; a record for a far-off timestamp
+    // would stay for as long, so such an id is neither run nor called "not run".
+    if (ahead > mSettings.mRecords.mRetention) {
+      mCounters.CountRefusal(refusal.mReason);
+      Reply(aRequest.mHandle, UnknownOutcome(refusal));
+      return true;
+    }
+    RefuseNew(aRequest, refusal);
+    return true;
+  }
+  if (mStopping) {
+    RefuseNew(aRequest, {RefusalReason::Draining, Milliseconds(0)});
+    return true;
+  }
+  return false;
+}
+
+void HomeCore::Internals::Hold(ArrivedRequest aRequest, TimePoint aDeadline)
+{
+  if (mHeld.size() >= mSettings.mMaxHeld) {
+    Reply(aRequest.mHandle, NotHomeBecause(RefusalReason::HandoffPending));
+    return;
+  }
+  mHeld.push_back({std::move(aRequest), aDeadline});
+}
+
+// Refuses an attempt that has no pending record. Without room to remember the refusal, a late copy
+// of the attempt could still run, so the outcome is then unknown.
+void HomeCore::Internals::RefuseNew(const ArrivedRequest& aRequest, const Refusal& aRefusal)
+{
+  mCounters.CountRefusal(aRefusal.mReason);
+  const bool remembered =
+    aRequest.mIdempotent ||
+    TableFor(aRequest.mRelayed).TryRefuse(*aRequest.mId, aRequest.mAttempt, aRefusal);
+  Reply(aRequest.mHandle, remembered ? NotRunBecause(aRefusal) : UnknownOutcome(aRefusal));
+}
+
+HomeJob& HomeCore::Internals::AddJob(ArrivedRequest aRequest, TimePoint aDeadline)
+{
+  const std::uint64_t token = mNextToken++;
+  HomeJob& job = mJobs[token];
+  job.mToken = token;
+  job.mId = aRequest.mId.value_or(RequestId());
+  job.mDeadline = aDeadline;
+  job.mWaiters.push_back({aRequest.mHandle, aDeadline});
+  mWaiting[aRequest.mHandle] = token;
+  job.mRequest = std::move(aRequest);
+  if (job.IsRecorded()) {
+    IndexFor(job.mRequest.mRelayed)[job.mId] = token;
+  }
+  return job;
+}
+
+} // namespace dandelionslip
--- /dev/null
+++ b/lib/Request/HomeRuns.cpp
@@ -0,0 +1,148 @@
+// Starting requests at the upstream, in the queue or at the alternate.
+#include "HomeInternals.h"
+
+#include <algorithm>
+
+namespace dandelionslip {
+
+namespace {
+
+Milliseconds RemainingFor(const HomeJob& aJob, const RequestTime& aTime, Milliseconds aHop)
+{
+  const auto left = std::chrono::floor<Milliseconds>(aJob.mDeadline - aTime.mNow) - aHop;
+  return std::max(left, Milliseconds(1));
+}
+
+} // namespace
+
+void HomeCore::Internals::Dispatch(HomeJob& aJob, const RequestTime& aTime)
+{
+  if (aJob.mRequest.mRelayed && aJob.IsRecorded() && !mLeaseValid) {
+    EndRefused(aJob, {RefusalReason::NoControl, Milliseconds(0)});
+    return;
+  }
+  if (auto refusal = mQueue.CheckDeadline(aJob.mDeadline, aTime.mNow, 0, 0)) {
+    EndRefused(aJob, *refusal);
+    return;
+  }
+  if (mQueue.Size() > 0 && !aJob.mRequest.mRelayed) {
+    Enqueue(aJob, aTime);
+    PumpQueue(aTime);
+    return;
+  }
+  const auto refusal = mSlots.TryStart(aTime.mNow);
+  if (!refusal) {
+    StartRun(aJob, aTime);
+    return;
+  }
+  // A relayed request does not wait here: its home agent chose this one to avoid waiting.
+  if (aJob.mRequest.mRelayed) {
+    EndRefused(aJob, *refusal);
+    return;
+  }
+  Enqueue(aJob, aTime);
+}
+
+void HomeCore::Internals::Enqueue(HomeJob& aJob, const RequestTime& aTime)
+{
+  const std::uint64_t token = aJob.mToken;
+  const QueueEntry entry{token, aJob.mRequest.mCaller, aJob.mRequest.mClass, aJob.mDeadline};
+  const QueueOffer offer = mQueue.Offer(entry, aTime.mNow, mRunning);
+  if (offer.mRefusal) {
+    RelayOrRefuse(aJob, *offer.mRefusal, aTime);
+    return;
+  }
+  aJob.mPhase = JobPhase::Queued;
+  if (offer.mDisplaced) {
+    const auto retryAfter = std::chrono::ceil<Milliseconds>(mQueue.ExpectedRunTime());
+    RelayOrRefuse(mJobs.at(offer.mDisplaced->mToken), {RefusalReason::SlotsFull, retryAfter},
+                  aTime);
+  }
+}
+
+void HomeCore::Internals::StartRun(HomeJob& aJob, const RequestTime& aTime)
+{
+  aJob.mPhase = JobPhase::Running;
+  aJob.mStarted = aTime.mNow;
+  aJob.mRun = mNextRun++;
+  mRuns[aJob.mRun] = aJob.mToken;
+  ++mRunning;
+  mActions.emplace_back(RunAtUpstream{
+    aJob.mRun, aJob.mId, RemainingFor(aJob, aTime, mSettings.mHopAllowance), aJob.mRequest.mBody});
+}
+
+// Passes a request that cannot run here to the alternate, once; the record stays here.
+void HomeCore::Internals::RelayOrRefuse(HomeJob& aJob, const Refusal& aRefusal,
+                                        const RequestTime& aTime)
+{
+  const bool allowed = !aJob.mRequest.mRelayed && !aJob.mTriedAlternate &&
+                       (mLeaseValid || !aJob.IsRecorded()) && aTime.mNow < aJob.mDeadline;
+  const auto alternate =
+    allowed && mAlternate ? mAlternate(mRecords.BucketFor(aJob.mId)) : std::nullopt;
+  if (!alternate || alternate->mName == mSettings.mSelf) {
+    EndRefused(aJob, aRefusal);
+    return;
+  }
+  aJob.mPhase = JobPhase::AtAlternate;
+  aJob.mTriedAlternate = true;
+  aJob.mRun = mNextRun++;
+  mRuns[aJob.mRun] = aJob.mToken;
+  const ArrivedRequest& request = aJob.mRequest;
+  mActions.emplace_back(RelayToAlternate{aJob.mRun, alternate->mName, alternate->mIncarnation,
+                                         aJob.mId, request.mAttempt, request.mIdempotent,
+                                         RemainingFor(aJob, aTime, mSettings.mHopAllowance),
+                                         request.mCaller, request.mClass, request.mBody});
+}
+
+void HomeCore::Internals::PumpQueue(const RequestTime& aTime)
+{
+  for (const QueueEntry& overdue : mQueue.TakeOverdue(aTime.mNow)) {
+    EndRefused(mJobs.at(overdue.mToken), {RefusalReason::Deadline, Milliseconds(0)});
+  }
+  while (const QueueEntry* front = mQueue.Front()) {
+    HomeJob& job = mJobs.at(front->mToken);
+    if (mSlots.TryStart(aTime.mNow)) {
+      return;
+    }
+    mQueue.Pop();
+    StartRun(job, aTime);
+  }
+}
+
+// Ends the bookkeeping of a run; null when no run of this phase has the id.
+HomeJob* HomeCore::Internals::TakeRun(RunId aRun, JobPhase aPhase)
+{
+  const auto found = mRuns.find(aRun);
+  HomeJob* job = found == mRuns.end() ? nullptr : FindJob(found->second);
+  if (job == nullptr || job->mPhase != aPhase) {
+    mCounters.CountDrop(RequestDrop::UnmatchedAnswer);
+    return nullptr;
+  }
+  mRuns.erase(found);
+  if (job->mWaiters.empty()) {
+    mCounters.CountDrop(RequestDrop::LateAnswer);
+  }
+  return job;
+}
+
+void HomeCore::Internals::ReleaseSlot(const HomeJob& aJob, RunResult aResult,
+                                      const RequestTime& aTime)
+{
+  --mRunning;
+  const RuntimeClock::duration latency = aTime.mNow - aJob.mStarted;
+  if (aResult == RunResult::Succeeded) {
+    mQueue.ObserveRunTime(latency);
+  }
+  mSlots.Finished(aTime.mNow, latency, aResult);
+}
+
+// Asks for the end of a run that nobody waits for; the record stays pending until the run ends.
+void HomeCore::Internals::CancelJob(HomeJob& aJob)
+{
+  if (!aJob.mCancelSent) {
+    aJob.mCancelSent = true;
+    mActions.emplace_back(CancelRun{aJob.mRun});
+  }
+}
+
+} // namespace dandelionslip
--- /dev/null
+++ b/lib/Request/RelayCore.cpp
@@ -0,0 +1,210 @@
+// Entry points of RelayCore; how requests begin and end.
+#include "RelayInternals.h"
+
+#include <algorithm>
+
+namespace dandelionslip {
+
+RelayCore::Internals::Internals(RelaySettings aSettings, const RequestTargets& aTargets,
+                                std::uint64_t aSeed, MetricsRegistry& aRegistry)
+  : mSettings(aSettings)
+  , mTargets(aTargets)
+  , mRandom(aSeed)
+  , mBudget(aSettings.mBudget)
+  , mCounters(aRegistry)
+{
+  mSettings.mMaxTries = std::min(mSettings.mMaxTries, kMaxTries);
+}
+
+void RelayCore::Internals::Accept(CallerRequest aRequest, const RequestTime& aTime)
+{
+  std::optional<RequestId> id;
+  if (aRequest.mIdText) {
+    if (const auto parsed = RequestId::Parse(*aRequest.mIdText)) {
+      id = parsed.value();
+    }
+    const bool valid = id && aRequest.mCallerAttempt <= kMaxCallerAttempt;
+    if (!valid && !aRequest.mIdempotent) {
+      mCounters.CountRefusal(RefusalReason::BadRequestId);
+      Reply(aRequest.mHandle, {}, NotRunBecause({RefusalReason::BadRequestId, Milliseconds(0)}));
+      return;
+    }
+  }
+  const bool hasId = id.has_value();
+  if (hasId && mByCallerAttempt.contains({*id, aRequest.mCallerAttempt})) {
+    mCounters.CountDrop(RequestDrop::DuplicateAttempt);
+    if (!aRequest.mIdempotent) {
+      Reply(aRequest.mHandle, *id, UnknownOutcome());
+      return;
+    }
+    id.reset();
+  }
+  const RequestId used = id ? *id : RequestId::Make(aTime.mWallMs, mRandom);
+  const std::uint64_t token = mNextToken++;
+  RelayExchange& exchange = mExchanges[token];
+  exchange.mToken = token;
+  exchange.mId = used;
+  exchange.mFixedHome = !aRequest.mIdempotent || hasId;
+  exchange.mDeadline = aTime.mNow + aRequest.mRemaining;
+  mByHandle[aRequest.mHandle] = token;
+  mByCallerAttempt[{used, aRequest.mCallerAttempt}] = token;
+  exchange.mRequest = std::move(aRequest);
+  Send(exchange, aTime);
+}
+
+void RelayCore::Internals::Withdraw(RelayExchange& aExchange)
+{
+  aExchange.mCancelled = true;
+  if (!aExchange.mInFlight) {
+    FinishWithoutAnswer(aExchange);
+    return;
+  }
+  mActions.emplace_back(CancelAtAgent{aExchange.mAgent, aExchange.mKey});
+}
+
+void RelayCore::Internals::Finish(RelayExchange& aExchange, RequestAnswer aAnswer)
+{
+  if (aExchange.mInFlight) {
+    --mInFlight[aExchange.mAgent];
+  }
+  mByHandle.erase(aExchange.mRequest.mHandle);
+  mByCallerAttempt.erase({aExchange.mId, aExchange.mRequest.mCallerAttempt});
+  Reply(aExchange.mRequest.mHandle, aExchange.mId, std::move(aAnswer));
+  mExchanges.erase(aExchange.mToken);
+}
+
+// The most that can be said truthfully when no answer was received.
+void RelayCore::Internals::FinishWithoutAnswer(RelayExchange& aExchange)
+{
+  if (aExchange.mMayHaveRun) {
+    RequestAnswer answer = UnknownOutcome(aExchange.mLastRefusal);
+    answer.mDigest = aExchange.mDigest;
+    Finish(aExchange, std::move(answer));
+    return;
+  }
+  if (aExchange.mCancelled) {
+    Finish(aExchange, CancelledOutcome());
+    return;
+  }
+  const Refusal refusal =
+    aExchange.mLastRefusal.value_or(Refusal{RefusalReason::NoUpstream, Milliseconds(0)});
+  mCounters.CountRefusal(refusal.mReason);
+  Finish(aExchange, NotRunBecause(refusal));
+}
+
+void RelayCore::Internals::EndOverdue(RelayExchange& aExchange)
+{
+  if (aExchange.mInFlight) {
+    mActions.emplace_back(CancelAtAgent{aExchange.mAgent, aExchange.mKey});
+  }
+  if (!aExchange.mLastRefusal) {
+    aExchange.mLastRefusal = Refusal{RefusalReason::Deadline, Milliseconds(0)};
+  }
+  FinishWithoutAnswer(aExchange);
+}
+
+void RelayCore::Internals::Reply(ReplyHandle aHandle, const RequestId& aId, RequestAnswer aAnswer)
+{
+  mCounters.CountOutcome(aAnswer.mOutcome);
+  mActions.emplace_back(AnswerCaller{aHandle, aId, std::move(aAnswer)});
+}
+
+RelayExchange* RelayCore::Internals::FindByHandle(ReplyHandle aHandle)
+{
+  const auto found = mByHandle.find(aHandle);
+  return found == mByHandle.end() ? nullptr : &mExchanges.at(found->second);
+}
+
+// Exchanges end while they are visited, so visits go through a copy of the keys.
+std::vector<std::uint64_t> RelayCore::Internals::Tokens() const
+{
+  std::vector<std::uint64_t> tokens;
+  tokens.reserve(mExchanges.size());
+  for (const auto& [token, exchange] : mExchanges) {
+    tokens.push_back(token);
+  }
+  return tokens;
+}
+
+RelayCore::RelayCore(RelaySettings aSettings, const RequestTargets& aTargets, std::uint64_t aSeed,
+                     MetricsRegistry& aRegistry)
+  : mInternals(std::make_unique<Internals>(aSettings, aTargets, aSeed, aRegistry))
+{
+}
+
+RelayCore::~RelayCore() = default;
+
+RelayActions RelayCore::OnRequest(CallerRequest aRequest, const RequestTime& aTime)
+{
+  mInternals->Accept(std::move(aRequest), aTime);
+  return mInternals->TakeActions();
+}
+
+RelayActions RelayCore::OnCallerCancelled(ReplyHandle aHandle, const RequestTime& /*aTime*/)
+{
+  if (RelayExchange* exchange = mInternals->FindByHandle(aHandle);
+      exchange != nullptr && !exchange->mCancelled) {
+    mInternals->Withdraw(*exchange);
+  }
+  return mInternals->TakeActions();
+}
+
+RelayActions RelayCore::OnAgentAnswer(const AttemptKey& aKey, RequestOutcome aOutcome,
+                                      const std::optional<Refusal>& aRefusal,
+                                      ReceivedAnswer aReceived, const RequestTime& aTime)
+{
+  RelayExchange* exchange = mInternals->TakeAttempt(aKey);
+  if (exchange == nullptr) {
+    return mInternals->TakeActions();
+  }
+  const Refusal refusal = aRefusal.value_or(Refusal{RefusalReason::NoUpstream, Milliseconds(0)});
+  switch (aOutcome) {
+    case RequestOutcome::Answered:
+      mInternals->HandleAnswered(*exchange, std::move(aReceived), aTime);
+      break;
+    case RequestOutcome::NotRun:
+    case RequestOutcome::Cancelled:
+      mInternals->HandleNotRun(*exchange, refusal, aTime);
+      break;
+    case RequestOutcome::Unknown:
+      mInternals->HandleUnknown(*exchange, aRefusal, aTime);
+      break;
+    case RequestOutcome::NotHome:
+      mInternals->Retry(*exchange, RetryReason::NotHome, refusal.mRetryAfter, aTime);
+      break;
+  }
+  return mInternals->TakeActions();
+}
+
+RelayActions RelayCore::OnAgentUnreachable(const AttemptKey& aKey, bool aSent,
+                                           const RequestTime& aTime)
+{
+  if (RelayExchange* exchange = mInternals->TakeAttempt(aKey)) {
+    if (!aSent) {
+      exchange->mMayHaveRun = exchange->mMayHaveRunBefore;
+    }
+    mInternals->Retry(*exchange, aSent ? RetryReason::LinkLost : RetryReason::Unreachable,
+                      Milliseconds(0), aTime);
+  }
+  return mInternals->TakeActions();
+}
+
+RelayActions RelayCore::OnTick(const RequestTime& aTime)
+{
+  for (const std::uint64_t token : mInternals->Tokens()) {
+    RelayExchange& exchange = mInternals->mExchanges.at(token);
+    if (aTime.mNow >= exchange.mDeadline) {
+      mInternals->EndOverdue(exchange);
+    } else if (!exchange.mInFlight && aTime.mNow >= exchange.mRetryAt) {
+      mInternals->Send(exchange, aTime);
+    }
+  }
+  return mInternals->TakeActions();
+}
+
+bool RelayCore::Active() const
+{
+  return !mInternals->mExchanges.empty();
+}
+
+} // namespace dandelionslip
--- /dev/null
+++ b/lib/Request/RequestRecords.cpp
@@ -0,0 +1,174 @@
+// Life of single records and their bounds.
+#include "dandelionslip/Request/RequestRecords.h"
+
+#include "dandelionslip/Support/Hash.h"
+
+#include <algorithm>
+
+namespace dandelionslip {
+
+namespace {
+
+RequestRecord MakeRecord(RecordState aState, Attempt aAttempt, std::string aHolder)
+{
+  RequestRecord record;
+  record.mState = aState;
+  record.mAttempt = aAttempt;
+  record.mHolder = std::move(aHolder);
+  return record;
+}
+
+} // namespace
+
+RequestRecords::RequestRecords(std::string aSelf, std::uint32_t aBuckets, RecordLimits aLimits)
+  : mSelf(std::move(aSelf))
+  , mBuckets(aBuckets)
+  , mLimits(aLimits)
+  , mBucketStates(aBuckets)
+{
+}
+
+const RequestRecord* RequestRecords::Find(const RequestId& aId) const
+{
+  const auto found = mRecords.find(aId);
+  return found == mRecords.end() ? nullptr : &found->second;
+}
+
+IdKnowledge RequestRecords::Judge(const RequestId& aId, std::int64_t aWallMs)
+{
+  RaiseCutoff(aWallMs);
+  const std::int64_t made = aId.TimestampMs();
+  if (made < std::max(mCutoffMs, mBucketStates[BucketFor(aId)].mCompleteSince)) {
+    return IdKnowledge::TooOld;
+  }
+  return made > aWallMs + kClockSkewBound.count() ? IdKnowledge::InFuture : IdKnowledge::New;
+}
+
+bool RequestRecords::TryPending(const RequestId& aId, Attempt aAttempt)
+{
+  const std::size_t others = mRecords.size() - mRefused;
+  if (others >= mLimits.mMaxRecords || mBytes + kMaxKeptAnswerBytes > mLimits.mMaxBytes) {
+    return false;
+  }
+  RequestRecord record = MakeRecord(RecordState::Pending, aAttempt, mSelf);
+  record.mFirstAttempt = aAttempt;
+  Store(aId, std::move(record));
+  return true;
+}
+
+bool RequestRecords::TryRefuse(const RequestId& aId, Attempt aAttempt, const Refusal& aRefusal)
+{
+  const RequestRecord* previous = Find(aId);
+  const bool wasRefused = previous != nullptr && previous->mState == RecordState::Refused;
+  if (!wasRefused && mRefused >= mLimits.mMaxRefused) {
+    return false;
+  }
+  const Attempt covered = std::max(aAttempt, previous == nullptr ? 0 : previous->mAttempt);
+  RequestRecord record = MakeRecord(RecordState::Refused, covered, mSelf);
+  record.mRefusal = aRefusal;
+  Store(aId, std::move(record));
+  return true;
+}
+
+void RequestRecords::Join(const RequestId& aId, Attempt aAttempt)
+{
+  if (const auto found = mRecords.find(aId); found != mRecords.end()) {
+    found->second.mAttempt = std::max(found->second.mAttempt, aAttempt);
+  }
+}
+
+void RequestRecords::Complete(const RequestId& aId, const UpstreamAnswer& aAnswer)
+{
+  const RequestRecord* previous = Find(aId);
+  RequestRecord record =
+    MakeRecord(RecordState::Done, previous == nullptr ? 0 : previous->mAttempt, mSelf);
+  record.mDigest = {aAnswer.mBody.size(), Hash64(std::span<const std::uint8_t>(aAnswer.mBody))};
+  if (aAnswer.mBody.size() <= kMaxKeptAnswerBytes) {
+    record.mAnswer = aAnswer;
+  }
+  Store(aId, std::move(record));
+}
+
+void RequestRecords::MarkUnknown(const RequestId& aId)
+{
+  const RequestRecord* previous = Find(aId);
+  const Attempt covered = previous == nullptr ? 0 : previous->mAttempt;
+  Store(aId, MakeRecord(RecordState::Unknown, covered, mSelf));
+}
+
+void RequestRecords::Expire(std::int64_t aWallMs)
+{
+  RaiseCutoff(aWallMs);
+  std::vector<RequestId> expired;
+  for (const RequestId& id : mByAge) {
+    if (id.TimestampMs() >= mCutoffMs) {
+      break;
+    }
+    if (!IsOwnPending(mRecords.at(id))) {
+      expired.push_back(id);
+    }
+  }
+  for (const RequestId& id : expired) {
+    Erase(id);
+  }
+}
+
+std::vector<RequestId> RequestRecords::LoseHolder(const std::string& aHolder)
+{
+  std::vector<RequestId> lost;
+  for (const auto& [id, record] : mRecords) {
+    if (record.mState == RecordState::Pending && record.mHolder == aHolder && aHolder != mSelf) {
+      lost.push_back(id);
+    }
+  }
+  // The table has no order of its own; sorted ids give equal runs for equal seeds.
+  std::sort(lost.begin(), lost.end());
+  for (const RequestId& id : lost) {
+    MarkUnknown(id);
+  }
+  return lost;
+}
+
+bool RequestRecords::IsOwnPending(const RequestRecord& aRecord) const
+{
+  return aRecord.mState == RecordState::Pending && aRecord.mHolder == mSelf;
+}
+
+std::size_t RequestRecords::BytesOf(const RequestRecord& aRecord) const
+{
+  if (IsOwnPending(aRecord)) {
+    return kMaxKeptAnswerBytes;
+  }
+  return aRecord.mAnswer ? aRecord.mAnswer->mBody.size() : 0;
+}
+
+void RequestRecords::Store(const RequestId& aId, RequestRecord aRecord)
+{
+  Erase(aId);
+  if (mBytes + BytesOf(aRecord) > mLimits.mMaxBytes) {
+    aRecord.mAnswer.reset();
+  }
+  mBytes += BytesOf(aRecord);
+  mRefused += aRecord.mState == RecordState::Refused ? 1 : 0;
+  mRecords.emplace(aId, std::move(aRecord));
+  mByAge.insert(aId);
+}
+
+void RequestRecords::Erase(const RequestId& aId)
+{
+  const auto found = mRecords.find(aId);
+  if (found == mRecords.end()) {
+    return;
+  }
+  mBytes -= BytesOf(found->second);
+  mRefused -= found->second.mState == RecordState::Refused ? 1 : 0;
+  mRecords.erase(found);
+  mByAge.erase(aId);
+}
+
+void RequestRecords::RaiseCutoff(std::int64_t aWallMs)
+{
+  mCutoffMs = std::max(mCutoffMs, aWallMs - mLimits.mRetention.count());
+}
+
+} // namespace dandelionslip
