--- a/include/dandelionslip/Control/RaftMessage.h
+++ b/include/dandelionslip/Control/RaftMessage.h
@@ -203,21 +203,22 @@
 }
 
 /// Tells a replica that its identity must not take part; it stops.
-struct Refusal
+struct ReplicaRefusal
 {
   std::string mReason;
 
-  bool operator==(const Refusal&) const = default;
+  bool operator==(const ReplicaRefusal&) const = default;
 };
 
 template <typename V>
-void DescribeFields(V& aVisitor, Refusal& aValue)
+void DescribeFields(V& aVisitor, ReplicaRefusal& aValue)
 {
   aVisitor.Field("reason", aValue.mReason);
 }
 
-using RaftBody = std::variant<PreVoteRequest, PreVoteAnswer, VoteRequest, VoteAnswer, AppendRequest,
-                              AppendAnswer, SnapshotRequest, SnapshotAnswer, TimeoutNow, Refusal>;
+using RaftBody =
+  std::variant<PreVoteRequest, PreVoteAnswer, VoteRequest, VoteAnswer, AppendRequest, AppendAnswer,
+               SnapshotRequest, SnapshotAnswer, TimeoutNow, ReplicaRefusal>;
 
 /// A message with its sender and receiver.
 struct RaftMessage
--- a/lib/Control/RaftElection.cpp
+++ b/lib/Control/RaftElection.cpp
@@ -172,7 +172,7 @@
   }
 }
 
-void RaftCore::Node::Handle(const RaftMessage& aMessage, const Refusal& aRefusal)
+void RaftCore::Node::Handle(const RaftMessage& aMessage, const ReplicaRefusal& aRefusal)
 {
   if (aMessage.mToStore == mStore) {
     StopSelf("refused by " + aMessage.mFrom + ": " + aRefusal.mReason);
--- a/lib/Control/RaftNode.cpp
+++ b/lib/Control/RaftNode.cpp
@@ -61,13 +61,13 @@
   if (Role() == RaftRole::Stopped || aMessage.mTo != mSelf || aMessage.mFrom == mSelf) {
     return Finish();
   }
-  if (const auto* refusal = std::get_if<Refusal>(&aMessage.mBody)) {
+  if (const auto* refusal = std::get_if<ReplicaRefusal>(&aMessage.mBody)) {
     Handle(aMessage, *refusal);
     return Finish();
   }
   if (auto reason = ReasonToRefuse(aMessage)) {
     mRefusedPeers.push_back({aMessage.mFrom, *reason});
-    Answer(aMessage, Refusal{std::move(*reason)});
+    Answer(aMessage, ReplicaRefusal{std::move(*reason)});
     return Finish();
   }
   if (AdoptTerm(aMessage)) {
--- a/lib/Control/RaftNode.h
+++ b/lib/Control/RaftNode.h
@@ -74,7 +74,7 @@
   void Handle(const RaftMessage& aMessage, const VoteRequest& aRequest);
   void Handle(const RaftMessage& aMessage, const VoteAnswer& aAnswer);
   void Handle(const RaftMessage& aMessage, const TimeoutNow& aRequest);
-  void Handle(const RaftMessage& aMessage, const Refusal& aRefusal);
+  void Handle(const RaftMessage& aMessage, const ReplicaRefusal& aRefusal);
 
   // Follower side of replication.
   void FollowLeader(const ReplicaId& aLeader);
--- a/lib/Net/Http2Client.cpp
+++ b/lib/Net/Http2Client.cpp
@@ -221,7 +221,7 @@
         return;
       }
       self->mSession = std::make_shared<ClientSession>(std::move(*socket), self->mPeer.ToString(),
-                                                       self->weak_from_this());
+                                                       self->mTraffic, self->weak_from_this());
       self->mSession->Start();
       for (const auto& pending : waiting) {
         if (self->mSession) {
