Add the configuration store, leases, views and the membership core

Cause: operators' commands need one deterministic outcome on every replica, and nodes need leases and views that survive a change of leader. Change: ConfigurationStore, LeaseTable, ViewBuilder, AttachedNodes, SummaryReceiver and MembershipCore; view and configuration differences and NodeState in Model.

--- a/include/dandelionslip/Control/AttachedNodes.h
+++ b/include/dandelionslip/Control/AttachedNodes.h
@@ -11,10 +11,6 @@
 
 namespace dandelionslip {
 
-/// Identifies an announcement in a digest; the view revision does not count, because it changes on
-/// every node with every view and the leader does not need it.
-std::uint64_t DigestOf(const Announcement& aAnnouncement);
-
 /// Collects announcements and reports them to the leader. Not thread-safe.
 ///
 /// A lease is granted only on the strength of a summary that the leader has acknowledged: the
@@ -38,9 +34,12 @@
   /// What remains at aNow of the lease that the leader has acknowledged for this incarnation.
   Milliseconds LeaseFor(const std::string& aName, std::uint64_t aIncarnation, TimePoint aNow) const;
 
-  /// Whether the leader or this replica knows a higher incarnation.
+  /// Whether the leader has fenced this incarnation or this replica knows a higher one.
   bool IsFenced(const std::string& aName, std::uint64_t aIncarnation) const;
 
+  /// Detaches nodes that have not announced themselves within the attach window.
+  void DropSilent(TimePoint aNow);
+
   /// The announcements of all attached nodes.
   std::vector<Announcement> All() const;
 
@@ -50,21 +49,29 @@
     Announcement mAnnouncement;
     std::uint64_t mDigest = 0;
     TimePoint mLastAnnounced;
-    std::uint64_t mChangedIn = 0;        ///< Sequence of the summary that carries the change.
-    std::optional<TimePoint> mLeaseFrom; ///< When the acknowledged summary was sent.
-    std::uint64_t mFencedIncarnation = 0;
+    std::uint64_t mAckedDigest = 0;      ///< Of the announcement that the leader has.
+    std::optional<TimePoint> mLeaseFrom; ///< When the acknowledged summary was built.
   };
 
-  void DropSilent(TimePoint aNow);
+  struct Sent
+  {
+    std::uint64_t mIncarnation = 0;
+    std::uint64_t mDigest = 0;
+  };
+
+  void StartTerm(std::uint64_t aTerm);
+  void TakeAccepted(const SummaryAnswer& aAnswer);
+  void Fence(const std::string& aName);
 
   MembershipSettings mSettings;
   std::map<std::string, Node> mNodes;
-  std::set<std::string> mDetached; ///< Not yet acknowledged by the leader.
+  std::map<std::string, std::uint64_t> mFenced; ///< Highest fenced incarnation.
+  std::set<std::string> mDetached;              ///< Not yet acknowledged by the leader.
   std::uint64_t mTerm = 0;
   std::uint64_t mSequence = 0;
   bool mWholeNext = true;
-  TimePoint mSentAt;                               ///< When the newest summary was built.
-  std::map<std::string, std::uint64_t> mSentNodes; ///< Incarnations in the newest summary.
+  TimePoint mSentAt;                 ///< When the newest summary was built.
+  std::map<std::string, Sent> mSent; ///< What the newest summary covers.
 };
 
 } // namespace dandelionslip
--- a/include/dandelionslip/Control/LeaseTable.h
+++ b/include/dandelionslip/Control/LeaseTable.h
@@ -14,11 +14,14 @@
 enum class RenewalOutcome
 {
   Accepted,
-  Fenced, ///< A higher incarnation exists, or this incarnation has left; the process must stop.
-  Full,   ///< The table has no room for another member.
-  Invalid ///< The announcement breaks a rule, for example an empty name or the state `lost`.
+  Fenced,  ///< A higher incarnation exists, or this incarnation has left; the process must stop.
+  Full,    ///< The table has no room for another member.
+  Invalid, ///< The announcement breaks a rule, or a touched member is unknown.
 };
 
+/// Checks the rules of an announcement; errors name the key. A node that breaks them gets no lease.
+Result<void> CheckAnnouncement(const Announcement& aAnnouncement);
+
 /// One node with its lease.
 struct LeaseEntry
 {
@@ -38,9 +41,9 @@
   /// Takes an announcement received at aNow.
   RenewalOutcome Renew(const Announcement& aAnnouncement, TimePoint aNow);
 
-  /// Extends the lease of a member whose announcement is unchanged. Returns false when this
-  /// incarnation is unknown or replaced.
-  bool Touch(const std::string& aName, std::uint64_t aIncarnation, TimePoint aNow);
+  /// Extends the lease of a member whose announcement is unchanged. Fenced: this incarnation was
+  /// replaced or has left; Invalid: it is unknown.
+  RenewalOutcome Touch(const std::string& aName, std::uint64_t aIncarnation, TimePoint aNow);
 
   /// Marks members whose lease or restart grace has ended as lost; returns their names.
   std::vector<std::string> Expire(TimePoint aNow);
--- a/include/dandelionslip/Control/MemberSummary.h
+++ b/include/dandelionslip/Control/MemberSummary.h
@@ -50,11 +50,12 @@
 struct SummaryAnswer
 {
   std::uint64_t mTerm = 0;
-  std::uint64_t mSequence = 0; ///< Of the summary that is answered.
-  bool mAccepted = false;      ///< All attached nodes were renewed, except those in mFenced.
-  bool mWholeWanted = false;   ///< The digest differs; the next summary must be whole.
-  bool mViewWanted = false;    ///< The replica holds a newer view than a starting leader.
-  std::vector<std::string> mFenced;
+  std::uint64_t mSequence = 0;      ///< Of the summary that is answered.
+  bool mAccepted = false;           ///< All attached nodes but those in the two lists were renewed.
+  bool mWholeWanted = false;        ///< The digest differs; the next summary must be whole.
+  bool mViewWanted = false;         ///< The replica holds a newer view than a starting leader.
+  std::vector<std::string> mFenced; ///< A higher incarnation exists; these must stop.
+  std::vector<std::string> mRefused; ///< Not renewed, for example because the table is full.
 
   bool operator==(const SummaryAnswer&) const = default;
 };
@@ -68,6 +69,7 @@
   aVisitor.Optional("whole_wanted", aValue.mWholeWanted);
   aVisitor.Optional("view_wanted", aValue.mViewWanted);
   aVisitor.Optional("fenced", aValue.mFenced);
+  aVisitor.Optional("refused", aValue.mRefused);
 }
 
 /// Decodes a summary within the size bounds. LimitExceeded: a bound is exceeded; InvalidInput:
--- a/include/dandelionslip/Control/MembershipCore.h
+++ b/include/dandelionslip/Control/MembershipCore.h
@@ -88,21 +88,27 @@
   struct Peer
   {
     SummaryReceiver mReceiver;
-    bool mHeard = false;             ///< Its view is not newer than ours, in this term.
+    bool mHeard = false;             ///< Its view is known and not newer than ours.
     std::uint64_t mViewRevision = 0; ///< Newest revision it is known to hold.
+    TimePoint mHeardAt;
     TimePoint mSentAt;
     std::uint64_t mSentRevision = 0;
   };
 
-  Milliseconds GrantLease(const Announcement& aAnnouncement, TimePoint aNow) const;
   void AddState(const Announcement& aAnnouncement, AnnouncementAnswer& aAnswer) const;
-  bool KnowsHigherIncarnation(const Member& aMember) const;
-  void StartIssuing(TimePoint aNow);
+  bool IsFencedByView(const Member& aMember) const;
+  void TakeViewOf(const MemberSummary& aSummary, Peer& aPeer, SummaryAnswer& aAnswer,
+                  TimePoint aNow);
+  void TakeView(const ViewUpdate& aUpdate);
+  void BeginTerm(TimePoint aNow);
+  void StartIssuing();
   void UpdateView(TimePoint aNow);
+  bool IsVoter(const std::string& aReplica) const;
+  bool HasHeardQuorum() const;
   std::uint64_t QuorumRevision() const;
+  bool MayIssue() const;
   void AddViewUpdates(std::vector<MembershipAction>& aActions, TimePoint aNow);
   void AddSummary(std::vector<MembershipAction>& aActions, TimePoint aNow);
-  bool HasQuorum(std::size_t aVoters) const;
 
   std::string mReplica;
   MembershipSettings mSettings;
@@ -114,9 +120,11 @@
   ViewBuilder mBuilder;
   RoleChange mRole;
   bool mIssuing = false;
-  bool mSendView = false; ///< The leader asked for this replica's view.
   std::map<std::string, Peer> mPeers;
+  std::optional<TimePoint> mViewUpdatedAt;
   std::optional<TimePoint> mSummarySentAt;
+  bool mAwaitingAnswer = false; ///< The newest summary is not answered yet.
+  bool mSendView = false;       ///< The leader asked for this replica's view.
 };
 
 } // namespace dandelionslip
--- a/include/dandelionslip/Control/MembershipSettings.h
+++ b/include/dandelionslip/Control/MembershipSettings.h
@@ -15,7 +15,9 @@
   Milliseconds mLeaseMargin{500}; ///< Added before a member is declared lost.
   Milliseconds mRestartGrace{10'000};
   Milliseconds mSummaryInterval{250};
-  Milliseconds mViewResend{250}; ///< Pause before an unacknowledged view is sent again.
+  Milliseconds mSummaryTimeout{1'000}; ///< Pause before an unanswered summary is given up.
+  Milliseconds mViewInterval{100};     ///< Shortest time between two looks at the view.
+  Milliseconds mViewResend{250};       ///< Pause before an unacknowledged view is sent again.
   /// A replica counts a node as attached this long after its last announcement: one and a half
   /// announcement intervals of 500 ms.
   Milliseconds mAttachWindow{750};
--- a/include/dandelionslip/Control/StoreState.h
+++ b/include/dandelionslip/Control/StoreState.h
@@ -69,8 +69,8 @@
 struct StoreState
 {
   std::uint64_t mAppliedIndex = 0;
-  std::int64_t mLogTimeMs = 0;        ///< Highest issue time seen.
-  std::int64_t mExpiredThroughMs = 0; ///< Highest issue time of an evicted answer.
+  std::int64_t mLogTimeMs = 0;         ///< Highest issue time seen.
+  std::int64_t mExpiredThroughMs = -1; ///< Highest issue time of an evicted answer.
   Configuration mConfiguration;
   std::vector<KeptAnswer> mAnswers;                  ///< In log order.
   std::map<std::string, LastWriter> mServiceWriters; ///< Also of deleted services.
--- a/include/dandelionslip/Control/SummaryReceiver.h
+++ b/include/dandelionslip/Control/SummaryReceiver.h
@@ -5,6 +5,7 @@
 #include "dandelionslip/Control/MemberSummary.h"
 
 #include <map>
+#include <set>
 #include <string>
 
 namespace dandelionslip {
@@ -24,6 +25,10 @@
     std::uint64_t mDigest = 0;
   };
 
+  std::set<std::string> TakeListed(const MemberSummary& aSummary, LeaseTable& aLeases,
+                                   TimePoint aNow, SummaryAnswer& aAnswer);
+  std::uint64_t Digest() const;
+
   std::map<std::string, Known> mNodes;
   std::uint64_t mSequence = 0;
 };
--- a/include/dandelionslip/Control/ViewBuilder.h
+++ b/include/dandelionslip/Control/ViewBuilder.h
@@ -27,6 +27,9 @@
 /// two different assignments even when the deposed leader's last views were seen only by nodes.
 inline constexpr std::uint32_t kTermGenerationGap = 64;
 
+/// The lease entries of one service's agents, ordered by name.
+using AgentsOfService = std::vector<const LeaseEntry*>;
+
 /// Issues views in one leader term after another. Not thread-safe.
 ///
 /// A planned change (join, drain, leave, weight step) waits until every live member of the newest
@@ -48,8 +51,10 @@
 
   const View& Current() const { return mView; }
 
-  /// Live members whose acknowledgement the next generation of a service waits for.
-  static std::vector<std::string> Unacknowledged(const ServiceView& aService,
+  /// Live members of a generation that have not acknowledged it. Members of a data centre that is
+  /// out do not count: their flows are given up.
+  static std::vector<std::string> Unacknowledged(const Generation& aGeneration,
+                                                 const Configuration& aConfiguration,
                                                  const LeaseTable& aLeases);
 
 private:
@@ -61,12 +66,13 @@
     bool mNumberedInTerm = false; ///< A generation was issued in this term.
   };
 
-  std::map<std::string, Member> BuildMembers(const Configuration& aConfiguration,
-                                             const LeaseTable& aLeases) const;
-  ServiceView BuildService(const std::string& aName, ServiceId aId,
-                           const Configuration& aConfiguration, const LeaseTable& aLeases,
-                           TimePoint aNow);
-  std::uint32_t NextNumber(const ServiceView& aService, Pace& aPace) const;
+  static std::map<std::string, Member> BuildMembers(const Configuration& aConfiguration,
+                                                    const LeaseTable& aLeases);
+  ServiceView BuildService(const std::string& aName, const ServiceEntry& aEntry,
+                           const Configuration& aConfiguration, const AgentsOfService& aAgents,
+                           const LeaseTable& aLeases, TimePoint aNow);
+  std::uint32_t NextNumber(const ServiceView& aService, const Pace& aPace) const;
+  void Issue(ServiceView& aService, Pace& aPace, std::vector<WeightedMember> aMembers) const;
 
   MembershipSettings mSettings;
   std::uint64_t mTerm = 0;
--- a/include/dandelionslip/Model/RevisionHistory.h
+++ b/include/dandelionslip/Model/RevisionHistory.h
@@ -1,6 +1,8 @@
 // The newest state and the recent differences that lead to it.
 #pragma once
 
+#include "dandelionslip/Support/Error.h"
+
 #include <cstddef>
 #include <cstdint>
 #include <deque>
@@ -26,14 +28,21 @@
     if (aNext.mRevision <= mNewest.mRevision) {
       return false;
     }
-    mDifferences.push_back(DifferenceBetween(mNewest, aNext));
-    if (mDifferences.size() > kKeptDifferences) {
-      mDifferences.pop_front();
-    }
+    Keep(DifferenceBetween(mNewest, aNext));
     mNewest = std::move(aNext);
     return true;
   }
 
+  /// Applies a difference that starts at the newest state. Errors are those of ApplyDifference.
+  Result<void> Apply(const Difference& aDifference)
+  {
+    if (auto applied = ApplyDifference(mNewest, aDifference); !applied) {
+      return applied;
+    }
+    Keep(aDifference);
+    return Ok();
+  }
+
   /// The difference from the given revision to the newest state; empty when it is not kept.
   std::optional<Difference> DifferenceFrom(std::uint64_t aRevision) const
   {
@@ -49,6 +58,14 @@
   }
 
 private:
+  void Keep(Difference aDifference)
+  {
+    mDifferences.push_back(std::move(aDifference));
+    if (mDifferences.size() > kKeptDifferences) {
+      mDifferences.pop_front();
+    }
+  }
+
   State mNewest;
   std::deque<Difference> mDifferences;
 };
--- /dev/null
+++ b/lib/Control/CommandRules.h
@@ -0,0 +1,23 @@
+// The rules by which a command changes the configuration.
+#pragma once
+
+#include "dandelionslip/Control/StoreState.h"
+#include "dandelionslip/Support/Error.h"
+
+#include <string_view>
+#include <variant>
+
+namespace dandelionslip {
+
+/// Checks the form of a publication id: a UUID in lower case, so that one id has one spelling.
+bool IsPublicationId(std::string_view aText);
+
+/// The configuration after the command of entry aIndex, or the answer that rejects the command.
+std::variant<Configuration, CommandAnswer> Evaluate(const StoreState& aState, std::uint64_t aIndex,
+                                                    const Command& aCommand);
+
+/// Checks the rules that hold for every configuration: valid and equally named services, no address
+/// in two services, bounded sizes. Errors name the service or key.
+Result<void> CheckConfiguration(const Configuration& aConfiguration);
+
+} // namespace dandelionslip
--- /dev/null
+++ b/lib/Control/GenerationPlan.h
@@ -0,0 +1,48 @@
+// The members and weights of a service's next generation.
+#pragma once
+
+#include "dandelionslip/Control/LeaseTable.h"
+#include "dandelionslip/Control/ViewBuilder.h"
+
+#include <optional>
+#include <vector>
+
+namespace dandelionslip {
+
+/// The agents that announce themselves for each service.
+std::map<std::string, AgentsOfService> GroupAgents(const LeaseTable& aLeases);
+
+/// Plans the next generation of one service; does not look at acknowledgements.
+class GenerationPlan
+{
+public:
+  struct Step
+  {
+    std::vector<WeightedMember> mMembers;
+    bool mStepped = false; ///< Weights were changed or members joined.
+  };
+
+  GenerationPlan(const std::string& aService, const Configuration& aConfiguration,
+                 const LeaseTable& aLeases, const AgentsOfService& aAgents);
+
+  /// All changes that are due; joins and weight steps only with aStepDue. Empty when nothing
+  /// changes, or when no member is eligible: the owners then keep their buckets and flows.
+  std::optional<Step> Planned(const ServiceView& aService, bool aStepDue) const;
+
+  /// Only the removal of members whose buckets have no live owner.
+  std::optional<std::vector<WeightedMember>> Forced(const ServiceView& aService) const;
+
+private:
+  bool IsEligible(const LeaseEntry* aEntry) const;
+  bool HasNoLiveOwner(const std::string& aName) const;
+  std::vector<WeightedMember> AnnouncedWeights() const;
+  std::uint32_t SteppedWeight(const WeightedMember& aMember) const;
+  void AddJoining(std::vector<WeightedMember>& aMembers) const;
+
+  const std::string& mService;
+  const Configuration& mConfiguration;
+  const LeaseTable& mLeases;
+  const AgentsOfService& mAgents;
+};
+
+} // namespace dandelionslip
--- /dev/null
+++ b/lib/Control/LeaseTable.cpp
@@ -0,0 +1,198 @@
+// Renewal, fencing and end of leases.
+#include "dandelionslip/Control/LeaseTable.h"
+
+#include <algorithm>
+#include <set>
+
+namespace dandelionslip {
+
+namespace {
+
+constexpr std::size_t kMaxNameLength = 255;
+constexpr std::size_t kMaxEndpointLength = 64;
+constexpr std::uint32_t kMaxWeight = 1'000'000;
+
+bool IsGone(MemberState aState)
+{
+  return aState == MemberState::Left || aState == MemberState::Lost;
+}
+
+// A planned stop is final for an incarnation. An announcement that was sent before the stop and
+// arrives after it, through another replica, must not take it back.
+bool TakesBackStop(MemberState aBefore, MemberState aNow)
+{
+  if (aBefore == MemberState::Left) {
+    return aNow != MemberState::Left;
+  }
+  return aBefore == MemberState::Restarting && aNow != MemberState::Restarting &&
+         aNow != MemberState::Left;
+}
+
+Result<void> Reject(const Member& aMember, const char* aDetail)
+{
+  return Fail(ErrorCode::InvalidInput, "announcement.check",
+              aMember.mName.substr(0, kMaxNameLength), aDetail);
+}
+
+} // namespace
+
+Result<void> CheckAnnouncement(const Announcement& aAnnouncement)
+{
+  const Member& member = aAnnouncement.mMember;
+  if (member.mName.empty() || member.mName.size() > kMaxNameLength ||
+      member.mCustodian.size() > kMaxNameLength) {
+    return Reject(member, "name, custodian: expected 1 to 255 characters");
+  }
+  if (member.mDataCentre.empty() || member.mDataCentre.size() > kMaxNameLength) {
+    return Reject(member, "data_centre: expected 1 to 255 characters");
+  }
+  if (member.mService.size() > kMaxNameLength ||
+      member.mService.empty() != (member.mKind == MemberKind::Balancer)) {
+    return Reject(member, "service: expected a name for an agent and none for a balancer");
+  }
+  if (member.mDatagramEndpoint.size() > kMaxEndpointLength ||
+      member.mRequestEndpoint.size() > kMaxEndpointLength) {
+    return Reject(member, "endpoint: expected at most 64 characters");
+  }
+  if (member.mIncarnation == 0) {
+    return Reject(member, "incarnation: found 0, expected the time of the start");
+  }
+  if (member.mState == MemberState::Lost) {
+    return Reject(member, "state: found lost, which only control declares");
+  }
+  if (aAnnouncement.mWeight > kMaxWeight) {
+    return Reject(member, "weight: expected at most 1,000,000");
+  }
+  return Ok();
+}
+
+LeaseTable::LeaseTable(const MembershipSettings& aSettings)
+  : mSettings(aSettings)
+{
+}
+
+TimePoint LeaseTable::DeadlineFor(MemberState aState, TimePoint aNow) const
+{
+  if (IsGone(aState)) {
+    return aNow + mSettings.mForgetAfter;
+  }
+  const Milliseconds lease = mSettings.mLease + mSettings.mLeaseMargin;
+  return aNow +
+         (aState == MemberState::Restarting ? std::max(mSettings.mRestartGrace, lease) : lease);
+}
+
+RenewalOutcome LeaseTable::Insert(const Announcement& aAnnouncement, TimePoint aNow)
+{
+  if (mEntries.size() >= mSettings.mMaxMembers) {
+    return RenewalOutcome::Full;
+  }
+  const MemberState state = aAnnouncement.mMember.mState;
+  mEntries.emplace(aAnnouncement.mMember.mName,
+                   LeaseEntry{aAnnouncement, state, DeadlineFor(state, aNow), true});
+  return RenewalOutcome::Accepted;
+}
+
+RenewalOutcome LeaseTable::Renew(const Announcement& aAnnouncement, TimePoint aNow)
+{
+  if (!CheckAnnouncement(aAnnouncement)) {
+    return RenewalOutcome::Invalid;
+  }
+  const Member& member = aAnnouncement.mMember;
+  const auto found = mEntries.find(member.mName);
+  if (found == mEntries.end()) {
+    return Insert(aAnnouncement, aNow);
+  }
+  LeaseEntry& entry = found->second;
+  const Member before = entry.mAnnouncement.mMember;
+  const std::uint32_t acked = entry.mAnnouncement.mAckedGeneration;
+  if (member.mIncarnation < before.mIncarnation) {
+    return RenewalOutcome::Fenced;
+  }
+  const bool same = member.mIncarnation == before.mIncarnation;
+  if (same && TakesBackStop(entry.mAnnounced, member.mState)) {
+    return RenewalOutcome::Fenced;
+  }
+  entry = LeaseEntry{aAnnouncement, member.mState, DeadlineFor(member.mState, aNow), true};
+  if (same) {
+    entry.mAnnouncement.mAckedGeneration = std::max(acked, aAnnouncement.mAckedGeneration);
+  }
+  // The new process of a restarted member learns from the view which peer holds its state.
+  if (member.mCustodian.empty() && member.mState == MemberState::Cold) {
+    entry.mAnnouncement.mMember.mCustodian = before.mCustodian;
+  }
+  return RenewalOutcome::Accepted;
+}
+
+RenewalOutcome LeaseTable::Touch(const std::string& aName, std::uint64_t aIncarnation,
+                                 TimePoint aNow)
+{
+  const auto found = mEntries.find(aName);
+  if (found == mEntries.end() || found->second.mAnnouncement.mMember.mIncarnation < aIncarnation) {
+    return RenewalOutcome::Invalid;
+  }
+  LeaseEntry& entry = found->second;
+  if (entry.mAnnouncement.mMember.mIncarnation > aIncarnation ||
+      entry.mAnnounced == MemberState::Left) {
+    return RenewalOutcome::Fenced;
+  }
+  entry.mAnnouncement.mMember.mState = entry.mAnnounced;
+  entry.mDeadline = DeadlineFor(entry.mAnnounced, aNow);
+  return RenewalOutcome::Accepted;
+}
+
+std::vector<std::string> LeaseTable::Expire(TimePoint aNow)
+{
+  std::vector<std::string> lost;
+  for (auto& [name, entry] : mEntries) {
+    MemberState& state = entry.mAnnouncement.mMember.mState;
+    if (!IsGone(state) && entry.mDeadline <= aNow) {
+      state = MemberState::Lost;
+      entry.mDeadline = DeadlineFor(state, aNow);
+      lost.push_back(name);
+    }
+  }
+  return lost;
+}
+
+void LeaseTable::Forget(const View& aView, TimePoint aNow)
+{
+  std::set<std::string> named;
+  for (const auto& [service, view] : aView.mServices) {
+    for (const Generation& generation : view.mGenerations) {
+      for (const WeightedMember& member : generation.mMembers) {
+        named.insert(member.mMember);
+      }
+    }
+  }
+  std::erase_if(mEntries, [&](const auto& aItem) {
+    const LeaseEntry& entry = aItem.second;
+    return IsGone(entry.mAnnouncement.mMember.mState) && entry.mDeadline <= aNow &&
+           !named.contains(aItem.first);
+  });
+}
+
+void LeaseTable::Adopt(const View& aView, TimePoint aNow)
+{
+  for (const auto& [name, member] : aView.mMembers) {
+    const auto found = mEntries.find(name);
+    if (found != mEntries.end() &&
+        (found->second.mAnnouncement.mMember.mIncarnation > member.mIncarnation ||
+         (found->second.mHeard &&
+          found->second.mAnnouncement.mMember.mIncarnation == member.mIncarnation))) {
+      continue;
+    }
+    LeaseEntry entry;
+    entry.mAnnouncement.mMember = member;
+    entry.mAnnounced = member.mState == MemberState::Lost ? MemberState::Cold : member.mState;
+    entry.mDeadline = DeadlineFor(member.mState, aNow);
+    mEntries.insert_or_assign(name, std::move(entry));
+  }
+}
+
+const LeaseEntry* LeaseTable::Find(const std::string& aName) const
+{
+  const auto found = mEntries.find(aName);
+  return found == mEntries.end() ? nullptr : &found->second;
+}
+
+} // namespace dandelionslip
--- /dev/null
+++ b/lib/Control/MembershipCore.cpp
@@ -0,0 +1,310 @@
+// Events and decisions of the membership core.
+#include "dandelionslip/Control/MembershipCore.h"
+
+#include <algorithm>
+#include <tuple>
+
+namespace dandelionslip {
+
+namespace {
+
+constexpr unsigned kTermShift = 32;
+
+template <typename State, typename Difference>
+void AddNewer(const RevisionHistory<State, Difference>& aHistory, std::uint64_t aHeld,
+              std::optional<State>& aWhole, std::optional<Difference>& aDifference)
+{
+  if (aHeld >= aHistory.Newest().mRevision) {
+    return;
+  }
+  // A node without state gets the whole state even where a difference from nothing is kept.
+  if (aHeld > 0) {
+    aDifference = aHistory.DifferenceFrom(aHeld);
+  }
+  if (!aDifference) {
+    aWhole = aHistory.Newest();
+  }
+}
+
+} // namespace
+
+MembershipCore::MembershipCore(std::string aReplica, const MembershipSettings& aSettings)
+  : mReplica(std::move(aReplica))
+  , mSettings(aSettings)
+  , mAttached(aSettings)
+  , mLeases(aSettings)
+  , mBuilder(aSettings)
+{
+}
+
+bool MembershipCore::IsFencedByView(const Member& aMember) const
+{
+  const Member* known = CurrentView().FindMember(aMember.mName);
+  return known != nullptr && known->mIncarnation > aMember.mIncarnation;
+}
+
+AnnouncementAnswer MembershipCore::OnAnnouncement(const Announcement& aAnnouncement,
+                                                  bool aConfirmed, TimePoint aNow)
+{
+  AnnouncementAnswer answer;
+  const Member& member = aAnnouncement.mMember;
+  RenewalOutcome outcome =
+    IsFencedByView(member) ? RenewalOutcome::Fenced : mAttached.Take(aAnnouncement, aNow);
+  if (outcome == RenewalOutcome::Accepted && mRole.mLeading) {
+    outcome = mLeases.Renew(aAnnouncement, aNow);
+  }
+  answer.mFenced = outcome == RenewalOutcome::Fenced;
+  if (outcome != RenewalOutcome::Accepted || !aConfirmed) {
+    return answer;
+  }
+  answer.mConfirmed = true;
+  answer.mLease =
+    mRole.mLeading ? mSettings.mLease : mAttached.LeaseFor(member.mName, member.mIncarnation, aNow);
+  AddState(aAnnouncement, answer);
+  return answer;
+}
+
+void MembershipCore::AddState(const Announcement& aAnnouncement, AnnouncementAnswer& aAnswer) const
+{
+  aAnswer.mConfigurationRevision = mConfigurations.Newest().mRevision;
+  aAnswer.mViewRevision = CurrentView().mRevision;
+  AddNewer(mConfigurations, aAnnouncement.mConfigurationRevision, aAnswer.mConfiguration,
+           aAnswer.mConfigurationDifference);
+  AddNewer(mViews, aAnnouncement.mViewRevision, aAnswer.mView, aAnswer.mViewDifference);
+}
+
+SummaryAnswer MembershipCore::OnSummary(const MemberSummary& aSummary, TimePoint aNow)
+{
+  if (!mRole.mLeading || aSummary.mTerm != mRole.mTerm || aSummary.mReplica == mReplica) {
+    SummaryAnswer answer;
+    answer.mTerm = mRole.mTerm;
+    answer.mSequence = aSummary.mSequence;
+    return answer;
+  }
+  Peer& peer = mPeers[aSummary.mReplica];
+  SummaryAnswer answer = peer.mReceiver.Take(aSummary, mLeases, aNow);
+  peer.mHeardAt = aNow;
+  peer.mViewRevision = aSummary.mViewRevision;
+  if (!mIssuing) {
+    TakeViewOf(aSummary, peer, answer, aNow);
+    StartIssuing();
+  }
+  return answer;
+}
+
+void MembershipCore::TakeViewOf(const MemberSummary& aSummary, Peer& aPeer, SummaryAnswer& aAnswer,
+                                TimePoint aNow)
+{
+  const bool ofEarlierTerm =
+    aSummary.mView && (aSummary.mView->mRevision >> kTermShift) < mRole.mTerm;
+  if (ofEarlierTerm && mViews.Advance(*aSummary.mView)) {
+    mLeases.Adopt(*aSummary.mView, aNow);
+  }
+  aAnswer.mViewWanted = aSummary.mViewRevision > CurrentView().mRevision;
+  aPeer.mHeard = !aAnswer.mViewWanted;
+}
+
+void MembershipCore::OnSummaryAnswer(const SummaryAnswer& aAnswer)
+{
+  mAwaitingAnswer = false;
+  if (mRole.mLeading || aAnswer.mTerm != mRole.mTerm) {
+    return;
+  }
+  mSendView = aAnswer.mViewWanted;
+  mAttached.TakeAnswer(aAnswer);
+  if (aAnswer.mViewWanted || aAnswer.mWholeWanted) {
+    mSummarySentAt.reset();
+  }
+}
+
+ViewUpdateAnswer MembershipCore::OnViewUpdate(const ViewUpdate& aUpdate)
+{
+  if (!mRole.mLeading && aUpdate.mTerm >= mRole.mTerm) {
+    TakeView(aUpdate);
+  }
+  return {mReplica, aUpdate.mTerm, CurrentView().mRevision};
+}
+
+void MembershipCore::TakeView(const ViewUpdate& aUpdate)
+{
+  // A revision beyond the sender's term would keep out the views of later leaders.
+  const std::uint64_t end = (aUpdate.mTerm + 1) << kTermShift;
+  if (aUpdate.mView && aUpdate.mView->mRevision < end) {
+    mViews.Advance(*aUpdate.mView);
+    return;
+  }
+  if (aUpdate.mDifference && aUpdate.mDifference->mTo < end) {
+    // After a mismatch the answer tells the leader the held revision, and it sends a matching
+    // update.
+    std::ignore = mViews.Apply(*aUpdate.mDifference);
+  }
+}
+
+void MembershipCore::OnViewUpdateAnswer(const ViewUpdateAnswer& aAnswer)
+{
+  if (!mRole.mLeading || aAnswer.mTerm != mRole.mTerm) {
+    return;
+  }
+  if (const auto peer = mPeers.find(aAnswer.mReplica); peer != mPeers.end()) {
+    peer->second.mViewRevision = aAnswer.mViewRevision;
+  }
+}
+
+CommandAnswer MembershipCore::OnCommitted(std::uint64_t aIndex, const Command& aCommand)
+{
+  CommandAnswer answer = mStore.Apply(aIndex, aCommand);
+  mConfigurations.Advance(mStore.Current());
+  return answer;
+}
+
+Result<void> MembershipCore::OnSnapshot(const Json& aSnapshot)
+{
+  auto restored = mStore.Restore(aSnapshot);
+  if (restored) {
+    mConfigurations.Advance(mStore.Current());
+  }
+  return restored;
+}
+
+void MembershipCore::OnRoleChange(const RoleChange& aChange, TimePoint aNow)
+{
+  const bool sameTerm = aChange.mTerm == mRole.mTerm && aChange.mLeading == mRole.mLeading &&
+                        aChange.mLeader == mRole.mLeader;
+  mRole = aChange;
+  if (!sameTerm) {
+    BeginTerm(aNow);
+  }
+  StartIssuing();
+}
+
+void MembershipCore::BeginTerm(TimePoint aNow)
+{
+  mIssuing = false;
+  mSendView = false;
+  mAwaitingAnswer = false;
+  mSummarySentAt.reset();
+  mViewUpdatedAt.reset();
+  mPeers.clear();
+  mLeases = LeaseTable(mSettings);
+  if (!mRole.mLeading) {
+    return;
+  }
+  mLeases.Adopt(CurrentView(), aNow);
+  mAttached.DropSilent(aNow);
+  for (const Announcement& announcement : mAttached.All()) {
+    mLeases.Renew(announcement, aNow);
+  }
+}
+
+void MembershipCore::StartIssuing()
+{
+  if (!mRole.mLeading || mIssuing || !HasHeardQuorum()) {
+    return;
+  }
+  mIssuing = true;
+  mBuilder.StartTerm(mRole.mTerm, CurrentView());
+}
+
+bool MembershipCore::IsVoter(const std::string& aReplica) const
+{
+  return std::find(mRole.mVoters.begin(), mRole.mVoters.end(), aReplica) != mRole.mVoters.end();
+}
+
+bool MembershipCore::HasHeardQuorum() const
+{
+  std::size_t heard = IsVoter(mReplica) ? 1 : 0;
+  for (const auto& [name, peer] : mPeers) {
+    heard += peer.mHeard && IsVoter(name) ? 1 : 0;
+  }
+  return heard > mRole.mVoters.size() / 2;
+}
+
+std::uint64_t MembershipCore::QuorumRevision() const
+{
+  std::vector<std::uint64_t> held;
+  for (const std::string& voter : mRole.mVoters) {
+    const auto peer = mPeers.find(voter);
+    held.push_back(voter == mReplica ? CurrentView().mRevision
+                                     : (peer == mPeers.end() ? 0 : peer->second.mViewRevision));
+  }
+  if (held.empty()) {
+    return 0;
+  }
+  std::sort(held.begin(), held.end(), std::greater<>());
+  return held[held.size() / 2];
+}
+
+bool MembershipCore::MayIssue() const
+{
+  const std::uint64_t firstOfTerm = mRole.mTerm << kTermShift;
+  const std::uint64_t held = std::max(QuorumRevision(), firstOfTerm);
+  return CurrentView().mRevision < held + kMaxUnheldViews;
+}
+
+void MembershipCore::UpdateView(TimePoint aNow)
+{
+  if (!mIssuing || (mViewUpdatedAt && aNow - *mViewUpdatedAt < mSettings.mViewInterval)) {
+    return;
+  }
+  mViewUpdatedAt = aNow;
+  mAttached.DropSilent(aNow);
+  mLeases.Expire(aNow);
+  mLeases.Forget(CurrentView(), aNow);
+  if (MayIssue() && mBuilder.Update(mStore.Current(), mLeases, aNow)) {
+    mViews.Advance(mBuilder.Current());
+  }
+}
+
+void MembershipCore::AddViewUpdates(std::vector<MembershipAction>& aActions, TimePoint aNow)
+{
+  const std::uint64_t newest = CurrentView().mRevision;
+  for (auto& [name, peer] : mPeers) {
+    const bool gone = aNow - peer.mHeardAt > mSettings.mLease;
+    const bool waits = peer.mSentRevision == newest && aNow - peer.mSentAt < mSettings.mViewResend;
+    if (gone || waits || peer.mViewRevision >= newest) {
+      continue;
+    }
+    ViewUpdate update;
+    update.mTerm = mRole.mTerm;
+    AddNewer(mViews, peer.mViewRevision, update.mView, update.mDifference);
+    peer.mSentAt = aNow;
+    peer.mSentRevision = newest;
+    aActions.emplace_back(SendViewUpdate{name, std::move(update)});
+  }
+}
+
+void MembershipCore::AddSummary(std::vector<MembershipAction>& aActions, TimePoint aNow)
+{
+  if (mRole.mLeader.empty()) {
+    return;
+  }
+  const Milliseconds pause =
+    mAwaitingAnswer ? mSettings.mSummaryTimeout : mSettings.mSummaryInterval;
+  if (mSummarySentAt && aNow - *mSummarySentAt < pause) {
+    return;
+  }
+  MemberSummary summary =
+    mAttached.NextSummary(mReplica, mRole.mTerm, CurrentView().mRevision, aNow);
+  if (mSendView) {
+    summary.mView = CurrentView();
+  }
+  mSummarySentAt = aNow;
+  mAwaitingAnswer = true;
+  aActions.emplace_back(SendSummary{mRole.mLeader, std::move(summary)});
+}
+
+std::vector<MembershipAction> MembershipCore::OnTick(TimePoint aNow)
+{
+  std::vector<MembershipAction> actions;
+  if (!mRole.mLeading) {
+    AddSummary(actions, aNow);
+    return actions;
+  }
+  UpdateView(aNow);
+  if (mIssuing) {
+    AddViewUpdates(actions, aNow);
+  }
+  return actions;
+}
+
+} // namespace dandelionslip
--- /dev/null
+++ b/lib/Control/SummaryReceiver.cpp
@@ -0,0 +1,76 @@
+// Applies the summaries of a replica.
+#include "dandelionslip/Control/SummaryReceiver.h"
+
+#include "dandelionslip/Control/AttachedDigest.h"
+
+#include <set>
+
+namespace dandelionslip {
+
+namespace {
+
+void Note(RenewalOutcome aOutcome, const std::string& aName, SummaryAnswer& aAnswer)
+{
+  if (aOutcome == RenewalOutcome::Fenced) {
+    aAnswer.mFenced.push_back(aName);
+  } else if (aOutcome != RenewalOutcome::Accepted) {
+    aAnswer.mRefused.push_back(aName);
+  }
+}
+
+} // namespace
+
+SummaryAnswer SummaryReceiver::Take(const MemberSummary& aSummary, LeaseTable& aLeases,
+                                    TimePoint aNow)
+{
+  SummaryAnswer answer;
+  answer.mTerm = aSummary.mTerm;
+  answer.mSequence = aSummary.mSequence;
+  if (aSummary.mSequence <= mSequence) {
+    return answer;
+  }
+  mSequence = aSummary.mSequence;
+  const std::set<std::string> renewed = TakeListed(aSummary, aLeases, aNow, answer);
+  if (Digest() != aSummary.mDigest) {
+    answer.mWholeWanted = true;
+    return answer;
+  }
+  for (const auto& [name, known] : mNodes) {
+    if (!renewed.contains(name)) {
+      Note(aLeases.Touch(name, known.mIncarnation, aNow), name, answer);
+    }
+  }
+  answer.mAccepted = true;
+  return answer;
+}
+
+std::set<std::string> SummaryReceiver::TakeListed(const MemberSummary& aSummary,
+                                                  LeaseTable& aLeases, TimePoint aNow,
+                                                  SummaryAnswer& aAnswer)
+{
+  if (aSummary.mWhole) {
+    mNodes.clear();
+  }
+  for (const std::string& name : aSummary.mDetached) {
+    mNodes.erase(name);
+  }
+  std::set<std::string> renewed;
+  for (const Announcement& announcement : aSummary.mChanged) {
+    const Member& member = announcement.mMember;
+    Note(aLeases.Renew(announcement, aNow), member.mName, aAnswer);
+    mNodes[member.mName] = Known{member.mIncarnation, DigestOf(announcement)};
+    renewed.insert(member.mName);
+  }
+  return renewed;
+}
+
+std::uint64_t SummaryReceiver::Digest() const
+{
+  AttachedDigest digest;
+  for (const auto& [name, known] : mNodes) {
+    digest.Add(name, known.mDigest);
+  }
+  return digest.Value();
+}
+
+} // namespace dandelionslip
--- /dev/null
+++ b/lib/Control/ViewBuilder.cpp
@@ -0,0 +1,155 @@
+// Members, generations and weights of the next view.
+#include "dandelionslip/Control/ViewBuilder.h"
+
+#include "GenerationPlan.h"
+
+#include <algorithm>
+
+namespace dandelionslip {
+
+namespace {
+
+constexpr unsigned kTermShift = 32;
+
+// The last generation that all live members have acknowledged must stay in the view, or agents can
+// no longer find where a flow is.
+bool HistoryHasRoom(const ServiceView& aService, const Configuration& aConfiguration,
+                    const LeaseTable& aLeases)
+{
+  if (aService.mGenerations.size() < kMaxGenerations) {
+    return true;
+  }
+  const Generation& lastKept = aService.mGenerations[kMaxGenerations - 2];
+  return ViewBuilder::Unacknowledged(lastKept, aConfiguration, aLeases).empty();
+}
+
+} // namespace
+
+ViewBuilder::ViewBuilder(const MembershipSettings& aSettings)
+  : mSettings(aSettings)
+{
+}
+
+void ViewBuilder::StartTerm(std::uint64_t aTerm, const View& aNewest)
+{
+  mTerm = aTerm;
+  mPreviousTerm = aNewest.mRevision >> kTermShift;
+  mIssuedInTerm = false;
+  mView = aNewest;
+  mPace.clear();
+}
+
+std::vector<std::string> ViewBuilder::Unacknowledged(const Generation& aGeneration,
+                                                     const Configuration& aConfiguration,
+                                                     const LeaseTable& aLeases)
+{
+  std::vector<std::string> names;
+  for (const WeightedMember& member : aGeneration.mMembers) {
+    const LeaseEntry* entry = aLeases.Find(member.mMember);
+    if (entry == nullptr || !HoldsFlows(entry->mAnnouncement.mMember.mState) ||
+        aConfiguration.IsOut(entry->mAnnouncement.mMember.mDataCentre)) {
+      continue;
+    }
+    if (entry->mAnnouncement.mAckedGeneration < aGeneration.mNumber) {
+      names.push_back(member.mMember);
+    }
+  }
+  return names;
+}
+
+std::map<std::string, Member> ViewBuilder::BuildMembers(const Configuration& aConfiguration,
+                                                        const LeaseTable& aLeases)
+{
+  std::map<std::string, Member> members;
+  for (const auto& [name, entry] : aLeases.Entries()) {
+    Member& member = members.emplace_hint(members.end(), name, entry.mAnnouncement.mMember)->second;
+    if (TakesNewWork(member.mState) && aConfiguration.IsDrained(name)) {
+      member.mState = MemberState::Draining;
+    }
+  }
+  return members;
+}
+
+std::uint32_t ViewBuilder::NextNumber(const ServiceView& aService, const Pace& aPace) const
+{
+  if (aService.mGenerations.empty()) {
+    return static_cast<std::uint32_t>(mTerm * kTermGenerationGap + 1);
+  }
+  const std::uint64_t skipped =
+    aPace.mNumberedInTerm ? 0 : (mTerm - mPreviousTerm) * kTermGenerationGap;
+  return static_cast<std::uint32_t>(aService.mGenerations.front().mNumber + skipped + 1);
+}
+
+void ViewBuilder::Issue(ServiceView& aService, Pace& aPace,
+                        std::vector<WeightedMember> aMembers) const
+{
+  const std::uint32_t number = NextNumber(aService, aPace);
+  aService.mGenerations.insert(aService.mGenerations.begin(),
+                               Generation{number, std::move(aMembers)});
+  if (aService.mGenerations.size() > kMaxGenerations) {
+    aService.mGenerations.resize(kMaxGenerations);
+  }
+  aPace.mNumberedInTerm = true;
+}
+
+ServiceView ViewBuilder::BuildService(const std::string& aName, const ServiceEntry& aEntry,
+                                      const Configuration& aConfiguration,
+                                      const AgentsOfService& aAgents, const LeaseTable& aLeases,
+                                      TimePoint aNow)
+{
+  ServiceView service{aEntry.mId, {}};
+  if (const auto found = mView.mServices.find(aName);
+      found != mView.mServices.end() && found->second.mServiceId == aEntry.mId) {
+    service = found->second;
+  }
+  Pace& pace = mPace[aName];
+  if (pace.mServiceId != aEntry.mId) {
+    pace = Pace{aEntry.mId, {}, false, false};
+  }
+  const bool stepDue = !pace.mStepped || aNow - pace.mLastStep >= mSettings.mStepInterval;
+  const GenerationPlan plan(aName, aConfiguration, aLeases, aAgents);
+  const bool acknowledged =
+    service.mGenerations.empty() ||
+    Unacknowledged(service.mGenerations.front(), aConfiguration, aLeases).empty();
+  if (acknowledged) {
+    if (auto next = plan.Planned(service, stepDue)) {
+      if (next->mStepped) {
+        pace.mLastStep = aNow;
+        pace.mStepped = true;
+      }
+      Issue(service, pace, std::move(next->mMembers));
+    }
+    return service;
+  }
+  if (auto next = plan.Forced(service); next && HistoryHasRoom(service, aConfiguration, aLeases)) {
+    Issue(service, pace, std::move(*next));
+  }
+  return service;
+}
+
+bool ViewBuilder::Update(const Configuration& aConfiguration, const LeaseTable& aLeases,
+                         TimePoint aNow)
+{
+  View next;
+  next.mMembers = BuildMembers(aConfiguration, aLeases);
+  const auto agents = GroupAgents(aLeases);
+  static const AgentsOfService kNone;
+  for (const auto& [name, entry] : aConfiguration.mServices) {
+    const auto found = agents.find(name);
+    next.mServices.emplace(name, BuildService(name, entry, aConfiguration,
+                                              found == agents.end() ? kNone : found->second,
+                                              aLeases, aNow));
+  }
+  std::erase_if(
+    mPace, [&](const auto& aItem) { return aConfiguration.FindService(aItem.first) == nullptr; });
+  next.mRevision = mView.mRevision;
+  if (mIssuedInTerm && next == mView) {
+    return false;
+  }
+  next.mRevision = mIssuedInTerm ? mView.mRevision + 1 : (mTerm << kTermShift) + 1;
+  mIssuedInTerm = true;
+  mView = std::move(next);
+  return true;
+}
+
+} // namespace dandelionslip
--- /dev/null
+++ b/lib/Model/ConfigurationDifference.cpp
@@ -0,0 +1,46 @@
+// Computes, merges and applies configuration differences.
+#include "dandelionslip/Model/ConfigurationDifference.h"
+
+#include "DifferenceParts.h"
+
+namespace dandelionslip {
+
+ConfigurationDifference DifferenceBetween(const Configuration& aFrom, const Configuration& aTo)
+{
+  ConfigurationDifference difference;
+  difference.mFrom = aFrom.mRevision;
+  difference.mTo = aTo.mRevision;
+  CollectChanges(aFrom.mServices, aTo.mServices, difference.mServices, difference.mRemovedServices);
+  CollectChanges(aFrom.mDataCentres, aTo.mDataCentres, difference.mDataCentres,
+                 difference.mRemovedDataCentres);
+  CollectChanges(aFrom.mDrained, aTo.mDrained, difference.mDrained, difference.mRemovedDrained);
+  return difference;
+}
+
+void AppendDifference(ConfigurationDifference& aFirst, const ConfigurationDifference& aSecond)
+{
+  aFirst.mTo = aSecond.mTo;
+  MergeChanges(aFirst.mServices, aFirst.mRemovedServices, aSecond.mServices,
+               aSecond.mRemovedServices);
+  MergeChanges(aFirst.mDataCentres, aFirst.mRemovedDataCentres, aSecond.mDataCentres,
+               aSecond.mRemovedDataCentres);
+  MergeChanges(aFirst.mDrained, aFirst.mRemovedDrained, aSecond.mDrained, aSecond.mRemovedDrained);
+}
+
+Result<void> ApplyDifference(Configuration& aConfiguration,
+                             const ConfigurationDifference& aDifference)
+{
+  if (const auto check = CheckDifference(aConfiguration.mRevision, aDifference.mFrom,
+                                         aDifference.mTo, "configuration.apply");
+      !check) {
+    return check;
+  }
+  ApplyChanges(aConfiguration.mServices, aDifference.mServices, aDifference.mRemovedServices);
+  ApplyChanges(aConfiguration.mDataCentres, aDifference.mDataCentres,
+               aDifference.mRemovedDataCentres);
+  ApplyChanges(aConfiguration.mDrained, aDifference.mDrained, aDifference.mRemovedDrained);
+  aConfiguration.mRevision = aDifference.mTo;
+  return Ok();
+}
+
+} // namespace dandelionslip
