Add cold-start ramp, admission and weights beside the upstream

Cause: an upstream in cold start must never get more load than it can handle (I3), also when its health and load endpoints are wrong, and upstreams of unequal speed must be loaded evenly.

--- a/include/dandelionslip/Agent/ColdStartRamp.h
+++ b/include/dandelionslip/Agent/ColdStartRamp.h
@@ -6,6 +6,7 @@
 #include "dandelionslip/Agent/LoadLimit.h"
 #include "dandelionslip/Agent/WorkKind.h"
 
+#include <array>
 #include <optional>
 #include <string_view>
 
@@ -60,9 +61,12 @@
                TimePoint aNow);
 
 private:
+  std::optional<ColdReason> SignOfCold(const LatencyBaseline& aBaseline) const;
   void CountSuccess(TimePoint aNow, Duration aLatency, const LatencyBaseline& aBaseline);
   void StepUp(TimePoint aNow);
   std::uint32_t Window() const;
+  std::uint32_t MatchingConnections(std::uint32_t aSlots) const;
+  LatencyBaseline& BaselineOf(WorkKind aKind);
 
   LoadLimit mFull;
   LoadLimit mCold;
--- a/include/dandelionslip/Agent/EndpointHints.h
+++ b/include/dandelionslip/Agent/EndpointHints.h
@@ -11,7 +11,7 @@
 class EndpointHints
 {
 public:
-  /// A report older than this has no effect.
+  /// A report older than this has no effect. Longer than the largest known lag of 10 s.
   static constexpr Milliseconds kReportLifetime{15'000};
 
   /// Records the reported health.
--- a/include/dandelionslip/Agent/LatencyBaseline.h
+++ b/include/dandelionslip/Agent/LatencyBaseline.h
@@ -1,11 +1,11 @@
 // The latency that is normal for an upstream, and steps away from it.
 #pragma once
 
-#include "dandelionslip/Support/Fields.h"
 #include "dandelionslip/Support/RuntimeClock.h"
 
 #include <array>
 #include <cstddef>
+#include <cstdint>
 
 namespace dandelionslip {
 
@@ -15,6 +15,9 @@
 /// A latency this many times the baseline is a step.
 inline constexpr std::int64_t kStepFactor = 4;
 
+/// A latency below this many times the baseline is normal.
+inline constexpr std::int64_t kNormalFactor = 2;
+
 /// Learns the normal latency of one kind of work. Not thread-safe.
 class LatencyBaseline
 {
@@ -27,8 +30,9 @@
   bool IsKnown() const { return mKnown; }
   Duration Baseline() const { return mBaseline; }
 
-  /// Whether a latency is normal: a baseline exists and it is not above twice the baseline.
-  bool IsNormal(Duration aLatency) const;
+  /// Whether a baseline exists and at least half of the recent completions took less than
+  /// kNormalFactor times the baseline.
+  bool IsNormal() const;
 
   /// Whether the last kStepCompletions completions, but for at most one, were at least kStepFactor
   /// times the baseline.
@@ -41,12 +45,20 @@
   void Restore(Duration aBaseline);
 
 private:
+  struct Sample
+  {
+    Duration mLatency{0};
+    bool mSucceeded = false;
+  };
+
+  void LearnFirst(Duration aLatency);
   void Learn(TimePoint aNow, Duration aLatency);
+  std::size_t CountAtLeast(std::int64_t aFactor) const;
 
-  std::array<Duration, kStepCompletions> mRecent{};
+  std::array<Sample, kStepCompletions> mRecent{};
   std::size_t mRecentCount = 0;
   std::size_t mNext = 0;
-  std::size_t mLearnt = 0;
+  std::int64_t mLearnt = 0;
   bool mKnown = false;
   Duration mBaseline{0};
   TimePoint mLearntAt{};
--- a/include/dandelionslip/Agent/UpstreamAdmission.h
+++ b/include/dandelionslip/Agent/UpstreamAdmission.h
@@ -84,12 +84,13 @@
 private:
   bool TakesNewWork() const;
   RefusalReason FullReason(std::uint32_t aInUse, std::uint32_t aFull, RefusalReason aReason) const;
-  void Observe(TimePoint aNow, Duration aLatency, CompletionResult aResult, WorkKind aKind);
   void FallBack(TimePoint aNow, ColdReason aReason);
   void FollowRamp(TimePoint aNow);
+  void FollowState();
   double OpensPerSecond() const;
-  Duration CloseInterval() const;
-  Duration SlotInterval() const;
+  Duration FlowInterval(TimePoint aNow, bool aRamping) const;
+  Duration SlotInterval(TimePoint aNow) const;
+  double ClosesPerSecond(TimePoint aNow) const;
 
   std::uint32_t mDeclaredOpensPerSecond;
   std::uint32_t mSlotsInUse = 0;
--- a/include/dandelionslip/Agent/WeightEstimator.h
+++ b/include/dandelionslip/Agent/WeightEstimator.h
@@ -47,7 +47,8 @@
 private:
   void AccumulateBusyTime(TimePoint aNow);
   void FoldSample(TimePoint aNow);
-  double Target(double aRampShare) const;
+  double Target() const;
+  void StepTowards(TimePoint aNow, std::uint32_t aTarget);
 
   std::uint32_t mSlotsInUse = 0;
   TimePoint mOccupiedAt;
@@ -59,6 +60,7 @@
   double mServiceMean = 0;
   TimePoint mSteppedAt;
   std::uint32_t mWeight = 0;
+  bool mSettled = false;
 };
 
 } // namespace dandelionslip
--- /dev/null
+++ b/lib/Agent/LatencyBaseline.cpp
@@ -0,0 +1,100 @@
+// Learns the normal latency of an upstream and recognises steps away from it.
+#include "dandelionslip/Agent/LatencyBaseline.h"
+
+#include <algorithm>
+
+namespace dandelionslip {
+
+namespace {
+
+using Duration = LatencyBaseline::Duration;
+
+// Shorter latencies count as this long: the delay with which the operating system schedules a
+// process would otherwise look like a step of an upstream that answers in microseconds.
+constexpr Duration kShortestLatency = Milliseconds(1);
+
+constexpr double kLearnSeconds = 10;
+
+// While the recent completions are not normal, the baseline follows 60 times more slowly, so that
+// an upstream that stays cold for a minute is not taken for a normal one, and one that has become
+// slower for good is not held at the cold limit for ever.
+constexpr double kSuspectLearnSeconds = 600;
+
+constexpr double kLargestGain = 1.0 / kStepCompletions;
+
+double Seconds(Duration aDuration)
+{
+  return std::chrono::duration<double>(aDuration).count();
+}
+
+} // namespace
+
+void LatencyBaseline::Record(TimePoint aNow, Duration aLatency, bool aSucceeded)
+{
+  const Sample sample{std::max(aLatency, kShortestLatency), aSucceeded};
+  if (aSucceeded && !mKnown) {
+    LearnFirst(sample.mLatency);
+    mLearntAt = aNow;
+  }
+  // A completion is learnt when it leaves the recent ones, so that a step is compared with the
+  // baseline from before the step.
+  const Sample& oldest = mRecent[mNext];
+  if (mKnown && mRecentCount == kStepCompletions && oldest.mSucceeded) {
+    Learn(aNow, oldest.mLatency);
+  }
+  mRecent[mNext] = sample;
+  mNext = (mNext + 1) % kStepCompletions;
+  mRecentCount = std::min(mRecentCount + 1, kStepCompletions);
+}
+
+bool LatencyBaseline::IsNormal() const
+{
+  return mKnown && CountAtLeast(kNormalFactor) * 2 <= mRecentCount;
+}
+
+bool LatencyBaseline::IsStepped() const
+{
+  return mKnown && mRecentCount == kStepCompletions &&
+         CountAtLeast(kStepFactor) + 1 >= kStepCompletions;
+}
+
+void LatencyBaseline::ClearRecent()
+{
+  mRecentCount = 0;
+  mNext = 0;
+}
+
+void LatencyBaseline::Restore(Duration aBaseline)
+{
+  mKnown = aBaseline > Duration::zero();
+  mBaseline = mKnown ? std::max(aBaseline, kShortestLatency) : Duration::zero();
+  mLearnt = 0;
+  ClearRecent();
+}
+
+void LatencyBaseline::LearnFirst(Duration aLatency)
+{
+  ++mLearnt;
+  mBaseline += (aLatency - mBaseline) / mLearnt;
+  mKnown = mLearnt >= static_cast<std::int64_t>(kStepCompletions);
+}
+
+void LatencyBaseline::Learn(TimePoint aNow, Duration aLatency)
+{
+  const double elapsed = std::max(0.0, Seconds(aNow - mLearntAt));
+  const double gain =
+    std::min(kLargestGain, elapsed / (IsNormal() ? kLearnSeconds : kSuspectLearnSeconds));
+  mBaseline += std::chrono::duration_cast<Duration>((aLatency - mBaseline) * gain);
+  mLearntAt = aNow;
+}
+
+std::size_t LatencyBaseline::CountAtLeast(std::int64_t aFactor) const
+{
+  const auto last = mRecent.begin() + static_cast<std::ptrdiff_t>(mRecentCount);
+  return static_cast<std::size_t>(
+    std::count_if(mRecent.begin(), last, [bound = mBaseline * aFactor](const Sample& aSample) {
+      return aSample.mLatency >= bound;
+    }));
+}
+
+} // namespace dandelionslip
--- /dev/null
+++ b/lib/Agent/UpstreamAdmission.cpp
@@ -0,0 +1,238 @@
+// Admits flows and requests beside the upstream.
+#include "dandelionslip/Agent/UpstreamAdmission.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace dandelionslip {
+
+namespace {
+
+constexpr double kCloseRateSeconds = 10;
+
+// Retry interval of callers when nothing is known about how soon room becomes free.
+constexpr double kUnknownFlowRate = 1;
+constexpr double kUnknownSlotRate = 10;
+
+RuntimeClock::duration IntervalOf(double aPerSecond)
+{
+  return std::chrono::duration_cast<RuntimeClock::duration>(
+    std::chrono::duration<double>(1.0 / aPerSecond));
+}
+
+std::int64_t Nanoseconds(const LatencyBaseline& aBaseline)
+{
+  return aBaseline.IsKnown() ? aBaseline.Baseline().count() : 0;
+}
+
+} // namespace
+
+UpstreamAdmission::UpstreamAdmission(const ServiceSpec& aSpec, TimePoint aNow)
+  : mDeclaredOpensPerSecond(aSpec.mOpensPerSecond)
+  , mRamp(aSpec, aNow)
+  , mOpens(OpensPerSecond(), aNow)
+  , mWeight(aNow)
+  , mClosedAt(aNow)
+{
+  FollowState();
+}
+
+std::optional<Refusal> UpstreamAdmission::TryOpenFlow(TimePoint aNow)
+{
+  if (!TakesNewWork()) {
+    return Refusal{RefusalReason::Draining, RetrySchedule::kShortest};
+  }
+  if (mConnectionsInUse >= Limit(aNow).mConnections) {
+    const RefusalReason reason =
+      FullReason(mConnectionsInUse, mRamp.Full().mConnections, RefusalReason::ConnectionsFull);
+    const bool ramping = reason == RefusalReason::Cold;
+    return Refusal{reason, mFlowRetries.Next(aNow, FlowInterval(aNow, ramping))};
+  }
+  if (!mOpens.TryTake(aNow)) {
+    return Refusal{RefusalReason::Paced, mFlowRetries.Next(aNow, mOpens.Interval())};
+  }
+  ++mConnectionsInUse;
+  return std::nullopt;
+}
+
+void UpstreamAdmission::CloseFlow(TimePoint aNow)
+{
+  if (mConnectionsInUse == 0) {
+    return;
+  }
+  --mConnectionsInUse;
+  mClosesPerSecond = ClosesPerSecond(aNow) + 1.0 / kCloseRateSeconds;
+  mClosedAt = std::max(mClosedAt, aNow);
+}
+
+void UpstreamAdmission::AdoptFlow()
+{
+  ++mConnectionsInUse;
+}
+
+std::optional<Refusal> UpstreamAdmission::TryStartSlot(TimePoint aNow)
+{
+  if (!TakesNewWork()) {
+    return Refusal{RefusalReason::Draining, RetrySchedule::kShortest};
+  }
+  if (mSlotsInUse >= Limit(aNow).mSlots) {
+    const RefusalReason reason =
+      FullReason(mSlotsInUse, mRamp.Full().mSlots, RefusalReason::SlotsFull);
+    return Refusal{reason, mSlotRetries.Next(aNow, SlotInterval(aNow))};
+  }
+  mWeight.OnOccupancy(aNow, ++mSlotsInUse);
+  return std::nullopt;
+}
+
+void UpstreamAdmission::FinishSlot(TimePoint aNow, Duration aLatency, CompletionResult aResult)
+{
+  if (mSlotsInUse == 0) {
+    return;
+  }
+  mWeight.OnCompletion(aNow, aResult);
+  mWeight.OnOccupancy(aNow, --mSlotsInUse);
+  mRamp.OnCompletion(aNow, aLatency, aResult, WorkKind::Request);
+  FollowRamp(aNow);
+}
+
+void UpstreamAdmission::ObserveReply(TimePoint aNow, Duration aLatency)
+{
+  mRamp.OnCompletion(aNow, aLatency, CompletionResult::Success, WorkKind::Flow);
+  FollowRamp(aNow);
+}
+
+void UpstreamAdmission::ObserveShed(TimePoint aNow)
+{
+  FallBack(aNow, ColdReason::Shed);
+}
+
+void UpstreamAdmission::ObserveRestart(TimePoint aNow)
+{
+  FallBack(aNow, ColdReason::Restarted);
+}
+
+void UpstreamAdmission::ReportHealth(TimePoint aNow, bool aHealthy)
+{
+  mHints.ReportHealth(aNow, aHealthy);
+}
+
+void UpstreamAdmission::ReportLoad(TimePoint aNow, double aLoad)
+{
+  mHints.ReportLoad(aNow, aLoad);
+}
+
+void UpstreamAdmission::SetServiceMean(double aCompletionRate)
+{
+  mWeight.SetServiceMean(aCompletionRate);
+}
+
+void UpstreamAdmission::Drain()
+{
+  mState.OnDrain();
+}
+
+void UpstreamAdmission::Undrain()
+{
+  mState.OnUndrain();
+  FollowState();
+}
+
+void UpstreamAdmission::Stop()
+{
+  mState.OnStop();
+}
+
+void UpstreamAdmission::UpdateSpec(const ServiceSpec& aSpec, TimePoint aNow)
+{
+  mDeclaredOpensPerSecond = aSpec.mOpensPerSecond;
+  mRamp.UpdateSpec(aSpec, aNow);
+  FollowRamp(aNow);
+}
+
+LoadLimit UpstreamAdmission::Limit(TimePoint aNow) const
+{
+  return mHints.Apply(aNow, mRamp.Limit(), mRamp.Cold());
+}
+
+std::uint32_t UpstreamAdmission::UpdateWeight(TimePoint aNow)
+{
+  const std::uint32_t weight = mWeight.Update(aNow, mRamp.Share());
+  return TakesNewWork() ? weight : 0;
+}
+
+AdmissionSnapshot UpstreamAdmission::Snapshot() const
+{
+  AdmissionSnapshot snapshot;
+  snapshot.mSlotLimit = mRamp.Limit().mSlots;
+  snapshot.mConnectionLimit = mRamp.Limit().mConnections;
+  snapshot.mRequestBaselineNs = Nanoseconds(mRamp.Baseline(WorkKind::Request));
+  snapshot.mFlowBaselineNs = Nanoseconds(mRamp.Baseline(WorkKind::Flow));
+  snapshot.mWeight = mWeight.Weight();
+  snapshot.mCompletionRate = mWeight.CompletionRate();
+  return snapshot;
+}
+
+void UpstreamAdmission::Restore(const AdmissionSnapshot& aSnapshot, TimePoint aNow)
+{
+  mRamp.Restore({aSnapshot.mSlotLimit, aSnapshot.mConnectionLimit},
+                Duration(aSnapshot.mRequestBaselineNs), Duration(aSnapshot.mFlowBaselineNs), aNow);
+  mWeight.Restore(aSnapshot.mCompletionRate, aSnapshot.mWeight);
+  FollowRamp(aNow);
+}
+
+bool UpstreamAdmission::TakesNewWork() const
+{
+  return mState.State() == UpstreamState::Cold || mState.State() == UpstreamState::Serving;
+}
+
+RefusalReason UpstreamAdmission::FullReason(std::uint32_t aInUse, std::uint32_t aFull,
+                                            RefusalReason aReason) const
+{
+  return aInUse < aFull && !mRamp.IsComplete() ? RefusalReason::Cold : aReason;
+}
+
+void UpstreamAdmission::FallBack(TimePoint aNow, ColdReason aReason)
+{
+  mRamp.FallBack(aNow, aReason);
+  FollowRamp(aNow);
+}
+
+void UpstreamAdmission::FollowRamp(TimePoint aNow)
+{
+  FollowState();
+  mOpens.SetRate(OpensPerSecond(), aNow);
+}
+
+void UpstreamAdmission::FollowState()
+{
+  mRamp.IsComplete() ? mState.OnRampCompleted() : mState.OnReturnedToCold();
+}
+
+double UpstreamAdmission::OpensPerSecond() const
+{
+  const double share =
+    static_cast<double>(mRamp.Limit().mConnections) / std::max(1U, mRamp.Full().mConnections);
+  return std::max(1.0, mDeclaredOpensPerSecond * share);
+}
+
+UpstreamAdmission::Duration UpstreamAdmission::FlowInterval(TimePoint aNow, bool aRamping) const
+{
+  // A ramp makes room for up to a quarter of its limit with each step.
+  const double growth = aRamping ? mRamp.Limit().mConnections / 4.0 : 0.0;
+  const double freed = std::max({kUnknownFlowRate, growth, ClosesPerSecond(aNow)});
+  return IntervalOf(std::min(freed, OpensPerSecond()));
+}
+
+UpstreamAdmission::Duration UpstreamAdmission::SlotInterval(TimePoint aNow) const
+{
+  const double perSlot = mWeight.CompletionRate();
+  return IntervalOf(perSlot > 0 ? perSlot * std::max(1U, Limit(aNow).mSlots) : kUnknownSlotRate);
+}
+
+double UpstreamAdmission::ClosesPerSecond(TimePoint aNow) const
+{
+  const double elapsed = std::chrono::duration<double>(aNow - mClosedAt).count();
+  return mClosesPerSecond * std::exp(-std::max(0.0, elapsed) / kCloseRateSeconds);
+}
+
+} // namespace dandelionslip
--- /dev/null
+++ b/unittests/Agent/UpstreamAdmissionTest.cpp
@@ -0,0 +1,346 @@
+// Tests of admission beside the upstream.
+#include "dandelionslip/Agent/UpstreamAdmission.h"
+#include "dandelionslip/Support/Random.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <cmath>
+#include <limits>
+#include <map>
+#include <vector>
+
+namespace dandelionslip {
+
+namespace {
+
+using Result = CompletionResult;
+using std::chrono::seconds;
+
+const TimePoint kStart{std::chrono::hours(1)};
+
+void MakeWarm(UpstreamAdmission& aAdmission, TimePoint& aNow)
+{
+  while (aAdmission.State() == UpstreamState::Cold) {
+    aNow += Milliseconds(100);
+    aAdmission.ObserveReply(aNow, Milliseconds(5));
+  }
+}
+
+// The largest limit that one step a second from the cold limit permits.
+std::uint32_t LargestAfter(std::uint32_t aLimit, std::int64_t aSteps, std::uint32_t aFull)
+{
+  for (; aSteps > 0 && aLimit < aFull; --aSteps) {
+    aLimit = std::max(aLimit + 1, aLimit * 5 / 4);
+  }
+  return std::min(aLimit, aFull);
+}
+
+// An independent account of what the upstream holds and of the bound on it since it became cold.
+struct LoadModel
+{
+  explicit LoadModel(const ServiceSpec& aSpec)
+    : mSpec(aSpec)
+  {
+  }
+
+  void Check(TimePoint aNow, bool aStartedSlot, bool aOpenedFlow) const
+  {
+    const auto steps = std::chrono::duration_cast<seconds>(aNow - mColdAt).count();
+    CPPUNIT_ASSERT(!aStartedSlot ||
+                   mSlots <= LargestAfter(mSpec.mColdLimit.mSlots, steps, mSpec.mSlots));
+    CPPUNIT_ASSERT(!aOpenedFlow || mFlows <= LargestAfter(mSpec.mColdLimit.mConnections, steps,
+                                                          mSpec.mConnections));
+  }
+
+  ServiceSpec mSpec;
+  TimePoint mColdAt = kStart;
+  std::uint32_t mSlots = 0;
+  std::uint32_t mFlows = 0;
+};
+
+// One random event on an admission and its model.
+class RandomInterleaving
+{
+public:
+  explicit RandomInterleaving(std::uint64_t aSeed)
+    : mRandom(aSeed)
+    , mModel(Spec())
+    , mAdmission(Spec(), kStart)
+  {
+  }
+
+  static ServiceSpec Spec()
+  {
+    ServiceSpec spec;
+    spec.mSlots = 16;
+    spec.mConnections = 200;
+    spec.mColdLimit = {2, 10};
+    return spec;
+  }
+
+  void Step()
+  {
+    mNow += std::chrono::microseconds(mRandom.Below(4000));
+    constexpr std::uint64_t kRareEvent = 2000;
+    switch (const auto event = mRandom.Below(kRareEvent); event) {
+      case 0:
+        mAdmission.ObserveRestart(mNow);
+        mModel.mColdAt = mNow;
+        break;
+      case 1:
+        mAdmission.ObserveShed(mNow);
+        mModel.mColdAt = mNow;
+        break;
+      case 2:
+        mAdmission.ReportHealth(mNow, mRandom.Below(4) != 0);
+        mAdmission.ReportLoad(mNow, 2.0 * mRandom.Unit());
+        break;
+      default:
+        Work(event % 4);
+    }
+    CPPUNIT_ASSERT_EQUAL(mModel.mSlots, mAdmission.SlotsInUse());
+    CPPUNIT_ASSERT_EQUAL(mModel.mFlows, mAdmission.ConnectionsInUse());
+  }
+
+  std::uint32_t mPeakSlots = 0;
+  std::uint32_t mPeakFlows = 0;
+
+private:
+  void Work(std::uint64_t aKind)
+  {
+    if (aKind == 0) {
+      const bool started = !mAdmission.TryStartSlot(mNow);
+      mModel.mSlots += started ? 1 : 0;
+      mModel.Check(mNow, started, false);
+    } else if (aKind == 1) {
+      const bool opened = !mAdmission.TryOpenFlow(mNow);
+      mModel.mFlows += opened ? 1 : 0;
+      mModel.Check(mNow, false, opened);
+    } else if (aKind == 2 && mModel.mSlots > 0) {
+      Finish();
+    } else if (mModel.mFlows > 0 && mRandom.Below(3) == 0) {
+      --mModel.mFlows;
+      mAdmission.CloseFlow(mNow);
+    }
+    mPeakSlots = std::max(mPeakSlots, mModel.mSlots);
+    mPeakFlows = std::max(mPeakFlows, mModel.mFlows);
+  }
+
+  void Finish()
+  {
+    --mModel.mSlots;
+    const bool shed = mRandom.Below(3000) == 0;
+    mModel.mColdAt = shed ? mNow : mModel.mColdAt;
+    mAdmission.FinishSlot(mNow, Milliseconds(5), shed ? Result::Shed : Result::Success);
+  }
+
+  Random mRandom;
+  TimePoint mNow = kStart;
+  LoadModel mModel;
+  UpstreamAdmission mAdmission;
+};
+
+class UpstreamAdmissionTest : public CppUnit::TestFixture
+{
+  CPPUNIT_TEST_SUITE(UpstreamAdmissionTest);
+  CPPUNIT_TEST(LoadNeverExceedsTheBound);
+  CPPUNIT_TEST(LyingEndpointsNeverRaiseTheLimit);
+  CPPUNIT_TEST(HealthyReportsDoNotHideAReturnToCold);
+  CPPUNIT_TEST(ReturnOfAllCallersIsPaced);
+  CPPUNIT_TEST(EstablishedFlowsSurviveAReturnToCold);
+  CPPUNIT_TEST(DrainingTakesNoNewWork);
+  CPPUNIT_TEST(RefusalsNameTheBound);
+  CPPUNIT_TEST(StateIsHandedOver);
+  CPPUNIT_TEST_SUITE_END();
+
+  // Guards against more work in flight than the ramp permits, whatever the order of events (I3).
+  void LoadNeverExceedsTheBound()
+  {
+    std::uint32_t peakSlots = 0;
+    std::uint32_t peakFlows = 0;
+    for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+      RandomInterleaving run(seed);
+      for (int i = 0; i < 20'000; ++i) {
+        run.Step();
+      }
+      peakSlots = std::max(peakSlots, run.mPeakSlots);
+      peakFlows = std::max(peakFlows, run.mPeakFlows);
+    }
+    // The bound means nothing if the runs never get near it.
+    CPPUNIT_ASSERT(peakSlots > 4);
+    CPPUNIT_ASSERT(peakFlows > 20);
+  }
+
+  // Guards against endpoints that attract load: idle, healthy, stuck, late or senseless reports.
+  void LyingEndpointsNeverRaiseTheLimit()
+  {
+    constexpr double kInfinity = std::numeric_limits<double>::infinity();
+    const std::vector<double> loads{0, -5, kInfinity, -kInfinity, std::nan(""), 0.5, 1.5, 40};
+    for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+      Random random(seed);
+      UpstreamAdmission silent(ServiceSpec{}, kStart);
+      UpstreamAdmission reported(ServiceSpec{}, kStart);
+      TimePoint now = kStart;
+      for (int i = 0; i < 4'000; ++i) {
+        now += Milliseconds(random.Below(100));
+        const Milliseconds latency(5 + random.Below(3) + (random.Below(500) == 0 ? 500 : 0));
+        silent.ObserveReply(now, latency);
+        reported.ObserveReply(now, latency);
+        reported.ReportLoad(now, loads[random.Below(loads.size())]);
+        reported.ReportHealth(now, random.Below(3) != 0);
+        const LoadLimit limit = reported.Limit(now);
+        CPPUNIT_ASSERT(limit == Smaller(limit, silent.Limit(now)));
+        CPPUNIT_ASSERT(limit.mSlots >= silent.Ramp().Cold().mSlots);
+        CPPUNIT_ASSERT(reported.UpdateWeight(now) <= silent.UpdateWeight(now));
+      }
+    }
+  }
+
+  // Guards against trusting endpoints that report that all is well after a restart.
+  void HealthyReportsDoNotHideAReturnToCold()
+  {
+    TimePoint now = kStart;
+    UpstreamAdmission admission(ServiceSpec{}, now);
+    MakeWarm(admission, now);
+    for (int i = 0; i < 8; ++i) {
+      now += Milliseconds(10);
+      admission.ReportHealth(now, true);
+      admission.ReportLoad(now, 0.0);
+      admission.ObserveReply(now, Milliseconds(50));
+    }
+    CPPUNIT_ASSERT(admission.State() == UpstreamState::Cold);
+    CPPUNIT_ASSERT(admission.Limit(now) == admission.Ramp().Cold());
+    CPPUNIT_ASSERT_EQUAL(50U, admission.UpdateWeight(now));
+  }
+
+  // Guards against a stampede when all callers return together after a holiday.
+  void ReturnOfAllCallersIsPaced()
+  {
+    TimePoint now = kStart;
+    UpstreamAdmission admission(ServiceSpec{}, now);
+    MakeWarm(admission, now);
+    constexpr std::uint32_t kEstablished = 100;
+    constexpr std::uint32_t kCallers = 1900;
+    for (std::uint32_t i = 0; i < kEstablished; ++i) {
+      admission.AdoptFlow();
+    }
+    const TimePoint begin = now;
+    std::multimap<TimePoint, std::uint32_t> attempts;
+    for (std::uint32_t i = 0; i < kCallers; ++i) {
+      attempts.emplace(begin + std::chrono::microseconds(i * 50), 1);
+    }
+    std::map<std::int64_t, std::uint32_t> admittedBySecond;
+    std::uint32_t mostAttempts = 0;
+    while (!attempts.empty()) {
+      const auto [time, attempt] = *attempts.begin();
+      attempts.erase(attempts.begin());
+      mostAttempts = std::max(mostAttempts, attempt);
+      if (const auto refusal = admission.TryOpenFlow(time)) {
+        CPPUNIT_ASSERT(refusal->mReason == RefusalReason::Paced);
+        CPPUNIT_ASSERT(refusal->mRetryAfter >= RetrySchedule::kShortest);
+        attempts.emplace(time + refusal->mRetryAfter, attempt + 1);
+      } else {
+        ++admittedBySecond[std::chrono::duration_cast<seconds>(time - begin).count()];
+      }
+    }
+    // 500 a second and a burst of 50.
+    for (const auto& [second, admitted] : admittedBySecond) {
+      CPPUNIT_ASSERT(admitted <= 550);
+    }
+    CPPUNIT_ASSERT(admittedBySecond.rbegin()->first <= 5);
+    CPPUNIT_ASSERT(mostAttempts <= 4);
+    CPPUNIT_ASSERT_EQUAL(kEstablished + kCallers, admission.ConnectionsInUse());
+  }
+
+  // Guards against breaking established flows when the limit falls, and against a service without
+  // requests that could then never ramp up again (I1).
+  void EstablishedFlowsSurviveAReturnToCold()
+  {
+    TimePoint now = kStart;
+    UpstreamAdmission admission(ServiceSpec{}, now);
+    MakeWarm(admission, now);
+    for (int i = 0; i < 1500; ++i) {
+      admission.AdoptFlow();
+    }
+    admission.ObserveRestart(now);
+    CPPUNIT_ASSERT_EQUAL(1500U, admission.ConnectionsInUse());
+    const auto refusal = admission.TryOpenFlow(now);
+    CPPUNIT_ASSERT(refusal && refusal->mReason == RefusalReason::Cold);
+    MakeWarm(admission, now);
+    CPPUNIT_ASSERT(now - kStart < seconds(60));
+    CPPUNIT_ASSERT(!admission.TryOpenFlow(now));
+  }
+
+  // Guards against new work on a leaving upstream (I8) and lost accounting of its running work.
+  void DrainingTakesNoNewWork()
+  {
+    TimePoint now = kStart;
+    UpstreamAdmission admission(ServiceSpec{}, now);
+    CPPUNIT_ASSERT(!admission.TryStartSlot(now));
+    CPPUNIT_ASSERT(!admission.TryOpenFlow(now));
+    admission.Drain();
+    CPPUNIT_ASSERT(admission.TryStartSlot(now)->mReason == RefusalReason::Draining);
+    CPPUNIT_ASSERT(admission.TryOpenFlow(now)->mReason == RefusalReason::Draining);
+    CPPUNIT_ASSERT_EQUAL(0U, admission.UpdateWeight(now));
+    admission.FinishSlot(now, Milliseconds(1), Result::Success);
+    admission.CloseFlow(now);
+    CPPUNIT_ASSERT_EQUAL(0U, admission.SlotsInUse() + admission.ConnectionsInUse());
+    admission.Undrain();
+    CPPUNIT_ASSERT(!admission.TryStartSlot(now));
+  }
+
+  // Guards against refusals that tell operators and callers the wrong bound.
+  void RefusalsNameTheBound()
+  {
+    TimePoint now = kStart;
+    UpstreamAdmission admission(ServiceSpec{}, now);
+    CPPUNIT_ASSERT(!admission.TryStartSlot(now));
+    CPPUNIT_ASSERT(admission.TryStartSlot(now)->mReason == RefusalReason::Cold);
+    MakeWarm(admission, now);
+    for (int i = 0; i < 3; ++i) {
+      CPPUNIT_ASSERT(!admission.TryStartSlot(now));
+    }
+    const auto first = admission.TryStartSlot(now);
+    const auto second = admission.TryStartSlot(now);
+    CPPUNIT_ASSERT(first->mReason == RefusalReason::SlotsFull);
+    CPPUNIT_ASSERT(second->mRetryAfter > first->mRetryAfter);
+    for (int i = 0; i < 2000; ++i) {
+      admission.AdoptFlow();
+    }
+    CPPUNIT_ASSERT(admission.TryOpenFlow(now)->mReason == RefusalReason::ConnectionsFull);
+    for (int i = 0; i < 100'000; ++i) {
+      CPPUNIT_ASSERT(admission.TryOpenFlow(now)->mRetryAfter <= RetrySchedule::kLongest);
+    }
+  }
+
+  // Guards against a planned restart of the agent that starts cold, and against a damaged snapshot
+  // that lifts the limit.
+  void StateIsHandedOver()
+  {
+    TimePoint now = kStart;
+    UpstreamAdmission before(ServiceSpec{}, now);
+    MakeWarm(before, now);
+    before.UpdateWeight(now);
+    const AdmissionSnapshot snapshot = before.Snapshot();
+    CPPUNIT_ASSERT(FromCbor<AdmissionSnapshot>(ToCbor(snapshot), "test").value() == snapshot);
+    UpstreamAdmission after(ServiceSpec{}, now);
+    after.Restore(snapshot, now);
+    CPPUNIT_ASSERT(after.State() == UpstreamState::Serving);
+    CPPUNIT_ASSERT(after.Snapshot() == snapshot);
+    AdmissionSnapshot damaged = snapshot;
+    damaged.mSlotLimit = 1'000'000;
+    damaged.mConnectionLimit = 0;
+    damaged.mFlowBaselineNs = -1;
+    damaged.mCompletionRate = std::nan("");
+    UpstreamAdmission other(ServiceSpec{}, now);
+    other.Restore(damaged, now);
+    CPPUNIT_ASSERT((other.Limit(now) == LoadLimit{4, 100}));
+    CPPUNIT_ASSERT(other.UpdateWeight(now) <= 50);
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(UpstreamAdmissionTest);
+
+} // namespace
+
+} // namespace dandelionslip
