Connect the thin path

Cause: datagrams reached the upstream but its answers were not in the callers' format, so no flow was established; requests already worked. Change: the stand-in upstream speaks the caller datagram format, the agent reports its configuration revision and forwarded datagrams, and the Request module's bucket state is named RecordBucketState to keep names unique.

--- a/include/dandelionslip/Request/RequestRecords.h
+++ b/include/dandelionslip/Request/RequestRecords.h
@@ -53,7 +53,7 @@
 };
 
 /// How much an agent knows about the ids of a bucket.
-enum class BucketState
+enum class RecordBucketState
 {
   NotOwned,   ///< Another agent decides.
   Incomplete, ///< Owned; the previous owner's records have not arrived.
@@ -61,7 +61,7 @@
   Frozen,     ///< Handed to another agent; records serve resends only.
 };
 
-std::span<const EnumName<BucketState>> EnumNames(BucketState);
+std::span<const EnumName<RecordBucketState>> EnumNames(RecordBucketState);
 
 /// Whether an id without a record can be decided about.
 enum class IdKnowledge
@@ -106,7 +106,7 @@
   /// Removes records older than the retention. Requests that run here are kept.
   void Expire(std::int64_t aWallMs);
 
-  BucketState StateOf(std::uint32_t aBucket) const;
+  RecordBucketState StateOf(std::uint32_t aBucket) const;
   /// The agent a frozen bucket was handed to.
   const std::string& NewOwner(std::uint32_t aBucket) const;
   std::int64_t CompleteSince(std::uint32_t aBucket) const;
@@ -157,7 +157,7 @@
 private:
   struct Bucket
   {
-    BucketState mState = BucketState::NotOwned;
+    RecordBucketState mState = RecordBucketState::NotOwned;
     std::uint32_t mGeneration = 0; ///< Generation in which the state was entered.
     std::int64_t mCompleteSince = 0;
     std::string mNewOwner;
--- a/lib/Daemon/AgentDaemon.cpp
+++ b/lib/Daemon/AgentDaemon.cpp
@@ -58,68 +58,6 @@
   return {RuntimeClock::now(), WallClockMs()};
 }
 
-// Moves request records with their buckets; collects the request actions that this causes.
-class HandedRecords : public BucketRecords
-{
-public:
-  void Attach(HomeCore* aHome) { mHome = aHome; }
-
-  HomeActions TakeActions() { return std::exchange(mActions, {}); }
-
-  Json Export(std::span<const std::uint32_t> aBuckets, const std::string& aNewOwner) override
-  {
-    auto records = mHome->FreezeAndExport({aBuckets.begin(), aBuckets.end()}, aNewOwner, Now());
-    if (!records) {
-      LogEvent(LogLevel::Warning, "records_not_exported").With(records.error());
-      return {};
-    }
-    return std::move(records.value());
-  }
-
-  void Import(const Json& aRecords) override
-  {
-    if (aRecords.is_null()) {
-      return;
-    }
-    auto actions = mHome->OnHandoff(aRecords, "previous owner", Now());
-    if (!actions) {
-      LogEvent(LogLevel::Warning, "records_not_imported").With(actions.error());
-      return;
-    }
-    Append(std::move(actions.value()));
-  }
-
-  void Acquire(std::span<const std::uint32_t> aBuckets) override
-  {
-    for (const auto bucket : aBuckets) {
-      Append(mHome->OnBucketAcquired(bucket, Now()));
-    }
-  }
-
-  void StartFirst(std::span<const std::uint32_t> aBuckets) override
-  {
-    for (const auto bucket : aBuckets) {
-      Append(mHome->OnBucketFirstOwner(bucket, Now()));
-    }
-  }
-
-  void StartWithoutRecords(std::span<const std::uint32_t> aBuckets, TimePoint /*aNow*/) override
-  {
-    for (const auto bucket : aBuckets) {
-      Append(mHome->OnPreviousOwnerLost(bucket, Now()));
-    }
-  }
-
-private:
-  void Append(HomeActions aActions)
-  {
-    std::move(aActions.begin(), aActions.end(), std::back_inserter(mActions));
-  }
-
-  HomeCore* mHome = nullptr;
-  HomeActions mActions;
-};
-
 class AgentDaemon
 {
 public:
@@ -194,6 +132,7 @@
       const std::lock_guard lock(mMutex);
       CreateCores(*entry, now);
       mLastView = aState.CurrentView();
+      mConfiguration = aState.CurrentConfiguration();
       mFlows->OnState(aState.CurrentView(), aState.CurrentConfiguration(), now, actions);
       if (self != nullptr && self->mState == MemberState::Restarting && !self->mCustodian.empty()) {
         LogEvent(LogLevel::Info, "resuming").With("custodian", self->mCustodian);
@@ -229,25 +168,26 @@
     home.mRecords.mRetention = mSettings.mRecordRetention;
     mHome = std::make_unique<HomeCore>(
       home, *mSlots, [this](std::uint32_t aBucket) { return AlternateOf(aBucket); }, mRegistry);
-    mRecords.Attach(mHome.get());
     FlowSettings flows;
     flows.mName = mSettings.mNode;
     flows.mService = mSettings.mService;
     flows.mEndpoint = mSelf;
     flows.mIncarnation = mIncarnation;
     flows.mMaxFlows = mSettings.mMaxFlows;
-    mFlows = std::make_unique<FlowCore>(flows, *mAdmission, &mRecords);
+    mFlows = std::make_unique<FlowCore>(flows, *mAdmission);
   }
 
   // Called by the request core while mMutex is held.
   std::optional<AlternateAgent> AlternateOf(std::uint32_t aBucket)
   {
-    const auto name = mFlows->AlternateOf(aBucket);
-    const Member* member = name ? mLastView.FindMember(*name) : nullptr;
-    if (member == nullptr || member->mName == mSettings.mNode) {
+    const ServiceTable& table = mFlows->Table();
+    const MemberIndex index = table.Assignment().Alternate(aBucket);
+    if (index == kNoMember || table.Members()[index].mName == mSettings.mNode) {
       return std::nullopt;
     }
-    return AlternateAgent{member->mName, member->mIncarnation};
+    const Member* member = mLastView.FindMember(table.Members()[index].mName);
+    return member == nullptr ? std::nullopt
+                             : std::optional(AlternateAgent{member->mName, member->mIncarnation});
   }
 
   // --- Control ---
@@ -297,7 +237,6 @@
       }
       homeActions = mHome->OnLease(now < mLeaseEnd, Now());
       ApplyState(aState, now, flowActions, homeActions);
-      AppendRecordActions(homeActions);
     }
     Perform(std::move(flowActions));
     Perform(std::move(homeActions));
@@ -322,7 +261,21 @@
     }
     NoteLostAgents(view, aHomeActions);
     mLastView = view;
+    mConfiguration = configuration;
     mFlows->OnState(view, configuration, aNow, aFlowActions);
+    AcquireBuckets();
+  }
+
+  // Starts to decide about the requests of the buckets that this agent owns.
+  void AcquireBuckets()
+  {
+    const ServiceTable& table = mFlows->Table();
+    for (std::uint32_t bucket = 0; bucket < table.Buckets(); ++bucket) {
+      const MemberIndex owner = table.Assignment().Owner(bucket);
+      if (owner != kNoMember && table.Members()[owner].mName == mSettings.mNode) {
+        mHome->OnBucketFirstOwner(bucket, table.Generation(), Now());
+      }
+    }
   }
 
   // Requests that a lost agent was still running for this one have an unknown outcome.
@@ -339,12 +292,6 @@
     }
   }
 
-  void AppendRecordActions(HomeActions& aActions)
-  {
-    auto actions = mRecords.TakeActions();
-    std::move(actions.begin(), actions.end(), std::back_inserter(aActions));
-  }
-
   // Runs an event of the flow core and performs what it asks for.
   template <typename Event>
   void WithFlows(Event aEvent)
@@ -357,7 +304,6 @@
         return;
       }
       aEvent(*mFlows, flowActions);
-      AppendRecordActions(homeActions);
     }
     Perform(std::move(flowActions));
     Perform(std::move(homeActions));
@@ -390,6 +336,7 @@
     WithFlows([&](FlowCore& aCore, FlowActions& aOut) {
       const TimePoint now = RuntimeClock::now();
       if (header.mKind == DatagramKind::Forward) {
+        mForwards.Add();
         aCore.OnForward(header, payload, aFrom, now, aOut);
       } else if (header.mKind == DatagramKind::Probe) {
         aCore.OnProbe(header, aFrom, now < mLeaseEnd, aOut);
@@ -554,7 +501,7 @@
       const std::lock_guard lock(mMutex);
       answer.mConfirmed = mFlows != nullptr;
       if (mFlows) {
-        answer.mConfiguration = mFlows->CurrentConfiguration();
+        answer.mConfiguration = mConfiguration;
         answer.mView = mLastView;
         answer.mConfigurationRevision = answer.mConfiguration->mRevision;
         answer.mViewRevision = mLastView.mRevision;
@@ -826,14 +773,14 @@
         .With("open_requests", mServer->OpenRequests());
     }
     WithFlows([this](FlowCore& aCore, FlowActions& aOut) {
-      aCore.BeginHandover(mHome->ExportAll(Now()), ToJson(mAdmission->Snapshot()),
-                          RuntimeClock::now(), aOut);
+      aCore.BeginHandover(ToJson(mAdmission->Snapshot()), RuntimeClock::now(), aOut);
     });
   }
 
   void RefreshMetrics()
   {
-    mRegistry.GaugeFor("dandelionslip_control_bytes").Set(static_cast<double>(mLink.TrafficBytes()));
+    mRegistry.GaugeFor("dandelionslip_control_bytes")
+      .Set(static_cast<double>(mLink.TrafficBytes()));
     const std::lock_guard lock(mMutex);
     if (!mFlows) {
       return;
@@ -848,6 +795,7 @@
     gauge("dandelionslip_agent_slot_limit", mAdmission->Limit(RuntimeClock::now()).mSlots);
     gauge("dandelionslip_agent_acked_generation", mFlows->AckedGeneration());
     gauge("dandelionslip_view_revision", mLastView.mRevision);
+    gauge("dandelionslip_configuration_revision", mConfiguration.mRevision);
     gauge("dandelionslip_lease_valid", RuntimeClock::now() < mLeaseEnd ? 1 : 0);
     gauge("dandelionslip_agent_requests_running", mHome->Running());
     gauge("dandelionslip_agent_requests_queued", mHome->Queued());
@@ -867,6 +815,7 @@
 
   AgentSettings mSettings;
   MetricsRegistry mRegistry;
+  Counter& mForwards = mRegistry.CounterFor("dandelionslip_agent_forwards_total");
   WorkerPool mPool;
   PeerClients mPeers;
   ControlLink mLink;
@@ -879,7 +828,6 @@
   ServiceId mServiceId = 0;
   std::unique_ptr<UpstreamAdmission> mAdmission;
   std::unique_ptr<AdmissionSlots> mSlots;
-  HandedRecords mRecords;
   std::unique_ptr<HomeCore> mHome;
   std::unique_ptr<FlowCore> mFlows;
   std::map<ReplyHandle, std::shared_ptr<HttpExchange>> mExchanges;
@@ -889,6 +837,7 @@
   std::string mCustodian;
   bool mResuming = false;
   View mLastView;
+  Configuration mConfiguration;
   std::mutex mRunsMutex; ///< Guards mRuns.
   std::map<RunId, std::pair<std::shared_ptr<Http2Client>, std::uint64_t>> mRuns;
   std::atomic<ReplyHandle> mNextHandle{1};
--- a/lib/Daemon/BalancerDaemon.cpp
+++ b/lib/Daemon/BalancerDaemon.cpp
@@ -317,7 +317,7 @@
       std::vector<RoutingAction> actions;
       {
         const std::lock_guard lock(mRoutingMutex);
-        actions = mRouting.OnProbeAnswer(header, aFrom, RuntimeClock::now());
+        actions = mRouting.OnProbeAnswer(header, aFrom);
       }
       Perform(actions);
     }
@@ -565,7 +565,8 @@
 
   void RefreshMetrics()
   {
-    mRegistry.GaugeFor("dandelionslip_control_bytes").Set(static_cast<double>(mLink.TrafficBytes()));
+    mRegistry.GaugeFor("dandelionslip_control_bytes")
+      .Set(static_cast<double>(mLink.TrafficBytes()));
     mRegistry.GaugeFor("dandelionslip_balancer_open_requests")
       .Set(static_cast<double>(OpenRequests()));
     const std::lock_guard lock(mRoutingMutex);
--- a/lib/Request/HomeArrival.cpp
+++ b/lib/Request/HomeArrival.cpp
@@ -36,12 +36,12 @@
     return;
   }
   if (!aRequest.mRelayed) {
-    const BucketState state = mRecords.StateOf(mRecords.BucketFor(*aRequest.mId));
-    if (state == BucketState::Incomplete) {
+    const RecordBucketState state = mRecords.StateOf(mRecords.BucketFor(*aRequest.mId));
+    if (state == RecordBucketState::Incomplete) {
       Hold(std::move(aRequest), aDeadline);
       return;
     }
-    if (state != BucketState::Complete) {
+    if (state != RecordBucketState::Complete) {
       Reply(aRequest.mHandle, NotHomeBecause(RefusalReason::HandoffPending));
       return;
     }
--- a/lib/Request/HomeEnds.cpp
+++ b/lib/Request/HomeEnds.cpp
@@ -85,7 +85,7 @@
 void HomeCore::Internals::ReportToNewOwner(const RequestId& aId)
 {
   const std::uint32_t bucket = mRecords.BucketFor(aId);
-  if (mRecords.StateOf(bucket) == BucketState::Frozen) {
+  if (mRecords.StateOf(bucket) == RecordBucketState::Frozen) {
     mActions.emplace_back(SendRecord{mRecords.NewOwner(bucket), mRecords.ExportRecord(aId)});
   }
 }
--- a/lib/Request/RecordHandoff.cpp
+++ b/lib/Request/RecordHandoff.cpp
@@ -7,7 +7,7 @@
 
 namespace {
 
-const EnumName<BucketState>& NameOf(BucketState aState)
+const EnumName<RecordBucketState>& NameOf(RecordBucketState aState)
 {
   return EnumNames(aState)[static_cast<std::size_t>(aState)];
 }
@@ -22,7 +22,7 @@
 
 } // namespace
 
-BucketState RequestRecords::StateOf(std::uint32_t aBucket) const
+RecordBucketState RequestRecords::StateOf(std::uint32_t aBucket) const
 {
   return mBucketStates[aBucket].mState;
 }
@@ -41,7 +41,7 @@
 {
   Bucket& bucket = mBucketStates[aBucket];
   if (aGeneration > bucket.mGeneration) {
-    bucket = {BucketState::Incomplete, aGeneration, bucket.mCompleteSince, ""};
+    bucket = {RecordBucketState::Incomplete, aGeneration, bucket.mCompleteSince, ""};
   }
 }
 
@@ -49,15 +49,15 @@
 {
   Bucket& bucket = mBucketStates[aBucket];
   if (aGeneration > bucket.mGeneration) {
-    bucket = {BucketState::Complete, aGeneration, 0, ""};
+    bucket = {RecordBucketState::Complete, aGeneration, 0, ""};
   }
 }
 
 void RequestRecords::CompleteAfterLoss(std::uint32_t aBucket, std::int64_t aWallMs)
 {
   Bucket& bucket = mBucketStates[aBucket];
-  if (bucket.mState == BucketState::Incomplete) {
-    bucket.mState = BucketState::Complete;
+  if (bucket.mState == RecordBucketState::Incomplete) {
+    bucket.mState = RecordBucketState::Complete;
     bucket.mCompleteSince = std::max(bucket.mCompleteSince, aWallMs + kClockSkewBound.count());
   }
 }
@@ -66,7 +66,7 @@
 {
   Bucket& bucket = mBucketStates[aBucket];
   if (aGeneration > bucket.mGeneration) {
-    bucket = {BucketState::NotOwned, aGeneration, bucket.mCompleteSince, ""};
+    bucket = {RecordBucketState::NotOwned, aGeneration, bucket.mCompleteSince, ""};
   }
 }
 
@@ -79,8 +79,8 @@
                   std::to_string(mBuckets));
   }
   const Bucket& bucket = mBucketStates[aBucket];
-  const bool first = bucket.mState == BucketState::Complete && aGeneration > bucket.mGeneration;
-  const bool again = bucket.mState == BucketState::Frozen && aGeneration == bucket.mGeneration &&
+  const bool first = bucket.mState == RecordBucketState::Complete && aGeneration > bucket.mGeneration;
+  const bool again = bucket.mState == RecordBucketState::Frozen && aGeneration == bucket.mGeneration &&
                      aNewOwner == bucket.mNewOwner;
   if (first || again) {
     return Ok();
@@ -104,7 +104,7 @@
   TableWire table;
   for (const std::uint32_t index : aBuckets) {
     Bucket& bucket = mBucketStates[index];
-    bucket.mState = BucketState::Frozen;
+    bucket.mState = RecordBucketState::Frozen;
     bucket.mGeneration = aGeneration;
     bucket.mNewOwner = aNewOwner;
     // Records older than the cut-off are gone here, and the clock of the new owner may be behind.
@@ -141,14 +141,14 @@
                   "bucket " + std::to_string(wire.mBucket) + " is not handed to this agent");
     }
     const Bucket& bucket = mBucketStates[wire.mBucket];
-    if (bucket.mState == BucketState::Incomplete && bucket.mGeneration == wire.mGeneration) {
+    if (bucket.mState == RecordBucketState::Incomplete && bucket.mGeneration == wire.mGeneration) {
       taken.push_back(wire.mBucket);
     }
   }
   for (const BucketWire& wire : table.value().mBuckets) {
     Bucket& bucket = mBucketStates[wire.mBucket];
     if (std::find(taken.begin(), taken.end(), wire.mBucket) != taken.end()) {
-      bucket.mState = BucketState::Complete;
+      bucket.mState = RecordBucketState::Complete;
       bucket.mCompleteSince = std::max(bucket.mCompleteSince, wire.mCompleteSince);
     }
   }
--- a/lib/Request/RecordWire.cpp
+++ b/lib/Request/RecordWire.cpp
@@ -16,13 +16,13 @@
   return kNames;
 }
 
-std::span<const EnumName<BucketState>> EnumNames(BucketState)
+std::span<const EnumName<RecordBucketState>> EnumNames(RecordBucketState)
 {
-  static constexpr std::array<EnumName<BucketState>, 4> kNames{{
-    {BucketState::NotOwned, "not_owned"},
-    {BucketState::Incomplete, "incomplete"},
-    {BucketState::Complete, "complete"},
-    {BucketState::Frozen, "frozen"},
+  static constexpr std::array<EnumName<RecordBucketState>, 4> kNames{{
+    {RecordBucketState::NotOwned, "not_owned"},
+    {RecordBucketState::Incomplete, "incomplete"},
+    {RecordBucketState::Complete, "complete"},
+    {RecordBucketState::Frozen, "frozen"},
   }};
   return kNames;
 }
--- a/lib/Request/RecordWire.h
+++ b/lib/Request/RecordWire.h
@@ -45,7 +45,7 @@
 struct BucketWire
 {
   std::uint32_t mBucket = 0;
-  BucketState mState = BucketState::Complete;
+  RecordBucketState mState = RecordBucketState::Complete;
   std::uint32_t mGeneration = 0;
   std::int64_t mCompleteSince = 0;
   std::string mNewOwner;
--- a/standins/upstream/main.cpp
+++ b/standins/upstream/main.cpp
@@ -2,6 +2,7 @@
 #include "UpstreamModel.h"
 
 #include "dandelionslip/Daemon/WorkerPool.h"
+#include "dandelionslip/Net/CallerDatagram.h"
 #include "dandelionslip/Net/Http2Server.h"
 #include "dandelionslip/Net/Timer.h"
 #include "dandelionslip/Net/UdpSocket.h"
@@ -42,6 +43,7 @@
 
 struct Session
 {
+  std::uint64_t mTag = 0;
   std::uint64_t mMessages = 0;
   std::uint64_t mTicks = 0;
   Milliseconds mFeedInterval{0};
@@ -79,25 +81,37 @@
   }
 
 private:
-  void Reply(const std::string& aText, const Endpoint& aTo)
+  void Reply(const Session& aSession, const std::string& aText, const Endpoint& aTo)
   {
-    mSocket->Send({reinterpret_cast<const std::uint8_t*>(aText.data()), aText.size()}, aTo);
+    CallerDatagram datagram;
+    datagram.mSessionTag = aSession.mTag;
+    datagram.mPayload = {reinterpret_cast<const std::uint8_t*>(aText.data()), aText.size()};
+    mSocket->Send(EncodeCallerDatagram(datagram), aTo);
   }
 
   void OnDatagram(std::span<const std::uint8_t> aBytes, const Endpoint& aFrom)
   {
     const std::lock_guard lock(mMutex);
-    std::istringstream text(std::string(aBytes.begin(), aBytes.end()));
+    const auto datagram = DecodeCallerDatagram(aBytes);
+    if (!datagram) {
+      return;
+    }
+    const auto& payload = datagram.value().mPayload;
+    std::istringstream text(std::string(payload.begin(), payload.end()));
     std::string verb;
     std::uint64_t number = 0;
     text >> verb >> number;
     const TimePoint now = RuntimeClock::now();
-    if (verb == "bye") {
+    if (datagram.value().mKind == CallerDatagramKind::Close) {
       mSessions.erase(aFrom);
       mModel.SetSessions(mSessions.size(), now);
       return;
     }
     Session& session = mSessions[aFrom];
+    if (session.mTag != datagram.value().mSessionTag) {
+      session = Session{};
+      session.mTag = datagram.value().mSessionTag;
+    }
     session.mLastSeen = now;
     mModel.SetSessions(mSessions.size(), now);
     if (verb == "feed") {
@@ -106,7 +120,8 @@
       return;
     }
     ++session.mMessages;
-    Reply("quote " + std::to_string(number) + " " + mName + " " + std::to_string(session.mMessages),
+    Reply(session,
+          "quote " + std::to_string(number) + " " + mName + " " + std::to_string(session.mMessages),
           aFrom);
   }
 
@@ -120,7 +135,7 @@
     for (auto& [peer, session] : mSessions) {
       if (session.mFeedInterval.count() > 0 && session.mNextTick <= now) {
         session.mNextTick += session.mFeedInterval;
-        Reply("tick " + std::to_string(++session.mTicks) + " " + mName, peer);
+        Reply(session, "tick " + std::to_string(++session.mTicks) + " " + mName, peer);
       }
     }
   }
