--- a/include/dandelionslip/Agent/FlowCore.h
+++ b/include/dandelionslip/Agent/FlowCore.h
@@ -1,11 +1,10 @@
 // The agent's decision core for flows.
 #pragma once
 
-#include "dandelionslip/Agent/BucketDirectory.h"
-#include "dandelionslip/Agent/BucketRecords.h"
+#include "dandelionslip/Agent/BucketHandoff.h"
 #include "dandelionslip/Agent/FlowActions.h"
 #include "dandelionslip/Agent/FlowAdmission.h"
-#include "dandelionslip/Route/ServiceTable.h"
+#include "dandelionslip/Net/CallerDatagram.h"
 
 #include <map>
 #include <optional>
@@ -17,19 +16,6 @@
 /// Forwards between agents after which a datagram is dropped.
 inline constexpr std::uint8_t kMaxHops = 4;
 
-/// Settings of a flow core.
-struct FlowSettings
-{
-  std::string mName;    ///< Name of the agent and its upstream.
-  std::string mService; ///< Name of the service.
-  Endpoint mEndpoint;   ///< Where the agent receives forwarded datagrams.
-  std::uint64_t mIncarnation = 0;
-  std::size_t mMaxFlows = 100'000; ///< Capacity of the flow table.
-  Milliseconds mAskInterval{200};  ///< Unanswered questions to peers are repeated after this time.
-  Milliseconds mCustodyTime{30'000}; ///< How long a custodian keeps state that was fetched or is
-                                     ///< not asked for.
-};
-
 /// Decides on the datagrams and peer messages of one agent. Each event appends its actions to
 /// aOut. Not thread-safe: the daemon serialises the events of one core.
 class FlowCore
@@ -42,6 +28,10 @@
   void OnState(const View& aView, const Configuration& aConfiguration, TimePoint aNow,
                FlowActions& aOut);
 
+  /// The agent's lease ended. Other members may own its buckets from now on; they are rebuilt when
+  /// the next state arrives.
+  void OnLeaseEnd() { mDoubtful = true; }
+
   /// A datagram of kind forward from a balancer or another agent.
   void OnForward(const DatagramHeader& aHeader, std::span<const std::uint8_t> aPayload,
                  const Endpoint& aSender, TimePoint aNow, FlowActions& aOut);
@@ -64,10 +54,11 @@
   /// To be called about every 50 ms: idle expiry and repeated questions.
   void OnTick(TimePoint aNow, FlowActions& aOut);
 
-  /// Starts a planned stop: hands the whole state to a custodian. aRecords and aAdmission are kept
-  /// for the resumed process unread. Ends with HandoverDone. Without a peer nothing is sent and
-  /// HandoverDone names no custodian.
-  void BeginHandover(Json aRecords, Json aAdmission, TimePoint aNow, FlowActions& aOut);
+  /// Starts a planned stop: hands the whole state to a custodian. aAdmission (ramp, weights, flow
+  /// count) is kept unread for the resumed process. From here on packets of the agent's own flows
+  /// are dropped, because the exported state must not change. Ends with HandoverDone, which names
+  /// no custodian when no other agent can take the state.
+  void BeginHandover(Json aAdmission, TimePoint aNow, FlowActions& aOut);
 
   /// Starts the resumption from the custodian. Ends with ResumptionDone; until then the core
   /// admits nothing.
@@ -76,10 +67,11 @@
   /// Newest generation in which all buckets owned are complete, for announcements.
   std::uint32_t AckedGeneration() const { return mAckedGeneration; }
 
-  std::uint64_t ViewRevision() const { return mView.mRevision; }
-  std::uint64_t ConfigurationRevision() const { return mConfiguration.mRevision; }
-  const FlowTable& Flows() const { return mFlows; }
-  const BucketDirectory& Directory() const { return mDirectory; }
+  std::uint64_t ViewRevision() const { return mContext.mView.mRevision; }
+  std::uint64_t ConfigurationRevision() const { return mContext.mConfiguration.mRevision; }
+  const ServiceTable& Table() const { return mContext.mTable; }
+  const FlowTable& Flows() const { return mContext.mFlows; }
+  const BucketDirectory& Directory() const { return mHandoff.Directory(); }
 
   /// Dropped datagrams by reason since the start.
   const std::map<RefusalReason, std::uint64_t>& Drops() const { return mDrops; }
@@ -88,16 +80,7 @@
   const std::map<RefusalReason, std::uint64_t>& Refusals() const { return mRefusals; }
 
 private:
-  /// State held for a restarting agent.
-  struct Custody
-  {
-    Handover mState;
-    BucketDirectory mDirectory;
-    std::uint64_t mReturnedTo = 0; ///< Incarnation that fetched the state; 0 while it is away.
-    TimePoint mKeepUntil;
-  };
-
-  /// An event in progress: the datagram and where its actions go.
+  /// A datagram in progress and where its actions go.
   struct Packet
   {
     const DatagramHeader& mHeader;
@@ -107,18 +90,79 @@
     FlowActions& mOut;
   };
 
-  friend class FlowTransfer;
+  /// A planned stop in progress.
+  struct Stop
+  {
+    Json mAdmission;
+    std::string mCustodian;
+    std::set<std::string> mUnacknowledged; ///< Members whose state the custodian has not confirmed.
+    TimePoint mNextSend;
+  };
+
+  /// A resumption in progress.
+  struct Resumption
+  {
+    std::string mCustodian;
+    TimePoint mNextAsk;
+  };
 
-  FlowSettings mSettings;
+  void OnTable(const ServiceTable& aOld, TimePoint aNow, FlowActions& aOut);
+  bool WasOwnDataCentreOut(const Configuration& aOld) const;
+  void FollowBalancers();
+  void GiveUpFlows(TimePoint aNow, FlowActions& aOut);
+  void AnnounceFlows(const ServiceTable& aOld, FlowActions& aOut);
+  void RefreshFlows(TimePoint aNow, FlowActions& aOut);
+  void UpdateAcknowledgement();
+
+  bool Accept(const Packet& aPacket);
+  void FetchIfBehind(const Packet& aPacket);
+  void HandleStopped(const Packet& aPacket);
+  void Deliver(FlowEntry& aEntry, const Packet& aPacket);
+  void Dispatch(const Packet& aPacket);
+  void HandleOwned(const Packet& aPacket, const TableMember& aOwner);
+  void HandleInDirectory(const Packet& aPacket, const std::string& aOwner,
+                         BucketDirectory& aDirectory);
+  bool SendToHolder(const Packet& aPacket, const std::string& aOwner, BucketDirectory& aDirectory);
+  void HandlePending(const Packet& aPacket, const std::string& aOwner, BucketDirectory& aDirectory);
+  void HandleOther(const Packet& aPacket, const TableMember& aOwner, const TableMember& aActing);
+  void HandleRedirected(const Packet& aPacket);
+  bool SendToHintedHolder(const Packet& aPacket);
+
+  void Admit(const Packet& aPacket, const std::string& aOwner, BucketDirectory& aDirectory);
+  void AdmitForOwner(const Packet& aPacket);
+  std::optional<Refusal> TryAdmit(const Packet& aPacket);
+  bool Redirect(const Packet& aPacket, BucketDirectory& aDirectory);
+  bool MayAdmit() const;
+
+  void Forward(const Packet& aPacket, const Endpoint& aTo, bool aRedirected);
+  void Refuse(const Packet& aPacket, const Refusal& aRefusal);
+  void Drop(RefusalReason aReason) { ++mDrops[aReason]; }
+  static bool EndsSession(const CallerDatagram& aDatagram, const FlowEntry& aEntry);
+  void EndFlow(FlowId aFlow, TimePoint aNow, FlowActions& aOut);
+  void TellOwner(FlowId aFlow, bool aHeld, FlowActions& aOut);
+  const Endpoint& BalancerFor(const FlowEntry& aEntry) const;
+
+  void OnResumeAnswer(const ResumeAnswer& aAnswer, TimePoint aNow, FlowActions& aOut);
+  void OnHandoverAck(const HandoverAck& aAck, FlowActions& aOut);
+  void ContinueHandover(TimePoint aNow, FlowActions& aOut);
+  void ContinueResumption(TimePoint aNow, FlowActions& aOut);
+  void FinishResumption(Json aAdmission, TimePoint aNow, FlowActions& aOut);
+  void RestoreFlow(const FlowState& aFlow, TimePoint aNow, FlowActions& aOut);
+  std::string ChooseCustodian() const;
+  Handover ExportState() const;
+
+  FlowContext mContext;
   FlowAdmission& mAdmission;
   BucketRecords* mRecords;
-  View mView;
-  Configuration mConfiguration;
-  ServiceTable mTable;
-  FlowTable mFlows;
-  BucketDirectory mDirectory;
-  std::map<std::string, Custody> mCustody;
+  FlowCustody mCustody;
+  BucketHandoff mHandoff;
+  bool mDoubtful = false;
+  std::optional<Stop> mStop;
+  std::optional<Resumption> mResumption;
+  std::map<Endpoint, bool> mBalancers; ///< Known balancers and whether they take replies.
   std::uint32_t mAckedGeneration = 0;
+  TimePoint mNextFetch{RuntimeClock::duration(0)};
+  TimePoint mNextRefresh{RuntimeClock::duration(0)};
   std::map<RefusalReason, std::uint64_t> mDrops;
   std::map<RefusalReason, std::uint64_t> mRefusals;
 };
--- a/include/dandelionslip/Agent/FlowMessages.h
+++ b/include/dandelionslip/Agent/FlowMessages.h
@@ -77,7 +77,8 @@
 struct TransferRequest
 {
   std::string mRequester;
-  std::string mOwner; ///< The previous owner; the receiver may be its custodian.
+  std::uint64_t mIncarnation = 0; ///< Of the requester; a new process has not got older answers.
+  std::string mOwner;             ///< The previous owner; the receiver may be its custodian.
   ServiceId mServiceId = 0;
   TableEpoch mEpoch;
   std::vector<std::uint32_t> mBuckets;
@@ -89,6 +90,7 @@
 void DescribeFields(V& aVisitor, TransferRequest& aValue)
 {
   aVisitor.Field("requester", aValue.mRequester);
+  aVisitor.Field("incarnation", aValue.mIncarnation);
   aVisitor.Field("owner", aValue.mOwner);
   aVisitor.Field("service_id", aValue.mServiceId);
   aVisitor.Field("epoch", aValue.mEpoch);
@@ -100,7 +102,7 @@
 {
   std::string mOwner;
   ServiceId mServiceId = 0;
-  TableEpoch mEpoch; ///< Of the answering member's table.
+  TableEpoch mEpoch; ///< Of the request that is answered.
   std::vector<BucketTransfer> mBuckets;
   Json mRecords; ///< Request records of the complete buckets, opaque here.
 
@@ -193,6 +195,7 @@
   std::string mBalancer;
   std::uint16_t mUpstreamPort = 0;
   bool mEstablished = false;
+  std::uint64_t mSessionTag = 0;
 
   bool operator==(const FlowState&) const = default;
 };
@@ -206,6 +209,7 @@
   aVisitor.Field("balancer", aValue.mBalancer);
   aVisitor.Field("upstream_port", aValue.mUpstreamPort);
   aVisitor.Field("established", aValue.mEstablished);
+  aVisitor.Field("session_tag", aValue.mSessionTag);
 }
 
 /// The whole state of an agent that stops as planned, for its custodian.
@@ -215,9 +219,11 @@
   ServiceId mServiceId = 0;
   std::uint64_t mIncarnation = 0;
   std::vector<FlowState> mFlows;
-  std::vector<BucketTransfer> mDirectory; ///< Buckets owned, and, as Partial, buckets handed off.
-  Json mRecords;                          ///< Request records, opaque here.
-  Json mAdmission;                        ///< Ramp and weights, opaque here.
+  /// Complete buckets; Partial for buckets handed off to mNext; Unknown for buckets that were still
+  /// to come from mNext, or from all members when mNext is empty.
+  std::vector<BucketTransfer> mDirectory;
+  Json mRecords;   ///< Request records of the complete buckets, opaque here.
+  Json mAdmission; ///< Ramp, weights and flow count, opaque here.
 
   bool operator==(const Handover&) const = default;
 };
@@ -238,6 +244,7 @@
 struct HandoverAck
 {
   std::string mCustodian;
+  std::string mMember; ///< Whose state it is.
   std::uint64_t mIncarnation = 0;
 
   bool operator==(const HandoverAck&) const = default;
@@ -247,6 +254,7 @@
 void DescribeFields(V& aVisitor, HandoverAck& aValue)
 {
   aVisitor.Field("custodian", aValue.mCustodian);
+  aVisitor.Field("member", aValue.mMember);
   aVisitor.Field("incarnation", aValue.mIncarnation);
 }
 
@@ -272,6 +280,8 @@
   std::string mCustodian;
   std::uint64_t mIncarnation = 0; ///< Of the request.
   std::optional<Handover> mState;
+  /// State that the restarted agent itself kept for others when it stopped.
+  std::vector<Handover> mCustody;
 
   bool operator==(const ResumeAnswer&) const = default;
 };
@@ -282,6 +292,7 @@
   aVisitor.Field("custodian", aValue.mCustodian);
   aVisitor.Field("incarnation", aValue.mIncarnation);
   aVisitor.Optional("state", aValue.mState);
+  aVisitor.Optional("custody", aValue.mCustody);
 }
 
 /// Any message between agents.
--- a/include/dandelionslip/Agent/FlowTable.h
+++ b/include/dandelionslip/Agent/FlowTable.h
@@ -22,6 +22,7 @@
   Endpoint mBalancer;              ///< The balancer that last carried a packet of the flow.
   std::uint16_t mUpstreamPort = 0; ///< Local port towards the upstream; 0 until it is open.
   bool mEstablished = false;       ///< The upstream has answered at least once.
+  std::uint64_t mSessionTag = 0;   ///< Of the last opening datagram.
   TimePoint mLastActive;
 };
 
@@ -42,8 +43,10 @@
   bool Erase(FlowId aFlow);
 
   /// Examines up to aBudget slots after the last call's and returns the flows that were idle for
-  /// longer than aIdleTimeout; they stay in the table.
-  std::vector<FlowId> FindIdle(TimePoint aNow, Milliseconds aIdleTimeout, std::size_t aBudget);
+  /// longer than aIdleTimeout, or than aOpeningTimeout when the upstream has never answered. They
+  /// stay in the table.
+  std::vector<FlowId> FindIdle(TimePoint aNow, Milliseconds aIdleTimeout,
+                               Milliseconds aOpeningTimeout, std::size_t aBudget);
 
   std::size_t Size() const { return mSize; }
   std::size_t Capacity() const { return mCapacity; }
--- a/include/dandelionslip/Route/RoutingCore.h
+++ b/include/dandelionslip/Route/RoutingCore.h
@@ -53,9 +53,9 @@
   /// of sending, so that a delayed answer never extends it.
   void OnAnnouncementAnswer(const AnnouncementAnswer& aAnswer, TimePoint aSentAt);
 
-  /// Takes a probe answer that came from aSender.
-  std::vector<RoutingAction> OnProbeAnswer(const DatagramHeader& aHeader, const Endpoint& aSender,
-                                           TimePoint aNow);
+  /// Takes a probe answer that came from aSender. It keeps the agent's data centre open from the
+  /// time at which the probe was sent, unless the agent has newer state, which is then fetched.
+  std::vector<RoutingAction> OnProbeAnswer(const DatagramHeader& aHeader, const Endpoint& aSender);
 
   /// To be called at least every 100 ms. Probes while the lease is about to end or has ended.
   std::vector<RoutingAction> Tick(TimePoint aNow);
@@ -70,19 +70,25 @@
   std::shared_ptr<const RoutingSnapshot> Snapshot() const;
 
 private:
+  /// The last probe sent to an agent.
+  struct Probe
+  {
+    std::string mMember;
+    TimePoint mSentAt;
+  };
+
   void Publish();
   void AddGates();
-  void ExtendGates();
-  const Member* MemberAt(const Endpoint& aEndpoint) const;
-  DatagramHeader ProbeHeader() const;
-  void ProbeDataCentre(const std::string& aDataCentre, std::vector<RoutingAction>& aActions);
+  void ProbeDataCentre(const std::string& aDataCentre, TimePoint aNow,
+                       std::vector<RoutingAction>& aActions);
 
   RoutingSettings mSettings;
   Configuration mConfiguration;
   View mView;
-  TimePoint mLeaseEnd = TimePoint::min();
-  TimePoint mNextProbe = TimePoint::min();
+  TimePoint mLeaseEnd{RuntimeClock::duration(-1)}; ///< Before every reading of the clock.
+  TimePoint mNextProbe{RuntimeClock::duration(0)};
   std::uint64_t mProbeRound = 0;
+  std::map<Endpoint, Probe> mProbed;
   DataCentreGates mGates;
   mutable std::mutex mSnapshotMutex;
   std::shared_ptr<const RoutingSnapshot> mSnapshot;
--- a/include/dandelionslip/Route/RoutingSnapshot.h
+++ b/include/dandelionslip/Route/RoutingSnapshot.h
@@ -7,7 +7,6 @@
 
 #include <memory>
 #include <string_view>
-#include <unordered_map>
 #include <variant>
 #include <vector>
 
@@ -68,14 +67,12 @@
     const Service* mService = nullptr;
   };
 
-  void AddService(const std::string& aName, ServiceTable aTable,
-                  const std::vector<std::string>& aAddresses);
   void ResolveTargets(Service& aService) const;
   Target TargetFor(const ServiceTable& aTable, MemberIndex aMember) const;
   void IndexAddresses(const std::vector<AddressSlot>& aAddresses);
   const Service* FindByAddress(const Endpoint& aAddress) const;
   const Service* FindByName(std::string_view aServiceName) const;
-  std::optional<RequestTarget> RequestTargetFor(const Service& aService, std::uint64_t aHash,
+  std::optional<RequestTarget> RequestTargetFor(const Service& aService, MemberIndex aMember,
                                                 TimePoint aNow) const;
 
   std::uint64_t mViewRevision = 0;
--- a/include/dandelionslip/Route/ServiceTable.h
+++ b/include/dandelionslip/Route/ServiceTable.h
@@ -19,7 +19,8 @@
   std::string mRequestEndpoint;
   Endpoint mDatagramEndpoint;
   MemberState mState = MemberState::Cold;
-  bool mOut = false; ///< Its data centre is out, or it is lost, left or not in the view.
+  bool mDataCentreOut = false;
+  bool mOut = false; ///< Its data centre is out, or it has left or is lost.
 
   bool operator==(const TableMember&) const = default;
 };
@@ -45,25 +46,29 @@
   /// Index of a member, or kNoMember.
   MemberIndex Find(std::string_view aName) const;
 
-  /// The member that acts for aMember: its custodian while it restarts, else itself.
+  /// The member that acts for aMember: its custodian while it restarts, else itself. Follows the
+  /// custodians when a custodian restarts too.
   MemberIndex ActingFor(MemberIndex aMember) const;
 
-  /// Owner of the bucket in the generation before the newest with today's exclusions lifted; empty
-  /// when the view has no earlier generation.
-  std::string PreviousOwner(std::uint32_t aBucket) const;
-
 private:
-  void AddMembers(const View& aView, const Configuration& aConfiguration,
-                  const dandelionslip::Generation& aNewest);
+  void AddMembers(const std::string& aServiceName, const View& aView,
+                  const Configuration& aConfiguration);
+  void ResolveActing();
 
   ServiceId mId = 0;
   std::uint32_t mGeneration = 0;
   bool mAllDataCentresOut = false;
-  std::vector<TableMember> mMembers; ///< Ordered by name.
+  std::vector<TableMember> mMembers; ///< All agents of the service in the view, by name.
   std::vector<MemberIndex> mActing;
   AssignmentTable mTable;
-  std::vector<std::string> mPreviousNames;
-  AssignmentTable mPrevious;
 };
 
+/// The service's entry in the view if it belongs to the declared service, or null.
+const ServiceView* FindServiceView(const View& aView, const Configuration& aConfiguration,
+                                   const std::string& aServiceName);
+
+/// Owner names by bucket of a generation under the exclusions of aTable; empty names where no
+/// member is left.
+std::vector<std::string> OwnersIn(const Generation& aGeneration, const ServiceTable& aTable);
+
 } // namespace dandelionslip
--- /dev/null
+++ b/lib/Agent/BucketDirectory.cpp
@@ -0,0 +1,103 @@
+// Entries and states of a bucket directory.
+#include "dandelionslip/Agent/BucketDirectory.h"
+
+#include "dandelionslip/Route/FlowHash.h"
+
+#include <algorithm>
+
+namespace dandelionslip {
+
+BucketDirectory::BucketDirectory(std::uint32_t aBuckets)
+  : mBuckets(aBuckets)
+{
+}
+
+Bucket& BucketDirectory::Of(FlowId aFlow)
+{
+  return mBuckets[BucketOf(aFlow, Buckets())];
+}
+
+const Bucket& BucketDirectory::Of(FlowId aFlow) const
+{
+  return mBuckets[BucketOf(aFlow, Buckets())];
+}
+
+const std::string* BucketDirectory::Holder(FlowId aFlow) const
+{
+  const Bucket& bucket = Of(aFlow);
+  const auto found = bucket.mHolders.find(aFlow);
+  return found == bucket.mHolders.end() ? nullptr : &found->second.mName;
+}
+
+const std::string* BucketDirectory::Hint(FlowId aFlow) const
+{
+  const Bucket& bucket = Of(aFlow);
+  const auto found = bucket.mHints.find(aFlow);
+  return found == bucket.mHints.end() ? nullptr : &found->second.mName;
+}
+
+void BucketDirectory::DropOutdated(std::uint32_t aBucket, TimePoint aNow)
+{
+  mBuckets[aBucket].mHints.clear();
+  std::erase_if(mBuckets[aBucket].mHolders, [&](const auto& aEntry) {
+    return aNow - aEntry.second.mRefreshedAt > kEarlyReportMs;
+  });
+}
+
+void BucketDirectory::Record(FlowId aFlow, const std::string& aHolder, TimePoint aNow)
+{
+  FlowHolder& holder = Of(aFlow).mHolders[aFlow];
+  if (holder.mName != aHolder) {
+    holder = {aHolder, aNow, aNow};
+  }
+  holder.mRefreshedAt = aNow;
+}
+
+void BucketDirectory::Forget(FlowId aFlow, const std::string& aHolder, TimePoint aNow)
+{
+  auto& holders = Of(aFlow).mHolders;
+  if (const auto found = holders.find(aFlow);
+      found != holders.end() && found->second.mName == aHolder &&
+      aNow - found->second.mRecordedAt >= kHolderSettlingMs) {
+    holders.erase(found);
+  }
+}
+
+void BucketDirectory::Erase(FlowId aFlow)
+{
+  Of(aFlow).mHolders.erase(aFlow);
+}
+
+void BucketDirectory::Merge(const std::vector<DirectoryEntry>& aFlows, TimePoint aNow)
+{
+  for (const DirectoryEntry& entry : aFlows) {
+    Record(entry.mFlow, entry.mHolder, aNow);
+  }
+}
+
+void BucketDirectory::Expire(TimePoint aNow, Milliseconds aTimeout, std::uint32_t aBuckets)
+{
+  for (std::uint32_t i = 0; i < std::min(aBuckets, Buckets()); ++i) {
+    mSweep = (mSweep + 1) % Buckets();
+    const auto isOld = [&](const auto& aEntry) {
+      return aNow - aEntry.second.mRefreshedAt > aTimeout;
+    };
+    std::erase_if(mBuckets[mSweep].mHolders, isOld);
+    std::erase_if(mBuckets[mSweep].mHints, isOld);
+  }
+}
+
+std::vector<DirectoryEntry> BucketDirectory::Entries(std::uint32_t aBucket) const
+{
+  std::vector<DirectoryEntry> entries;
+  for (const auto& [flow, holder] : mBuckets[aBucket].mHolders) {
+    entries.push_back({flow, holder.mName});
+  }
+  std::sort(entries.begin(), entries.end(),
+            [](const DirectoryEntry& aLeft, const DirectoryEntry& aRight) {
+              return aLeft.mFlow < aRight.mFlow;
+            });
+  return entries;
+}
+
+} // namespace dandelionslip
--- /dev/null
+++ b/lib/Agent/FlowCore.cpp
@@ -0,0 +1,299 @@
+// State changes, upstream datagrams and flow lifetime of the flow core.
+#include "dandelionslip/Agent/FlowCore.h"
+
+#include "dandelionslip/Net/CallerDatagram.h"
+#include "dandelionslip/Route/FlowHash.h"
+#include "dandelionslip/Support/Hash.h"
+
+#include <algorithm>
+
+namespace dandelionslip {
+
+namespace {
+
+// Slots of the flow table examined for idle flows in each tick: a table of 100,000 flows is
+// examined within about 10 s at 20 ticks a second.
+constexpr std::size_t kIdleBudget = 1024;
+
+// Holders confirm their flows this often within the idle timeout.
+constexpr int kRefreshesPerTimeout = 4;
+
+// Name of the member that acts for the bucket's owner, empty when there is none.
+std::string ActingName(const ServiceTable& aTable, std::uint32_t aBucket)
+{
+  if (aBucket >= aTable.Buckets()) {
+    return {};
+  }
+  const MemberIndex acting = aTable.ActingFor(aTable.Assignment().Owner(aBucket));
+  return acting == kNoMember ? std::string() : aTable.Members()[acting].mName;
+}
+
+} // namespace
+
+FlowCore::FlowCore(FlowSettings aSettings, FlowAdmission& aAdmission, BucketRecords* aRecords)
+  : mContext(std::move(aSettings))
+  , mAdmission(aAdmission)
+  , mRecords(aRecords)
+  , mCustody(mContext, aRecords)
+  , mHandoff(mContext, mCustody, aRecords)
+{
+}
+
+void FlowCore::OnState(const View& aView, const Configuration& aConfiguration, TimePoint aNow,
+                       FlowActions& aOut)
+{
+  const bool newView = aView.mRevision > mContext.mView.mRevision;
+  const bool newConfiguration = aConfiguration.mRevision > mContext.mConfiguration.mRevision;
+  if (!newView && !newConfiguration) {
+    return;
+  }
+  const Configuration before = mContext.mConfiguration;
+  mContext.mView = newView ? aView : mContext.mView;
+  mContext.mConfiguration = newConfiguration ? aConfiguration : mContext.mConfiguration;
+  const ServiceTable old = std::move(mContext.mTable);
+  mContext.mTable =
+    ServiceTable(mContext.mView, mContext.mConfiguration, mContext.mSettings.mService);
+  mNextFetch = aNow;
+  FollowBalancers();
+  if ((old.Id() != 0 && old.Id() != mContext.mTable.Id()) || WasOwnDataCentreOut(before)) {
+    GiveUpFlows(aNow, aOut);
+  }
+  if (!mResumption && !mStop) {
+    OnTable(old, aNow, aOut);
+  }
+}
+
+void FlowCore::OnTable(const ServiceTable& aOld, TimePoint aNow, FlowActions& aOut)
+{
+  // Members acknowledge each generation before the next one is issued. Only an agent that was
+  // regarded as lost can miss one, and its buckets had other owners meanwhile.
+  const bool skipped = aOld.Generation() > 0 && aOld.Id() == mContext.mTable.Id() &&
+                       mContext.mTable.Generation() > aOld.Generation() + 1;
+  const TableMember* self = mContext.Find(mContext.mSettings.mName);
+  if (self != nullptr && self->mOut) {
+    mHandoff.Reset();
+  } else {
+    mHandoff.OnTable(aOld, mDoubtful || skipped, aNow, aOut);
+    mDoubtful = false;
+  }
+  AnnounceFlows(aOld, aOut);
+  UpdateAcknowledgement();
+}
+
+// Whether the agent's data centre is out, or was out between the two configurations.
+bool FlowCore::WasOwnDataCentreOut(const Configuration& aOld) const
+{
+  const TableMember* self = mContext.Find(mContext.mSettings.mName);
+  if (self == nullptr) {
+    return false;
+  }
+  if (self->mDataCentreOut) {
+    return true;
+  }
+  const auto versionIn = [&](const Configuration& aConfiguration) {
+    const auto found = aConfiguration.mDataCentres.find(self->mDataCentre);
+    return found == aConfiguration.mDataCentres.end() ? 0 : found->second.mVersion;
+  };
+  return aOld.mRevision > 0 && !aOld.IsOut(self->mDataCentre) &&
+         versionIn(mContext.mConfiguration) > versionIn(aOld);
+}
+
+void FlowCore::FollowBalancers()
+{
+  mBalancers.clear();
+  for (const auto& [name, member] : mContext.mView.mMembers) {
+    if (const auto endpoint = Endpoint::Parse(member.mDatagramEndpoint);
+        endpoint && member.mKind == MemberKind::Balancer) {
+      mBalancers[endpoint.value()] =
+        TakesNewWork(member.mState) && !mContext.mConfiguration.IsOut(member.mDataCentre);
+    }
+  }
+}
+
+void FlowCore::GiveUpFlows(TimePoint aNow, FlowActions& aOut)
+{
+  std::vector<FlowId> flows;
+  mContext.mFlows.ForEach([&](const FlowEntry& aEntry) { flows.push_back(aEntry.mFlow); });
+  for (const FlowId flow : flows) {
+    mContext.mFlows.Erase(flow);
+    mAdmission.CloseFlow(aNow);
+    aOut.emplace_back(CloseUpstreamPort{flow});
+  }
+  mHandoff.Reset();
+}
+
+// Tells the new owners of buckets about the flows held here, so that a flow that was opened while
+// its bucket moved is known to the bucket's owner in every case.
+void FlowCore::AnnounceFlows(const ServiceTable& aOld, FlowActions& aOut)
+{
+  std::map<std::uint32_t, std::pair<std::string, bool>> actingByBucket;
+  std::map<std::pair<std::string, std::string>, DirectoryUpdate> updates;
+  const ServiceTable& table = mContext.mTable;
+  if (table.Buckets() == 0) {
+    return;
+  }
+  mContext.mFlows.ForEach([&](const FlowEntry& aEntry) {
+    const std::uint32_t bucket = BucketOf(aEntry.mFlow, table.Buckets());
+    auto found = actingByBucket.find(bucket);
+    if (found == actingByBucket.end()) {
+      std::string acting = ActingName(table, bucket);
+      const bool changed = acting != ActingName(aOld, bucket);
+      found = actingByBucket.emplace(bucket, std::pair(std::move(acting), changed)).first;
+    }
+    const auto& [acting, changed] = found->second;
+    if (changed && !acting.empty() && !mContext.IsSelf(acting)) {
+      updates[{acting, mContext.OwnerOf(bucket)}].mHeld.push_back(aEntry.mFlow);
+    }
+  });
+  for (auto& [receiver, update] : updates) {
+    update.mHolder = mContext.mSettings.mName;
+    update.mOwner = receiver.second;
+    update.mServiceId = table.Id();
+    aOut.emplace_back(SendPeerMessage{receiver.first, std::move(update)});
+  }
+}
+
+void FlowCore::UpdateAcknowledgement()
+{
+  if (!mResumption && mHandoff.IsComplete()) {
+    mAckedGeneration = mContext.mTable.Generation();
+  }
+}
+
+void FlowCore::OnProbe(const DatagramHeader& aHeader, const Endpoint& aSender, bool aConfirmed,
+                       FlowActions& aOut)
+{
+  DatagramHeader answer;
+  answer.mKind = DatagramKind::ProbeAnswer;
+  answer.mConfirmed = aConfirmed;
+  answer.mViewRevision = ViewRevision();
+  answer.mFlowHash = ConfigurationRevision();
+  answer.mBalancer = aHeader.mBalancer;
+  aOut.emplace_back(SendDatagram{aSender, answer, {}});
+}
+
+// The balancer that last carried a packet of the flow. A balancer that is not in the view yet is
+// used; one that is draining or gone is replaced by another in rendezvous order.
+const Endpoint& FlowCore::BalancerFor(const FlowEntry& aEntry) const
+{
+  const auto known = mBalancers.find(aEntry.mBalancer);
+  if (known == mBalancers.end() || known->second) {
+    return aEntry.mBalancer;
+  }
+  const Endpoint* best = &aEntry.mBalancer;
+  std::uint64_t highest = 0;
+  for (const auto& [endpoint, usable] : mBalancers) {
+    const std::uint64_t score = HashOf(endpoint, aEntry.mFlow);
+    if (usable && score >= highest) {
+      highest = score;
+      best = &endpoint;
+    }
+  }
+  return *best;
+}
+
+void FlowCore::OnUpstreamDatagram(FlowId aFlow, std::span<const std::uint8_t> aPayload,
+                                  TimePoint aNow, FlowActions& aOut)
+{
+  FlowEntry* entry = mContext.mFlows.Find(aFlow);
+  if (entry == nullptr || aPayload.size() > kMaxDatagramPayload || mStop) {
+    Drop(mStop ? RefusalReason::HandoffPending : RefusalReason::UnknownFlow);
+    return;
+  }
+  entry->mEstablished = true;
+  entry->mLastActive = aNow;
+  DatagramHeader header;
+  header.mKind = DatagramKind::Reply;
+  header.mServiceId = mContext.mTable.Id();
+  header.mViewRevision = ViewRevision();
+  header.mGeneration = mContext.mTable.Generation();
+  header.mFlowHash = aFlow;
+  header.mCaller = entry->mCaller;
+  header.mService = entry->mService;
+  header.mBalancer = BalancerFor(*entry);
+  aOut.emplace_back(
+    SendDatagram{header.mBalancer, header, Bytes(aPayload.begin(), aPayload.end())});
+  if (const auto datagram = DecodeCallerDatagram(aPayload);
+      datagram && EndsSession(datagram.value(), *entry)) {
+    EndFlow(aFlow, aNow, aOut);
+  }
+}
+
+// A caller may close a session and open the next one from the same port; the close datagram of the
+// first session must not end the second when it arrives late.
+bool FlowCore::EndsSession(const CallerDatagram& aDatagram, const FlowEntry& aEntry)
+{
+  return aDatagram.mKind == CallerDatagramKind::Close &&
+         aDatagram.mSessionTag == aEntry.mSessionTag;
+}
+
+void FlowCore::OnUpstreamPortOpened(FlowId aFlow, std::uint16_t aPort, TimePoint aNow,
+                                    FlowActions& aOut)
+{
+  FlowEntry* entry = mContext.mFlows.Find(aFlow);
+  if (entry == nullptr) {
+    return;
+  }
+  entry->mUpstreamPort = aPort;
+  if (aPort == 0) {
+    EndFlow(aFlow, aNow, aOut);
+  }
+}
+
+void FlowCore::EndFlow(FlowId aFlow, TimePoint aNow, FlowActions& aOut)
+{
+  if (!mContext.mFlows.Erase(aFlow)) {
+    return;
+  }
+  mAdmission.CloseFlow(aNow);
+  aOut.emplace_back(CloseUpstreamPort{aFlow});
+  TellOwner(aFlow, false, aOut);
+}
+
+void FlowCore::TellOwner(FlowId aFlow, bool aHeld, FlowActions& aOut)
+{
+  const std::uint32_t bucket = BucketOf(aFlow, std::max(1U, mContext.mTable.Buckets()));
+  const std::string acting = ActingName(mContext.mTable, bucket);
+  if (acting.empty() || mContext.IsSelf(acting)) {
+    return;
+  }
+  DirectoryUpdate update{
+    mContext.mSettings.mName, mContext.OwnerOf(bucket), mContext.mTable.Id(), {}, {}, 0};
+  (aHeld ? update.mHeld : update.mEnded).push_back(aFlow);
+  aOut.emplace_back(SendPeerMessage{acting, std::move(update)});
+}
+
+void FlowCore::RefreshFlows(TimePoint aNow, FlowActions& aOut)
+{
+  const ServiceEntry* entry = mContext.mConfiguration.FindService(mContext.mSettings.mService);
+  if (entry == nullptr || aNow < mNextRefresh) {
+    return;
+  }
+  mNextRefresh = aNow + entry->mSpec.mFlowIdleTimeout / kRefreshesPerTimeout;
+  AnnounceFlows(ServiceTable(), aOut);
+}
+
+void FlowCore::OnTick(TimePoint aNow, FlowActions& aOut)
+{
+  if (mStop) {
+    ContinueHandover(aNow, aOut);
+    return;
+  }
+  if (const ServiceEntry* entry =
+        mContext.mConfiguration.FindService(mContext.mSettings.mService)) {
+    for (const FlowId flow : mContext.mFlows.FindIdle(
+           aNow, entry->mSpec.mFlowIdleTimeout, mContext.mSettings.mOpeningTimeout, kIdleBudget)) {
+      EndFlow(flow, aNow, aOut);
+    }
+  }
+  mCustody.Tick(aNow);
+  if (mResumption) {
+    ContinueResumption(aNow, aOut);
+    return;
+  }
+  mHandoff.Tick(aNow, aOut);
+  RefreshFlows(aNow, aOut);
+  UpdateAcknowledgement();
+}
+
+} // namespace dandelionslip
--- /dev/null
+++ b/lib/Net/DatagramHeader.cpp
@@ -0,0 +1,116 @@
+// Encoding and checked decoding of the datagram header.
+#include "dandelionslip/Net/DatagramHeader.h"
+
+#include "ByteOrder.h"
+#include "dandelionslip/Support/Hash.h"
+
+namespace dandelionslip {
+
+namespace {
+
+constexpr std::uint32_t kMagic = 0x44534c50; // "DSLP"
+constexpr std::uint8_t kVersion = 1;
+constexpr std::size_t kCheckedSize = kDatagramHeaderSize - sizeof(std::uint64_t);
+constexpr std::uint8_t kOpeningFlag = 1;
+constexpr std::uint8_t kRedirectedFlag = 2;
+constexpr std::uint8_t kConfirmedFlag = 4;
+constexpr std::uint8_t kAllFlags = kOpeningFlag | kRedirectedFlag | kConfirmedFlag;
+
+std::uint8_t FlagsOf(const DatagramHeader& aHeader)
+{
+  return static_cast<std::uint8_t>((aHeader.mOpening ? kOpeningFlag : 0) |
+                                   (aHeader.mRedirected ? kRedirectedFlag : 0) |
+                                   (aHeader.mConfirmed ? kConfirmedFlag : 0));
+}
+
+void Write(ByteWriter& aWriter, const Endpoint& aEndpoint)
+{
+  aWriter.Raw(aEndpoint.mAddress);
+  aWriter.Integer(aEndpoint.mPort);
+}
+
+Endpoint ReadEndpoint(ByteReader& aReader)
+{
+  Endpoint endpoint;
+  aReader.Raw(endpoint.mAddress);
+  endpoint.mPort = aReader.Integer<std::uint16_t>();
+  return endpoint;
+}
+
+auto Refuse(ErrorCode aCode, std::string aDetail)
+{
+  return Fail(aCode, "datagram.decode", "", std::move(aDetail));
+}
+
+DatagramHeader ReadFields(ByteReader& aReader, std::uint8_t aKind, std::uint8_t aFlags)
+{
+  DatagramHeader header;
+  header.mKind = static_cast<DatagramKind>(aKind);
+  header.mOpening = (aFlags & kOpeningFlag) != 0;
+  header.mRedirected = (aFlags & kRedirectedFlag) != 0;
+  header.mConfirmed = (aFlags & kConfirmedFlag) != 0;
+  header.mHops = aReader.Integer<std::uint8_t>();
+  header.mServiceId = aReader.Integer<std::uint64_t>();
+  header.mViewRevision = aReader.Integer<std::uint64_t>();
+  header.mGeneration = aReader.Integer<std::uint32_t>();
+  header.mFlowHash = aReader.Integer<std::uint64_t>();
+  header.mCaller = ReadEndpoint(aReader);
+  header.mService = ReadEndpoint(aReader);
+  header.mBalancer = ReadEndpoint(aReader);
+  return header;
+}
+
+} // namespace
+
+std::array<std::uint8_t, kDatagramHeaderSize> EncodeDatagramHeader(const DatagramHeader& aHeader)
+{
+  std::array<std::uint8_t, kDatagramHeaderSize> bytes{};
+  ByteWriter writer(bytes.data());
+  writer.Integer(kMagic);
+  writer.Integer(kVersion);
+  writer.Integer(static_cast<std::uint8_t>(aHeader.mKind));
+  writer.Integer(FlagsOf(aHeader));
+  writer.Integer(aHeader.mHops);
+  writer.Integer(aHeader.mServiceId);
+  writer.Integer(aHeader.mViewRevision);
+  writer.Integer(aHeader.mGeneration);
+  writer.Integer(aHeader.mFlowHash);
+  Write(writer, aHeader.mCaller);
+  Write(writer, aHeader.mService);
+  Write(writer, aHeader.mBalancer);
+  writer.Integer(Hash64(std::span(bytes).first(kCheckedSize)));
+  return bytes;
+}
+
+Result<DatagramView> DecodeDatagram(std::span<const std::uint8_t> aBytes)
+{
+  if (aBytes.size() < kDatagramHeaderSize ||
+      aBytes.size() > kDatagramHeaderSize + kMaxDatagramPayload) {
+    return Refuse(ErrorCode::InvalidInput,
+                  "length " + std::to_string(aBytes.size()) + " is out of range");
+  }
+  ByteReader reader(aBytes.data());
+  if (reader.Integer<std::uint32_t>() != kMagic) {
+    return Refuse(ErrorCode::InvalidInput, "wrong magic");
+  }
+  if (const auto version = reader.Integer<std::uint8_t>(); version != kVersion) {
+    return Refuse(ErrorCode::InvalidInput,
+                  "version " + std::to_string(version) + ", expected " + std::to_string(kVersion));
+  }
+  ByteReader checksum(aBytes.data() + kCheckedSize);
+  if (checksum.Integer<std::uint64_t>() != Hash64(aBytes.first(kCheckedSize))) {
+    return Refuse(ErrorCode::Corrupt, "wrong checksum");
+  }
+  const auto kind = reader.Integer<std::uint8_t>();
+  const auto flags = reader.Integer<std::uint8_t>();
+  if (kind < static_cast<std::uint8_t>(DatagramKind::Forward) ||
+      kind > static_cast<std::uint8_t>(DatagramKind::ProbeAnswer)) {
+    return Refuse(ErrorCode::InvalidInput, "unknown kind " + std::to_string(kind));
+  }
+  if ((flags & ~kAllFlags) != 0) {
+    return Refuse(ErrorCode::InvalidInput, "unknown flags " + std::to_string(flags));
+  }
+  return DatagramView{ReadFields(reader, kind, flags), aBytes.subspan(kDatagramHeaderSize)};
+}
+
+} // namespace dandelionslip
--- /dev/null
+++ b/lib/Route/AssignmentTable.cpp
@@ -0,0 +1,170 @@
+// Quotas, owners by stable matching, and alternates.
+#include "dandelionslip/Route/AssignmentTable.h"
+
+#include "RendezvousOrder.h"
+
+#include <algorithm>
+#include <numeric>
+#include <queue>
+
+namespace dandelionslip {
+
+namespace {
+
+std::uint64_t SumOfWeights(std::span<const WeightedMember> aMembers)
+{
+  return std::accumulate(
+    aMembers.begin(), aMembers.end(), std::uint64_t{0},
+    [](std::uint64_t aSum, const WeightedMember& aMember) { return aSum + aMember.mWeight; });
+}
+
+// A bucket held by a member, ordered by its cost for the member.
+struct HeldBucket
+{
+  RendezvousCost mCost;
+  std::uint32_t mBucket = 0;
+
+  auto operator<=>(const HeldBucket&) const = default;
+};
+
+// Matches buckets to members. Each bucket proposes to members in its rendezvous order, and a member
+// over its quota rejects the bucket with the highest cost. The result does not depend on the order
+// of proposals, and a small change of quotas displaces few buckets.
+class BucketMatching
+{
+public:
+  BucketMatching(std::span<const WeightedMember> aMembers, std::uint32_t aBuckets)
+    : mOrder(aMembers)
+    , mQuotas(BucketQuotas(aMembers, aBuckets))
+    , mHeld(aMembers.size())
+    , mOwners(aBuckets, kNoMember)
+  {
+  }
+
+  std::vector<MemberIndex> Run()
+  {
+    for (std::uint32_t bucket = 0; bucket < mOwners.size(); ++bucket) {
+      Place(bucket);
+    }
+    return std::move(mOwners);
+  }
+
+private:
+  void Place(std::uint32_t aBucket)
+  {
+    std::uint32_t bucket = aBucket;
+    RendezvousCost previous = RendezvousOrder::Start();
+    for (;;) {
+      const RendezvousCost next = mOrder.NextAfter(
+        bucket, previous, [&](MemberIndex aMember) { return mQuotas[aMember] > 0; });
+      if (next.mMember == kNoMember) {
+        return;
+      }
+      auto& held = mHeld[next.mMember];
+      held.push({next, bucket});
+      mOwners[bucket] = next.mMember;
+      if (held.size() <= mQuotas[next.mMember]) {
+        return;
+      }
+      previous = held.top().mCost;
+      bucket = held.top().mBucket;
+      mOwners[bucket] = kNoMember;
+      held.pop();
+    }
+  }
+
+  RendezvousOrder mOrder;
+  std::vector<std::uint32_t> mQuotas;
+  std::vector<std::priority_queue<HeldBucket>> mHeld;
+  std::vector<MemberIndex> mOwners;
+};
+
+class RendezvousStrategy : public AssignmentStrategy
+{
+public:
+  std::string_view Name() const override { return "rendezvous"; }
+
+  std::vector<MemberIndex> Owners(std::span<const WeightedMember> aMembers,
+                                  std::uint32_t aBuckets) const override
+  {
+    if (SumOfWeights(aMembers) == 0) {
+      return std::vector<MemberIndex>(aBuckets, kNoMember);
+    }
+    return BucketMatching(aMembers, aBuckets).Run();
+  }
+};
+
+// Chooses for each bucket the next member of its order that is eligible and has alternate buckets
+// left within its quota; without such a member, the next eligible one.
+std::vector<MemberIndex> Alternates(std::span<const WeightedMember> aMembers,
+                                    const std::vector<MemberIndex>& aOwners,
+                                    const std::vector<bool>& aEligible)
+{
+  std::vector<WeightedMember> eligible(aMembers.begin(), aMembers.end());
+  for (std::size_t i = 0; i < eligible.size() && i < aEligible.size(); ++i) {
+    eligible[i].mWeight = aEligible[i] ? eligible[i].mWeight : 0;
+  }
+  const RendezvousOrder order(eligible);
+  std::vector<std::uint32_t> spare =
+    BucketQuotas(eligible, static_cast<std::uint32_t>(aOwners.size()));
+  std::vector<MemberIndex> alternates(aOwners.size(), kNoMember);
+  for (std::uint32_t bucket = 0; bucket < aOwners.size(); ++bucket) {
+    const MemberIndex owner = aOwners[bucket];
+    const auto next = [&](bool aWithinQuota) {
+      return order
+        .NextAfter(bucket, RendezvousOrder::Start(),
+                   [&](MemberIndex aMember) {
+                     return aMember != owner && (!aWithinQuota || spare[aMember] > 0);
+                   })
+        .mMember;
+    };
+    const MemberIndex spared = next(true);
+    alternates[bucket] = spared == kNoMember ? next(false) : spared;
+    if (spared != kNoMember) {
+      --spare[spared];
+    }
+  }
+  return alternates;
+}
+
+} // namespace
+
+std::vector<std::uint32_t> BucketQuotas(std::span<const WeightedMember> aMembers,
+                                        std::uint32_t aBuckets)
+{
+  std::vector<std::uint32_t> quotas(aMembers.size(), 0);
+  const std::uint64_t sum = SumOfWeights(aMembers);
+  if (sum == 0) {
+    return quotas;
+  }
+  std::vector<std::size_t> byRemainder(aMembers.size());
+  std::iota(byRemainder.begin(), byRemainder.end(), std::size_t{0});
+  std::uint32_t left = aBuckets;
+  for (std::size_t i = 0; i < aMembers.size(); ++i) {
+    quotas[i] = static_cast<std::uint32_t>(aMembers[i].mWeight * std::uint64_t{aBuckets} / sum);
+    left -= quotas[i];
+  }
+  std::stable_sort(byRemainder.begin(), byRemainder.end(),
+                   [&](std::size_t aLeft, std::size_t aRight) {
+                     return aMembers[aLeft].mWeight * std::uint64_t{aBuckets} % sum >
+                            aMembers[aRight].mWeight * std::uint64_t{aBuckets} % sum;
+                   });
+  for (std::uint32_t i = 0; i < left; ++i) {
+    ++quotas[byRemainder[i]];
+  }
+  return quotas;
+}
+
+std::unique_ptr<AssignmentStrategy> MakeRendezvousStrategy()
+{
+  return std::make_unique<RendezvousStrategy>();
+}
+
+AssignmentTable::AssignmentTable(std::span<const WeightedMember> aMembers, std::uint32_t aBuckets,
+                                 const std::vector<bool>& aAlternateEligible)
+  : mOwners(RendezvousStrategy().Owners(aMembers, aBuckets))
+  , mAlternates(Alternates(aMembers, mOwners, aAlternateEligible))
+{
+}
+
+} // namespace dandelionslip
--- /dev/null
+++ b/lib/Route/RoutingSnapshot.cpp
@@ -0,0 +1,203 @@
+// Resolution of buckets to endpoints and the per-packet decision.
+#include "dandelionslip/Route/RoutingSnapshot.h"
+
+#include "dandelionslip/Route/FlowHash.h"
+
+#include <algorithm>
+#include <bit>
+
+namespace dandelionslip {
+
+namespace {
+
+Refusal RefusalFor(RefusalReason aReason)
+{
+  return {aReason, kBalancerRetryAfterMs};
+}
+
+} // namespace
+
+RoutingSnapshot::RoutingSnapshot(const View& aView, const Configuration& aConfiguration,
+                                 const DataCentreGates& aGates)
+  : mViewRevision(aView.mRevision)
+  , mConfigurationRevision(aConfiguration.mRevision)
+  , mGates(aGates)
+{
+  std::vector<AddressSlot> addresses;
+  for (const auto& [name, entry] : aConfiguration.mServices) {
+    auto service = std::make_unique<Service>();
+    service->mTable = ServiceTable(aView, aConfiguration, name);
+    ResolveTargets(*service);
+    for (const std::string& text : entry.mSpec.mAddresses) {
+      if (const auto address = Endpoint::Parse(text)) {
+        addresses.push_back({address.value(), service.get()});
+      }
+    }
+    mServices.emplace(name, std::move(service));
+  }
+  IndexAddresses(addresses);
+}
+
+RoutingSnapshot::Target RoutingSnapshot::TargetFor(const ServiceTable& aTable,
+                                                   MemberIndex aMember) const
+{
+  if (aMember == kNoMember) {
+    return {};
+  }
+  const TableMember& member = aTable.Members()[aMember];
+  const auto gate = mGates.find(member.mDataCentre);
+  return gate == mGates.end() ? Target{} : Target{member.mDatagramEndpoint, gate->second.get()};
+}
+
+void RoutingSnapshot::ResolveTargets(Service& aService) const
+{
+  const ServiceTable& table = aService.mTable;
+  aService.mWithoutOwner =
+    table.AllDataCentresOut() ? RefusalReason::DataCentreOut : RefusalReason::NoUpstream;
+  for (std::uint32_t bucket = 0; bucket < table.Buckets(); ++bucket) {
+    const MemberIndex owner = table.Assignment().Owner(bucket);
+    const MemberIndex acting = table.ActingFor(owner);
+    // The owner is away and nobody acts for it: the alternate admits new flows on its behalf.
+    const bool away = owner != kNoMember && acting == owner &&
+                      table.Members()[owner].mState == MemberState::Restarting;
+    const MemberIndex alternate = table.Assignment().Alternate(bucket);
+    aService.mEstablished.push_back(TargetFor(table, acting));
+    aService.mOpening.push_back(
+      TargetFor(table, away && alternate != kNoMember ? alternate : acting));
+  }
+}
+
+void RoutingSnapshot::IndexAddresses(const std::vector<AddressSlot>& aAddresses)
+{
+  if (aAddresses.empty()) {
+    return;
+  }
+  mAddresses.resize(std::bit_ceil(aAddresses.size() * 2));
+  for (const AddressSlot& address : aAddresses) {
+    std::size_t index = HashOf(address.mAddress) & (mAddresses.size() - 1);
+    while (mAddresses[index].mService != nullptr &&
+           mAddresses[index].mAddress != address.mAddress) {
+      index = (index + 1) & (mAddresses.size() - 1);
+    }
+    if (mAddresses[index].mService == nullptr) {
+      mAddresses[index] = address;
+    }
+  }
+}
+
+const RoutingSnapshot::Service* RoutingSnapshot::FindByAddress(const Endpoint& aAddress) const
+{
+  if (mAddresses.empty()) {
+    return nullptr;
+  }
+  std::size_t index = HashOf(aAddress) & (mAddresses.size() - 1);
+  while (mAddresses[index].mService != nullptr && mAddresses[index].mAddress != aAddress) {
+    index = (index + 1) & (mAddresses.size() - 1);
+  }
+  return mAddresses[index].mService;
+}
+
+const RoutingSnapshot::Service* RoutingSnapshot::FindByName(std::string_view aServiceName) const
+{
+  const auto found = mServices.find(aServiceName);
+  return found == mServices.end() ? nullptr : found->second.get();
+}
+
+const ServiceTable* RoutingSnapshot::FindTable(std::string_view aServiceName) const
+{
+  const Service* service = FindByName(aServiceName);
+  return service == nullptr ? nullptr : &service->mTable;
+}
+
+RouteDecision RoutingSnapshot::Route(const Endpoint& aCaller, const Endpoint& aService,
+                                     bool aOpening, const Endpoint& aBalancer, TimePoint aNow) const
+{
+  const Service* service = FindByAddress(aService);
+  if (service == nullptr) {
+    return RefusalFor(RefusalReason::NoService);
+  }
+  const std::uint64_t hash = FlowHashOf(aCaller, aService);
+  const auto& targets = aOpening ? service->mOpening : service->mEstablished;
+  const Target& target = targets[BucketOf(hash, static_cast<std::uint32_t>(targets.size()))];
+  if (target.mGate == nullptr) {
+    return RefusalFor(service->mWithoutOwner);
+  }
+  if (!target.mGate->IsOpen(aNow)) {
+    return RefusalFor(RefusalReason::NoControl);
+  }
+  ForwardDatagram forward{target.mTo, {}};
+  forward.mHeader.mOpening = aOpening;
+  forward.mHeader.mServiceId = service->mTable.Id();
+  forward.mHeader.mViewRevision = mViewRevision;
+  forward.mHeader.mGeneration = service->mTable.Generation();
+  forward.mHeader.mFlowHash = hash;
+  forward.mHeader.mCaller = aCaller;
+  forward.mHeader.mService = aService;
+  forward.mHeader.mBalancer = aBalancer;
+  return forward;
+}
+
+std::optional<RequestTarget> RoutingSnapshot::RequestTargetFor(const Service& aService,
+                                                               MemberIndex aMember,
+                                                               TimePoint aNow) const
+{
+  if (aMember == kNoMember) {
+    return std::nullopt;
+  }
+  const TableMember& member = aService.mTable.Members()[aMember];
+  const auto gate = mGates.find(member.mDataCentre);
+  if (gate == mGates.end() || !gate->second->IsOpen(aNow)) {
+    return std::nullopt;
+  }
+  return RequestTarget{member.mName, member.mRequestEndpoint};
+}
+
+std::variant<RequestRoute, Refusal> RoutingSnapshot::RouteRequest(std::string_view aServiceName,
+                                                                  std::uint64_t aRequestIdHash,
+                                                                  TimePoint aNow) const
+{
+  const Service* service = FindByName(aServiceName);
+  if (service == nullptr) {
+    return RefusalFor(RefusalReason::NoService);
+  }
+  const ServiceTable& table = service->mTable;
+  const std::uint32_t bucket = BucketOf(aRequestIdHash, table.Buckets());
+  const MemberIndex owner = table.ActingFor(table.Assignment().Owner(bucket));
+  if (owner == kNoMember) {
+    return RefusalFor(service->mWithoutOwner);
+  }
+  auto home = RequestTargetFor(*service, owner, aNow);
+  if (!home) {
+    return RefusalFor(RefusalReason::NoControl);
+  }
+  return RequestRoute{table.Id(), table.Generation(), std::move(*home),
+                      RequestTargetFor(*service, table.Assignment().Alternate(bucket), aNow)};
+}
+
+std::variant<RequestCandidates, Refusal> RoutingSnapshot::CandidatesFor(
+  std::string_view aServiceName, std::array<std::uint64_t, 2> aRandom, TimePoint aNow) const
+{
+  const Service* service = FindByName(aServiceName);
+  if (service == nullptr) {
+    return RefusalFor(RefusalReason::NoService);
+  }
+  const ServiceTable& table = service->mTable;
+  std::array<std::optional<RequestTarget>, 2> targets;
+  for (std::size_t i = 0; i < targets.size(); ++i) {
+    const std::uint32_t bucket = BucketOf(aRandom[i], table.Buckets());
+    MemberIndex member = table.Assignment().Owner(bucket);
+    // A member that takes no new work keeps its buckets for a while; its share goes to alternates.
+    if (member != kNoMember && !TakesNewWork(table.Members()[member].mState)) {
+      member = table.Assignment().Alternate(bucket);
+    }
+    targets[i] = RequestTargetFor(*service, member, aNow);
+  }
+  if (!targets[0] && !targets[1]) {
+    const bool owned = table.Buckets() > 0 && table.Assignment().Owner(0) != kNoMember;
+    return RefusalFor(owned ? RefusalReason::NoControl : service->mWithoutOwner);
+  }
+  return RequestCandidates{
+    table.Id(), {targets[0] ? *targets[0] : *targets[1], targets[1] ? *targets[1] : *targets[0]}};
+}
+
+} // namespace dandelionslip
--- /dev/null
+++ b/lib/Route/ServiceTable.cpp
@@ -0,0 +1,142 @@
+// Construction of a service's table from view and configuration.
+#include "dandelionslip/Route/ServiceTable.h"
+
+#include <algorithm>
+#include <bit>
+
+namespace dandelionslip {
+
+namespace {
+
+// Longest chain of custodians that is followed; guards against members that name each other.
+constexpr std::size_t kMaxCustodians = 8;
+
+std::uint32_t WeightIn(const Generation& aGeneration, const std::string& aMember)
+{
+  for (const WeightedMember& member : aGeneration.mMembers) {
+    if (member.mMember == aMember) {
+      return member.mWeight;
+    }
+  }
+  return 0;
+}
+
+std::vector<WeightedMember> EffectiveWeights(const Generation& aGeneration,
+                                             const std::vector<TableMember>& aMembers)
+{
+  std::vector<WeightedMember> weights;
+  for (const TableMember& member : aMembers) {
+    weights.push_back({member.mName, member.mOut ? 0 : WeightIn(aGeneration, member.mName)});
+  }
+  return weights;
+}
+
+} // namespace
+
+const ServiceView* FindServiceView(const View& aView, const Configuration& aConfiguration,
+                                   const std::string& aServiceName)
+{
+  const ServiceEntry* entry = aConfiguration.FindService(aServiceName);
+  const auto found = aView.mServices.find(aServiceName);
+  if (entry == nullptr || found == aView.mServices.end() ||
+      found->second.mServiceId != entry->mId || found->second.mGenerations.empty()) {
+    return nullptr;
+  }
+  return &found->second;
+}
+
+std::vector<std::string> OwnersIn(const Generation& aGeneration, const ServiceTable& aTable)
+{
+  const auto owners = MakeRendezvousStrategy()->Owners(
+    EffectiveWeights(aGeneration, aTable.Members()), aTable.Buckets());
+  std::vector<std::string> names;
+  names.reserve(owners.size());
+  for (const MemberIndex owner : owners) {
+    names.push_back(owner == kNoMember ? std::string() : aTable.Members()[owner].mName);
+  }
+  return names;
+}
+
+ServiceTable::ServiceTable(const View& aView, const Configuration& aConfiguration,
+                           const std::string& aServiceName)
+{
+  const ServiceEntry* entry = aConfiguration.FindService(aServiceName);
+  if (entry == nullptr) {
+    return;
+  }
+  mId = entry->mId;
+  AddMembers(aServiceName, aView, aConfiguration);
+  ResolveActing();
+  dandelionslip::Generation newest;
+  if (const ServiceView* service = FindServiceView(aView, aConfiguration, aServiceName)) {
+    newest = service->mGenerations.front();
+  }
+  mGeneration = newest.mNumber;
+  std::vector<bool> eligible;
+  bool anyIn = false;
+  bool anyOut = false;
+  for (const TableMember& member : mMembers) {
+    eligible.push_back(TakesNewWork(member.mState));
+    const bool weighted = WeightIn(newest, member.mName) > 0;
+    anyIn = anyIn || (weighted && !member.mDataCentreOut);
+    anyOut = anyOut || (weighted && member.mDataCentreOut);
+  }
+  mAllDataCentresOut = anyOut && !anyIn;
+  mTable = AssignmentTable(EffectiveWeights(newest, mMembers),
+                           std::bit_floor(std::max(1U, entry->mSpec.mBuckets)), eligible);
+}
+
+void ServiceTable::AddMembers(const std::string& aServiceName, const View& aView,
+                              const Configuration& aConfiguration)
+{
+  for (const auto& [name, member] : aView.mMembers) {
+    if (member.mKind != MemberKind::Agent || member.mService != aServiceName) {
+      continue;
+    }
+    const auto endpoint = Endpoint::Parse(member.mDatagramEndpoint);
+    TableMember added;
+    added.mName = name;
+    added.mDataCentre = member.mDataCentre;
+    added.mCustodian = member.mState == MemberState::Restarting ? member.mCustodian : "";
+    added.mRequestEndpoint = member.mRequestEndpoint;
+    added.mDatagramEndpoint = endpoint ? endpoint.value() : Endpoint{};
+    added.mState = member.mState;
+    added.mDataCentreOut = aConfiguration.IsOut(member.mDataCentre);
+    added.mOut = added.mDataCentreOut || !HoldsFlows(member.mState) || !endpoint;
+    mMembers.push_back(std::move(added));
+  }
+}
+
+void ServiceTable::ResolveActing()
+{
+  for (std::size_t i = 0; i < mMembers.size(); ++i) {
+    auto acting = static_cast<MemberIndex>(i);
+    for (std::size_t step = 0; step < kMaxCustodians; ++step) {
+      const MemberIndex custodian =
+        mMembers[acting].mCustodian.empty() ? kNoMember : Find(mMembers[acting].mCustodian);
+      if (custodian == kNoMember || mMembers[custodian].mOut) {
+        break;
+      }
+      acting = custodian;
+    }
+    mActing.push_back(acting);
+  }
+}
+
+MemberIndex ServiceTable::Find(std::string_view aName) const
+{
+  const auto found = std::lower_bound(
+    mMembers.begin(), mMembers.end(), aName,
+    [](const TableMember& aMember, std::string_view aWanted) { return aMember.mName < aWanted; });
+  if (found == mMembers.end() || found->mName != aName) {
+    return kNoMember;
+  }
+  return static_cast<MemberIndex>(found - mMembers.begin());
+}
+
+MemberIndex ServiceTable::ActingFor(MemberIndex aMember) const
+{
+  return aMember == kNoMember ? kNoMember : mActing[aMember];
+}
+
+} // namespace dandelionslip
--- /dev/null
+++ b/unittests/Agent/FlowHistory.h
@@ -0,0 +1,41 @@
+// History of flows in a simulated system, and its checker.
+#pragma once
+
+#include "dandelionslip/Model/RefusalReason.h"
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace dandelionslip {
+
+enum class FlowEventKind
+{
+  Delivered,     ///< mNode (upstream) got a packet of the session on mPort.
+  Established,   ///< The caller got the first reply, from mNode and mPort.
+  Refused,       ///< The caller got a refusal with mReason.
+  Silent,        ///< The caller got no reply at the end although nothing changes any more.
+  Ended,         ///< The caller closed the session.
+  DataCentreOut, ///< Operators took mDataCentre out.
+  Applied,       ///< Balancer mNode applied that mDataCentre is out (mPort 1) or in (mPort 0).
+  Forwarded,     ///< Balancer mNode forwarded a packet to mDataCentre.
+};
+
+/// One event of a history.
+struct FlowEvent
+{
+  FlowEventKind mKind = FlowEventKind::Delivered;
+  std::uint64_t mSession = 0;
+  std::string mNode;
+  std::string mDataCentre; ///< Of the upstream, for Delivered and Established.
+  std::string mService;
+  std::uint16_t mPort = 0;
+  RefusalReason mReason = RefusalReason::UnknownFlow;
+};
+
+/// Checks that established sessions stay at their upstream and port while their data centre is in,
+/// that no session reaches two services, and that balancers forward to no data centre that they
+/// know to be out. Returns the violations.
+std::vector<std::string> CheckFlowHistory(const std::vector<FlowEvent>& aEvents);
+
+} // namespace dandelionslip
