--- a/unittests/Agent/UpstreamAdmissionTest.cpp
+++ b/unittests/Agent/UpstreamAdmissionTest.cpp
@@ -144,7 +144,7 @@
 {
   CPPUNIT_TEST_SUITE(UpstreamAdmissionTest);
   CPPUNIT_TEST(LoadNeverExceedsTheBound);
-  CPPUNIT_TEST(LyingEndpointsNeverRaiseTheLimit);
+  CPPUNIT_TEST(MisleadingEndpointsNeverRaiseTheLimit);
   CPPUNIT_TEST(HealthyReportsDoNotHideAReturnToCold);
   CPPUNIT_TEST(ReturnOfAllCallersIsPaced);
   CPPUNIT_TEST(EstablishedFlowsSurviveAReturnToCold);
@@ -171,8 +171,8 @@
     CPPUNIT_ASSERT(peakFlows > 20);
   }
 
-  // Guards against endpoints that attract load: idle, healthy, stuck, late or senseless reports.
-  void LyingEndpointsNeverRaiseTheLimit()
+  // Guards against endpoints that attract load: idle, healthy, stuck, late or invalid reports.
+  void MisleadingEndpointsNeverRaiseTheLimit()
   {
     constexpr double kInfinity = std::numeric_limits<double>::infinity();
     const std::vector<double> loads{0, -5, kInfinity, -kInfinity, std::nan(""), 0.5, 1.5, 40};
@@ -213,7 +213,7 @@
     CPPUNIT_ASSERT_EQUAL(50U, admission.UpdateWeight(now));
   }
 
-  // Guards against a stampede when all callers return together after a holiday.
+  // Guards against an overload when all callers return together after a holiday.
   void ReturnOfAllCallersIsPaced()
   {
     TimePoint now = kStart;
--- a/unittests/Agent/WeightSimulation.h
+++ b/unittests/Agent/WeightSimulation.h
@@ -139,9 +139,9 @@
     const double load =
       (1.0 + aUpstream.mAdmission.SlotsInUse()) / static_cast<double>(mSpec.mSlots);
     Keep(aUpstream.mLoads, load);
-    const bool lies = aUpstream.mLagTicks % 5 == 0;
-    aUpstream.mAdmission.ReportLoad(mNow,
-                                    lies ? 0.0 : Lagged(aUpstream.mLoads, aUpstream.mLagTicks));
+    const bool reportsIdle = aUpstream.mLagTicks % 5 == 0;
+    aUpstream.mAdmission.ReportLoad(
+      mNow, reportsIdle ? 0.0 : Lagged(aUpstream.mLoads, aUpstream.mLagTicks));
     aUpstream.mAdmission.ReportHealth(mNow, true);
   }
 
