--- a/lib/Control/ViewBuilder.cpp
+++ b/lib/Control/ViewBuilder.cpp
@@ -104,7 +104,8 @@
   }
   Pace& pace = mPace[aName];
   if (pace.mServiceId != aEntry.mId) {
-    pace = Pace{aEntry.mId, {}, false, false};
+    // In a new term, the deposed leader may have stepped the weights just before.
+    pace = Pace{aEntry.mId, aNow, !service.mGenerations.empty(), false};
   }
   const bool stepDue = !pace.mStepped || aNow - pace.mLastStep >= mSettings.mStepInterval;
   const GenerationPlan plan(aName, aConfiguration, aLeases, aAgents);
--- /dev/null
+++ b/unittests/Control/LeaseTableTest.cpp
@@ -0,0 +1,163 @@
+// Tests of leases, fencing and planned stops.
+#include "ControlFixtures.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace dandelionslip {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+class LeaseTableTest : public CppUnit::TestFixture
+{
+  CPPUNIT_TEST_SUITE(LeaseTableTest);
+  CPPUNIT_TEST(LossComesAfterLeaseAndMargin);
+  CPPUNIT_TEST(PlannedStopIsNotALoss);
+  CPPUNIT_TEST(LowerIncarnationsAreFenced);
+  CPPUNIT_TEST(LateAnnouncementsDoNotTakeBackAStop);
+  CPPUNIT_TEST(NewLeaderGivesAFullLease);
+  CPPUNIT_TEST(RegainedLeaseRestoresTheState);
+  CPPUNIT_TEST(TheTableIsBounded);
+  CPPUNIT_TEST(InvalidAnnouncementsAreRefused);
+  CPPUNIT_TEST_SUITE_END();
+
+  static MemberState StateOf(const LeaseTable& aTable, const std::string& aName)
+  {
+    return aTable.Find(aName)->mAnnouncement.mMember.mState;
+  }
+
+  // Guards against a member declared lost while it may still believe in its lease (I7).
+  void LossComesAfterLeaseAndMargin()
+  {
+    LeaseTable table{MembershipSettings{}};
+    table.Renew(AgentAnnouncement("a"), kTestStart);
+    CPPUNIT_ASSERT(table.Expire(kTestStart + 2'499ms).empty());
+    CPPUNIT_ASSERT(MemberState::Serving == StateOf(table, "a"));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, table.Expire(kTestStart + 2'500ms).size());
+    CPPUNIT_ASSERT(MemberState::Lost == StateOf(table, "a"));
+    CPPUNIT_ASSERT(table.Expire(kTestStart + 2'600ms).empty());
+  }
+
+  // Guards against buckets that move while an upstream's process restarts as planned (I1, I9).
+  void PlannedStopIsNotALoss()
+  {
+    LeaseTable table{MembershipSettings{}};
+    auto stop = AgentAnnouncement("a", 1, MemberState::Restarting);
+    stop.mMember.mCustodian = "b";
+    table.Renew(AgentAnnouncement("a"), kTestStart);
+    table.Renew(stop, kTestStart + 100ms);
+    CPPUNIT_ASSERT(table.Expire(kTestStart + 10'099ms).empty());
+    CPPUNIT_ASSERT(MemberState::Restarting == StateOf(table, "a"));
+    table.Renew(AgentAnnouncement("a", 2, MemberState::Cold), kTestStart + 5s);
+    CPPUNIT_ASSERT_EQUAL(std::string("b"), table.Find("a")->mAnnouncement.mMember.mCustodian);
+    table.Renew(AgentAnnouncement("a", 2), kTestStart + 6s);
+    CPPUNIT_ASSERT(table.Find("a")->mAnnouncement.mMember.mCustodian.empty());
+    table.Renew(AgentAnnouncement("a", 2, MemberState::Restarting), kTestStart + 7s);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, table.Expire(kTestStart + 17s).size());
+    table.Renew(AgentAnnouncement("c", 1, MemberState::Left), kTestStart);
+    CPPUNIT_ASSERT(table.Expire(kTestStart + 60s).empty());
+    CPPUNIT_ASSERT(MemberState::Left == StateOf(table, "c"));
+  }
+
+  // Guards against two processes that both own one upstream.
+  void LowerIncarnationsAreFenced()
+  {
+    LeaseTable table{MembershipSettings{}};
+    table.Renew(AgentAnnouncement("a", 5), kTestStart);
+    CPPUNIT_ASSERT(RenewalOutcome::Fenced == table.Renew(AgentAnnouncement("a", 4), kTestStart));
+    CPPUNIT_ASSERT(RenewalOutcome::Fenced == table.Touch("a", 4, kTestStart + 1s));
+    CPPUNIT_ASSERT(RenewalOutcome::Accepted == table.Renew(AgentAnnouncement("a", 6), kTestStart));
+    CPPUNIT_ASSERT(RenewalOutcome::Fenced == table.Renew(AgentAnnouncement("a", 5), kTestStart));
+    CPPUNIT_ASSERT(RenewalOutcome::Invalid == table.Touch("a", 7, kTestStart));
+    table.Expire(kTestStart + 3s);
+    CPPUNIT_ASSERT(RenewalOutcome::Fenced ==
+                   table.Renew(AgentAnnouncement("a", 5), kTestStart + 4s));
+  }
+
+  // Guards against a stopped process that reappears because an older announcement arrives late
+  // through another replica.
+  void LateAnnouncementsDoNotTakeBackAStop()
+  {
+    LeaseTable table{MembershipSettings{}};
+    table.Renew(AgentAnnouncement("a", 1, MemberState::Restarting), kTestStart);
+    CPPUNIT_ASSERT(RenewalOutcome::Fenced == table.Renew(AgentAnnouncement("a"), kTestStart + 1s));
+    CPPUNIT_ASSERT(MemberState::Restarting == StateOf(table, "a"));
+    table.Renew(AgentAnnouncement("a", 1, MemberState::Left), kTestStart + 2s);
+    CPPUNIT_ASSERT(RenewalOutcome::Fenced == table.Touch("a", 1, kTestStart + 3s));
+    CPPUNIT_ASSERT(MemberState::Left == StateOf(table, "a"));
+  }
+
+  // Guards against a new leader that declares members lost because it has not heard them yet.
+  void NewLeaderGivesAFullLease()
+  {
+    View view;
+    view.mMembers["a"] = AgentAnnouncement("a", 3).mMember;
+    view.mMembers["b"] = AgentAnnouncement("b", 3, MemberState::Restarting).mMember;
+    view.mMembers["c"] = AgentAnnouncement("c", 3).mMember;
+    view.mMembers["c"].mState = MemberState::Lost;
+    LeaseTable table{MembershipSettings{}};
+    table.Adopt(view, kTestStart);
+    CPPUNIT_ASSERT(table.Expire(kTestStart + 2'499ms).empty());
+    CPPUNIT_ASSERT(MemberState::Lost == StateOf(table, "c"));
+    CPPUNIT_ASSERT(RenewalOutcome::Fenced ==
+                   table.Renew(AgentAnnouncement("a", 2), kTestStart + 1s));
+    table.Renew(AgentAnnouncement("a", 3), kTestStart + 2s);
+    table.Adopt(view, kTestStart + 2'200ms);
+    CPPUNIT_ASSERT(table.Find("a")->mHeard);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, table.Expire(kTestStart + 4'500ms).size());
+    CPPUNIT_ASSERT(MemberState::Restarting == StateOf(table, "b"));
+  }
+
+  // Guards against a healed partition after which members stay lost (section 11, regions part).
+  void RegainedLeaseRestoresTheState()
+  {
+    LeaseTable table{MembershipSettings{}};
+    table.Renew(AgentAnnouncement("a", 1, MemberState::Draining), kTestStart);
+    table.Expire(kTestStart + 60s);
+    CPPUNIT_ASSERT(RenewalOutcome::Accepted == table.Touch("a", 1, kTestStart + 61s));
+    CPPUNIT_ASSERT(MemberState::Draining == StateOf(table, "a"));
+  }
+
+  // Guards against memory that grows with every name ever announced.
+  void TheTableIsBounded()
+  {
+    MembershipSettings settings;
+    settings.mMaxMembers = 2;
+    LeaseTable table(settings);
+    table.Renew(AgentAnnouncement("a"), kTestStart);
+    table.Renew(AgentAnnouncement("b"), kTestStart);
+    CPPUNIT_ASSERT(RenewalOutcome::Full == table.Renew(AgentAnnouncement("c"), kTestStart));
+    table.Expire(kTestStart + 3s);
+    View view;
+    view.mServices["planner"].mGenerations = {{1, {{"b", 1}}}};
+    table.Forget(view, kTestStart + 602s);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, table.Entries().size());
+    table.Forget(view, kTestStart + 604s);
+    CPPUNIT_ASSERT(table.Find("a") == nullptr);
+    CPPUNIT_ASSERT(table.Find("b") != nullptr);
+  }
+
+  // Guards against members that no view can describe.
+  void InvalidAnnouncementsAreRefused()
+  {
+    LeaseTable table{MembershipSettings{}};
+    const auto refuses = [&](auto aChange) {
+      Announcement announcement = AgentAnnouncement("a");
+      aChange(announcement.mMember);
+      return table.Renew(announcement, kTestStart) == RenewalOutcome::Invalid;
+    };
+    CPPUNIT_ASSERT(refuses([](Member& m) { m.mName.clear(); }));
+    CPPUNIT_ASSERT(refuses([](Member& m) { m.mName = std::string(256, 'a'); }));
+    CPPUNIT_ASSERT(refuses([](Member& m) { m.mState = MemberState::Lost; }));
+    CPPUNIT_ASSERT(refuses([](Member& m) { m.mService.clear(); }));
+    CPPUNIT_ASSERT(refuses([](Member& m) { m.mIncarnation = 0; }));
+    CPPUNIT_ASSERT(refuses([](Member& m) { m.mDataCentre.clear(); }));
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(LeaseTableTest);
+
+} // namespace
+
+} // namespace dandelionslip
