--- a/unittests/Control/MembershipCluster.cpp
+++ b/unittests/Control/MembershipCluster.cpp
@@ -188,8 +188,11 @@
                              isNew || known->second == generation.mMembers);
     }
   }
-  for (const auto& [name, member] : Core(mLeader).CurrentView().mMembers) {
-    CheckLost(Core(mLeader).CurrentView(), name);
+  // Before it has heard a quorum, a new leader may hold an outdated view, which it does not act on.
+  if (Core(mLeader).IssuesViews()) {
+    for (const auto& [name, member] : Core(mLeader).CurrentView().mMembers) {
+      CheckLost(Core(mLeader).CurrentView(), name);
+    }
   }
 }
 
