--- a/unittests/Control/FakeFileLayer.cpp
+++ b/unittests/Control/FakeFileLayer.cpp
@@ -35,6 +35,11 @@
   mSyncedNames = mNames;
   mOpen.clear();
   mCrashed = false;
+  Disarm();
+}
+
+void FakeFileLayer::Disarm()
+{
   mCrashAt = std::numeric_limits<std::size_t>::max();
   mFailSyncAt = mCrashAt;
 }
--- a/unittests/Control/FakeFileLayer.h
+++ b/unittests/Control/FakeFileLayer.h
@@ -26,6 +26,8 @@
   void CrashBefore(std::size_t aOperation) { mCrashAt = mOperations + aOperation; }
   /// Fails the sync with this number, counted from now on, starting with 0.
   void FailSync(std::size_t aSync) { mFailSyncAt = mSyncs + aSync; }
+  /// Takes back crashes and failures that have not happened yet.
+  void Disarm();
   bool Crashed() const { return mCrashed; }
   std::size_t Operations() const { return mOperations; }
   /// Loses what was not synced and makes the files usable again.
--- a/unittests/Control/SimulatedReplica.cpp
+++ b/unittests/Control/SimulatedReplica.cpp
@@ -44,6 +44,10 @@
 bool SimulatedReplica::Start(TimePoint aNow)
 {
   auto store = LogStore::Open(mFiles, {"data", kSegmentBytes, mId}, mRandom);
+  if (!store && store.error().mCode == ErrorCode::Io) {
+    Crash();
+    return false;
+  }
   if (!store) {
     mStopReason = store.error().Message();
     return false;
