--- a/unittests/Control/RaftCoreTest.cpp
+++ b/unittests/Control/RaftCoreTest.cpp
@@ -12,6 +12,22 @@
   CPPUNIT_TEST_SUITE(RaftCoreTest);
   CPPUNIT_TEST(OneReplicaCommitsAlone);
   CPPUNIT_TEST(ThreeReplicasElectAndCommit);
+  CPPUNIT_TEST(IsolatedLeaderStepsDownAndIsNotConfirmed);
+  CPPUNIT_TEST(IsolatedFollowerDoesNotDisturbTheLeader);
+  CPPUNIT_TEST(LongIsolatedReplicaCatchesUpBySnapshot);
+  CPPUNIT_TEST(LeaderLostBeforeAnswerLeavesOneOutcome);
+  CPPUNIT_TEST(RefusedProposalIsCertain);
+  CPPUNIT_TEST(SecondLossRightAfterTheRepair);
+  CPPUNIT_TEST(LearnerIsPromotedOnlyWhenDurable);
+  CPPUNIT_TEST(OneMembershipChangeAtATime);
+  CPPUNIT_TEST(RemovedIdentityIsRefusedForGood);
+  CPPUNIT_TEST(WipedVoterIsRefused);
+  CPPUNIT_TEST(WipedPromotedReplicaIsRefused);
+  CPPUNIT_TEST(WipedLearnerStartsAgain);
+  CPPUNIT_TEST(LateMessagesDoNotFillAWipedDisk);
+  CPPUNIT_TEST(FailedSyncStopsTheReplica);
+  CPPUNIT_TEST(TransferHandsOverWithoutALoss);
+  CPPUNIT_TEST(DelayedAppendDoesNotConfirm);
   CPPUNIT_TEST_SUITE_END();
 
   static void CheckHistory(SimulatedCluster& aCluster)
@@ -19,24 +35,342 @@
     CPPUNIT_ASSERT_EQUAL(std::string(), aCluster.Checker().FirstViolation());
   }
 
+  static void CommitSome(SimulatedCluster& aCluster, int aCount = 5)
+  {
+    for (int i = 0; i < aCount; ++i) {
+      CPPUNIT_ASSERT(aCluster.ProposeAndAwait());
+    }
+  }
+
+  static void AwaitConverged(SimulatedCluster& aCluster)
+  {
+    CPPUNIT_ASSERT(aCluster.RunUntil([&] { return aCluster.Converged(); }));
+    CheckHistory(aCluster);
+  }
+
+  static bool Change(SimulatedCluster& aCluster, MembershipChangeKind aKind, const ReplicaId& aId)
+  {
+    return aCluster.ChangeAndAwait({aKind, aId, "127.0.0.1:1"});
+  }
+
   // Guards against a single replica that waits for answers of others.
   void OneReplicaCommitsAlone()
   {
     SimulatedCluster cluster(1, 1, 1);
-    CPPUNIT_ASSERT(cluster.ProposeAndAwait());
-    CheckHistory(cluster);
+    CommitSome(cluster);
+    AwaitConverged(cluster);
   }
 
   // Guards against a log that elects no leader or commits nothing without faults.
   void ThreeReplicasElectAndCommit()
   {
     SimulatedCluster cluster(3, 3, 1);
-    for (int i = 0; i < 20; ++i) {
-      CPPUNIT_ASSERT(cluster.ProposeAndAwait());
+    CommitSome(cluster, 20);
+    AwaitConverged(cluster);
+    for (std::size_t i = 0; i < 3; ++i) {
+      CPPUNIT_ASSERT(cluster.At(i).Core().Confirmed(cluster.Now()));
     }
-    CPPUNIT_ASSERT(cluster.RunUntil([&] { return cluster.Converged(); }));
+  }
+
+  // Guards against an isolated leader that goes on answering reads and accepting proposals.
+  void IsolatedLeaderStepsDownAndIsNotConfirmed()
+  {
+    SimulatedCluster cluster(3, 3, 2);
+    const std::size_t old = cluster.AwaitLeader();
+    CommitSome(cluster);
+    cluster.Isolate(old);
+    CPPUNIT_ASSERT(cluster.Propose(cluster.At(old)));
+    cluster.RunFor(Milliseconds(520));
+    CPPUNIT_ASSERT(!cluster.At(old).Core().Confirmed(cluster.Now()));
+    CPPUNIT_ASSERT(cluster.RunUntil([&] { return !cluster.At(old).IsLeader(); }));
+    CPPUNIT_ASSERT(!cluster.At(old).Core().Leader());
+    CommitSome(cluster);
+    cluster.Heal();
+    AwaitConverged(cluster);
+  }
+
+  // Guards against a returning replica that forces a new election.
+  void IsolatedFollowerDoesNotDisturbTheLeader()
+  {
+    SimulatedCluster cluster(3, 3, 3);
+    const std::size_t leader = cluster.AwaitLeader();
+    const Term term = cluster.At(leader).Core().CurrentTerm();
+    const std::size_t follower = (leader + 1) % 3;
+    cluster.Isolate(follower);
+    cluster.RunFor(Milliseconds(20000));
+    CPPUNIT_ASSERT(!cluster.At(follower).Core().Confirmed(cluster.Now()));
+    cluster.Heal();
+    AwaitConverged(cluster);
+    CPPUNIT_ASSERT_EQUAL(term, cluster.At(leader).Core().CurrentTerm());
+    CPPUNIT_ASSERT(cluster.At(leader).IsLeader());
+  }
+
+  // Guards against a replica that cannot return once the entries it needs are compacted.
+  void LongIsolatedReplicaCatchesUpBySnapshot()
+  {
+    RaftSettings settings;
+    settings.mSnapshotChunkBytes = 64;
+    SimulatedCluster cluster(3, 3, 4, settings);
+    const std::size_t follower = (cluster.AwaitLeader() + 1) % 3;
+    cluster.Isolate(follower);
+    for (int i = 0; i < 5; ++i) {
+      CommitSome(cluster, 10);
+      cluster.Leader()->TakeSnapshot();
+    }
+    cluster.Heal();
+    AwaitConverged(cluster);
+    CPPUNIT_ASSERT(cluster.At(follower).SnapshotsInstalled() > 0);
+    cluster.At(follower).Crash();
+    CPPUNIT_ASSERT(cluster.At(follower).Start(cluster.Now()));
+    CommitSome(cluster);
+    AwaitConverged(cluster);
+  }
+
+  // Guards against an entry that is both answered as lost and applied, when the leader fails after
+  // the append and before the answer; the moment of the loss is varied.
+  void LeaderLostBeforeAnswerLeavesOneOutcome()
+  {
+    for (int steps = 0; steps < 8; ++steps) {
+      SimulatedCluster cluster(3, 3, 5);
+      const std::size_t old = cluster.AwaitLeader();
+      CPPUNIT_ASSERT(cluster.Propose(cluster.At(old)));
+      cluster.RunFor(Milliseconds(steps));
+      cluster.Isolate(old);
+      CommitSome(cluster);
+      cluster.Heal();
+      AwaitConverged(cluster);
+    }
+  }
+
+  // Guards against a refusal that does not hold: followers append nothing.
+  void RefusedProposalIsCertain()
+  {
+    RaftSettings settings;
+    settings.mMaxPayloadBytes = 8;
+    SimulatedCluster cluster(3, 3, 6, settings);
+    const std::size_t leader = cluster.AwaitLeader();
+    SimulatedReplica& follower = cluster.At((leader + 1) % 3);
+    const LogIndex last = follower.Core().LastIndex();
+    const auto refused = cluster.Propose(follower);
+    CPPUNIT_ASSERT(refused.error().mCode == ErrorCode::Unavailable);
+    CPPUNIT_ASSERT_EQUAL(cluster.At(leader).Id(), refused.error().mPeer);
+    CPPUNIT_ASSERT_EQUAL(last, follower.Core().LastIndex());
+    const auto large = cluster.At(leader).Propose(cluster.Now(), Bytes(9));
+    CPPUNIT_ASSERT(large.error().mCode == ErrorCode::LimitExceeded);
+  }
+
+  // Guards against a quorum that counts a replica without the log: the replica that replaces a lost
+  // one must carry the log alone with one other when a second one is lost at once.
+  void SecondLossRightAfterTheRepair()
+  {
+    SimulatedCluster cluster(4, 3, 7);
+    CommitSome(cluster);
+    const std::size_t leader = cluster.AwaitLeader();
+    const std::size_t lost = (leader + 1) % 3;
+    cluster.At(lost).Crash();
+    CPPUNIT_ASSERT(Change(cluster, MembershipChangeKind::AddLearner, cluster.At(3).Id()));
+    CPPUNIT_ASSERT(Change(cluster, MembershipChangeKind::Promote, cluster.At(3).Id()));
+    CPPUNIT_ASSERT(Change(cluster, MembershipChangeKind::Remove, cluster.At(lost).Id()));
+    cluster.At(leader).Crash();
+    CommitSome(cluster);
+    AwaitConverged(cluster);
+    CPPUNIT_ASSERT(cluster.At(3).Core().Members().IsVoter(cluster.At(3).Id()));
+  }
+
+  // Guards against a promotion of a learner that lacks committed entries or is out of contact.
+  void LearnerIsPromotedOnlyWhenDurable()
+  {
+    SimulatedCluster cluster(4, 3, 8);
+    CommitSome(cluster, 20);
+    cluster.Isolate(3);
+    CPPUNIT_ASSERT(Change(cluster, MembershipChangeKind::AddLearner, cluster.At(3).Id()));
+    const MembershipChange promote{MembershipChangeKind::Promote, cluster.At(3).Id(), ""};
+    const auto refused = cluster.Leader()->Change(cluster.Now(), promote);
+    CPPUNIT_ASSERT(refused.error().mCode == ErrorCode::Conflict);
+    CommitSome(cluster);
+    CPPUNIT_ASSERT(cluster.At(3).Core().Role() == RaftRole::Follower);
+    cluster.Heal();
+    CPPUNIT_ASSERT(cluster.ChangeAndAwait(promote));
+    AwaitConverged(cluster);
+    const ReplicaInfo* info = cluster.Leader()->Core().Members().Find(cluster.At(3).Id());
+    CPPUNIT_ASSERT(info->mVoter && info->mStore != 0);
+  }
+
+  // Guards against two open changes, whose majorities need not overlap.
+  void OneMembershipChangeAtATime()
+  {
+    SimulatedCluster cluster(5, 3, 9);
+    SimulatedReplica& leader = cluster.At(cluster.AwaitLeader());
+    const auto add = [&](std::size_t aIndex) {
+      return leader.Change(
+        cluster.Now(), {MembershipChangeKind::AddLearner, cluster.At(aIndex).Id(), "127.0.0.1:1"});
+    };
+    CPPUNIT_ASSERT(add(3));
+    CPPUNIT_ASSERT(add(4).error().mCode == ErrorCode::Conflict);
+    cluster.RunFor(Milliseconds(200));
+    CPPUNIT_ASSERT(add(4));
+    const MembershipChange self{MembershipChangeKind::Remove, leader.Id(), ""};
+    cluster.RunFor(Milliseconds(200));
+    CPPUNIT_ASSERT(leader.Change(cluster.Now(), self).error().mCode == ErrorCode::InvalidInput);
+    AwaitConverged(cluster);
+  }
+
+  // Guards against a removed replica that comes back under its old identity.
+  void RemovedIdentityIsRefusedForGood()
+  {
+    SimulatedCluster cluster(3, 3, 10);
+    CommitSome(cluster);
+    const std::size_t removed = (cluster.AwaitLeader() + 1) % 3;
+    const ReplicaId id = cluster.At(removed).Id();
+    cluster.Isolate(removed);
+    CPPUNIT_ASSERT(Change(cluster, MembershipChangeKind::Remove, id));
+    const MembershipChange back{MembershipChangeKind::AddLearner, id, "127.0.0.1:1"};
+    CPPUNIT_ASSERT(cluster.Leader()->Change(cluster.Now(), back).error().mCode ==
+                   ErrorCode::InvalidInput);
+    cluster.Heal();
+    CPPUNIT_ASSERT(cluster.RunUntil([&] { return !cluster.At(removed).Running(); }));
+    CPPUNIT_ASSERT(cluster.At(removed).StopReason().find("removed") != std::string::npos);
+    CommitSome(cluster);
     CheckHistory(cluster);
   }
+
+  // Crashes a replica, empties its disk and starts it under its old identity.
+  static void Wipe(SimulatedCluster& aCluster, std::size_t aIndex)
+  {
+    aCluster.At(aIndex).Crash();
+    aCluster.At(aIndex).Files().Wipe();
+    CPPUNIT_ASSERT(aCluster.At(aIndex).Start(aCluster.Now()));
+  }
+
+  static void AwaitRefused(SimulatedCluster& aCluster, std::size_t aIndex)
+  {
+    CPPUNIT_ASSERT(aCluster.RunUntil([&] { return !aCluster.At(aIndex).Running(); }));
+    CPPUNIT_ASSERT(aCluster.At(aIndex).StopReason().find("disk") != std::string::npos);
+    CommitSome(aCluster);
+    CheckHistory(aCluster);
+  }
+
+  // Guards against a voter that forgot its votes and acknowledged entries.
+  void WipedVoterIsRefused()
+  {
+    SimulatedCluster cluster(3, 3, 11);
+    CommitSome(cluster);
+    const std::size_t wiped = (cluster.AwaitLeader() + 1) % 3;
+    Wipe(cluster, wiped);
+    AwaitRefused(cluster, wiped);
+  }
+
+  // Guards against the same after a promotion, and by a leader that did not promote it.
+  void WipedPromotedReplicaIsRefused()
+  {
+    SimulatedCluster cluster(4, 3, 12);
+    CommitSome(cluster);
+    CPPUNIT_ASSERT(Change(cluster, MembershipChangeKind::AddLearner, cluster.At(3).Id()));
+    CPPUNIT_ASSERT(Change(cluster, MembershipChangeKind::Promote, cluster.At(3).Id()));
+    AwaitConverged(cluster);
+    cluster.At(3).Crash();
+    const std::size_t old = cluster.AwaitLeader();
+    cluster.At(old).Crash();
+    CPPUNIT_ASSERT(cluster.At(old).Start(cluster.Now()));
+    Wipe(cluster, 3);
+    AwaitRefused(cluster, 3);
+  }
+
+  // Guards against a learner, which never voted, that cannot start again with an empty disk.
+  void WipedLearnerStartsAgain()
+  {
+    SimulatedCluster cluster(4, 3, 13);
+    CommitSome(cluster);
+    CPPUNIT_ASSERT(Change(cluster, MembershipChangeKind::AddLearner, cluster.At(3).Id()));
+    AwaitConverged(cluster);
+    Wipe(cluster, 3);
+    CommitSome(cluster);
+    AwaitConverged(cluster);
+    CPPUNIT_ASSERT(cluster.At(3).Core().LastIndex() > 5);
+  }
+
+  // Guards against entries on their way to a lost disk that make the new one look like it.
+  void LateMessagesDoNotFillAWipedDisk()
+  {
+    HistoryChecker checker;
+    Random random(14);
+    SimulatedReplica replica(NewReplicaId(random), {}, 14, checker);
+    const TimePoint now{std::chrono::hours(1)};
+    CPPUNIT_ASSERT(replica.Start(now));
+    AppendRequest append;
+    append.mEntries = {{1, 1, EntryKind::NoOp, {}}};
+    SnapshotRequest snapshot;
+    snapshot.mIndex = 5;
+    snapshot.mLastTerm = 1;
+    constexpr StoreId kLostStore = 99;
+    for (const StoreId store : {StoreId(0), kLostStore}) {
+      replica.Receive(now, {"leader", replica.Id(), 1, 1, false, store, append});
+      replica.Receive(now, {"leader", replica.Id(), 1, 1, false, store, snapshot});
+    }
+    CPPUNIT_ASSERT_EQUAL(LogIndex(0), replica.Core().LastIndex());
+    const auto sent = replica.TakeSent();
+    CPPUNIT_ASSERT_EQUAL(std::size_t(4), sent.size());
+    for (const RaftMessage& message : sent) {
+      CPPUNIT_ASSERT(message.mFromBlank);
+      const auto* answer = std::get_if<AppendAnswer>(&message.mBody);
+      CPPUNIT_ASSERT(answer == nullptr || !answer->mSuccess);
+    }
+  }
+
+  // Guards against a replica that acknowledges after a failed sync.
+  void FailedSyncStopsTheReplica()
+  {
+    SimulatedCluster cluster(3, 3, 15);
+    const std::size_t leader = cluster.AwaitLeader();
+    CommitSome(cluster);
+    const std::size_t failed = (leader + 1) % 3;
+    cluster.At(failed).Files().FailSync(0);
+    CommitSome(cluster);
+    CPPUNIT_ASSERT(cluster.RunUntil([&] { return !cluster.At(failed).Running(); }));
+    CPPUNIT_ASSERT(cluster.At(failed).Start(cluster.Now()));
+    AwaitConverged(cluster);
+  }
+
+  // Guards against a planned stop of the leader that costs an election timeout.
+  void TransferHandsOverWithoutALoss()
+  {
+    SimulatedCluster cluster(3, 3, 16);
+    const std::size_t old = cluster.AwaitLeader();
+    CommitSome(cluster);
+    CPPUNIT_ASSERT(cluster.At(old).Transfer(cluster.Now()));
+    CPPUNIT_ASSERT(!cluster.Propose(cluster.At(old)));
+    CPPUNIT_ASSERT(cluster.RunUntil(
+      [&] { return cluster.Leader() != nullptr && cluster.Leader() != &cluster.At(old); },
+      Milliseconds(100)));
+    CommitSome(cluster);
+    AwaitConverged(cluster);
+  }
+
+  // Guards against a replica that takes an append message that was under way for long as a sign of
+  // a recent quorum contact.
+  void DelayedAppendDoesNotConfirm()
+  {
+    SimulatedCluster cluster(3, 3, 17);
+    const std::size_t leader = cluster.AwaitLeader();
+    CommitSome(cluster);
+    AwaitConverged(cluster);
+    const std::size_t follower = (leader + 1) % 3;
+    std::optional<RaftMessage> kept;
+    while (!kept) {
+      cluster.At(leader).Tick(cluster.Now() + Milliseconds(100));
+      for (const RaftMessage& message : cluster.At(leader).TakeSent()) {
+        if (message.mTo == cluster.At(follower).Id()) {
+          kept = message;
+        }
+      }
+    }
+    CPPUNIT_ASSERT(std::get<AppendRequest>(kept->mBody).mQuorumAgeNs);
+    cluster.Isolate(follower);
+    cluster.RunFor(Milliseconds(600));
+    CPPUNIT_ASSERT(!cluster.At(follower).Core().Confirmed(cluster.Now()));
+    cluster.At(follower).Receive(cluster.Now(), *kept);
+    CPPUNIT_ASSERT(!cluster.At(follower).Core().Confirmed(cluster.Now()));
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(RaftCoreTest);
