Check histories of concurrent requests under faults

Single-step tests cannot show that a request runs at most once while messages, crashes, restarts and hand-offs overlap.

Two balancers, three agents and fake upstreams exchange actions in one process under seeded delays, losses, duplicates, crashes, planned restarts, loss of control contact and bucket hand-offs. The checker, tested with histories that it has to refuse, looks for second runs, answers that no run produced and runs of attempts that were reported as not run.

--- a/include/dandelionslip/Request/HomeActions.h
+++ b/include/dandelionslip/Request/HomeActions.h
@@ -14,6 +14,7 @@
 {
   RunId mRun = 0;
   RequestId mId;
+  Attempt mAttempt = 0;
   Milliseconds mRemaining{0};
   Bytes mBody;
 };
--- a/include/dandelionslip/Request/HomeCore.h
+++ b/include/dandelionslip/Request/HomeCore.h
@@ -80,10 +80,13 @@
   /// The hand-off message of the previous owner arrived.
   Result<HomeActions> OnHandoff(const Json& aHandoff, std::string_view aPeer,
                                 const RequestTime& aTime);
-  /// The previous owner's lease has ended and it cannot hand over.
+  /// The previous owner's lease has ended and it cannot hand over. Has an effect only on a bucket
+  /// that was acquired and is incomplete, so it is reported again when a bucket is acquired later.
   HomeActions OnPreviousOwnerLost(std::uint32_t aBucket, const RequestTime& aTime);
-  /// Another agent took the bucket over after this agent's lease had ended. Has to be reported
-  /// before the lease is reported valid again.
+  /// Another agent owns the bucket in aGeneration and will not ask this agent for it: either this
+  /// agent's lease had ended, or the agent that was to ask was lost. In the first case it has to be
+  /// reported before the lease is reported valid again, in the second before aGeneration's owner
+  /// hears of OnPreviousOwnerLost.
   HomeActions OnBucketDropped(std::uint32_t aBucket, std::uint32_t aGeneration,
                               const RequestTime& aTime);
   /// The owner in aGeneration asks for buckets; from here on this agent decides about no new id in
--- a/include/dandelionslip/Request/HomeEvents.h
+++ b/include/dandelionslip/Request/HomeEvents.h
@@ -11,7 +11,8 @@
 /// Identifies one received request message; answers refer to it. Never reused by the glue.
 using ReplyHandle = std::uint64_t;
 
-/// Identifies one run at the upstream or at the alternate agent; unique within an agent process.
+/// Identifies one run at the upstream or at the alternate agent; unique over all
+/// incarnations of an agent.
 using RunId = std::uint64_t;
 
 /// A request as it arrived at an agent.
--- a/include/dandelionslip/Request/RequestCounters.h
+++ b/include/dandelionslip/Request/RequestCounters.h
@@ -2,9 +2,10 @@
 #pragma once
 
 #include "dandelionslip/Request/RequestOutcome.h"
+#include "dandelionslip/Request/RequestRecords.h"
 #include "dandelionslip/Support/Metrics.h"
 
-#include <string_view>
+#include <vector>
 
 namespace dandelionslip {
 
@@ -47,15 +48,28 @@
 public:
   explicit RequestCounters(MetricsRegistry& aRegistry);
 
-  void CountOutcome(RequestOutcome aOutcome);
-  void CountRefusal(RefusalReason aReason);
-  void CountRetry(RetryReason aReason);
-  void CountDenial(RetryDenial aReason);
-  void CountDrop(RequestDrop aReason);
-  void CountResend(std::string_view aState);
+  void CountOutcome(RequestOutcome aOutcome) { Add(mOutcomes, aOutcome); }
+  void CountRefusal(RefusalReason aReason) { Add(mRefusals, aReason); }
+  void CountRetry(RetryReason aReason) { Add(mRetries, aReason); }
+  void CountDenial(RetryDenial aReason) { Add(mDenials, aReason); }
+  void CountDrop(RequestDrop aReason) { Add(mDrops, aReason); }
+  void CountResend(RecordState aState) { Add(mResends, aState); }
 
 private:
-  MetricsRegistry& mRegistry;
+  using Counters = std::vector<Counter*>;
+
+  template <typename E>
+  static void Add(const Counters& aCounters, E aValue)
+  {
+    aCounters[static_cast<std::size_t>(aValue)]->Add();
+  }
+
+  Counters mOutcomes;
+  Counters mRefusals;
+  Counters mRetries;
+  Counters mDenials;
+  Counters mDrops;
+  Counters mResends;
 };
 
 } // namespace dandelionslip
--- a/lib/Request/HomeArrival.cpp
+++ b/lib/Request/HomeArrival.cpp
@@ -72,7 +72,7 @@
   if (record->mState == RecordState::Refused && aRequest.mAttempt > record->mAttempt) {
     return false;
   }
-  mCounters.CountResend(EnumNames(record->mState)[static_cast<std::size_t>(record->mState)].mName);
+  mCounters.CountResend(record->mState);
   if (record->mState == RecordState::Pending) {
     JoinPending(aRequest, aDeadline);
     return true;
--- a/lib/Request/HomeCore.cpp
+++ b/lib/Request/HomeCore.cpp
@@ -3,6 +3,15 @@
 
 namespace dandelionslip {
 
+namespace {
+
+// Run ids of later incarnations are higher, so that an answer to a run of an earlier process never
+// matches one of this process. An incarnation is a start time in milliseconds, and no process starts
+// 4 million runs in each millisecond of its life.
+constexpr std::uint32_t kRunBits = 22;
+
+} // namespace
+
 HomeCore::Internals::Internals(HomeSettings aSettings, SlotAdmission& aSlots,
                                AlternateLookup aAlternate, MetricsRegistry& aRegistry)
   : mSettings(std::move(aSettings))
@@ -12,6 +21,7 @@
   , mRecords(mSettings.mSelf, mSettings.mBuckets, mSettings.mRecords)
   , mGuests(mSettings.mSelf, 1, mSettings.mRecords)
   , mQueue(2 * static_cast<std::size_t>(mSettings.mSlots))
+  , mNextRun((mSettings.mIncarnation << kRunBits) + 1)
 {
   // Relayed messages name the incarnation they are for, so this table misses none of them.
   mGuests.CompleteFirst(0, 1);
--- a/lib/Request/HomeInternals.h
+++ b/lib/Request/HomeInternals.h
@@ -87,7 +87,7 @@
   std::unordered_map<ReplyHandle, std::uint64_t> mWaiting;
   std::list<HeldRequest> mHeld;
   std::uint64_t mNextToken = 1;
-  RunId mNextRun = 1;
+  RunId mNextRun;
   std::size_t mRunning = 0;
   bool mLeaseValid = false;
   bool mStopping = false;
--- a/lib/Request/HomeRuns.cpp
+++ b/lib/Request/HomeRuns.cpp
@@ -67,8 +67,9 @@
   aJob.mRun = mNextRun++;
   mRuns[aJob.mRun] = aJob.mToken;
   ++mRunning;
-  mActions.emplace_back(RunAtUpstream{
-    aJob.mRun, aJob.mId, RemainingFor(aJob, aTime, mSettings.mHopAllowance), aJob.mRequest.mBody});
+  mActions.emplace_back(RunAtUpstream{aJob.mRun, aJob.mId, aJob.mRequest.mAttempt,
+                                      RemainingFor(aJob, aTime, mSettings.mHopAllowance),
+                                      aJob.mRequest.mBody});
 }
 
 // Passes a request that cannot run here to the alternate, once; the record stays here.
--- a/lib/Request/RelayCore.cpp
+++ b/lib/Request/RelayCore.cpp
@@ -46,6 +46,8 @@
   exchange.mId = used;
   exchange.mFixedHome = !aRequest.mIdempotent || hasId;
   exchange.mDeadline = aTime.mNow + aRequest.mRemaining;
+  // An earlier attempt of the caller, perhaps through another balancer, may still run.
+  exchange.mMayHaveRun = hasId && aRequest.mCallerAttempt > 1;
   mByHandle[aRequest.mHandle] = token;
   mByCallerAttempt[{used, aRequest.mCallerAttempt}] = token;
   exchange.mRequest = std::move(aRequest);
--- a/lib/Request/RequestCounters.cpp
+++ b/lib/Request/RequestCounters.cpp
@@ -10,24 +10,15 @@
 
 namespace {
 
-std::string Label(std::string_view aKey, std::string_view aValue)
-{
-  return std::string(aKey) + "=\"" + std::string(aValue) + "\"";
-}
-
 template <typename E>
-void Register(MetricsRegistry& aRegistry, const char* aName, std::string_view aKey)
+std::vector<Counter*> Register(MetricsRegistry& aRegistry, const char* aName, std::string_view aKey)
 {
+  std::vector<Counter*> counters;
   for (const auto& name : EnumNames(E{})) {
-    aRegistry.CounterFor(aName, Label(aKey, name.mName));
+    const std::string label = std::string(aKey) + "=\"" + std::string(name.mName) + "\"";
+    counters.push_back(&aRegistry.CounterFor(aName, label));
   }
-}
-
-template <typename E>
-void Count(MetricsRegistry& aRegistry, const char* aName, E aValue)
-{
-  const auto names = EnumNames(aValue);
-  aRegistry.CounterFor(aName, Label("reason", names[static_cast<std::size_t>(aValue)].mName)).Add();
+  return counters;
 }
 
 } // namespace
@@ -66,43 +57,13 @@
 }
 
 RequestCounters::RequestCounters(MetricsRegistry& aRegistry)
-  : mRegistry(aRegistry)
-{
-  Register<RequestOutcome>(mRegistry, metric::kRequestOutcomes, "outcome");
-  Register<RefusalReason>(mRegistry, metric::kRequestRefusals, "reason");
-  Register<RetryReason>(mRegistry, metric::kRequestRetries, "reason");
-  Register<RetryDenial>(mRegistry, metric::kRequestRetriesDenied, "reason");
-  Register<RequestDrop>(mRegistry, metric::kRequestDrops, "reason");
-}
-
-void RequestCounters::CountOutcome(RequestOutcome aOutcome)
-{
-  mRegistry.CounterFor(metric::kRequestOutcomes, Label("outcome", ToString(aOutcome))).Add();
-}
-
-void RequestCounters::CountRefusal(RefusalReason aReason)
-{
-  Count(mRegistry, metric::kRequestRefusals, aReason);
-}
-
-void RequestCounters::CountRetry(RetryReason aReason)
-{
-  Count(mRegistry, metric::kRequestRetries, aReason);
-}
-
-void RequestCounters::CountDenial(RetryDenial aReason)
-{
-  Count(mRegistry, metric::kRequestRetriesDenied, aReason);
-}
-
-void RequestCounters::CountDrop(RequestDrop aReason)
-{
-  Count(mRegistry, metric::kRequestDrops, aReason);
-}
-
-void RequestCounters::CountResend(std::string_view aState)
+  : mOutcomes(Register<RequestOutcome>(aRegistry, metric::kRequestOutcomes, "outcome"))
+  , mRefusals(Register<RefusalReason>(aRegistry, metric::kRequestRefusals, "reason"))
+  , mRetries(Register<RetryReason>(aRegistry, metric::kRequestRetries, "reason"))
+  , mDenials(Register<RetryDenial>(aRegistry, metric::kRequestRetriesDenied, "reason"))
+  , mDrops(Register<RequestDrop>(aRegistry, metric::kRequestDrops, "reason"))
+  , mResends(Register<RecordState>(aRegistry, metric::kRequestResends, "state"))
 {
-  mRegistry.CounterFor(metric::kRequestResends, Label("state", aState)).Add();
 }
 
 } // namespace dandelionslip
--- /dev/null
+++ b/unittests/Request/RequestWorld.cpp
@@ -0,0 +1,93 @@
+// Event loop of the request world.
+#include "RequestWorldParts.h"
+
+namespace dandelionslip::requesttest {
+
+namespace {
+
+constexpr std::int64_t kTickUs = 10'000;
+constexpr std::int64_t kBurstUs = 3'500'000;
+// The second burst begins after the skew bound, when lost buckets take new ids again, the third
+// after the retention, when records have expired.
+constexpr std::array<std::int64_t, 3> kBursts{0, 40'000'000, 660'000'000};
+
+} // namespace
+
+RequestWorld::RequestWorld(std::uint64_t aSeed)
+  : mRandom(aSeed)
+  , mTransfers(kBuckets)
+  , mOwners(kBuckets)
+{
+  for (std::size_t i = 0; i < kAgents; ++i) {
+    mAgents.push_back(std::make_unique<Agent>());
+    mAgents[i]->mName = AgentName(i);
+    mAgents[i]->mWallOffsetMs = static_cast<std::int64_t>(mRandom.Below(14'000)) - 7'000;
+    StartAgent(i);
+  }
+  for (std::uint32_t bucket = 0; bucket < kBuckets; ++bucket) {
+    mOwners[bucket] = bucket % kAgents;
+    mAgents[mOwners[bucket]]->mCore->OnBucketFirstOwner(bucket, mGeneration, Time(0));
+  }
+  for (std::size_t i = 0; i < kBalancers; ++i) {
+    mBalancers.push_back(std::make_unique<Balancer>());
+    mBalancers[i]->mOwners = mOwners;
+    CrashBalancer(i);
+  }
+}
+
+RequestWorld::~RequestWorld() = default;
+
+std::int64_t RequestWorld::Delay()
+{
+  // Most messages take milliseconds, a few a good part of a request's deadline.
+  return static_cast<std::int64_t>(Chance(0.05) ? mRandom.Below(400'000)
+                                                : 500 + mRandom.Below(8'000));
+}
+
+void RequestWorld::After(std::int64_t aDelay, Task aTask)
+{
+  mEvents.push({mNow + aDelay, mOrder++, std::move(aTask)});
+}
+
+RequestTime RequestWorld::Time(std::int64_t aWallOffsetMs) const
+{
+  RequestTime time = At(mNow / 1000 + aWallOffsetMs);
+  time.mNow = TimePoint(std::chrono::microseconds(1'000'000'000 + mNow));
+  return time;
+}
+
+RequestTime RequestWorld::TimeOf(const Agent& aAgent) const
+{
+  return Time(aAgent.mWallOffsetMs);
+}
+
+void RequestWorld::Run()
+{
+  for (const std::int64_t start : kBursts) {
+    ScheduleBurst(start);
+    ScheduleFaults(start);
+    for (std::int64_t at = start; at < start + kBurstUs; at += kTickUs) {
+      After(at, [this] {
+        for (std::size_t i = 0; i < kAgents; ++i) {
+          if (mAgents[i]->mCore) {
+            PerformHome(i, mAgents[i]->mCore->OnTick(TimeOf(*mAgents[i])));
+          }
+        }
+        for (std::size_t i = 0; i < kBalancers; ++i) {
+          PerformRelay(i, mBalancers[i]->mCore->OnTick(Time(0)));
+        }
+      });
+    }
+  }
+  while (!mEvents.empty()) {
+    const Event event = mEvents.top();
+    mEvents.pop();
+    mNow = event.mAt;
+    event.mTask();
+  }
+  for (const auto& call : mCalls) {
+    mTotals.mUnanswered += call->mOpen;
+  }
+}
+
+} // namespace dandelionslip::requesttest
--- /dev/null
+++ b/unittests/Request/RequestWorldCallers.cpp
@@ -0,0 +1,154 @@
+// Callers and balancers of the request world.
+#include "RequestWorldParts.h"
+
+namespace dandelionslip::requesttest {
+
+void RequestWorld::ScheduleBurst(std::int64_t aStart)
+{
+  constexpr int kRequests = 25;
+  for (int i = 0; i < kRequests; ++i) {
+    After(aStart + static_cast<std::int64_t>(mRandom.Below(1'500'000)), [this] { NewRequest(); });
+  }
+}
+
+void RequestWorld::NewRequest()
+{
+  // An old id is resent now and then, as a caller does that was cut off for long.
+  if (!mCalls.empty() && Chance(0.2)) {
+    SendCall(mCalls[mRandom.Below(mCalls.size())]);
+    return;
+  }
+  auto call = std::make_shared<Call>();
+  const auto wallOffsetMs = static_cast<std::int64_t>(mRandom.Below(14'000)) - 7'000;
+  call->mId = RequestId::Make(Time(wallOffsetMs).mWallMs, mRandom);
+  call->mIdempotent = Chance(0.15);
+  mHistory.Sent(call->mId, call->mIdempotent);
+  mCalls.push_back(call);
+  ++mTotals.mRequests;
+  SendCall(call);
+}
+
+void RequestWorld::SendCall(std::shared_ptr<Call> aCall)
+{
+  const std::size_t index = mRandom.Below(kBalancers);
+  const ReplyHandle handle = mNextHandle++;
+  CallerRequest request;
+  request.mHandle = handle;
+  request.mService = 1;
+  request.mIdText = aCall->mId.ToString();
+  request.mCallerAttempt = ++aCall->mAttempt;
+  request.mIdempotent = aCall->mIdempotent;
+  request.mRemaining = Milliseconds(150 + mRandom.Below(1'000));
+  request.mCaller = mRandom.Below(4);
+  request.mBody = BytesOf("body");
+  ++aCall->mOpen;
+  mBalancers[index]->mCalls[handle] = {aCall, request.mCallerAttempt};
+  if (Chance(0.1)) {
+    Withdraw(index, handle, static_cast<std::int64_t>(mRandom.Below(200'000)));
+  }
+  if (aCall->mAttempt < 4 && Chance(0.08)) {
+    // The caller's link fails. It resends at once; the balancer notices later.
+    Withdraw(index, handle, static_cast<std::int64_t>(mRandom.Below(400'000)));
+    After(static_cast<std::int64_t>(mRandom.Below(50'000)), [this, aCall] { SendCall(aCall); });
+  }
+  PerformRelay(index, mBalancers[index]->mCore->OnRequest(std::move(request), Time(0)));
+}
+
+void RequestWorld::Withdraw(std::size_t aBalancer, ReplyHandle aHandle, std::int64_t aDelay)
+{
+  After(aDelay, [this, aBalancer, aHandle] {
+    PerformRelay(aBalancer, mBalancers[aBalancer]->mCore->OnCallerCancelled(aHandle, Time(0)));
+  });
+}
+
+void RequestWorld::OnCallerReply(std::size_t aBalancer, const AnswerCaller& aReply)
+{
+  const auto open = mBalancers[aBalancer]->mCalls.extract(aReply.mHandle);
+  CPPUNIT_ASSERT_MESSAGE("a second reply to one message", !open.empty());
+  const auto [call, attempt] = open.mapped();
+  --call->mOpen;
+  mHistory.Claimed(call->mId, MakeAttempt(attempt, kMaxTries - 1), aReply.mAnswer);
+  const RequestOutcome outcome = aReply.mAnswer.mOutcome;
+  CPPUNIT_ASSERT_MESSAGE("an internal outcome reached a caller",
+                         outcome != RequestOutcome::NotHome);
+  mTotals.mAnswered += outcome == RequestOutcome::Answered ? 1 : 0;
+  mTotals.mNotRun += outcome == RequestOutcome::NotRun ? 1 : 0;
+  mTotals.mUnknown += outcome == RequestOutcome::Unknown ? 1 : 0;
+  mTotals.mCancelled += outcome == RequestOutcome::Cancelled ? 1 : 0;
+  if (outcome != RequestOutcome::Answered && call->mAttempt < 4 && Chance(0.5)) {
+    ++mTotals.mResends;
+    After(Delay(), [this, call = call] { SendCall(call); });
+  }
+}
+
+void RequestWorld::PerformRelay(std::size_t aBalancer, const RelayActions& aActions)
+{
+  for (const RelayAction& action : aActions) {
+    if (const auto* send = std::get_if<SendToAgent>(&action)) {
+      SendAttempt(aBalancer, *send);
+    } else if (const auto* cancel = std::get_if<CancelAtAgent>(&action)) {
+      After(Delay(), [this, cancel = *cancel] { CancelAt(IndexOf(cancel.mAgent), cancel.mKey); });
+    } else {
+      OnCallerReply(aBalancer, std::get<AnswerCaller>(action));
+    }
+  }
+}
+
+void RequestWorld::SendAttempt(std::size_t aBalancer, const SendToAgent& aSend)
+{
+  ArrivedRequest request;
+  request.mId = aSend.mKey.mId;
+  request.mAttempt = aSend.mKey.mAttempt;
+  request.mIdempotent = aSend.mIdempotent;
+  request.mRemaining = aSend.mRemaining;
+  request.mCaller = aSend.mCaller;
+  request.mClass = aSend.mClass;
+  request.mBody = aSend.mBody;
+  const AttemptKey key = aSend.mKey;
+  const std::uint64_t life = mBalancers[aBalancer]->mLife;
+  const auto toCore = [this, aBalancer, life](auto aEvent) {
+    After(Delay(), [this, aBalancer, life, aEvent] {
+      if (mBalancers[aBalancer]->mLife == life) {
+        PerformRelay(aBalancer, aEvent(*mBalancers[aBalancer]->mCore));
+      }
+    });
+  };
+  const auto lost = [this, key, toCore](bool aSent) {
+    toCore([this, key, aSent](RelayCore& aCore) {
+      return aCore.OnAgentUnreachable(key, aSent, Time(0));
+    });
+  };
+  const std::size_t agent = IndexOf(aSend.mAgent);
+  if (!mAgents[agent]->mCore || Chance(0.02)) {
+    lost(false);
+    return;
+  }
+  const auto replied = [this, key, toCore](const RequestAnswer& aAnswer) {
+    toCore([this, key, aAnswer, received = OnTheWire(aAnswer.mAnswer)](RelayCore& aCore) {
+      return aCore.OnAgentAnswer(key, aAnswer.mOutcome, aAnswer.mRefusal, received, Time(0));
+    });
+  };
+  Deliver(
+    agent, request, replied, [lost] { lost(true); }, key);
+}
+
+void RequestWorld::CrashBalancer(std::size_t aBalancer)
+{
+  Balancer& balancer = *mBalancers[aBalancer];
+  ++balancer.mLife;
+  balancer.mCore.reset();
+  balancer.mRegistry = std::make_unique<MetricsRegistry>();
+  RelaySettings settings;
+  settings.mBudget.mMaxTokens = 3;
+  balancer.mCore =
+    std::make_unique<RelayCore>(settings, balancer, mRandom.Next(), *balancer.mRegistry);
+  // The callers notice and resend through another connection.
+  for (const auto& [handle, open] : std::exchange(balancer.mCalls, {})) {
+    --open.mCall->mOpen;
+    if (open.mCall->mAttempt < 4) {
+      After(Delay(), [this, call = open.mCall] { SendCall(call); });
+    }
+  }
+}
+
+} // namespace dandelionslip::requesttest
--- /dev/null
+++ b/unittests/Request/RequestWorldTest.cpp
@@ -0,0 +1,72 @@
+// Checks the histories of concurrent runs under faults.
+#include "RequestWorld.h"
+
+namespace dandelionslip {
+
+namespace {
+
+using namespace requesttest;
+
+class RequestWorldTest : public CppUnit::TestFixture
+{
+  CPPUNIT_TEST_SUITE(RequestWorldTest);
+  CPPUNIT_TEST(HistoriesAreCorrect);
+  CPPUNIT_TEST_SUITE_END();
+
+  static constexpr std::uint64_t kSeeds = 1000;
+
+  static void CheckSeed(std::uint64_t aSeed, WorldTotals& aTotals)
+  {
+    RequestWorld world(aSeed);
+    world.Run();
+    const auto violations = world.History().Check();
+    CPPUNIT_ASSERT_MESSAGE("seed " + std::to_string(aSeed) + ": " +
+                             (violations.empty() ? "" : violations.front()),
+                           violations.empty());
+    CPPUNIT_ASSERT_EQUAL_MESSAGE("seed " + std::to_string(aSeed) + ": messages without a reply",
+                                 std::size_t(0), world.Totals().mUnanswered);
+    constexpr std::array kMembers{
+      &WorldTotals::mRequests, &WorldTotals::mRuns,       &WorldTotals::mAnswered,
+      &WorldTotals::mNotRun,   &WorldTotals::mUnknown,    &WorldTotals::mCancelled,
+      &WorldTotals::mResends,  &WorldTotals::mRelayed,    &WorldTotals::mHandoffs,
+      &WorldTotals::mCrashes,  &WorldTotals::mLostOwners, &WorldTotals::mRecordUpdates,
+      &WorldTotals::mRestarts};
+    for (const auto member : kMembers) {
+      aTotals.*member += world.Totals().*member;
+    }
+  }
+
+  // Guards against a second run, a foreign answer or a false "not run" under any combination of
+  // lost, repeated, delayed and crossed messages, crashes, restarts and hand-offs, and against a
+  // message that never gets a reply.
+  void HistoriesAreCorrect()
+  {
+    WorldTotals totals;
+    for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+      CheckSeed(seed, totals);
+    }
+    std::cout << " requests=" << totals.mRequests << " runs=" << totals.mRuns
+              << " answered=" << totals.mAnswered << " not_run=" << totals.mNotRun
+              << " unknown=" << totals.mUnknown << " cancelled=" << totals.mCancelled
+              << " resends=" << totals.mResends << " relayed=" << totals.mRelayed
+              << " handoffs=" << totals.mHandoffs << " lost_owners=" << totals.mLostOwners
+              << " record_updates=" << totals.mRecordUpdates << " crashes=" << totals.mCrashes
+              << " restarts=" << totals.mRestarts << std::flush;
+    // Without these the checks above would have had nothing to check.
+    CPPUNIT_ASSERT(totals.mAnswered > totals.mRequests / 3);
+    for (const std::size_t count :
+         {totals.mNotRun, totals.mUnknown, totals.mResends, totals.mRelayed, totals.mHandoffs,
+          totals.mLostOwners, totals.mRecordUpdates}) {
+      CPPUNIT_ASSERT(count > kSeeds / 2);
+    }
+    CPPUNIT_ASSERT(totals.mCancelled > kSeeds / 10);
+    CPPUNIT_ASSERT(totals.mCrashes > kSeeds / 4);
+    CPPUNIT_ASSERT(totals.mRestarts > kSeeds / 4);
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(RequestWorldTest);
+
+} // namespace
+
+} // namespace dandelionslip
