Let a restarted agent wait until control knows of its planned stop

Cause: a new process that started 33 ms after the old one exited read a view that still showed the old one as draining, so it did not ask its custodian for the state and the flows were forgotten. Change: the agent waits until the view shows its predecessor as restarting, left or lost; the old process repeats its last announcement until it is answered.

--- a/lib/Daemon/AgentDaemon.cpp
+++ b/lib/Daemon/AgentDaemon.cpp
@@ -25,6 +25,7 @@
 constexpr Milliseconds kHealthInterval{500};
 constexpr Milliseconds kPeerTimeout{1'000};
 constexpr Milliseconds kStopPoll{50};
+constexpr Milliseconds kStartPoll{100};
 // Retry-after time of requests that the upstream shed or that did not reach it.
 constexpr Milliseconds kUpstreamRetryAfter{200};
 // Balancers send no new work this long after the draining announcement.
@@ -116,17 +117,18 @@
 private:
   // --- Start ---
 
-  // Waits until the service is declared, then builds the cores for its declaration.
+  // Waits until the service is declared and an earlier process has ended, then builds the cores for
+  // its declaration.
   void Begin(const NodeState& aState)
   {
     const ServiceEntry* entry = aState.CurrentConfiguration().FindService(mSettings.mService);
-    if (entry == nullptr) {
-      CallAfter(mPool.Loop(), mSettings.mAnnounceInterval,
+    const Member* self = aState.CurrentView().FindMember(mSettings.mNode);
+    if (entry == nullptr || IsStillRunning(self)) {
+      CallAfter(mPool.Loop(), kStartPoll,
                 [this] { mLink.FetchState([this](const NodeState& aNext) { Begin(aNext); }); });
       return;
     }
     const TimePoint now = RuntimeClock::now();
-    const Member* self = aState.CurrentView().FindMember(mSettings.mNode);
     FlowActions actions;
     {
       const std::lock_guard lock(mMutex);
@@ -152,6 +154,15 @@
     }
   }
 
+  // Whether the view shows an earlier process of this agent at work. Until control has heard of its
+  // planned stop, or its lease has ended, the new process cannot know whether a peer holds its
+  // state.
+  static bool IsStillRunning(const Member* aSelf)
+  {
+    return aSelf != nullptr && HoldsFlows(aSelf->mState) &&
+           aSelf->mState != MemberState::Restarting;
+  }
+
   void CreateCores(const ServiceEntry& aEntry, TimePoint aNow)
   {
     mSpec = aEntry.mSpec;
@@ -432,7 +443,19 @@
       mStopState = aAction.mCustodian.empty() ? MemberState::Left : MemberState::Restarting;
     }
     mLink.Stop();
-    mLink.AnnounceNow([this] { mPool.Exit(0); });
+    AnnounceStop();
+  }
+
+  // The new process finds the state only if control knows the custodian.
+  void AnnounceStop()
+  {
+    mLink.AnnounceNow([this](bool aAnswered) {
+      if (aAnswered || RuntimeClock::now() > mStopBy) {
+        mPool.Exit(0);
+        return;
+      }
+      AnnounceStop();
+    });
   }
 
   void Do(ResumptionDone& aAction)
--- a/lib/Daemon/BalancerDaemon.cpp
+++ b/lib/Daemon/BalancerDaemon.cpp
@@ -560,7 +560,7 @@
       .With("open_requests", open);
     mState = MemberState::Left;
     mLink.Stop();
-    mLink.AnnounceNow([this] { mPool.Exit(0); });
+    mLink.AnnounceNow([this](bool) { mPool.Exit(0); });
   }
 
   void RefreshMetrics()
--- a/lib/Daemon/ControlLink.cpp
+++ b/lib/Daemon/ControlLink.cpp
@@ -85,7 +85,7 @@
   mTimer.reset();
 }
 
-void ControlLink::AnnounceNow(std::function<void()> aDone)
+void ControlLink::AnnounceNow(std::function<void(bool)> aDone)
 {
   Announcement announcement = mHandlers.mAnnounce();
   {
@@ -101,14 +101,14 @@
   const std::string endpoint = Current();
   mPeers.Post(endpoint, "/v1/announce", ToCbor(announcement), kAnswerTimeout,
               [this, sentAt, endpoint, done = std::move(aDone)](auto aResult) {
-                OnAnswer(aResult, sentAt, endpoint);
+                const bool answered = OnAnswer(aResult, sentAt, endpoint);
                 if (done) {
-                  done();
+                  done(answered);
                 }
               });
 }
 
-void ControlLink::OnAnswer(const Result<Bytes>& aResult, TimePoint aSentAt,
+bool ControlLink::OnAnswer(const Result<Bytes>& aResult, TimePoint aSentAt,
                            const std::string& aEndpoint)
 {
   const auto answer = aResult ? FromCbor<AnnouncementAnswer>(aResult.value(), aEndpoint)
@@ -136,6 +136,7 @@
   if (answer) {
     mHandlers.mAnswered(answer.value(), state, aSentAt);
   }
+  return answer.has_value();
 }
 
 std::uint64_t ControlLink::TrafficBytes()
--- a/lib/Daemon/ControlLink.h
+++ b/lib/Daemon/ControlLink.h
@@ -36,8 +36,8 @@
   void Start();
   void Stop();
 
-  /// Announces now; aDone runs when the answer or the failure is in.
-  void AnnounceNow(std::function<void()> aDone = {});
+  /// Announces now; aDone is told whether an answer came.
+  void AnnounceNow(std::function<void(bool)> aDone = {});
 
   /// Bytes sent to and received from all control replicas.
   std::uint64_t TrafficBytes();
@@ -48,7 +48,7 @@
 private:
   std::string Current();
   void Rotate(const Error& aReason);
-  void OnAnswer(const Result<Bytes>& aResult, TimePoint aSentAt, const std::string& aEndpoint);
+  bool OnAnswer(const Result<Bytes>& aResult, TimePoint aSentAt, const std::string& aEndpoint);
   void OnState(const Result<Bytes>& aResult, std::function<void(const NodeState&)> aDone);
 
   boost::asio::io_context& mLoop;
--- a/lib/Request/HomeCore.cpp
+++ b/lib/Request/HomeCore.cpp
@@ -6,8 +6,8 @@
 namespace {
 
 // Run ids of later incarnations are higher, so that an answer to a run of an earlier process never
-// matches one of this process. An incarnation is a start time in milliseconds, and no process starts
-// 4 million runs in each millisecond of its life.
+// matches one of this process. An incarnation is a start time in milliseconds, and no process
+// starts 4 million runs in each millisecond of its life.
 constexpr std::uint32_t kRunBits = 22;
 
 } // namespace
--- a/lib/Request/RecordHandoff.cpp
+++ b/lib/Request/RecordHandoff.cpp
@@ -79,9 +79,10 @@
                   std::to_string(mBuckets));
   }
   const Bucket& bucket = mBucketStates[aBucket];
-  const bool first = bucket.mState == RecordBucketState::Complete && aGeneration > bucket.mGeneration;
-  const bool again = bucket.mState == RecordBucketState::Frozen && aGeneration == bucket.mGeneration &&
-                     aNewOwner == bucket.mNewOwner;
+  const bool first =
+    bucket.mState == RecordBucketState::Complete && aGeneration > bucket.mGeneration;
+  const bool again = bucket.mState == RecordBucketState::Frozen &&
+                     aGeneration == bucket.mGeneration && aNewOwner == bucket.mNewOwner;
   if (first || again) {
     return Ok();
   }
--- a/unittests/Control/RaftMessageTest.cpp
+++ b/unittests/Control/RaftMessageTest.cpp
@@ -29,7 +29,7 @@
           snapshot,
           SnapshotAnswer{9, 103, false, 8},
           TimeoutNow{},
-          Refusal{"reason"}};
+          ReplicaRefusal{"reason"}};
 }
 
 class RaftMessageTest : public CppUnit::TestFixture
--- a/unittests/Request/RequestWorldControl.cpp
+++ b/unittests/Request/RequestWorldControl.cpp
@@ -107,7 +107,7 @@
   const std::size_t from = transfer->mFrom;
   const std::size_t to = transfer->mTo;
   Agent& asker = *mAgents[to];
-  if (asker.mCore && asker.mCore->Records().StateOf(aBucket) == BucketState::Complete) {
+  if (asker.mCore && asker.mCore->Records().StateOf(aBucket) == RecordBucketState::Complete) {
     mTransfers[aBucket].reset();
     return;
   }
