--- a/include/dandelionslip/Control/AttachedNodes.h
+++ b/include/dandelionslip/Control/AttachedNodes.h
@@ -28,8 +28,10 @@
   MemberSummary NextSummary(const std::string& aReplica, std::uint64_t aTerm,
                             std::uint64_t aViewRevision, TimePoint aNow);
 
-  /// Takes the leader's answer to a summary.
-  void TakeAnswer(const SummaryAnswer& aAnswer);
+  /// Takes the leader's answer to a summary. aViewRevision is the view that this replica hands out;
+  /// when it is older than the one the answer rests on, the answer renews no lease, because a node
+  /// that was lost in between would get a lease together with buckets that it no longer owns.
+  void TakeAnswer(const SummaryAnswer& aAnswer, std::uint64_t aViewRevision);
 
   /// What remains at aNow of the lease that the leader has acknowledged for this incarnation.
   Milliseconds LeaseFor(const std::string& aName, std::uint64_t aIncarnation, TimePoint aNow) const;
@@ -60,7 +62,7 @@
   };
 
   void StartTerm(std::uint64_t aTerm);
-  void TakeAccepted(const SummaryAnswer& aAnswer);
+  void TakeAccepted(const SummaryAnswer& aAnswer, bool aRenews);
   void Fence(const std::string& aName);
 
   MembershipSettings mSettings;
--- a/include/dandelionslip/Control/LeaseTable.h
+++ b/include/dandelionslip/Control/LeaseTable.h
@@ -29,6 +29,8 @@
   MemberState mAnnounced = MemberState::Cold; ///< State before the lease ended.
   TimePoint
     mDeadline; ///< When the member is lost; for a lost or left member, when it is forgotten.
+  /// First view of this leader that shows the member with this incarnation as live; 0 for none.
+  std::uint64_t mLiveFrom = 0;
   bool mHeard = false; ///< False while the entry comes only from an adopted view.
 };
 
@@ -55,6 +57,13 @@
   /// a new leader declares no member lost early.
   void Adopt(const View& aView, TimePoint aNow);
 
+  /// Notes that the view with this revision shows all members that are live now.
+  void MarkShown(std::uint64_t aRevision);
+
+  /// Whether a view up to the held revision shows the member as live. Only then may it get a lease:
+  /// the next leader knows that view and gives the member a full lease before it is lost.
+  bool IsShown(const std::string& aName, std::uint64_t aHeldRevision) const;
+
   /// The entry with this name, or null.
   const LeaseEntry* Find(const std::string& aName) const;
 
--- a/include/dandelionslip/Control/MemberSummary.h
+++ b/include/dandelionslip/Control/MemberSummary.h
@@ -52,10 +52,11 @@
   std::uint64_t mTerm = 0;
   std::uint64_t mSequence = 0;      ///< Of the summary that is answered.
   bool mAccepted = false;           ///< All attached nodes but those in the two lists were renewed.
+  std::uint64_t mHeldRevision = 0;  ///< Newest view revision that a quorum holds.
   bool mWholeWanted = false;        ///< The digest differs; the next summary must be whole.
   bool mViewWanted = false;         ///< The replica holds a newer view than a starting leader.
   std::vector<std::string> mFenced; ///< A higher incarnation exists; these must stop.
-  std::vector<std::string> mRefused; ///< Not renewed, for example because the table is full.
+  std::vector<std::string> mRefused; ///< No lease: no held view shows them, or no room.
 
   bool operator==(const SummaryAnswer&) const = default;
 };
@@ -66,6 +67,7 @@
   aVisitor.Field("term", aValue.mTerm);
   aVisitor.Field("sequence", aValue.mSequence);
   aVisitor.Field("accepted", aValue.mAccepted);
+  aVisitor.Field("held_revision", aValue.mHeldRevision);
   aVisitor.Optional("whole_wanted", aValue.mWholeWanted);
   aVisitor.Optional("view_wanted", aValue.mViewWanted);
   aVisitor.Optional("fenced", aValue.mFenced);
--- a/include/dandelionslip/Control/MembershipCore.h
+++ b/include/dandelionslip/Control/MembershipCore.h
@@ -59,7 +59,8 @@
   /// The leader's answer to this replica's newest summary.
   void OnSummaryAnswer(const SummaryAnswer& aAnswer);
 
-  /// A view from the leader. A lower revision or an older term is not taken.
+  /// A view from the leader. A lower revision, or the view of a leader that this replica does not
+  /// follow, is not taken.
   ViewUpdateAnswer OnViewUpdate(const ViewUpdate& aUpdate);
 
   /// A replica's answer to a view update.
@@ -78,7 +79,12 @@
   std::vector<MembershipAction> OnTick(TimePoint aNow);
 
   const ConfigurationStore& Store() const { return mStore; }
+  /// The newest view that this replica holds.
   const View& CurrentView() const { return mViews.Newest(); }
+
+  /// The view that nodes get: the newest one known to be held by a quorum, so that the next leader
+  /// knows every view that a node has ever acted on.
+  const View& HandedView() const { return mHanded.Newest(); }
   const LeaseTable& Leases() const { return mLeases; }
 
   /// Whether this replica leads and has heard the views of a quorum, so that it issues views.
@@ -93,6 +99,7 @@
     TimePoint mHeardAt;
     TimePoint mSentAt;
     std::uint64_t mSentRevision = 0;
+    std::uint64_t mToldHeld = 0; ///< Held revision that it was last told.
   };
 
   void AddState(const Announcement& aAnnouncement, AnnouncementAnswer& aAnswer) const;
@@ -100,8 +107,11 @@
   void TakeViewOf(const MemberSummary& aSummary, Peer& aPeer, SummaryAnswer& aAnswer,
                   TimePoint aNow);
   void TakeView(const ViewUpdate& aUpdate);
+  void LearnHeld(std::uint64_t aRevision);
+  Milliseconds LeaseFor(const Member& aMember, TimePoint aNow) const;
+  std::optional<ViewUpdate> UpdateFor(Peer& aPeer, TimePoint aNow) const;
   void BeginTerm(TimePoint aNow);
-  void StartIssuing();
+  void StartIssuing(TimePoint aNow);
   void UpdateView(TimePoint aNow);
   bool IsVoter(const std::string& aReplica) const;
   bool HasHeardQuorum() const;
@@ -115,11 +125,14 @@
   ConfigurationStore mStore;
   RevisionHistory<Configuration, ConfigurationDifference> mConfigurations;
   RevisionHistory<View, ViewDifference> mViews;
+  RevisionHistory<View, ViewDifference> mHanded;
+  std::uint64_t mHeldRevision = 0; ///< Newest revision known to be held by a quorum.
   AttachedNodes mAttached;
   LeaseTable mLeases;
   ViewBuilder mBuilder;
   RoleChange mRole;
   bool mIssuing = false;
+  TimePoint mIssueFrom; ///< Earliest time of the first view in this term.
   std::map<std::string, Peer> mPeers;
   std::optional<TimePoint> mViewUpdatedAt;
   std::optional<TimePoint> mSummarySentAt;
--- a/include/dandelionslip/Control/MembershipSettings.h
+++ b/include/dandelionslip/Control/MembershipSettings.h
@@ -27,8 +27,8 @@
   std::size_t mMaxMembers = 8'192; ///< About twice the 3,720 nodes and servers of the target size.
 };
 
-/// Views that a leader issues beyond the newest one that a quorum holds. Bounds how many generation
-/// numbers a deposed leader can have used that its successor does not know.
+/// Views that a leader issues beyond the newest one that a quorum holds. Nodes do not get these, so
+/// a leader that is cut off stops there and the chain of differences stays short.
 inline constexpr std::uint64_t kMaxUnheldViews = 16;
 
 } // namespace dandelionslip
--- a/include/dandelionslip/Control/SummaryReceiver.h
+++ b/include/dandelionslip/Control/SummaryReceiver.h
@@ -14,9 +14,11 @@
 class SummaryReceiver
 {
 public:
-  /// Renews the nodes that the summary covers. When the digest does not match, only the listed
+  /// Renews the nodes that the summary covers; those that no view up to aHeldRevision shows get no
+  /// lease yet. When the digest does not match, only the listed
   /// announcements are renewed and a whole summary is requested.
-  SummaryAnswer Take(const MemberSummary& aSummary, LeaseTable& aLeases, TimePoint aNow);
+  SummaryAnswer Take(const MemberSummary& aSummary, LeaseTable& aLeases,
+                     std::uint64_t aHeldRevision, TimePoint aNow);
 
 private:
   struct Known
--- a/include/dandelionslip/Control/ViewBuilder.h
+++ b/include/dandelionslip/Control/ViewBuilder.h
@@ -23,9 +23,15 @@
 /// members) still fits into the steady imbalance target of 1.05.
 inline constexpr std::uint32_t kDeadBandPermille = 30;
 
-/// Generation numbers that a new term skips. Larger than kMaxUnheldViews, so no number is used for
-/// two different assignments even when the deposed leader's last views were seen only by nodes.
-inline constexpr std::uint32_t kTermGenerationGap = 64;
+/// A leader uses only generation numbers that equal its term modulo this stride. Two leaders that
+/// do not know each other's generations therefore never give one number to two assignments, unless
+/// 16 leaders in a row fail without passing on a view. A 32-bit number lasts for 268 million
+/// generations of a service, eight years at one a second.
+inline constexpr std::uint32_t kGenerationStride = 16;
+
+/// Numbers skipped beyond an acknowledged generation that control has forgotten. Agents may hold
+/// kMaxGenerations newer ones.
+inline constexpr std::uint32_t kForgottenGap = 4 * kGenerationStride;
 
 /// The lease entries of one service's agents, ordered by name.
 using AgentsOfService = std::vector<const LeaseEntry*>;
@@ -62,8 +68,7 @@
   {
     ServiceId mServiceId = 0;
     TimePoint mLastStep;
-    bool mStepped = false;        ///< mLastStep is valid.
-    bool mNumberedInTerm = false; ///< A generation was issued in this term.
+    bool mStepped = false; ///< mLastStep is valid.
   };
 
   static std::map<std::string, Member> BuildMembers(const Configuration& aConfiguration,
@@ -71,12 +76,12 @@
   ServiceView BuildService(const std::string& aName, const ServiceEntry& aEntry,
                            const Configuration& aConfiguration, const AgentsOfService& aAgents,
                            const LeaseTable& aLeases, TimePoint aNow);
-  std::uint32_t NextNumber(const ServiceView& aService, const Pace& aPace) const;
-  void Issue(ServiceView& aService, Pace& aPace, std::vector<WeightedMember> aMembers) const;
+  std::uint32_t NextNumber(const ServiceView& aService, std::uint32_t aHighestAcked) const;
+  void Issue(ServiceView& aService, std::vector<WeightedMember> aMembers,
+             std::uint32_t aHighestAcked) const;
 
   MembershipSettings mSettings;
   std::uint64_t mTerm = 0;
-  std::uint64_t mPreviousTerm = 0;
   bool mIssuedInTerm = false;
   View mView;
   std::map<std::string, Pace> mPace;
--- a/include/dandelionslip/Control/ViewUpdate.h
+++ b/include/dandelionslip/Control/ViewUpdate.h
@@ -8,10 +8,12 @@
 
 namespace dandelionslip {
 
-/// Carries the leader's newest view, as a difference where the replica's revision is known.
+/// Carries the leader's newest view, as a difference where the replica's revision is known, or
+/// neither when only the held revision is news.
 struct ViewUpdate
 {
   std::uint64_t mTerm = 0;
+  std::uint64_t mHeldRevision = 0; ///< Newest revision that a quorum holds.
   std::optional<View> mView;
   std::optional<ViewDifference> mDifference;
 
@@ -22,6 +24,7 @@
 void DescribeFields(V& aVisitor, ViewUpdate& aValue)
 {
   aVisitor.Field("term", aValue.mTerm);
+  aVisitor.Field("held_revision", aValue.mHeldRevision);
   aVisitor.Optional("view", aValue.mView);
   aVisitor.Optional("difference", aValue.mDifference);
 }
--- a/lib/Control/AttachedNodes.cpp
+++ b/lib/Control/AttachedNodes.cpp
@@ -88,7 +88,7 @@
   return summary;
 }
 
-void AttachedNodes::TakeAnswer(const SummaryAnswer& aAnswer)
+void AttachedNodes::TakeAnswer(const SummaryAnswer& aAnswer, std::uint64_t aViewRevision)
 {
   if (aAnswer.mTerm != mTerm || aAnswer.mSequence != mSequence) {
     return;
@@ -98,7 +98,7 @@
     Fence(name);
   }
   if (aAnswer.mAccepted) {
-    TakeAccepted(aAnswer);
+    TakeAccepted(aAnswer, aViewRevision >= aAnswer.mHeldRevision);
   }
 }
 
@@ -120,17 +120,17 @@
   }
 }
 
-void AttachedNodes::TakeAccepted(const SummaryAnswer& aAnswer)
+void AttachedNodes::TakeAccepted(const SummaryAnswer& aAnswer, bool aRenews)
 {
+  const std::set<std::string> refused(aAnswer.mRefused.begin(), aAnswer.mRefused.end());
   for (const auto& [name, sent] : mSent) {
     const auto node = mNodes.find(name);
     if (node == mNodes.end()) {
       continue;
     }
     node->second.mAckedDigest = sent.mDigest;
-    const bool refused =
-      std::find(aAnswer.mRefused.begin(), aAnswer.mRefused.end(), name) != aAnswer.mRefused.end();
-    if (!refused && node->second.mAnnouncement.mMember.mIncarnation == sent.mIncarnation) {
+    if (aRenews && !refused.contains(name) &&
+        node->second.mAnnouncement.mMember.mIncarnation == sent.mIncarnation) {
       node->second.mLeaseFrom = mSentAt;
     }
   }
--- a/lib/Control/ControlMessages.cpp
+++ b/lib/Control/ControlMessages.cpp
@@ -81,13 +81,16 @@
 
 Result<void> CheckUpdate(const ViewUpdate& aUpdate, std::string_view aSource)
 {
-  if (aUpdate.mView.has_value() == aUpdate.mDifference.has_value()) {
+  if (aUpdate.mView && aUpdate.mDifference) {
     return Fail(ErrorCode::InvalidInput, "decode", std::string(aSource),
-                "view, difference: expected exactly one of the two");
+                "view, difference: found both, expected at most one");
   }
   if (aUpdate.mView) {
     return CheckParts(aUpdate.mView->mMembers, aUpdate.mView->mServices, aSource);
   }
+  if (!aUpdate.mDifference) {
+    return Ok();
+  }
   const ViewDifference& difference = *aUpdate.mDifference;
   if (auto check = CheckCount("removed_members", difference.mRemovedMembers.size(), aSource);
       !check) {
--- a/lib/Control/LeaseTable.cpp
+++ b/lib/Control/LeaseTable.cpp
@@ -88,7 +88,7 @@
   }
   const MemberState state = aAnnouncement.mMember.mState;
   mEntries.emplace(aAnnouncement.mMember.mName,
-                   LeaseEntry{aAnnouncement, state, DeadlineFor(state, aNow), true});
+                   LeaseEntry{aAnnouncement, state, DeadlineFor(state, aNow), 0, true});
   return RenewalOutcome::Accepted;
 }
 
@@ -112,7 +112,9 @@
   if (same && TakesBackStop(entry.mAnnounced, member.mState)) {
     return RenewalOutcome::Fenced;
   }
-  entry = LeaseEntry{aAnnouncement, member.mState, DeadlineFor(member.mState, aNow), true};
+  const std::uint64_t liveFrom = same && !IsGone(before.mState) ? entry.mLiveFrom : 0;
+  entry =
+    LeaseEntry{aAnnouncement, member.mState, DeadlineFor(member.mState, aNow), liveFrom, true};
   if (same) {
     entry.mAnnouncement.mAckedGeneration = std::max(acked, aAnnouncement.mAckedGeneration);
   }
@@ -135,6 +137,9 @@
       entry.mAnnounced == MemberState::Left) {
     return RenewalOutcome::Fenced;
   }
+  if (entry.mAnnouncement.mMember.mState == MemberState::Lost) {
+    entry.mLiveFrom = 0;
+  }
   entry.mAnnouncement.mMember.mState = entry.mAnnounced;
   entry.mDeadline = DeadlineFor(entry.mAnnounced, aNow);
   return RenewalOutcome::Accepted;
@@ -189,6 +194,21 @@
   }
 }
 
+void LeaseTable::MarkShown(std::uint64_t aRevision)
+{
+  for (auto& [name, entry] : mEntries) {
+    if (entry.mLiveFrom == 0 && !IsGone(entry.mAnnouncement.mMember.mState)) {
+      entry.mLiveFrom = aRevision;
+    }
+  }
+}
+
+bool LeaseTable::IsShown(const std::string& aName, std::uint64_t aHeldRevision) const
+{
+  const LeaseEntry* entry = Find(aName);
+  return entry != nullptr && entry->mLiveFrom != 0 && entry->mLiveFrom <= aHeldRevision;
+}
+
 const LeaseEntry* LeaseTable::Find(const std::string& aName) const
 {
   const auto found = mEntries.find(aName);
--- a/lib/Control/MembershipCore.cpp
+++ b/lib/Control/MembershipCore.cpp
@@ -58,19 +58,26 @@
     return answer;
   }
   answer.mConfirmed = true;
-  answer.mLease =
-    mRole.mLeading ? mSettings.mLease : mAttached.LeaseFor(member.mName, member.mIncarnation, aNow);
+  answer.mLease = LeaseFor(member, aNow);
   AddState(aAnnouncement, answer);
   return answer;
 }
 
+Milliseconds MembershipCore::LeaseFor(const Member& aMember, TimePoint aNow) const
+{
+  if (!mRole.mLeading) {
+    return mAttached.LeaseFor(aMember.mName, aMember.mIncarnation, aNow);
+  }
+  return mLeases.IsShown(aMember.mName, mHeldRevision) ? mSettings.mLease : Milliseconds{0};
+}
+
 void MembershipCore::AddState(const Announcement& aAnnouncement, AnnouncementAnswer& aAnswer) const
 {
   aAnswer.mConfigurationRevision = mConfigurations.Newest().mRevision;
-  aAnswer.mViewRevision = CurrentView().mRevision;
+  aAnswer.mViewRevision = HandedView().mRevision;
   AddNewer(mConfigurations, aAnnouncement.mConfigurationRevision, aAnswer.mConfiguration,
            aAnswer.mConfigurationDifference);
-  AddNewer(mViews, aAnnouncement.mViewRevision, aAnswer.mView, aAnswer.mViewDifference);
+  AddNewer(mHanded, aAnnouncement.mViewRevision, aAnswer.mView, aAnswer.mViewDifference);
 }
 
 SummaryAnswer MembershipCore::OnSummary(const MemberSummary& aSummary, TimePoint aNow)
@@ -82,13 +89,14 @@
     return answer;
   }
   Peer& peer = mPeers[aSummary.mReplica];
-  SummaryAnswer answer = peer.mReceiver.Take(aSummary, mLeases, aNow);
+  SummaryAnswer answer = peer.mReceiver.Take(aSummary, mLeases, mHeldRevision, aNow);
   peer.mHeardAt = aNow;
   peer.mViewRevision = aSummary.mViewRevision;
   if (!mIssuing) {
     TakeViewOf(aSummary, peer, answer, aNow);
-    StartIssuing();
+    StartIssuing(aNow);
   }
+  LearnHeld(QuorumRevision());
   return answer;
 }
 
@@ -111,7 +119,8 @@
     return;
   }
   mSendView = aAnswer.mViewWanted;
-  mAttached.TakeAnswer(aAnswer);
+  LearnHeld(aAnswer.mHeldRevision);
+  mAttached.TakeAnswer(aAnswer, HandedView().mRevision);
   if (aAnswer.mViewWanted || aAnswer.mWholeWanted) {
     mSummarySentAt.reset();
   }
@@ -119,8 +128,9 @@
 
 ViewUpdateAnswer MembershipCore::OnViewUpdate(const ViewUpdate& aUpdate)
 {
-  if (!mRole.mLeading && aUpdate.mTerm >= mRole.mTerm) {
+  if (!mRole.mLeading && aUpdate.mTerm == mRole.mTerm) {
     TakeView(aUpdate);
+    LearnHeld(aUpdate.mHeldRevision);
   }
   return {mReplica, aUpdate.mTerm, CurrentView().mRevision};
 }
@@ -128,18 +138,37 @@
 void MembershipCore::TakeView(const ViewUpdate& aUpdate)
 {
   // A revision beyond the sender's term would keep out the views of later leaders.
-  const std::uint64_t end = (aUpdate.mTerm + 1) << kTermShift;
-  if (aUpdate.mView && aUpdate.mView->mRevision < end) {
+  const auto allowed = [&](std::uint64_t aRevision) {
+    return aRevision >> kTermShift <= aUpdate.mTerm;
+  };
+  if (aUpdate.mView && allowed(aUpdate.mView->mRevision)) {
     mViews.Advance(*aUpdate.mView);
     return;
   }
-  if (aUpdate.mDifference && aUpdate.mDifference->mTo < end) {
+  if (aUpdate.mDifference && allowed(aUpdate.mDifference->mTo)) {
     // After a mismatch the answer tells the leader the held revision, and it sends a matching
     // update.
     std::ignore = mViews.Apply(*aUpdate.mDifference);
   }
 }
 
+void MembershipCore::LearnHeld(std::uint64_t aRevision)
+{
+  mHeldRevision = std::max(mHeldRevision, aRevision);
+  const std::uint64_t heldTerm = mHeldRevision >> kTermShift;
+  // A view of an earlier term may be one that never reached a quorum.
+  if (CurrentView().mRevision <= mHeldRevision) {
+    if (CurrentView().mRevision >> kTermShift == heldTerm) {
+      mHanded.Advance(CurrentView());
+    }
+    return;
+  }
+  if (const auto step = mViews.DifferenceFrom(HandedView().mRevision, mHeldRevision);
+      step && step->mTo >> kTermShift == heldTerm) {
+    std::ignore = mHanded.Apply(*step);
+  }
+}
+
 void MembershipCore::OnViewUpdateAnswer(const ViewUpdateAnswer& aAnswer)
 {
   if (!mRole.mLeading || aAnswer.mTerm != mRole.mTerm) {
@@ -147,6 +176,7 @@
   }
   if (const auto peer = mPeers.find(aAnswer.mReplica); peer != mPeers.end()) {
     peer->second.mViewRevision = aAnswer.mViewRevision;
+    LearnHeld(QuorumRevision());
   }
 }
 
@@ -174,7 +204,7 @@
   if (!sameTerm) {
     BeginTerm(aNow);
   }
-  StartIssuing();
+  StartIssuing(aNow);
 }
 
 void MembershipCore::BeginTerm(TimePoint aNow)
@@ -196,12 +226,18 @@
   }
 }
 
-void MembershipCore::StartIssuing()
+void MembershipCore::StartIssuing(TimePoint aNow)
 {
   if (!mRole.mLeading || mIssuing || !HasHeardQuorum()) {
     return;
   }
   mIssuing = true;
+  mIssueFrom = aNow;
+  // Without a view from before, the first generation would go to the agents that happen to
+  // announce themselves first. All live ones do so within one lease.
+  if (CurrentView().mRevision == 0) {
+    mIssueFrom += mSettings.mLease + mSettings.mLeaseMargin;
+  }
   mBuilder.StartTerm(mRole.mTerm, CurrentView());
 }
 
@@ -243,7 +279,8 @@
 
 void MembershipCore::UpdateView(TimePoint aNow)
 {
-  if (!mIssuing || (mViewUpdatedAt && aNow - *mViewUpdatedAt < mSettings.mViewInterval)) {
+  if (!mIssuing || aNow < mIssueFrom ||
+      (mViewUpdatedAt && aNow - *mViewUpdatedAt < mSettings.mViewInterval)) {
     return;
   }
   mViewUpdatedAt = aNow;
@@ -253,23 +290,38 @@
   if (MayIssue() && mBuilder.Update(mStore.Current(), mLeases, aNow)) {
     mViews.Advance(mBuilder.Current());
   }
+  if (CurrentView().mRevision >> kTermShift == mRole.mTerm) {
+    mLeases.MarkShown(CurrentView().mRevision);
+  }
+  LearnHeld(QuorumRevision());
 }
 
-void MembershipCore::AddViewUpdates(std::vector<MembershipAction>& aActions, TimePoint aNow)
+std::optional<ViewUpdate> MembershipCore::UpdateFor(Peer& aPeer, TimePoint aNow) const
 {
   const std::uint64_t newest = CurrentView().mRevision;
+  const bool waits = aPeer.mSentRevision == newest && aNow - aPeer.mSentAt < mSettings.mViewResend;
+  const bool behind = aPeer.mViewRevision < newest && !waits;
+  if (aNow - aPeer.mHeardAt > mSettings.mLease || (!behind && aPeer.mToldHeld >= mHeldRevision)) {
+    return std::nullopt;
+  }
+  ViewUpdate update;
+  update.mTerm = mRole.mTerm;
+  update.mHeldRevision = mHeldRevision;
+  aPeer.mToldHeld = mHeldRevision;
+  if (behind) {
+    AddNewer(mViews, aPeer.mViewRevision, update.mView, update.mDifference);
+    aPeer.mSentAt = aNow;
+    aPeer.mSentRevision = newest;
+  }
+  return update;
+}
+
+void MembershipCore::AddViewUpdates(std::vector<MembershipAction>& aActions, TimePoint aNow)
+{
   for (auto& [name, peer] : mPeers) {
-    const bool gone = aNow - peer.mHeardAt > mSettings.mLease;
-    const bool waits = peer.mSentRevision == newest && aNow - peer.mSentAt < mSettings.mViewResend;
-    if (gone || waits || peer.mViewRevision >= newest) {
-      continue;
+    if (auto update = UpdateFor(peer, aNow)) {
+      aActions.emplace_back(SendViewUpdate{name, std::move(*update)});
     }
-    ViewUpdate update;
-    update.mTerm = mRole.mTerm;
-    AddNewer(mViews, peer.mViewRevision, update.mView, update.mDifference);
-    peer.mSentAt = aNow;
-    peer.mSentRevision = newest;
-    aActions.emplace_back(SendViewUpdate{name, std::move(update)});
   }
 }
 
--- a/lib/Control/SummaryReceiver.cpp
+++ b/lib/Control/SummaryReceiver.cpp
@@ -9,11 +9,14 @@
 
 namespace {
 
-void Note(RenewalOutcome aOutcome, const std::string& aName, SummaryAnswer& aAnswer)
+void Note(RenewalOutcome aOutcome, const std::string& aName, const LeaseTable& aLeases,
+          SummaryAnswer& aAnswer)
 {
   if (aOutcome == RenewalOutcome::Fenced) {
     aAnswer.mFenced.push_back(aName);
-  } else if (aOutcome != RenewalOutcome::Accepted) {
+    return;
+  }
+  if (aOutcome != RenewalOutcome::Accepted || !aLeases.IsShown(aName, aAnswer.mHeldRevision)) {
     aAnswer.mRefused.push_back(aName);
   }
 }
@@ -21,11 +24,12 @@
 } // namespace
 
 SummaryAnswer SummaryReceiver::Take(const MemberSummary& aSummary, LeaseTable& aLeases,
-                                    TimePoint aNow)
+                                    std::uint64_t aHeldRevision, TimePoint aNow)
 {
   SummaryAnswer answer;
   answer.mTerm = aSummary.mTerm;
   answer.mSequence = aSummary.mSequence;
+  answer.mHeldRevision = aHeldRevision;
   if (aSummary.mSequence <= mSequence) {
     return answer;
   }
@@ -37,7 +41,7 @@
   }
   for (const auto& [name, known] : mNodes) {
     if (!renewed.contains(name)) {
-      Note(aLeases.Touch(name, known.mIncarnation, aNow), name, answer);
+      Note(aLeases.Touch(name, known.mIncarnation, aNow), name, aLeases, answer);
     }
   }
   answer.mAccepted = true;
@@ -57,7 +61,7 @@
   std::set<std::string> renewed;
   for (const Announcement& announcement : aSummary.mChanged) {
     const Member& member = announcement.mMember;
-    Note(aLeases.Renew(announcement, aNow), member.mName, aAnswer);
+    Note(aLeases.Renew(announcement, aNow), member.mName, aLeases, aAnswer);
     mNodes[member.mName] = Known{member.mIncarnation, DigestOf(announcement)};
     renewed.insert(member.mName);
   }
--- a/lib/Control/ViewBuilder.cpp
+++ b/lib/Control/ViewBuilder.cpp
@@ -23,6 +23,20 @@
   return ViewBuilder::Unacknowledged(lastKept, aConfiguration, aLeases).empty();
 }
 
+std::uint32_t NewestNumber(const ServiceView& aService)
+{
+  return aService.mGenerations.empty() ? 0 : aService.mGenerations.front().mNumber;
+}
+
+std::uint32_t HighestAcked(const AgentsOfService& aAgents)
+{
+  std::uint32_t highest = 0;
+  for (const LeaseEntry* entry : aAgents) {
+    highest = std::max(highest, entry->mAnnouncement.mAckedGeneration);
+  }
+  return highest;
+}
+
 } // namespace
 
 ViewBuilder::ViewBuilder(const MembershipSettings& aSettings)
@@ -33,7 +47,6 @@
 void ViewBuilder::StartTerm(std::uint64_t aTerm, const View& aNewest)
 {
   mTerm = aTerm;
-  mPreviousTerm = aNewest.mRevision >> kTermShift;
   mIssuedInTerm = false;
   mView = aNewest;
   mPace.clear();
@@ -70,26 +83,27 @@
   return members;
 }
 
-std::uint32_t ViewBuilder::NextNumber(const ServiceView& aService, const Pace& aPace) const
+std::uint32_t ViewBuilder::NextNumber(const ServiceView& aService,
+                                      std::uint32_t aHighestAcked) const
 {
-  if (aService.mGenerations.empty()) {
-    return static_cast<std::uint32_t>(mTerm * kTermGenerationGap + 1);
+  std::uint32_t last = NewestNumber(aService);
+  if (aHighestAcked > last) {
+    last = aHighestAcked + kForgottenGap;
   }
-  const std::uint64_t skipped =
-    aPace.mNumberedInTerm ? 0 : (mTerm - mPreviousTerm) * kTermGenerationGap;
-  return static_cast<std::uint32_t>(aService.mGenerations.front().mNumber + skipped + 1);
+  const auto remainder = static_cast<std::uint32_t>(mTerm % kGenerationStride);
+  const std::uint32_t next = last - last % kGenerationStride + remainder;
+  return next > last ? next : next + kGenerationStride;
 }
 
-void ViewBuilder::Issue(ServiceView& aService, Pace& aPace,
-                        std::vector<WeightedMember> aMembers) const
+void ViewBuilder::Issue(ServiceView& aService, std::vector<WeightedMember> aMembers,
+                        std::uint32_t aHighestAcked) const
 {
-  const std::uint32_t number = NextNumber(aService, aPace);
+  const std::uint32_t number = NextNumber(aService, aHighestAcked);
   aService.mGenerations.insert(aService.mGenerations.begin(),
                                Generation{number, std::move(aMembers)});
   if (aService.mGenerations.size() > kMaxGenerations) {
     aService.mGenerations.resize(kMaxGenerations);
   }
-  aPace.mNumberedInTerm = true;
 }
 
 ServiceView ViewBuilder::BuildService(const std::string& aName, const ServiceEntry& aEntry,
@@ -105,10 +119,15 @@
   Pace& pace = mPace[aName];
   if (pace.mServiceId != aEntry.mId) {
     // In a new term, the deposed leader may have stepped the weights just before.
-    pace = Pace{aEntry.mId, aNow, !service.mGenerations.empty(), false};
+    pace = Pace{aEntry.mId, aNow, !service.mGenerations.empty()};
   }
   const bool stepDue = !pace.mStepped || aNow - pace.mLastStep >= mSettings.mStepInterval;
   const GenerationPlan plan(aName, aConfiguration, aLeases, aAgents);
+  const std::uint32_t acked = HighestAcked(aAgents);
+  if (!service.mGenerations.empty() && acked > NewestNumber(service)) {
+    Issue(service, std::vector(service.mGenerations.front().mMembers), acked);
+    return service;
+  }
   const bool acknowledged =
     service.mGenerations.empty() ||
     Unacknowledged(service.mGenerations.front(), aConfiguration, aLeases).empty();
@@ -118,12 +137,12 @@
         pace.mLastStep = aNow;
         pace.mStepped = true;
       }
-      Issue(service, pace, std::move(next->mMembers));
+      Issue(service, std::move(next->mMembers), acked);
     }
     return service;
   }
   if (auto next = plan.Forced(service); next && HistoryHasRoom(service, aConfiguration, aLeases)) {
-    Issue(service, pace, std::move(*next));
+    Issue(service, std::move(*next), acked);
   }
   return service;
 }
--- a/unittests/Control/ControlFixtures.cpp
+++ b/unittests/Control/ControlFixtures.cpp
@@ -6,6 +6,11 @@
 
 namespace dandelionslip {
 
+std::string Numbered(const char* aPrefix, std::uint64_t aNumber)
+{
+  return std::string(aPrefix).append(std::to_string(aNumber));
+}
+
 std::string PublicationId(std::uint64_t aNumber)
 {
   std::array<char, 37> text{};
--- a/unittests/Control/ControlFixtures.h
+++ b/unittests/Control/ControlFixtures.h
@@ -10,6 +10,9 @@
 
 inline const TimePoint kTestStart{std::chrono::hours(1)};
 
+/// The prefix followed by the number.
+std::string Numbered(const char* aPrefix, std::uint64_t aNumber);
+
 std::string PublicationId(std::uint64_t aNumber);
 
 ServiceSpec TestSpec(const std::string& aName, std::uint64_t aVersion, const std::string& aAddress);
