--- a/include/dandelionslip/Control/MembershipCore.h
+++ b/include/dandelionslip/Control/MembershipCore.h
@@ -59,7 +59,8 @@
   /// The leader's answer to this replica's newest summary.
   void OnSummaryAnswer(const SummaryAnswer& aAnswer);
 
-  /// A view from the leader. A lower revision or an older term is not taken.
+  /// A view from the leader. A lower revision, or the view of a leader that this replica does not
+  /// follow, is not taken.
   ViewUpdateAnswer OnViewUpdate(const ViewUpdate& aUpdate);
 
   /// A replica's answer to a view update.
--- a/lib/Control/MembershipCore.cpp
+++ b/lib/Control/MembershipCore.cpp
@@ -128,7 +128,7 @@
 
 ViewUpdateAnswer MembershipCore::OnViewUpdate(const ViewUpdate& aUpdate)
 {
-  if (!mRole.mLeading && aUpdate.mTerm >= mRole.mTerm) {
+  if (!mRole.mLeading && aUpdate.mTerm == mRole.mTerm) {
     TakeView(aUpdate);
     LearnHeld(aUpdate.mHeldRevision);
   }
@@ -138,12 +138,14 @@
 void MembershipCore::TakeView(const ViewUpdate& aUpdate)
 {
   // A revision beyond the sender's term would keep out the views of later leaders.
-  const std::uint64_t end = (aUpdate.mTerm + 1) << kTermShift;
-  if (aUpdate.mView && aUpdate.mView->mRevision < end) {
+  const auto allowed = [&](std::uint64_t aRevision) {
+    return aRevision >> kTermShift <= aUpdate.mTerm;
+  };
+  if (aUpdate.mView && allowed(aUpdate.mView->mRevision)) {
     mViews.Advance(*aUpdate.mView);
     return;
   }
-  if (aUpdate.mDifference && aUpdate.mDifference->mTo < end) {
+  if (aUpdate.mDifference && allowed(aUpdate.mDifference->mTo)) {
     // After a mismatch the answer tells the leader the held revision, and it sends a matching
     // update.
     std::ignore = mViews.Apply(*aUpdate.mDifference);
--- a/unittests/Control/MembershipCluster.cpp
+++ b/unittests/Control/MembershipCluster.cpp
@@ -74,6 +74,7 @@
   Replica& replica = mReplicas[aReplica];
   RoleChange change;
   replica.mTerm = aKnowsLeader ? mTerm : replica.mTerm;
+  replica.mKnowsLeader = aKnowsLeader;
   change.mTerm = replica.mTerm;
   change.mLeading = aKnowsLeader && aReplica == mLeader;
   change.mLeader = aKnowsLeader ? NameOf(mLeader) : "";
@@ -100,7 +101,7 @@
   for (std::size_t i = 0; i < kClusterReplicas; ++i) {
     Replica& replica = mReplicas[i];
     if (mIsolated != mLeader && Reachable(i, mLeader)) {
-      if (replica.mTerm != mTerm) {
+      if (replica.mTerm != mTerm || !replica.mKnowsLeader) {
         Follow(i, true);
       }
       replica.mQuorumSeen = mNow;
--- a/unittests/Control/MembershipCluster.h
+++ b/unittests/Control/MembershipCluster.h
@@ -65,6 +65,7 @@
     std::unique_ptr<MembershipCore> mCore;
     TimePoint mQuorumSeen;
     std::uint64_t mTerm = 0;
+    bool mKnowsLeader = false;
   };
 
   static std::string NameOf(std::size_t aReplica) { return Numbered("r", aReplica); }
