Tell refused replicas the reason and wipe disks in the schedules

Cause: a leader that had not yet committed an entry of its term marked a wiped voter as refused and then sent it nothing more, so the replica kept running without ever being told. Answers to requests at the first entry could also start further requests without limit. Change: refused replicas get heartbeats, whose answers are refused once the membership is committed; late mismatch answers are ignored. A quarter of the schedules wipes one disk; only removed or wiped replicas may end stopped. New tests: commit by count of earlier terms, vote of a replica that does not know its promotion.

--- a/include/dandelionslip/Control/RaftAction.h
+++ b/include/dandelionslip/Control/RaftAction.h
@@ -25,7 +25,8 @@
 std::string_view ToString(RaftRole aRole);
 
 /// Write, in this order: hard state, truncation, entries. Once all are synced, send the messages,
-/// and call RaftCore::Persisted if there were entries.
+/// and call RaftCore::Persisted if there were entries; the actions it returns follow those that
+/// were returned earlier.
 struct PersistAction
 {
   std::optional<HardState> mHardState;
--- a/lib/Control/RaftFollower.cpp
+++ b/lib/Control/RaftFollower.cpp
@@ -103,7 +103,7 @@
   answer.mHint = aSuccess ? aMatch : HintFor(aRequest);
   answer.mSentNs = aRequest.mSentNs;
   answer.mStamp = {mSession, mNow.time_since_epoch().count()};
-  Answer(aMessage, std::move(answer));
+  Answer(aMessage, answer);
 }
 
 void RaftCore::Node::Handle(const RaftMessage& aMessage, const AppendRequest& aRequest)
--- a/lib/Control/RaftReplication.cpp
+++ b/lib/Control/RaftReplication.cpp
@@ -122,7 +122,7 @@
 
 void RaftCore::Node::TakeMismatch(RaftPeer& aPeer, const AppendAnswer& aAnswer)
 {
-  const bool late = aAnswer.mPreviousIndex <= aPeer.mMatch && aPeer.mMatch != 0;
+  const bool late = aAnswer.mPreviousIndex <= aPeer.mMatch;
   if (late || aPeer.mMachine.State() == ReplicaState::Snapshot) {
     return;
   }
@@ -179,6 +179,9 @@
 {
   switch (aPeer.mMachine.State()) {
     case ReplicaState::Refused:
+      // The refusal is sent in answer to a message, once the membership is committed.
+      aPeer.mNext = mLog.LastIndex() + 1;
+      SendAppend(aId, aPeer, false);
       return;
     case ReplicaState::Snapshot:
       SendChunk(aId, aPeer, mNow - aPeer.mChunkSent >= mSettings.mElectionMin);
--- a/unittests/Control/RaftCoreTest.cpp
+++ b/unittests/Control/RaftCoreTest.cpp
@@ -26,6 +26,8 @@
   CPPUNIT_TEST(WipedLearnerStartsAgain);
   CPPUNIT_TEST(LateMessagesDoNotFillAWipedDisk);
   CPPUNIT_TEST(FailedSyncStopsTheReplica);
+  CPPUNIT_TEST(EntriesOfEarlierTermsAreNotCommittedByCount);
+  CPPUNIT_TEST(LearnerVotesBeforeItKnowsItsPromotion);
   CPPUNIT_TEST(TransferHandsOverWithoutALoss);
   CPPUNIT_TEST(DelayedAppendDoesNotConfirm);
   CPPUNIT_TEST_SUITE_END();
@@ -331,6 +333,67 @@
     AwaitConverged(cluster);
   }
 
+  static RaftMessage MessageTo(const RecoveredState& aState, Term aTerm, RaftBody aBody)
+  {
+    return {"b", aState.mReplica, aTerm, 2, false, aState.mStore, std::move(aBody)};
+  }
+
+  static RecoveredState StateWithOldEntry()
+  {
+    Membership members;
+    for (const ReplicaId id : {"a", "b", "c"}) {
+      members.mReplicas[id].mVoter = true;
+    }
+    RecoveredState state;
+    state.mReplica = "a";
+    state.mStore = 1;
+    state.mHardState.mTerm = 3;
+    state.mEntries = {{1, 1, EntryKind::Membership, ToCbor(members)},
+                      {2, 2, EntryKind::Command, {1}}};
+    return state;
+  }
+
+  // Guards against the commit of an entry of an earlier term because a majority holds it: a leader
+  // of a term between may still replace it.
+  void EntriesOfEarlierTermsAreNotCommittedByCount()
+  {
+    const RecoveredState state = StateWithOldEntry();
+    const TimePoint start{std::chrono::hours(1)};
+    const TimePoint now = start + Milliseconds(1001);
+    RaftCore core({}, state, Random(1), start);
+    core.Tick(now);
+    core.Receive(now, MessageTo(state, 3, PreVoteAnswer{4, true}));
+    core.Receive(now, MessageTo(state, 4, VoteAnswer{true}));
+    CPPUNIT_ASSERT(core.Role() == RaftRole::Leader);
+    core.Persisted(now, {3, 4});
+    core.Receive(now, MessageTo(state, 4, AppendAnswer{true, 2, 2, 2, 0, {}}));
+    CPPUNIT_ASSERT_EQUAL(LogIndex(2), core.MatchOf("b"));
+    CPPUNIT_ASSERT_EQUAL(LogIndex(0), core.CommitIndex());
+    core.Receive(now, MessageTo(state, 4, AppendAnswer{true, 3, 2, 3, 0, {}}));
+    CPPUNIT_ASSERT_EQUAL(LogIndex(3), core.CommitIndex());
+  }
+
+  // Guards against a cluster that never elects a leader again, because the replica that was
+  // promoted last has not received its promotion.
+  void LearnerVotesBeforeItKnowsItsPromotion()
+  {
+    SimulatedCluster cluster(2, 1, 18);
+    CommitSome(cluster);
+    CPPUNIT_ASSERT(Change(cluster, MembershipChangeKind::AddLearner, cluster.At(1).Id()));
+    AwaitConverged(cluster);
+    cluster.RunFor(Milliseconds(50)); // The leader receives the last answers.
+    cluster.Isolate(1);
+    const MembershipChange promote{MembershipChangeKind::Promote, cluster.At(1).Id(), ""};
+    CPPUNIT_ASSERT(cluster.At(0).Change(cluster.Now(), promote));
+    cluster.RunFor(Milliseconds(50));
+    cluster.At(0).Crash();
+    CPPUNIT_ASSERT(cluster.At(0).Start(cluster.Now()));
+    cluster.Heal();
+    CPPUNIT_ASSERT(!cluster.At(1).Core().Members().IsVoter(cluster.At(1).Id()));
+    CommitSome(cluster);
+    AwaitConverged(cluster);
+  }
+
   // Guards against a planned stop of the leader that costs an election timeout.
   void TransferHandsOverWithoutALoss()
   {
--- a/unittests/Control/RaftScheduleTest.cpp
+++ b/unittests/Control/RaftScheduleTest.cpp
@@ -34,6 +34,7 @@
   std::size_t mCrashes = 0;
   std::size_t mSnapshotsInstalled = 0;
   std::size_t mChanges = 0;
+  std::size_t mWipes = 0;
   Term mTerms = 0;
 };
 
@@ -44,6 +45,7 @@
     : mCount(3 + aSeed % 3)
     , mCluster(mCount, aSeed % 2 == 0 ? mCount : mCount - 1, aSeed, ScheduleSettings())
     , mRandom(aSeed)
+    , mMayWipe(aSeed % 4 == 0)
   {
     NetworkFaults faults;
     faults.mLoss = 0.15 * mRandom.Unit();
@@ -64,6 +66,7 @@
     aTotals.mAccepted += mCluster.Checker().AcceptedCount();
     aTotals.mCrashes += mCrashes;
     aTotals.mChanges += mChanges;
+    aTotals.mWipes += mWipes;
     for (std::size_t i = 0; i < mCount; ++i) {
       aTotals.mSnapshotsInstalled += mCluster.At(i).SnapshotsInstalled();
       aTotals.mTerms += mCluster.At(i).Running() ? mCluster.At(i).Core().CurrentTerm() : 0;
@@ -86,6 +89,15 @@
       }
       return;
     }
+    if (mMayWipe && Chance(0.003)) {
+      mMayWipe = false;
+      ++mWipes;
+      mWiped = replica.Id();
+      replica.Crash();
+      replica.Files().Wipe();
+      replica.Start(mCluster.Now());
+      return;
+    }
     if (Chance(0.3)) {
       mCluster.Propose(replica).has_value();
     }
@@ -120,8 +132,9 @@
       } else if (members.Find(target) != nullptr) {
         change.mKind = MembershipChangeKind::Promote;
       }
-      const bool allowed =
-        change.mKind != MembershipChangeKind::Remove || (members.VoterCount() > 2 && Chance(0.1));
+      // A lost voter and a removed one together may leave no quorum.
+      const bool mayRemove = !mMayWipe && mWipes == 0 && members.VoterCount() > 2 && Chance(0.1);
+      const bool allowed = change.mKind != MembershipChangeKind::Remove || mayRemove;
       mChanges += allowed && aLeader.Change(mCluster.Now(), change) ? 1 : 0;
     }
   }
@@ -141,7 +154,23 @@
     }
     const bool converged =
       mCluster.RunUntil([this] { return RestartAll() && mCluster.Converged(); }, kRecovery);
-    return converged ? "" : "the replicas do not agree after the faults have ended" + Describe();
+    if (!converged) {
+      return "the replicas do not agree after the faults have ended" + Describe();
+    }
+    return OnlyRefusedAreDown() ? "" : "a replica was refused without a reason" + Describe();
+  }
+
+  // Only the replica with the wiped disk and removed ones may have been stopped.
+  bool OnlyRefusedAreDown()
+  {
+    const Membership& members = mCluster.Leader()->Core().Members();
+    for (std::size_t i = 0; i < mCount; ++i) {
+      const ReplicaId& id = mCluster.At(i).Id();
+      if (!mCluster.At(i).Running() && id != mWiped && !members.IsRemoved(id)) {
+        return false;
+      }
+    }
+    return true;
   }
 
   // The state of each replica, for failure texts.
@@ -185,6 +214,9 @@
   std::set<std::size_t> mDown;
   std::size_t mCrashes = 0;
   std::size_t mChanges = 0;
+  std::size_t mWipes = 0;
+  ReplicaId mWiped;
+  bool mMayWipe; ///< One replica loses its disk and comes back under its old identity.
 };
 
 class RaftScheduleTest : public CppUnit::TestFixture
@@ -211,12 +243,14 @@
     }
     std::cout << " (accepted " << totals.mAccepted << ", crashes " << totals.mCrashes
               << ", snapshots installed " << totals.mSnapshotsInstalled << ", membership changes "
-              << totals.mChanges << ", sum of last terms " << totals.mTerms << ")";
+              << totals.mChanges << ", wiped disks " << totals.mWipes << ", sum of last terms "
+              << totals.mTerms << ")";
     CPPUNIT_ASSERT_EQUAL(std::string(), failures);
     if (replay == nullptr) {
       CPPUNIT_ASSERT(totals.mCrashes > kSchedules);
       CPPUNIT_ASSERT(totals.mSnapshotsInstalled > kSchedules / 4);
       CPPUNIT_ASSERT(totals.mChanges > kSchedules / 4);
+      CPPUNIT_ASSERT(totals.mWipes > kSchedules / 10);
     }
   }
 
--- a/unittests/Control/SimulatedCluster.cpp
+++ b/unittests/Control/SimulatedCluster.cpp
@@ -149,7 +149,8 @@
     const std::uint64_t limit = mRandom.Unit() < mFaults.mStraggler
                                   ? kStragglerMs
                                   : static_cast<std::uint64_t>(mFaults.mMaxDelay.count());
-    const Milliseconds delay(static_cast<std::int64_t>(mRandom.Below(limit + 1)));
+    // A positive delay keeps the number of deliveries in one step bounded.
+    const Milliseconds delay(1 + static_cast<std::int64_t>(mRandom.Below(limit)));
     mNetwork.emplace(mNow + delay, aMessage);
   }
 }
