--- a/include/dandelionslip/Control/RaftCore.h
+++ b/include/dandelionslip/Control/RaftCore.h
@@ -23,6 +23,7 @@
   std::size_t mMaxInFlight = 8; ///< Append messages with entries, for each follower.
   std::size_t mMaxPayloadBytes = 1U << 20U;
   std::size_t mSnapshotChunkBytes = 64U << 10U;
+  LogIndex mSnapshotEntries = 4096; ///< Applied entries after which a snapshot is due.
 };
 
 /// Raft with pre-vote, check-quorum, learners, single membership changes and snapshots.
@@ -58,6 +59,8 @@
   /// Hands leadership to an up-to-date voter before a planned stop; any voter when aTarget is
   /// empty. Proposals are refused until it succeeds or one election timeout has passed.
   Status TransferLeadership(TimePoint aNow, const ReplicaId& aTarget, RaftActions& aActions);
+  /// Whether enough entries were applied since the last snapshot.
+  bool SnapshotDue() const;
   /// Builds a snapshot of the applied entries. Call it only when every ApplyAction returned so far
   /// is carried out; aState is the state machine's state at that time.
   Snapshot MakeSnapshot(Bytes aState) const;
--- a/lib/Control/RaftCore.cpp
+++ b/lib/Control/RaftCore.cpp
@@ -43,6 +43,11 @@
   return mNode->TransferLeadership(aNow, aTarget, aActions);
 }
 
+bool RaftCore::SnapshotDue() const
+{
+  return mNode->SnapshotDue();
+}
+
 Snapshot RaftCore::MakeSnapshot(Bytes aState) const
 {
   const LogIndex applied = mNode->AppliedIndex();
--- a/lib/Control/RaftNode.cpp
+++ b/lib/Control/RaftNode.cpp
@@ -93,6 +93,11 @@
   }
 }
 
+bool RaftCore::Node::SnapshotDue() const
+{
+  return mApplied - mLog.SnapshotId().mIndex >= mSettings.mSnapshotEntries;
+}
+
 bool RaftCore::Node::Confirmed(TimePoint aNow) const
 {
   if (Role() == RaftRole::Stopped) {
--- a/lib/Control/RaftNode.h
+++ b/lib/Control/RaftNode.h
@@ -27,6 +27,7 @@
   Status TransferLeadership(TimePoint aNow, const ReplicaId& aTarget, RaftActions& aActions);
   void Compact(std::shared_ptr<const Snapshot> aSnapshot);
 
+  bool SnapshotDue() const;
   bool Confirmed(TimePoint aNow) const;
   const std::optional<ReplicaId>& Leader() const { return mLeader; }
   RaftRole Role() const { return mRole.Role(); }
--- a/unittests/Control/RaftCoreTest.cpp
+++ b/unittests/Control/RaftCoreTest.cpp
@@ -112,12 +112,15 @@
   {
     RaftSettings settings;
     settings.mSnapshotChunkBytes = 64;
+    settings.mSnapshotEntries = 10;
     SimulatedCluster cluster(3, 3, 4, settings);
     const std::size_t follower = (cluster.AwaitLeader() + 1) % 3;
     cluster.Isolate(follower);
     for (int i = 0; i < 5; ++i) {
       CommitSome(cluster, 10);
+      CPPUNIT_ASSERT(cluster.Leader()->Core().SnapshotDue());
       cluster.Leader()->TakeSnapshot();
+      CPPUNIT_ASSERT(!cluster.Leader()->Core().SnapshotDue());
     }
     cluster.Heal();
     AwaitConverged(cluster);
