Guard small segments and test blank voters and unsynced leaders

Cause: an append made no progress when the segment bound was smaller than a segment header. Change: a segment takes at least one entry; tests for the three cases; a test loop without a bound is gone; EntryId is ordered by an explicit operator.

--- a/include/dandelionslip/Control/LogEntry.h
+++ b/include/dandelionslip/Control/LogEntry.h
@@ -4,6 +4,8 @@
 #include "dandelionslip/Control/BinaryField.h"
 #include "dandelionslip/Control/ReplicaId.h"
 
+#include <tuple>
+
 namespace dandelionslip {
 
 enum class EntryKind
@@ -21,7 +23,11 @@
   LogIndex mIndex = 0;
   Term mTerm = 0;
 
-  auto operator<=>(const EntryId&) const = default;
+  bool operator==(const EntryId&) const = default;
+  bool operator<(const EntryId& aOther) const
+  {
+    return std::tie(mIndex, mTerm) < std::tie(aOther.mIndex, aOther.mTerm);
+  }
 };
 
 /// One entry of the replicated log.
--- a/lib/Control/LogStore.cpp
+++ b/lib/Control/LogStore.cpp
@@ -179,7 +179,9 @@
   Bytes batch;
   std::size_t count = 0;
   std::vector<std::uint64_t> offsets;
-  while (count < aEntries.size() && segment.mSize + batch.size() < mSettings.mSegmentBytes) {
+  // At least one entry, even if the bound is smaller than the header of a segment.
+  while (count < aEntries.size() &&
+         (count == 0 || segment.mSize + batch.size() < mSettings.mSegmentBytes)) {
     const Bytes record = EncodeRecord(ToCbor(aEntries[count++]));
     offsets.push_back(segment.mSize + batch.size());
     batch.insert(batch.end(), record.begin(), record.end());
--- a/unittests/Control/LogStoreTest.cpp
+++ b/unittests/Control/LogStoreTest.cpp
@@ -142,6 +142,7 @@
   CPPUNIT_TEST(MissingFilesAreErrors);
   CPPUNIT_TEST(IdentityBelongsToTheDirectory);
   CPPUNIT_TEST(BootstrapNeedsABlankStore);
+  CPPUNIT_TEST(EntriesMayExceedTheSegmentBound);
   CPPUNIT_TEST(RealFilesKeepTheContents);
   CPPUNIT_TEST_SUITE_END();
 
@@ -322,6 +323,18 @@
     CPPUNIT_ASSERT_EQUAL(LogIndex(1), OpenStore(files).value()->LastIndex());
   }
 
+  // Guards against an append that makes no progress when the bound leaves no room for an entry.
+  void EntriesMayExceedTheSegmentBound()
+  {
+    FakeFileLayer files;
+    Random random(1);
+    auto store = LogStore::Open(files, {kDirectory, 1, {}}, random);
+    CPPUNIT_ASSERT(store.value()->SaveHardState({1, ""}));
+    CPPUNIT_ASSERT(store.value()->Append(Entries(1, 3, 1)));
+    CPPUNIT_ASSERT_EQUAL(std::size_t(5), files.List(kDirectory).value().size());
+    CPPUNIT_ASSERT_EQUAL(LogIndex(3), OpenStore(files).value()->LastIndex());
+  }
+
   // Guards against a difference between the simulated files and those of the operating system.
   void RealFilesKeepTheContents()
   {
--- a/unittests/Control/RaftCoreTest.cpp
+++ b/unittests/Control/RaftCoreTest.cpp
@@ -27,6 +27,7 @@
   CPPUNIT_TEST(LateMessagesDoNotFillAWipedDisk);
   CPPUNIT_TEST(FailedSyncStopsTheReplica);
   CPPUNIT_TEST(EntriesOfEarlierTermsAreNotCommittedByCount);
+  CPPUNIT_TEST(BlankVoterIsNotCountedBeforeTheFirstCommit);
   CPPUNIT_TEST(LearnerVotesBeforeItKnowsItsPromotion);
   CPPUNIT_TEST(TransferHandsOverWithoutALoss);
   CPPUNIT_TEST(DelayedAppendDoesNotConfirm);
@@ -356,24 +357,49 @@
     return state;
   }
 
+  // Makes a core the leader of term 4; its entry 3 is not synced yet.
+  static std::unique_ptr<RaftCore> LeaderOfTermFour(const RecoveredState& aState, TimePoint aNow)
+  {
+    auto core = std::make_unique<RaftCore>(RaftSettings{}, aState, Random(1), TimePoint());
+    core->Tick(aNow);
+    core->Receive(aNow, MessageTo(aState, 3, PreVoteAnswer{4, true}));
+    core->Receive(aNow, MessageTo(aState, 4, VoteAnswer{true}));
+    CPPUNIT_ASSERT(core->Role() == RaftRole::Leader);
+    return core;
+  }
+
   // Guards against the commit of an entry of an earlier term because a majority holds it: a leader
-  // of a term between may still replace it.
+  // of a term between may still replace it. Also against a leader that counts its own log before
+  // it is synced.
   void EntriesOfEarlierTermsAreNotCommittedByCount()
   {
     const RecoveredState state = StateWithOldEntry();
-    const TimePoint start{std::chrono::hours(1)};
-    const TimePoint now = start + Milliseconds(1001);
-    RaftCore core({}, state, Random(1), start);
-    core.Tick(now);
-    core.Receive(now, MessageTo(state, 3, PreVoteAnswer{4, true}));
-    core.Receive(now, MessageTo(state, 4, VoteAnswer{true}));
-    CPPUNIT_ASSERT(core.Role() == RaftRole::Leader);
-    core.Persisted(now, {3, 4});
-    core.Receive(now, MessageTo(state, 4, AppendAnswer{true, 2, 2, 2, 0, {}}));
-    CPPUNIT_ASSERT_EQUAL(LogIndex(2), core.MatchOf("b"));
-    CPPUNIT_ASSERT_EQUAL(LogIndex(0), core.CommitIndex());
-    core.Receive(now, MessageTo(state, 4, AppendAnswer{true, 3, 2, 3, 0, {}}));
-    CPPUNIT_ASSERT_EQUAL(LogIndex(3), core.CommitIndex());
+    const TimePoint now(std::chrono::hours(1));
+    const auto core = LeaderOfTermFour(state, now);
+    core->Receive(now, MessageTo(state, 4, AppendAnswer{true, 2, 2, 2, 0, {}}));
+    CPPUNIT_ASSERT_EQUAL(LogIndex(2), core->MatchOf("b"));
+    CPPUNIT_ASSERT_EQUAL(LogIndex(0), core->CommitIndex());
+    core->Receive(now, MessageTo(state, 4, AppendAnswer{true, 3, 2, 3, 0, {}}));
+    CPPUNIT_ASSERT_EQUAL(LogIndex(0), core->CommitIndex());
+    core->Persisted(now, {3, 4});
+    CPPUNIT_ASSERT_EQUAL(LogIndex(3), core->CommitIndex());
+  }
+
+  // Guards against a new leader that fills the empty disk of a voter before it has committed the
+  // membership that tells it so.
+  void BlankVoterIsNotCountedBeforeTheFirstCommit()
+  {
+    const RecoveredState state = StateWithOldEntry();
+    const TimePoint now(std::chrono::hours(1));
+    const auto core = LeaderOfTermFour(state, now);
+    RaftMessage answer = MessageTo(state, 4, AppendAnswer{true, 3, 2, 3, 0, {}});
+    answer.mFromBlank = true;
+    const RaftActions actions = core->Receive(now, answer);
+    CPPUNIT_ASSERT(std::none_of(actions.begin(), actions.end(), [](const RaftAction& aAction) {
+      return std::holds_alternative<SendAction>(aAction);
+    }));
+    core->Persisted(now, {3, 4});
+    CPPUNIT_ASSERT_EQUAL(LogIndex(0), core->CommitIndex());
   }
 
   // Guards against a cluster that never elects a leader again, because the replica that was
@@ -422,14 +448,13 @@
     AwaitConverged(cluster);
     const std::size_t follower = (leader + 1) % 3;
     std::optional<RaftMessage> kept;
-    while (!kept) {
-      cluster.At(leader).Tick(cluster.Now() + Milliseconds(100));
-      for (const RaftMessage& message : cluster.At(leader).TakeSent()) {
-        if (message.mTo == cluster.At(follower).Id()) {
-          kept = message;
-        }
+    cluster.At(leader).Tick(cluster.Now() + Milliseconds(100));
+    for (const RaftMessage& message : cluster.At(leader).TakeSent()) {
+      if (message.mTo == cluster.At(follower).Id()) {
+        kept = message;
       }
     }
+    CPPUNIT_ASSERT(kept);
     CPPUNIT_ASSERT(std::get<AppendRequest>(kept->mBody).mQuorumAgeNs);
     cluster.Isolate(follower);
     cluster.RunFor(Milliseconds(600));
