--- a/unittests/Control/RaftCoreTest.cpp
+++ b/unittests/Control/RaftCoreTest.cpp
@@ -26,6 +26,9 @@
   CPPUNIT_TEST(WipedLearnerStartsAgain);
   CPPUNIT_TEST(LateMessagesDoNotFillAWipedDisk);
   CPPUNIT_TEST(FailedSyncStopsTheReplica);
+  CPPUNIT_TEST(EntriesOfEarlierTermsAreNotCommittedByCount);
+  CPPUNIT_TEST(BlankVoterIsNotCountedBeforeTheFirstCommit);
+  CPPUNIT_TEST(LearnerVotesBeforeItKnowsItsPromotion);
   CPPUNIT_TEST(TransferHandsOverWithoutALoss);
   CPPUNIT_TEST(DelayedAppendDoesNotConfirm);
   CPPUNIT_TEST_SUITE_END();
@@ -110,12 +113,15 @@
   {
     RaftSettings settings;
     settings.mSnapshotChunkBytes = 64;
+    settings.mSnapshotEntries = 10;
     SimulatedCluster cluster(3, 3, 4, settings);
     const std::size_t follower = (cluster.AwaitLeader() + 1) % 3;
     cluster.Isolate(follower);
     for (int i = 0; i < 5; ++i) {
       CommitSome(cluster, 10);
+      CPPUNIT_ASSERT(cluster.Leader()->Core().SnapshotDue());
       cluster.Leader()->TakeSnapshot();
+      CPPUNIT_ASSERT(!cluster.Leader()->Core().SnapshotDue());
     }
     cluster.Heal();
     AwaitConverged(cluster);
@@ -331,6 +337,92 @@
     AwaitConverged(cluster);
   }
 
+  static RaftMessage MessageTo(const RecoveredState& aState, Term aTerm, RaftBody aBody)
+  {
+    return {"b", aState.mReplica, aTerm, 2, false, aState.mStore, std::move(aBody)};
+  }
+
+  static RecoveredState StateWithOldEntry()
+  {
+    Membership members;
+    for (const ReplicaId id : {"a", "b", "c"}) {
+      members.mReplicas[id].mVoter = true;
+    }
+    RecoveredState state;
+    state.mReplica = "a";
+    state.mStore = 1;
+    state.mHardState.mTerm = 3;
+    state.mEntries = {{1, 1, EntryKind::Membership, ToCbor(members)},
+                      {2, 2, EntryKind::Command, {1}}};
+    return state;
+  }
+
+  // Makes a core the leader of term 4; its entry 3 is not synced yet.
+  static std::unique_ptr<RaftCore> LeaderOfTermFour(const RecoveredState& aState, TimePoint aNow)
+  {
+    auto core = std::make_unique<RaftCore>(RaftSettings{}, aState, Random(1), TimePoint());
+    core->Tick(aNow);
+    core->Receive(aNow, MessageTo(aState, 3, PreVoteAnswer{4, true}));
+    core->Receive(aNow, MessageTo(aState, 4, VoteAnswer{true}));
+    CPPUNIT_ASSERT(core->Role() == RaftRole::Leader);
+    return core;
+  }
+
+  // Guards against the commit of an entry of an earlier term because a majority holds it: a leader
+  // of a term between may still replace it. Also against a leader that counts its own log before
+  // it is synced.
+  void EntriesOfEarlierTermsAreNotCommittedByCount()
+  {
+    const RecoveredState state = StateWithOldEntry();
+    const TimePoint now(std::chrono::hours(1));
+    const auto core = LeaderOfTermFour(state, now);
+    core->Receive(now, MessageTo(state, 4, AppendAnswer{true, 2, 2, 2, 0, {}}));
+    CPPUNIT_ASSERT_EQUAL(LogIndex(2), core->MatchOf("b"));
+    CPPUNIT_ASSERT_EQUAL(LogIndex(0), core->CommitIndex());
+    core->Receive(now, MessageTo(state, 4, AppendAnswer{true, 3, 2, 3, 0, {}}));
+    CPPUNIT_ASSERT_EQUAL(LogIndex(0), core->CommitIndex());
+    core->Persisted(now, {3, 4});
+    CPPUNIT_ASSERT_EQUAL(LogIndex(3), core->CommitIndex());
+  }
+
+  // Guards against a new leader that fills the empty disk of a voter before it has committed the
+  // membership that tells it so.
+  void BlankVoterIsNotCountedBeforeTheFirstCommit()
+  {
+    const RecoveredState state = StateWithOldEntry();
+    const TimePoint now(std::chrono::hours(1));
+    const auto core = LeaderOfTermFour(state, now);
+    RaftMessage answer = MessageTo(state, 4, AppendAnswer{true, 3, 2, 3, 0, {}});
+    answer.mFromBlank = true;
+    const RaftActions actions = core->Receive(now, answer);
+    CPPUNIT_ASSERT(std::none_of(actions.begin(), actions.end(), [](const RaftAction& aAction) {
+      return std::holds_alternative<SendAction>(aAction);
+    }));
+    core->Persisted(now, {3, 4});
+    CPPUNIT_ASSERT_EQUAL(LogIndex(0), core->CommitIndex());
+  }
+
+  // Guards against a cluster that never elects a leader again, because the replica that was
+  // promoted last has not received its promotion.
+  void LearnerVotesBeforeItKnowsItsPromotion()
+  {
+    SimulatedCluster cluster(2, 1, 18);
+    CommitSome(cluster);
+    CPPUNIT_ASSERT(Change(cluster, MembershipChangeKind::AddLearner, cluster.At(1).Id()));
+    AwaitConverged(cluster);
+    cluster.RunFor(Milliseconds(50)); // The leader receives the last answers.
+    cluster.Isolate(1);
+    const MembershipChange promote{MembershipChangeKind::Promote, cluster.At(1).Id(), ""};
+    CPPUNIT_ASSERT(cluster.At(0).Change(cluster.Now(), promote));
+    cluster.RunFor(Milliseconds(50));
+    cluster.At(0).Crash();
+    CPPUNIT_ASSERT(cluster.At(0).Start(cluster.Now()));
+    cluster.Heal();
+    CPPUNIT_ASSERT(!cluster.At(1).Core().Members().IsVoter(cluster.At(1).Id()));
+    CommitSome(cluster);
+    AwaitConverged(cluster);
+  }
+
   // Guards against a planned stop of the leader that costs an election timeout.
   void TransferHandsOverWithoutALoss()
   {
@@ -356,14 +448,13 @@
     AwaitConverged(cluster);
     const std::size_t follower = (leader + 1) % 3;
     std::optional<RaftMessage> kept;
-    while (!kept) {
-      cluster.At(leader).Tick(cluster.Now() + Milliseconds(100));
-      for (const RaftMessage& message : cluster.At(leader).TakeSent()) {
-        if (message.mTo == cluster.At(follower).Id()) {
-          kept = message;
-        }
+    cluster.At(leader).Tick(cluster.Now() + Milliseconds(100));
+    for (const RaftMessage& message : cluster.At(leader).TakeSent()) {
+      if (message.mTo == cluster.At(follower).Id()) {
+        kept = message;
       }
     }
+    CPPUNIT_ASSERT(kept);
     CPPUNIT_ASSERT(std::get<AppendRequest>(kept->mBody).mQuorumAgeNs);
     cluster.Isolate(follower);
     cluster.RunFor(Milliseconds(600));
