--- /dev/null
+++ b/unittests/Request/RelayCoreTest.cpp
@@ -0,0 +1,247 @@
+// Tests of the balancer's request handling.
+#include "RequestTestSupport.h"
+
+#include "dandelionslip/Request/RequestMetricNames.h"
+
+namespace dandelionslip {
+
+namespace {
+
+using namespace requesttest;
+
+class FixedTargets : public RequestTargets
+{
+public:
+  std::optional<std::string> HomeOf(ServiceId /*aService*/, const RequestId& /*aId*/) const override
+  {
+    return mHome;
+  }
+  std::vector<std::string> CandidatesOf(ServiceId /*aService*/) const override { return mAll; }
+
+  std::optional<std::string> mHome = "u1";
+  std::vector<std::string> mAll{"u1", "u2", "u3"};
+};
+
+class RelayCoreTest : public CppUnit::TestFixture
+{
+  CPPUNIT_TEST_SUITE(RelayCoreTest);
+  CPPUNIT_TEST(OnlyWholeMatchingAnswersAreDelivered);
+  CPPUNIT_TEST(NotRunNeedsProof);
+  CPPUNIT_TEST(UnknownOutcomeIsNeverRetried);
+  CPPUNIT_TEST(LostLinkAsksTheRecordAgain);
+  CPPUNIT_TEST(DeadlineBoundsEverything);
+  CPPUNIT_TEST(CancellationIsPassedOn);
+  CPPUNIT_TEST(BadIdsAreRefused);
+  CPPUNIT_TEST(IdempotentRequestsMoveOn);
+  CPPUNIT_TEST(BudgetEndsRetries);
+  CPPUNIT_TEST_SUITE_END();
+
+public:
+  void setUp() override
+  {
+    mTargets = {};
+    mRegistry = std::make_unique<MetricsRegistry>();
+    RelaySettings settings;
+    settings.mBudget.mTokensPerSecond = 1000;
+    mCore = std::make_unique<RelayCore>(settings, mTargets, 61, *mRegistry);
+  }
+
+private:
+  RelayActions Send(bool aIdempotent = false, std::uint32_t aAttempt = 1,
+                    std::optional<std::string> aId = {}, std::int64_t aMs = 0)
+  {
+    CallerRequest request;
+    request.mHandle = ++mHandle;
+    request.mService = 1;
+    request.mIdText = std::move(aId);
+    request.mCallerAttempt = aAttempt;
+    request.mIdempotent = aIdempotent;
+    request.mRemaining = Milliseconds(2000);
+    return mCore->OnRequest(std::move(request), At(aMs));
+  }
+
+  SendToAgent Sent(bool aIdempotent = false) { return Only<SendToAgent>(Send(aIdempotent)); }
+
+  RelayActions Answer(const AttemptKey& aKey, RequestOutcome aOutcome,
+                      ReceivedAnswer aReceived = {},
+                      RefusalReason aReason = RefusalReason::SlotsFull, std::int64_t aMs = 1)
+  {
+    return mCore->OnAgentAnswer(aKey, aOutcome, Refusal{aReason, Milliseconds(0)},
+                                std::move(aReceived), At(aMs));
+  }
+
+  // The attempt that follows within the next second.
+  SendToAgent Next(std::int64_t aMs = 1001) { return Only<SendToAgent>(mCore->OnTick(At(aMs))); }
+
+  static std::string Outcome(const RelayActions& aActions)
+  {
+    return OutcomeName(Only<AnswerCaller>(aActions).mAnswer);
+  }
+
+  std::uint64_t Count(const char* aName, const char* aReason)
+  {
+    return mRegistry->CounterFor(aName, "reason=\"" + std::string(aReason) + "\"").Value();
+  }
+
+  // Guards against truncated answers and answers of another attempt or request.
+  void OnlyWholeMatchingAnswersAreDelivered()
+  {
+    const AttemptKey key = Sent().mKey;
+    const AttemptKey other = Sent().mKey;
+    CPPUNIT_ASSERT(Answer(key, RequestOutcome::Answered, CutShort("a")).empty());
+    const AttemptKey second = Next().mKey;
+    CPPUNIT_ASSERT(second.mId == key.mId && second.mAttempt > key.mAttempt);
+    CPPUNIT_ASSERT(Answer(key, RequestOutcome::Answered, Whole("late")).empty());
+    CPPUNIT_ASSERT(
+      Answer({key.mId, second.mAttempt + 1}, RequestOutcome::Answered, Whole("x")).empty());
+    const auto answer = Only<AnswerCaller>(Answer(second, RequestOutcome::Answered, Whole("a")));
+    CPPUNIT_ASSERT(answer.mId == key.mId && answer.mAnswer.mAnswer.mBody == BytesOf("a"));
+    CPPUNIT_ASSERT(Answer(second, RequestOutcome::Answered, Whole("a")).empty());
+    CPPUNIT_ASSERT_EQUAL(std::string("answered"),
+                         Outcome(Answer(other, RequestOutcome::Answered, Whole("b"))));
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t(1), Count(metric::kRequestDrops, "late_answer"));
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t(2), Count(metric::kRequestDrops, "unmatched_answer"));
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t(1), Count(metric::kRequestRetries, "link_lost"));
+  }
+
+  // Guards against "not run" without the home agent's word when something may have been sent.
+  void NotRunNeedsProof()
+  {
+    const AttemptKey refused = Sent().mKey;
+    CPPUNIT_ASSERT_EQUAL(std::string("not_run"), Outcome(Answer(refused, RequestOutcome::NotRun, {},
+                                                                RefusalReason::RecordsFull)));
+    mTargets.mHome.reset();
+    CPPUNIT_ASSERT(Send().empty());
+    CPPUNIT_ASSERT_EQUAL(std::string("not_run"), Outcome(mCore->OnTick(At(2000))));
+    mTargets.mHome = "u1";
+    const AttemptKey unsent = Only<SendToAgent>(Send(false, 1, {}, 2001)).mKey;
+    mCore->OnAgentUnreachable(unsent, false, At(2002));
+    const AttemptKey lost = Next(2500).mKey;
+    mCore->OnAgentUnreachable(lost, true, At(2501));
+    CPPUNIT_ASSERT_EQUAL(std::string("unknown"), Outcome(mCore->OnTick(At(4001))));
+    // An earlier attempt of the caller may run although this balancer never sent one.
+    mTargets.mHome.reset();
+    CPPUNIT_ASSERT(Send(false, 2, "01ba60d3-4f94-7fe5-a827-585279c8b01e", 5000).empty());
+    CPPUNIT_ASSERT_EQUAL(std::string("unknown"), Outcome(mCore->OnTick(At(7000))));
+  }
+
+  // Guards against a second run by a retry after an outcome that the home agent calls unknown.
+  void UnknownOutcomeIsNeverRetried()
+  {
+    CPPUNIT_ASSERT_EQUAL(std::string("unknown"),
+                         Outcome(Answer(Sent().mKey, RequestOutcome::Unknown)));
+    CPPUNIT_ASSERT(!mCore->Active());
+  }
+
+  // Guards against giving up, or changing the id, when only the link to the home agent failed.
+  void LostLinkAsksTheRecordAgain()
+  {
+    const SendToAgent first = Sent();
+    CPPUNIT_ASSERT(mCore->OnAgentUnreachable(first.mKey, true, At(1)).empty());
+    mTargets.mHome = "u2";
+    const SendToAgent second = Next();
+    CPPUNIT_ASSERT(second.mKey.mId == first.mKey.mId);
+    CPPUNIT_ASSERT_EQUAL(first.mKey.mAttempt + 1, second.mKey.mAttempt);
+    CPPUNIT_ASSERT_EQUAL(std::string("u2"), second.mAgent);
+    CPPUNIT_ASSERT(second.mRemaining < first.mRemaining);
+    CPPUNIT_ASSERT(
+      Answer(second.mKey, RequestOutcome::NotHome, {}, RefusalReason::HandoffPending, 1002)
+        .empty());
+    const SendToAgent third = Next(1900);
+    CPPUNIT_ASSERT_EQUAL(
+      std::string("not_run"),
+      Outcome(Answer(third.mKey, RequestOutcome::NotRun, {}, RefusalReason::Deadline, 1901)));
+  }
+
+  // Guards against callers left waiting and retries past the deadline, also when the clock jumps.
+  void DeadlineBoundsEverything()
+  {
+    const SendToAgent sent = Sent();
+    CPPUNIT_ASSERT(sent.mRemaining < Milliseconds(2000));
+    const RelayActions ended = mCore->OnTick(At(3'600'000));
+    CPPUNIT_ASSERT(Only<CancelAtAgent>(ended).mKey == sent.mKey);
+    CPPUNIT_ASSERT_EQUAL(std::string("unknown"), Outcome(ended));
+    const SendToAgent refused = Sent();
+    CPPUNIT_ASSERT_EQUAL(
+      std::string("not_run"),
+      Outcome(Answer(refused.mKey, RequestOutcome::NotRun, {}, RefusalReason::SlotsFull, 1999)));
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t(1), Count(metric::kRequestRetriesDenied, "deadline"));
+  }
+
+  // Guards against work for callers that left, and against a lost answer that raced the cancel.
+  void CancellationIsPassedOn()
+  {
+    const SendToAgent sent = Sent();
+    CPPUNIT_ASSERT(Only<CancelAtAgent>(mCore->OnCallerCancelled(mHandle, At(1))).mKey == sent.mKey);
+    CPPUNIT_ASSERT(mCore->OnCallerCancelled(mHandle, At(1)).empty());
+    CPPUNIT_ASSERT_EQUAL(std::string("cancelled"),
+                         Outcome(Answer(sent.mKey, RequestOutcome::Cancelled)));
+    const SendToAgent raced = Sent();
+    mCore->OnCallerCancelled(mHandle, At(1));
+    CPPUNIT_ASSERT_EQUAL(std::string("answered"),
+                         Outcome(Answer(raced.mKey, RequestOutcome::Answered, Whole("a"))));
+    const SendToAgent lost = Sent();
+    mCore->OnCallerCancelled(mHandle, At(1));
+    CPPUNIT_ASSERT_EQUAL(std::string("unknown"),
+                         Outcome(mCore->OnAgentUnreachable(lost.mKey, true, At(2))));
+    mCore->OnAgentUnreachable(Sent().mKey, false, At(2));
+    CPPUNIT_ASSERT_EQUAL(std::string("cancelled"),
+                         Outcome(mCore->OnCallerCancelled(mHandle, At(3))));
+  }
+
+  // Guards against running a request at most once under an id that cannot be remembered.
+  void BadIdsAreRefused()
+  {
+    const auto refused = Only<AnswerCaller>(Send(false, 1, "not an id"));
+    CPPUNIT_ASSERT(refused.mAnswer.mRefusal.value().mReason == RefusalReason::BadRequestId);
+    CPPUNIT_ASSERT_EQUAL(std::string("not_run"), OutcomeName(refused.mAnswer));
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), Send(true, 1, "not an id").size());
+    const std::string id = "01ba60d3-4f94-7fe5-a827-585279c8b01e";
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), All<SendToAgent>(Send(false, 1, id)).size());
+    CPPUNIT_ASSERT_EQUAL(std::string("unknown"), Outcome(Send(false, 1, id)));
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t(1), Count(metric::kRequestDrops, "duplicate_attempt"));
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), All<SendToAgent>(Send(false, 2, id)).size());
+  }
+
+  // Guards against idempotent requests that fail with one agent, and against uneven choice.
+  void IdempotentRequestsMoveOn()
+  {
+    const SendToAgent first = Sent(true);
+    CPPUNIT_ASSERT(Answer(first.mKey, RequestOutcome::Unknown).empty());
+    const SendToAgent second = Next();
+    CPPUNIT_ASSERT(second.mAgent != first.mAgent);
+    // The refusal says nothing about the first attempt, which may have run.
+    CPPUNIT_ASSERT_EQUAL(std::string("unknown"), Outcome(Answer(second.mKey, RequestOutcome::NotRun,
+                                                                {}, RefusalReason::Deadline)));
+    std::map<std::string, int> open;
+    for (int i = 0; i < 300; ++i) {
+      ++open[Sent(true).mAgent];
+    }
+    for (const auto& [agent, count] : open) {
+      CPPUNIT_ASSERT_MESSAGE(agent, count >= 95 && count <= 105);
+    }
+  }
+
+  // Guards against retries beyond the caller's budget.
+  void BudgetEndsRetries()
+  {
+    RelaySettings settings;
+    settings.mBudget.mTokensPerSecond = 0;
+    mCore = std::make_unique<RelayCore>(settings, mTargets, 62, *mRegistry);
+    CPPUNIT_ASSERT(Answer(Sent().mKey, RequestOutcome::NotRun).empty());
+    CPPUNIT_ASSERT_EQUAL(std::string("not_run"),
+                         Outcome(Answer(Next().mKey, RequestOutcome::NotRun)));
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t(1), Count(metric::kRequestRetriesDenied, "budget"));
+  }
+
+  FixedTargets mTargets;
+  ReplyHandle mHandle = 0;
+  std::unique_ptr<MetricsRegistry> mRegistry;
+  std::unique_ptr<RelayCore> mCore;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(RelayCoreTest);
+
+} // namespace
+
+} // namespace dandelionslip
--- /dev/null
+++ b/unittests/Request/RequestRecordsTest.cpp
@@ -0,0 +1,219 @@
+// Tests of record hand-off, restart and bounds.
+#include "RequestTestSupport.h"
+
+namespace dandelionslip {
+
+namespace {
+
+using namespace requesttest;
+
+class RequestRecordsTest : public CppUnit::TestFixture
+{
+  CPPUNIT_TEST_SUITE(RequestRecordsTest);
+  CPPUNIT_TEST(HandoffKeepsEveryState);
+  CPPUNIT_TEST(LateHandoffHasNoEffect);
+  CPPUNIT_TEST(FrozenBucketGoesToOneOwner);
+  CPPUNIT_TEST(HandoffCoversExpiredRecords);
+  CPPUNIT_TEST(LostBucketForgetsUntilSkewBound);
+  CPPUNIT_TEST(RestartMakesPendingUnknown);
+  CPPUNIT_TEST(AnswerOfStartedRequestIsAlwaysKept);
+  CPPUNIT_TEST(LateRefusalDoesNotEndNewerAttempt);
+  CPPUNIT_TEST(AlteredMessagesChangeNothing);
+  CPPUNIT_TEST_SUITE_END();
+
+  static constexpr std::uint32_t kBuckets = 1;
+
+  static RequestRecords Owner(const char* aName, RecordLimits aLimits = {})
+  {
+    RequestRecords records(aName, kBuckets, aLimits);
+    records.CompleteFirst(0, 1);
+    return records;
+  }
+
+  RequestId NewId(std::int64_t aMs = 0) { return RequestId::Make(kWallStartMs + aMs, mRandom); }
+
+  static const Json& Exported(const Result<Json>& aTable)
+  {
+    CPPUNIT_ASSERT_MESSAGE(aTable ? "" : aTable.error().Message(), bool(aTable));
+    return aTable.value();
+  }
+
+  // Guards against a hand-off that loses a record, and so permits a second run.
+  void HandoffKeepsEveryState()
+  {
+    RequestRecords from = Owner("a");
+    std::vector<RequestId> ids;
+    for (int i = 0; i < 4; ++i) {
+      ids.push_back(NewId());
+      CPPUNIT_ASSERT(from.TryPending(ids.back(), 5));
+    }
+    from.Complete(ids[1], {200, "text/plain", {0, 255, 10}});
+    CPPUNIT_ASSERT(from.TryRefuse(ids[2], 5, {RefusalReason::Cold, Milliseconds(9)}));
+    from.MarkUnknown(ids[3]);
+    RequestRecords to("b", kBuckets);
+    to.Acquire(0, 2);
+    const Bytes wire = EncodeCbor(Exported(from.FreezeAndExport({0}, "b", 2, kWallStartMs)));
+    CPPUNIT_ASSERT(to.Import(DecodeCbor(wire, "a").value(), "a"));
+    for (const RequestId& id : ids) {
+      CPPUNIT_ASSERT(*from.Find(id) == *to.Find(id));
+    }
+    CPPUNIT_ASSERT(BucketState::Frozen == from.StateOf(0));
+    CPPUNIT_ASSERT(BucketState::Complete == to.StateOf(0));
+    from.Complete(ids[0], {200, "", {1}});
+    CPPUNIT_ASSERT(to.MergeRecord(from.ExportRecord(ids[0]), "a"));
+    CPPUNIT_ASSERT(RecordState::Done == to.Find(ids[0])->mState);
+  }
+
+  // Guards against a bucket that becomes complete with records of an earlier hand-off.
+  void LateHandoffHasNoEffect()
+  {
+    RequestRecords a = Owner("a");
+    RequestRecords b("b", kBuckets);
+    b.Acquire(0, 2);
+    const Json early = Exported(a.FreezeAndExport({0}, "b", 2, kWallStartMs));
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), b.Import(early, "a").value().size());
+    a.Acquire(0, 3);
+    CPPUNIT_ASSERT(a.Import(Exported(b.FreezeAndExport({0}, "a", 3, kWallStartMs)), "b"));
+    CPPUNIT_ASSERT(a.TryPending(NewId(), 1));
+    b.Acquire(0, 4);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(0), b.Import(early, "a").value().size());
+    CPPUNIT_ASSERT(BucketState::Incomplete == b.StateOf(0));
+    // A late request for the first hand-off must not freeze the bucket again.
+    CPPUNIT_ASSERT(!a.FreezeAndExport({0}, "b", 2, kWallStartMs));
+    CPPUNIT_ASSERT(BucketState::Complete == a.StateOf(0));
+  }
+
+  // Guards against two owners that both complete a bucket from one export.
+  void FrozenBucketGoesToOneOwner()
+  {
+    RequestRecords a = Owner("a");
+    const Json first = Exported(a.FreezeAndExport({0}, "b", 2, kWallStartMs));
+    CPPUNIT_ASSERT(first == Exported(a.FreezeAndExport({0}, "b", 2, kWallStartMs)));
+    CPPUNIT_ASSERT(!a.FreezeAndExport({0}, "c", 3, kWallStartMs));
+    RequestRecords c("c", kBuckets);
+    c.Acquire(0, 2);
+    CPPUNIT_ASSERT(!c.Import(first, "a"));
+    CPPUNIT_ASSERT(!c.FreezeAndExport({0}, "d", 3, kWallStartMs));
+    CPPUNIT_ASSERT(!c.FreezeAndExport({7}, "d", 3, kWallStartMs));
+  }
+
+  // Guards against a new owner with a slower clock that takes an expired id for a new one.
+  void HandoffCoversExpiredRecords()
+  {
+    RequestRecords a = Owner("a");
+    const RequestId id = NewId();
+    CPPUNIT_ASSERT(a.TryPending(id, 1));
+    a.Complete(id, {});
+    a.Expire(kWallStartMs + 600'001);
+    CPPUNIT_ASSERT(a.Find(id) == nullptr);
+    RequestRecords b("b", kBuckets);
+    b.Acquire(0, 2);
+    CPPUNIT_ASSERT(b.Import(Exported(a.FreezeAndExport({0}, "b", 2, kWallStartMs + 600'001)), "a"));
+    CPPUNIT_ASSERT(IdKnowledge::TooOld == b.Judge(id, kWallStartMs + 590'000));
+  }
+
+  // Guards against running an id that a lost owner may have run.
+  void LostBucketForgetsUntilSkewBound()
+  {
+    RequestRecords records("a", kBuckets);
+    records.CompleteAfterLoss(0, kWallStartMs);
+    CPPUNIT_ASSERT(BucketState::NotOwned == records.StateOf(0));
+    records.Acquire(0, 2);
+    records.CompleteAfterLoss(0, kWallStartMs);
+    CPPUNIT_ASSERT_EQUAL(kWallStartMs + 30'000, records.CompleteSince(0));
+    CPPUNIT_ASSERT(IdKnowledge::TooOld == records.Judge(NewId(29'999), kWallStartMs));
+    CPPUNIT_ASSERT(IdKnowledge::New == records.Judge(NewId(30'000), kWallStartMs));
+    CPPUNIT_ASSERT(IdKnowledge::InFuture == records.Judge(NewId(30'001), kWallStartMs));
+  }
+
+  // Guards against a second run of hundreds of requests that were pending at a restart, and against
+  // an answer lost that the old process stated after its export.
+  void RestartMakesPendingUnknown()
+  {
+    RequestRecords old = Owner("a");
+    std::vector<RequestId> ids;
+    for (int i = 0; i < 500; ++i) {
+      ids.push_back(NewId());
+      CPPUNIT_ASSERT(old.TryPending(ids.back(), 1));
+    }
+    const Bytes wire = EncodeCbor(old.ExportAll(kWallStartMs));
+    RequestRecords fresh("a", kBuckets);
+    CPPUNIT_ASSERT(fresh.ImportAll(DecodeCbor(wire, "peer").value(), "peer"));
+    CPPUNIT_ASSERT(BucketState::Complete == fresh.StateOf(0));
+    CPPUNIT_ASSERT_EQUAL(ids.size(), fresh.Size());
+    for (const RequestId& id : ids) {
+      CPPUNIT_ASSERT(RecordState::Unknown == fresh.Find(id)->mState);
+    }
+    old.Complete(ids[0], {200, "", {1}});
+    CPPUNIT_ASSERT(fresh.MergeRecord(old.ExportRecord(ids[0]), "peer"));
+    CPPUNIT_ASSERT(RecordState::Done == fresh.Find(ids[0])->mState);
+  }
+
+  // Guards against answers that a resend cannot get because others filled the table meanwhile.
+  void AnswerOfStartedRequestIsAlwaysKept()
+  {
+    RecordLimits limits;
+    limits.mMaxBytes = 2 * kMaxKeptAnswerBytes + 10;
+    RequestRecords records = Owner("a", limits);
+    const std::vector<RequestId> ids{NewId(), NewId(), NewId()};
+    CPPUNIT_ASSERT(records.TryPending(ids[0], 1) && records.TryPending(ids[1], 1));
+    CPPUNIT_ASSERT(!records.TryPending(ids[2], 1));
+    for (int i = 0; i < 2; ++i) {
+      records.Complete(ids[i], {200, "", Bytes(kMaxKeptAnswerBytes, 1)});
+      CPPUNIT_ASSERT(records.Find(ids[i])->mAnswer.has_value());
+    }
+    CPPUNIT_ASSERT_EQUAL(2 * kMaxKeptAnswerBytes, records.BytesInUse());
+    records.Expire(kWallStartMs + 600'001);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(0), records.BytesInUse());
+  }
+
+  // Guards against a refusal of an earlier attempt that frees an id while a later one runs.
+  void LateRefusalDoesNotEndNewerAttempt()
+  {
+    RequestRecords a = Owner("a");
+    const RequestId id = NewId();
+    CPPUNIT_ASSERT(a.TryRefuse(id, 1, {}));
+    const Json refused = a.ExportRecord(id);
+    CPPUNIT_ASSERT(a.TryPending(id, 2));
+    RequestRecords b("b", kBuckets);
+    CPPUNIT_ASSERT(b.MergeRecord(a.ExportRecord(id), "a"));
+    CPPUNIT_ASSERT(b.MergeRecord(refused, "a"));
+    CPPUNIT_ASSERT(RecordState::Pending == b.Find(id)->mState);
+    b.Join(id, 3);
+    CPPUNIT_ASSERT(a.TryRefuse(id, 2, {}));
+    CPPUNIT_ASSERT(b.MergeRecord(a.ExportRecord(id), "a"));
+    CPPUNIT_ASSERT(RecordState::Refused == b.Find(id)->mState);
+    CPPUNIT_ASSERT_EQUAL(Attempt(3), b.Find(id)->mAttempt);
+  }
+
+  // Guards against crashes and partial changes by damaged messages.
+  void AlteredMessagesChangeNothing()
+  {
+    RequestRecords a = Owner("a");
+    const RequestId id = NewId();
+    CPPUNIT_ASSERT(a.TryPending(id, 1));
+    a.Complete(id, {200, "", Bytes(20, 7)});
+    const Bytes valid = EncodeCbor(Exported(a.FreezeAndExport({0}, "b", 2, kWallStartMs)));
+    std::size_t refused = 0;
+    for (int round = 0; round < 3000; ++round) {
+      Bytes altered = valid;
+      altered[mRandom.Below(altered.size())] = static_cast<std::uint8_t>(mRandom.Next());
+      RequestRecords b("b", kBuckets);
+      b.Acquire(0, 2);
+      const auto json = DecodeCbor(altered, "a");
+      if (!json || !b.Import(json.value(), "a")) {
+        ++refused;
+        CPPUNIT_ASSERT(b.Size() == 0 && b.StateOf(0) == BucketState::Incomplete);
+      }
+    }
+    CPPUNIT_ASSERT(refused > 1000);
+  }
+
+  Random mRandom{41};
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(RequestRecordsTest);
+
+} // namespace
+
+} // namespace dandelionslip
