Wake only due requests in the balancer's core

A tick visited every open request. With 10,000 open requests and a tick every 10 ms that is a million visits a second, too much for the control budget of a node.

Open requests are now ordered by the time of their next step, and a tick visits only those that are due.

--- a/lib/Request/RelayAttempts.cpp
+++ b/lib/Request/RelayAttempts.cpp
@@ -48,6 +48,7 @@
   aExchange.mInFlight = true;
   aExchange.mMayHaveRunBefore = std::exchange(aExchange.mMayHaveRun, true);
   ++mInFlight[*agent];
+  WakeAt(aExchange, aExchange.mDeadline);
   mActions.emplace_back(SendToAgent{*agent, aExchange.mKey, request.mService, request.mIdempotent,
                                     remaining, request.mCaller, request.mClass, request.mBody});
 }
@@ -159,7 +160,8 @@
     return;
   }
   mCounters.CountRetry(aReason);
-  aExchange.mRetryAt = aTime.mNow + delay;
+  // A delay of nothing still ends the present step, so that a tick makes one attempt at most.
+  WakeAt(aExchange, aTime.mNow + std::max<RuntimeClock::duration>(delay, Milliseconds(1)));
 }
 
 void RelayCore::Internals::Deny(RelayExchange& aExchange, RetryDenial aReason)
--- a/lib/Request/RelayCore.cpp
+++ b/lib/Request/RelayCore.cpp
@@ -69,6 +69,7 @@
   if (aExchange.mInFlight) {
     --mInFlight[aExchange.mAgent];
   }
+  mWakeUps.erase({aExchange.mWakeAt, aExchange.mToken});
   mByHandle.erase(aExchange.mRequest.mHandle);
   mByCallerAttempt.erase({aExchange.mId, aExchange.mRequest.mCallerAttempt});
   Reply(aExchange.mRequest.mHandle, aExchange.mId, std::move(aAnswer));
@@ -117,15 +118,11 @@
   return found == mByHandle.end() ? nullptr : &mExchanges.at(found->second);
 }
 
-// Exchanges end while they are visited, so visits go through a copy of the keys.
-std::vector<std::uint64_t> RelayCore::Internals::Tokens() const
+void RelayCore::Internals::WakeAt(RelayExchange& aExchange, TimePoint aWhen)
 {
-  std::vector<std::uint64_t> tokens;
-  tokens.reserve(mExchanges.size());
-  for (const auto& [token, exchange] : mExchanges) {
-    tokens.push_back(token);
-  }
-  return tokens;
+  mWakeUps.erase({aExchange.mWakeAt, aExchange.mToken});
+  aExchange.mWakeAt = aWhen;
+  mWakeUps.emplace(aWhen, aExchange.mToken);
 }
 
 RelayCore::RelayCore(RelaySettings aSettings, const RequestTargets& aTargets, std::uint64_t aSeed,
@@ -193,11 +190,13 @@
 
 RelayActions RelayCore::OnTick(const RequestTime& aTime)
 {
-  for (const std::uint64_t token : mInternals->Tokens()) {
-    RelayExchange& exchange = mInternals->mExchanges.at(token);
+  // Each step ends the exchange or moves its wake-up into the future.
+  auto& wakeUps = mInternals->mWakeUps;
+  while (!wakeUps.empty() && wakeUps.begin()->first <= aTime.mNow) {
+    RelayExchange& exchange = mInternals->mExchanges.at(wakeUps.begin()->second);
     if (aTime.mNow >= exchange.mDeadline) {
       mInternals->EndOverdue(exchange);
-    } else if (!exchange.mInFlight && aTime.mNow >= exchange.mRetryAt) {
+    } else {
       mInternals->Send(exchange, aTime);
     }
   }
--- a/lib/Request/RelayInternals.h
+++ b/lib/Request/RelayInternals.h
@@ -21,7 +21,7 @@
   bool mInFlight = false;
   AttemptKey mKey; ///< The newest attempt.
   std::string mAgent;
-  TimePoint mRetryAt; ///< When not in flight.
+  TimePoint mWakeAt; ///< The next attempt is due, or, when in flight, the deadline.
   bool mCancelled = false;
   /// Whether an attempt that left the balancer may run or have run.
   bool mMayHaveRun = false;
@@ -58,7 +58,7 @@
   void Deny(RelayExchange& aExchange, RetryDenial aReason);
 
   RelayExchange* FindByHandle(ReplyHandle aHandle);
-  std::vector<std::uint64_t> Tokens() const;
+  void WakeAt(RelayExchange& aExchange, TimePoint aWhen);
   RelayActions TakeActions() { return std::exchange(mActions, {}); }
 
   using CallerAttempt = std::pair<RequestId, std::uint32_t>;
@@ -71,7 +71,8 @@
   std::map<std::uint64_t, RelayExchange> mExchanges;
   std::map<ReplyHandle, std::uint64_t> mByHandle;
   std::map<CallerAttempt, std::uint64_t> mByCallerAttempt;
-  std::map<std::string, std::uint32_t> mInFlight; ///< Attempts in flight by agent.
+  std::set<std::pair<TimePoint, std::uint64_t>> mWakeUps; ///< One for each exchange.
+  std::map<std::string, std::uint32_t> mInFlight;         ///< Attempts in flight by agent.
   std::uint64_t mNextToken = 1;
   RelayActions mActions;
 };
