Inject each fault at each step of a request

Random histories may miss the one step at which a fault matters.

A bucket that never becomes complete now fails the run instead of repeating it forever.

--- a/unittests/Request/RequestWorld.cpp
+++ b/unittests/Request/RequestWorld.cpp
@@ -11,10 +11,13 @@
 // after the retention, when records have expired.
 constexpr std::array<std::int64_t, 3> kBursts{0, 40'000'000, 660'000'000};
 
+constexpr std::int64_t kEndUs = 700'000'000;
+
 } // namespace
 
-RequestWorld::RequestWorld(std::uint64_t aSeed)
-  : mRandom(aSeed)
+RequestWorld::RequestWorld(std::uint64_t aSeed, std::optional<Scenario> aScenario)
+  : mScenario(aScenario)
+  , mRandom(aSeed)
   , mTransfers(kBuckets)
   , mOwners(kBuckets)
 {
@@ -61,28 +64,40 @@
   return Time(aAgent.mWallOffsetMs);
 }
 
-void RequestWorld::Run()
+void RequestWorld::ScheduleTicks(std::int64_t aStart)
 {
-  for (const std::int64_t start : kBursts) {
-    ScheduleBurst(start);
-    ScheduleFaults(start);
-    for (std::int64_t at = start; at < start + kBurstUs; at += kTickUs) {
-      After(at, [this] {
-        for (std::size_t i = 0; i < kAgents; ++i) {
-          if (mAgents[i]->mCore) {
-            PerformHome(i, mAgents[i]->mCore->OnTick(TimeOf(*mAgents[i])));
-          }
+  for (std::int64_t at = aStart; at < aStart + kBurstUs; at += kTickUs) {
+    After(at, [this] {
+      for (std::size_t i = 0; i < kAgents; ++i) {
+        if (mAgents[i]->mCore) {
+          PerformHome(i, mAgents[i]->mCore->OnTick(TimeOf(*mAgents[i])));
         }
-        for (std::size_t i = 0; i < kBalancers; ++i) {
-          PerformRelay(i, mBalancers[i]->mCore->OnTick(Time(0)));
-        }
-      });
+      }
+      for (std::size_t i = 0; i < kBalancers; ++i) {
+        PerformRelay(i, mBalancers[i]->mCore->OnTick(Time(0)));
+      }
+    });
+  }
+}
+
+void RequestWorld::Run()
+{
+  if (mScenario) {
+    After(Scenario::kRequestUs, [this] { NewRequest(); });
+    After(mScenario->mFaultUs, [this] { Inject(mScenario->mFault); });
+    ScheduleTicks(0);
+  } else {
+    for (const std::int64_t start : kBursts) {
+      ScheduleBurst(start);
+      ScheduleFaults(start);
+      ScheduleTicks(start);
     }
   }
   while (!mEvents.empty()) {
     const Event event = mEvents.top();
     mEvents.pop();
     mNow = event.mAt;
+    CPPUNIT_ASSERT_MESSAGE("a bucket never became complete at its new owner", mNow < kEndUs);
     event.mTask();
   }
   for (const auto& call : mCalls) {
--- a/unittests/Request/RequestWorld.h
+++ b/unittests/Request/RequestWorld.h
@@ -31,11 +31,31 @@
   std::size_t mUnanswered = 0; ///< Requests that no reply reached although their balancer lived.
 };
 
+/// What fails while the only request of a scenario is under way.
+enum class Fault
+{
+  CallerLink,
+  Balancer,
+  Agent,
+  Upstream,
+  Restart,
+  ControlContact,
+};
+
+/// A run with one request, sent at kRequestUs, and one fault.
+struct Scenario
+{
+  static constexpr std::int64_t kRequestUs = 100'000;
+  Fault mFault = Fault::Agent;
+  std::int64_t mFaultUs = 0;
+};
+
 /// One seeded run. Time is in microseconds since its start.
 class RequestWorld
 {
 public:
-  explicit RequestWorld(std::uint64_t aSeed);
+  /// Without a scenario, many requests meet many faults.
+  explicit RequestWorld(std::uint64_t aSeed, std::optional<Scenario> aScenario = {});
   ~RequestWorld();
 
   void Run();
@@ -71,6 +91,7 @@
   void After(std::int64_t aDelay, Task aTask);
   RequestTime Time(std::int64_t aWallOffsetMs) const;
   RequestTime TimeOf(const Agent& aAgent) const;
+  void ScheduleTicks(std::int64_t aStart);
 
   // Callers (RequestWorldCallers.cpp).
   void ScheduleBurst(std::int64_t aStart);
@@ -100,6 +121,7 @@
 
   // Ownership and failures (RequestWorldControl.cpp).
   void ScheduleFaults(std::int64_t aStart);
+  void Inject(Fault aFault);
   void Control(std::size_t aAgent, std::function<HomeActions(HomeCore&)> aEvent);
   bool IsUsable(std::size_t aAgent) const;
   std::optional<std::size_t> PickOwner(std::size_t aNot);
@@ -114,6 +136,7 @@
   void DeclareLost(std::size_t aAgent);
   void Reassign(std::uint32_t aBucket, std::size_t aLost);
 
+  std::optional<Scenario> mScenario;
   Random mRandom;
   std::int64_t mNow = 0;
   std::uint64_t mOrder = 0;
--- a/unittests/Request/RequestWorldControl.cpp
+++ b/unittests/Request/RequestWorldControl.cpp
@@ -32,6 +32,42 @@
   }
 }
 
+// Lets what the only request depends on fail.
+void RequestWorld::Inject(Fault aFault)
+{
+  const std::shared_ptr<Call> call = mCalls.front();
+  const std::size_t home = mOwners[BucketOf(call->mId, kBuckets)];
+  switch (aFault) {
+    case Fault::CallerLink:
+      for (std::size_t i = 0; i < kBalancers; ++i) {
+        for (const auto& [handle, open] : mBalancers[i]->mCalls) {
+          Withdraw(i, handle, Delay());
+        }
+      }
+      SendCall(call);
+      break;
+    case Fault::Balancer:
+      for (std::size_t i = 0; i < kBalancers; ++i) {
+        if (!mBalancers[i]->mCalls.empty()) {
+          CrashBalancer(i);
+        }
+      }
+      break;
+    case Fault::Agent:
+      CrashAgent(home);
+      break;
+    case Fault::Upstream:
+      CrashUpstream(home);
+      break;
+    case Fault::Restart:
+      RestartAgent(home);
+      break;
+    case Fault::ControlContact:
+      CutOff(home);
+      break;
+  }
+}
+
 // Tells the current life of an agent about a change; waits while a planned restart is under way.
 void RequestWorld::Control(std::size_t aAgent, std::function<HomeActions(HomeCore&)> aEvent)
 {
--- a/unittests/Request/RequestWorldTest.cpp
+++ b/unittests/Request/RequestWorldTest.cpp
@@ -10,14 +10,16 @@
 class RequestWorldTest : public CppUnit::TestFixture
 {
   CPPUNIT_TEST_SUITE(RequestWorldTest);
+  CPPUNIT_TEST(EveryStepSurvivesEveryFault);
   CPPUNIT_TEST(HistoriesAreCorrect);
   CPPUNIT_TEST_SUITE_END();
 
   static constexpr std::uint64_t kSeeds = 1000;
 
-  static void CheckSeed(std::uint64_t aSeed, WorldTotals& aTotals)
+  static void CheckSeed(std::uint64_t aSeed, WorldTotals& aTotals,
+                        std::optional<Scenario> aScenario = {})
   {
-    RequestWorld world(aSeed);
+    RequestWorld world(aSeed, aScenario);
     world.Run();
     const auto violations = world.History().Check();
     CPPUNIT_ASSERT_MESSAGE("seed " + std::to_string(aSeed) + ": " +
@@ -36,6 +38,23 @@
     }
   }
 
+  // Guards against a step of a request at which the failure of one part breaks the rules: each part
+  // fails at each millisecond of the request's life.
+  void EveryStepSurvivesEveryFault()
+  {
+    constexpr std::int64_t kLifeUs = 100'000;
+    for (const Fault fault : {Fault::CallerLink, Fault::Balancer, Fault::Agent, Fault::Upstream,
+                              Fault::Restart, Fault::ControlContact}) {
+      WorldTotals totals;
+      for (std::int64_t at = 500; at < kLifeUs; at += 1'000) {
+        CheckSeed(static_cast<std::uint64_t>(at), totals,
+                  Scenario{fault, Scenario::kRequestUs + at});
+      }
+      CPPUNIT_ASSERT(totals.mRuns > 50);
+      CPPUNIT_ASSERT(totals.mAnswered > 30);
+    }
+  }
+
   // Guards against a second run, a foreign answer or a false "not run" under any combination of
   // lost, repeated, delayed and crossed messages, crashes, restarts and hand-offs, and against a
   // message that never gets a reply.
