Close gaps in the admission tests that faults put in on purpose showed

Cause: of 36 single-line faults put into a scratch copy, 35 compiled, and six of them passed all tests: retry times beyond the horizon, pacing of a cold upstream, ignored reports of bad health, a baseline that follows a step at sparse traffic, load reports that lower a limit below the cold one, and load reports above a factor of 1. The sixth fault cannot raise a limit, because the result is also clamped to the ramp's.

--- a/unittests/Agent/ColdStartRampTest.cpp
+++ b/unittests/Agent/ColdStartRampTest.cpp
@@ -59,6 +59,7 @@
   CPPUNIT_TEST_SUITE(ColdStartRampTest);
   CPPUNIT_TEST(GrowthIsBounded);
   CPPUNIT_TEST(UnannouncedReturnToColdIsSeenInEightCompletions);
+  CPPUNIT_TEST(ReturnToColdIsSeenInSparseTraffic);
   CPPUNIT_TEST(SignsOfColdActAtOnce);
   CPPUNIT_TEST(NoiseIsNotAReturnToCold);
   CPPUNIT_TEST(SlowUpstreamDoesNotGrow);
@@ -109,6 +110,18 @@
     CPPUNIT_ASSERT(driver.mRamp.IsComplete());
   }
 
+  // Guards against the baseline following a step so fast that the step is not seen.
+  void ReturnToColdIsSeenInSparseTraffic()
+  {
+    RampDriver driver;
+    driver.Run(kEnough, Milliseconds(20));
+    for (int i = 0; i < 8; ++i) {
+      driver.mNow += std::chrono::seconds(5);
+      driver.Complete(Milliseconds(100));
+    }
+    CPPUNIT_ASSERT(driver.mRamp.LastReason() == ColdReason::LatencyStep);
+  }
+
   // Guards against waiting for a window before acting on certain signs.
   void SignsOfColdActAtOnce()
   {
--- a/unittests/Agent/WeightSimulation.h
+++ b/unittests/Agent/WeightSimulation.h
@@ -16,41 +16,44 @@
 class WeightSimulation
 {
 public:
+  static constexpr Milliseconds kTick{250};
+  static constexpr std::uint64_t kLargestLagTicks = 40; ///< 10 s.
+
   struct Upstream
   {
-    explicit Upstream(const ServiceSpec& aSpec, TimePoint aNow)
+    Upstream(const ServiceSpec& aSpec, TimePoint aNow, double aLatencySeconds, std::size_t aLag)
       : mAdmission(aSpec, aNow)
+      , mLatencySeconds(aLatencySeconds)
+      , mLagTicks(aLag)
     {
     }
 
+    template <typename T>
+    T Lagged(const std::vector<T>& aHistory) const
+    {
+      return aHistory[aHistory.size() - 1 - std::min(mLagTicks, aHistory.size() - 1)];
+    }
+
     UpstreamAdmission mAdmission;
-    double mLatencySeconds = 0; ///< When idle; 1.5 times this when full.
-    std::size_t mLagTicks = 0;
-    std::deque<std::uint32_t> mWeights; ///< One for each tick, newest first.
-    std::deque<double> mRates;
-    std::deque<double> mLoads;
-    std::vector<std::uint32_t> mWeightHistory;
-    double mBusySeconds = 0;
-    std::uint32_t mLargestShareExcess = 0; ///< Weight above the ramp share, at its worst.
+    double mLatencySeconds; ///< When idle; 1.5 times this when full.
+    std::size_t mLagTicks;
+    std::vector<std::uint32_t> mWeights{1}; ///< One for each tick, like the others.
+    std::vector<double> mRates{0};
+    std::vector<double> mLoads{0};
+    std::vector<double> mBusySeconds{0}; ///< Total up to each tick.
+    bool mExceededShare = false;         ///< Announced more than its ramp share.
   };
 
-  static constexpr Milliseconds kTick{250};
-  static constexpr std::size_t kLargestLagTicks = 40; ///< 10 s.
-
   WeightSimulation(std::uint64_t aSeed, std::size_t aUpstreams, double aLoad)
     : mRandom(aSeed)
   {
-    double capacity = 0;
     for (std::size_t i = 0; i < aUpstreams; ++i) {
-      Upstream& upstream = mUpstreams.emplace_back(mSpec, mNow);
-      upstream.mLatencySeconds = 0.05 * (1.0 + 3.0 * mRandom.Unit());
-      upstream.mLagTicks = mRandom.Below(kLargestLagTicks + 1);
-      capacity += mSpec.mSlots / (1.5 * upstream.mLatencySeconds);
+      const double latency = 0.05 * (1.0 + 3.0 * mRandom.Unit());
+      mUpstreams.emplace_back(mSpec, mNow, latency, mRandom.Below(kLargestLagTicks + 1));
+      mArrivalsPerSecond += aLoad * mSpec.mSlots / (1.5 * latency);
     }
-    mArrivalsPerSecond = aLoad * capacity;
   }
 
-  /// Runs for a time and records the weight of every upstream each second.
   void Run(std::chrono::seconds aTime)
   {
     const TimePoint end = mNow + aTime;
@@ -59,22 +62,14 @@
       const TimePoint next = mNow + kTick;
       for (TimePoint arrival = NextArrival(mNow); arrival < next; arrival = NextArrival(arrival)) {
         FinishUntil(arrival);
-        Arrive(arrival);
+        // A refused request goes to one other upstream.
+        Start(arrival, Choose()) || Start(arrival, Choose());
       }
       FinishUntil(next);
       mNow = next;
     }
   }
 
-  /// Forgets what has been measured so far.
-  void StartMeasuring()
-  {
-    for (Upstream& upstream : mUpstreams) {
-      upstream.mWeightHistory.clear();
-      upstream.mBusySeconds = 0;
-    }
-  }
-
   /// Makes the first upstreams cold.
   void RestartSome(std::size_t aCount)
   {
@@ -83,16 +78,14 @@
     }
   }
 
-  std::vector<Upstream>& Upstreams() { return mUpstreams; }
-  std::uint64_t Refused() const { return mRefused; }
-  std::uint64_t Arrived() const { return mArrived; }
+  const std::deque<Upstream>& Upstreams() const { return mUpstreams; }
 
 private:
   struct Running
   {
     TimePoint mEnd;
     TimePoint mStart;
-    std::size_t mUpstream;
+    Upstream* mUpstream;
     bool operator>(const Running& aOther) const { return mEnd > aOther.mEnd; }
   };
 
@@ -102,33 +95,22 @@
     return aAfter + std::chrono::duration_cast<RuntimeClock::duration>(gap);
   }
 
-  template <typename T>
-  static T Lagged(const std::deque<T>& aValues, std::size_t aLagTicks)
-  {
-    return aValues.empty() ? T{} : aValues[std::min(aLagTicks, aValues.size() - 1)];
-  }
-
-  template <typename T>
-  static void Keep(std::deque<T>& aValues, T aValue)
-  {
-    aValues.push_front(aValue);
-    aValues.resize(std::min(aValues.size(), kLargestLagTicks + 1));
-  }
-
   void Tick()
   {
     double total = 0;
     for (const Upstream& upstream : mUpstreams) {
-      total += Lagged(upstream.mRates, upstream.mLagTicks);
+      total += upstream.Lagged(upstream.mRates);
     }
     for (Upstream& upstream : mUpstreams) {
-      upstream.mAdmission.SetServiceMean(total / static_cast<double>(mUpstreams.size()));
+      UpstreamAdmission& admission = upstream.mAdmission;
+      admission.SetServiceMean(total / static_cast<double>(mUpstreams.size()));
       ReportLoad(upstream);
-      const std::uint32_t weight = upstream.mAdmission.UpdateWeight(mNow);
-      CheckShare(upstream, weight);
-      Keep(upstream.mWeights, weight);
-      Keep(upstream.mRates, upstream.mAdmission.Estimator().CompletionRate());
-      upstream.mWeightHistory.push_back(weight);
+      const std::uint32_t weight = admission.UpdateWeight(mNow);
+      const ColdStartRamp& ramp = admission.Ramp();
+      upstream.mExceededShare |= !ramp.IsComplete() && weight > ramp.Share() * kFullWeight;
+      upstream.mWeights.push_back(weight);
+      upstream.mRates.push_back(admission.Estimator().CompletionRate());
+      upstream.mBusySeconds.push_back(upstream.mBusySeconds.back());
     }
   }
 
@@ -136,84 +118,56 @@
   // it at times reports overload. Every fifth one always reports an idle upstream.
   void ReportLoad(Upstream& aUpstream)
   {
-    const double load =
-      (1.0 + aUpstream.mAdmission.SlotsInUse()) / static_cast<double>(mSpec.mSlots);
-    Keep(aUpstream.mLoads, load);
+    UpstreamAdmission& admission = aUpstream.mAdmission;
+    aUpstream.mLoads.push_back((1.0 + admission.SlotsInUse()) / mSpec.mSlots);
     const bool reportsIdle = aUpstream.mLagTicks % 5 == 0;
-    aUpstream.mAdmission.ReportLoad(
-      mNow, reportsIdle ? 0.0 : Lagged(aUpstream.mLoads, aUpstream.mLagTicks));
-    aUpstream.mAdmission.ReportHealth(mNow, true);
+    admission.ReportLoad(mNow, reportsIdle ? 0.0 : aUpstream.Lagged(aUpstream.mLoads));
+    admission.ReportHealth(mNow, true);
   }
 
-  static void CheckShare(Upstream& aUpstream, std::uint32_t aWeight)
-  {
-    const ColdStartRamp& ramp = aUpstream.mAdmission.Ramp();
-    const auto share = static_cast<std::uint32_t>(ramp.Share() * kFullWeight);
-    if (!ramp.IsComplete() && aWeight > share) {
-      aUpstream.mLargestShareExcess = std::max(aUpstream.mLargestShareExcess, aWeight - share);
-    }
-  }
-
-  std::size_t Choose()
+  Upstream& Choose()
   {
     std::uint64_t total = 0;
     for (const Upstream& upstream : mUpstreams) {
-      total += Lagged(upstream.mWeights, upstream.mLagTicks);
+      total += upstream.Lagged(upstream.mWeights);
     }
     std::uint64_t point = mRandom.Below(total);
-    for (std::size_t i = 0; i < mUpstreams.size(); ++i) {
-      const std::uint64_t weight = Lagged(mUpstreams[i].mWeights, mUpstreams[i].mLagTicks);
-      if (point < weight) {
-        return i;
-      }
-      point -= weight;
+    std::size_t chosen = 0;
+    while (point >= mUpstreams[chosen].Lagged(mUpstreams[chosen].mWeights)) {
+      point -= mUpstreams[chosen].Lagged(mUpstreams[chosen].mWeights);
+      ++chosen;
     }
-    return 0;
+    return mUpstreams[chosen];
   }
 
-  void Arrive(TimePoint aNow)
+  bool Start(TimePoint aNow, Upstream& aUpstream)
   {
-    ++mArrived;
-    for (int attempt = 0; attempt < 2; ++attempt) {
-      const std::size_t index = Choose();
-      Upstream& upstream = mUpstreams[index];
-      if (!upstream.mAdmission.TryStartSlot(aNow)) {
-        Start(aNow, index);
-        return;
-      }
+    if (aUpstream.mAdmission.TryStartSlot(aNow)) {
+      return false;
     }
-    ++mRefused;
-  }
-
-  void Start(TimePoint aNow, std::size_t aIndex)
-  {
-    Upstream& upstream = mUpstreams[aIndex];
-    const double occupancy =
-      static_cast<double>(upstream.mAdmission.SlotsInUse()) / static_cast<double>(mSpec.mSlots);
-    const std::chrono::duration<double> latency(upstream.mLatencySeconds * (1.0 + 0.5 * occupancy) *
-                                                (0.8 + 0.4 * mRandom.Unit()));
-    upstream.mBusySeconds += latency.count();
-    const auto length = std::chrono::duration_cast<RuntimeClock::duration>(latency);
-    mRunning.push({aNow + length, aNow, aIndex});
+    const double occupancy = 1.0 * aUpstream.mAdmission.SlotsInUse() / mSpec.mSlots;
+    const double jitter = 0.8 + 0.4 * mRandom.Unit();
+    const double latency = aUpstream.mLatencySeconds * (1.0 + 0.5 * occupancy) * jitter;
+    aUpstream.mBusySeconds.back() += latency;
+    const auto length =
+      std::chrono::duration_cast<RuntimeClock::duration>(std::chrono::duration<double>(latency));
+    mRunning.push({aNow + length, aNow, &aUpstream});
+    return true;
   }
 
   void FinishUntil(TimePoint aTime)
   {
-    while (!mRunning.empty() && mRunning.top().mEnd <= aTime) {
-      const Running done = mRunning.top();
-      mRunning.pop();
-      mUpstreams[done.mUpstream].mAdmission.FinishSlot(done.mEnd, done.mEnd - done.mStart,
-                                                       CompletionResult::Success);
+    for (; !mRunning.empty() && mRunning.top().mEnd <= aTime; mRunning.pop()) {
+      const auto& [end, start, upstream] = mRunning.top();
+      upstream->mAdmission.FinishSlot(end, end - start, CompletionResult::Success);
     }
   }
 
   Random mRandom;
   ServiceSpec mSpec;
   TimePoint mNow{std::chrono::hours(1)};
-  std::vector<Upstream> mUpstreams;
+  std::deque<Upstream> mUpstreams;
   double mArrivalsPerSecond = 0;
-  std::uint64_t mArrived = 0;
-  std::uint64_t mRefused = 0;
   std::priority_queue<Running, std::vector<Running>, std::greater<>> mRunning;
 };
 
