--- a/unittests/Request/RequestRecordsTest.cpp
+++ b/unittests/Request/RequestRecordsTest.cpp
@@ -57,8 +57,8 @@
     for (const RequestId& id : ids) {
       CPPUNIT_ASSERT(*from.Find(id) == *to.Find(id));
     }
-    CPPUNIT_ASSERT(BucketState::Frozen == from.StateOf(0));
-    CPPUNIT_ASSERT(BucketState::Complete == to.StateOf(0));
+    CPPUNIT_ASSERT(RecordBucketState::Frozen == from.StateOf(0));
+    CPPUNIT_ASSERT(RecordBucketState::Complete == to.StateOf(0));
     from.Complete(ids[0], {200, "", {1}});
     CPPUNIT_ASSERT(to.MergeRecord(from.ExportRecord(ids[0]), "a"));
     CPPUNIT_ASSERT(RecordState::Done == to.Find(ids[0])->mState);
@@ -77,10 +77,10 @@
     CPPUNIT_ASSERT(a.TryPending(NewId(), 1));
     b.Acquire(0, 4);
     CPPUNIT_ASSERT_EQUAL(std::size_t(0), b.Import(early, "a").value().size());
-    CPPUNIT_ASSERT(BucketState::Incomplete == b.StateOf(0));
+    CPPUNIT_ASSERT(RecordBucketState::Incomplete == b.StateOf(0));
     // A late request for the first hand-off must not freeze the bucket again.
     CPPUNIT_ASSERT(!a.FreezeAndExport({0}, "b", 2, kWallStartMs));
-    CPPUNIT_ASSERT(BucketState::Complete == a.StateOf(0));
+    CPPUNIT_ASSERT(RecordBucketState::Complete == a.StateOf(0));
   }
 
   // Guards against two owners that both complete a bucket from one export.
@@ -117,7 +117,7 @@
   {
     RequestRecords records("a", kBuckets);
     records.CompleteAfterLoss(0, kWallStartMs);
-    CPPUNIT_ASSERT(BucketState::NotOwned == records.StateOf(0));
+    CPPUNIT_ASSERT(RecordBucketState::NotOwned == records.StateOf(0));
     records.Acquire(0, 2);
     records.CompleteAfterLoss(0, kWallStartMs);
     CPPUNIT_ASSERT_EQUAL(kWallStartMs + 30'000, records.CompleteSince(0));
@@ -139,7 +139,7 @@
     const Bytes wire = EncodeCbor(old.ExportAll(kWallStartMs));
     RequestRecords fresh("a", kBuckets);
     CPPUNIT_ASSERT(fresh.ImportAll(DecodeCbor(wire, "peer").value(), "peer"));
-    CPPUNIT_ASSERT(BucketState::Complete == fresh.StateOf(0));
+    CPPUNIT_ASSERT(RecordBucketState::Complete == fresh.StateOf(0));
     CPPUNIT_ASSERT_EQUAL(ids.size(), fresh.Size());
     for (const RequestId& id : ids) {
       CPPUNIT_ASSERT(RecordState::Unknown == fresh.Find(id)->mState);
@@ -203,7 +203,7 @@
       const auto json = DecodeCbor(altered, "a");
       if (!json || !b.Import(json.value(), "a")) {
         ++refused;
-        CPPUNIT_ASSERT(b.Size() == 0 && b.StateOf(0) == BucketState::Incomplete);
+        CPPUNIT_ASSERT(b.Size() == 0 && b.StateOf(0) == RecordBucketState::Incomplete);
       }
     }
     CPPUNIT_ASSERT(refused > 1000);
