Test that a silent learner is not promoted

Change: LearnerIsPromotedOnlyWhenDurable also promotes a learner that has the whole log but is out of contact; it must be refused.

--- a/unittests/Control/LogStoreTest.cpp
+++ b/unittests/Control/LogStoreTest.cpp
@@ -94,7 +94,7 @@
   const std::vector<Change>& Changes() const { return mChanges; }
 
 private:
-  void SaveHardState(HardState aState)
+  void SaveHardState(const HardState& aState)
   {
     mNow.mHardState = aState;
     Add([aState](LogStore& aStore) { return aStore.SaveHardState(aState); });
--- a/unittests/Control/RaftCoreTest.cpp
+++ b/unittests/Control/RaftCoreTest.cpp
@@ -196,6 +196,13 @@
     CommitSome(cluster);
     CPPUNIT_ASSERT(cluster.At(3).Core().Role() == RaftRole::Follower);
     cluster.Heal();
+    AwaitConverged(cluster);
+    cluster.RunFor(Milliseconds(50)); // The leader receives the last answers.
+    cluster.Isolate(3);
+    cluster.RunFor(Milliseconds(700));
+    const auto silent = cluster.Leader()->Change(cluster.Now(), promote);
+    CPPUNIT_ASSERT(silent.error().mCode == ErrorCode::Conflict);
+    cluster.Heal();
     CPPUNIT_ASSERT(cluster.ChangeAndAwait(promote));
     AwaitConverged(cluster);
     const ReplicaInfo* info = cluster.Leader()->Core().Members().Find(cluster.At(3).Id());
