--- a/unittests/Control/RaftCoreTest.cpp
+++ b/unittests/Control/RaftCoreTest.cpp
@@ -29,6 +29,8 @@
   CPPUNIT_TEST(EntriesOfEarlierTermsAreNotCommittedByCount);
   CPPUNIT_TEST(BlankVoterIsNotCountedBeforeTheFirstCommit);
   CPPUNIT_TEST(ReplicaThatHearsTheLeaderGivesNoVote);
+  CPPUNIT_TEST(ReplacedEntryIsNotDurable);
+  CPPUNIT_TEST(BlankReplicaGivesNoVote);
   CPPUNIT_TEST(LearnerVotesBeforeItKnowsItsPromotion);
   CPPUNIT_TEST(TransferHandsOverWithoutALoss);
   CPPUNIT_TEST(DelayedAppendDoesNotConfirm);
@@ -433,6 +435,41 @@
     CPPUNIT_ASSERT_EQUAL(Term(4), core.CurrentTerm());
   }
 
+  // Guards against a replica that counts an entry as durable because the one it replaced was.
+  void ReplacedEntryIsNotDurable()
+  {
+    const RecoveredState state = StateWithOldEntry();
+    const TimePoint now(std::chrono::hours(1));
+    RaftCore core({}, state, Random(1), now);
+    CPPUNIT_ASSERT_EQUAL(LogIndex(2), core.MatchOf("a"));
+    AppendRequest append;
+    append.mPreviousIndex = 1;
+    append.mPreviousTerm = 1;
+    append.mEntries = {{2, 3, EntryKind::NoOp, {}}};
+    core.Receive(now, MessageTo(state, 3, append));
+    CPPUNIT_ASSERT_EQUAL(Term(3), core.TermAt(2).value());
+    CPPUNIT_ASSERT_EQUAL(LogIndex(1), core.MatchOf("a"));
+    core.Persisted(now, {2, 2});
+    CPPUNIT_ASSERT_EQUAL(LogIndex(1), core.MatchOf("a"));
+    core.Persisted(now, {2, 3});
+    CPPUNIT_ASSERT_EQUAL(LogIndex(2), core.MatchOf("a"));
+  }
+
+  // Guards against a vote of a replica that may have forgotten an earlier one.
+  void BlankReplicaGivesNoVote()
+  {
+    RecoveredState state;
+    state.mReplica = "a";
+    state.mStore = 1;
+    const TimePoint now(std::chrono::hours(1));
+    RaftCore core({}, state, Random(1), now);
+    for (const RaftAction& action :
+         core.Receive(now, MessageTo(state, 4, VoteRequest{9, 3, false}))) {
+      const auto* persist = std::get_if<PersistAction>(&action);
+      CPPUNIT_ASSERT(persist == nullptr || persist->mHardState->mVotedFor.empty());
+    }
+  }
+
   // Guards against a cluster that never elects a leader again, because the replica that was
   // promoted last has not received its promotion.
   void LearnerVotesBeforeItKnowsItsPromotion()
