--- a/unittests/Control/RaftCoreTest.cpp
+++ b/unittests/Control/RaftCoreTest.cpp
@@ -28,6 +28,9 @@
   CPPUNIT_TEST(FailedSyncStopsTheReplica);
   CPPUNIT_TEST(EntriesOfEarlierTermsAreNotCommittedByCount);
   CPPUNIT_TEST(BlankVoterIsNotCountedBeforeTheFirstCommit);
+  CPPUNIT_TEST(ReplicaThatHearsTheLeaderGivesNoVote);
+  CPPUNIT_TEST(ReplacedEntryIsNotDurable);
+  CPPUNIT_TEST(BlankReplicaGivesNoVote);
   CPPUNIT_TEST(LearnerVotesBeforeItKnowsItsPromotion);
   CPPUNIT_TEST(TransferHandsOverWithoutALoss);
   CPPUNIT_TEST(DelayedAppendDoesNotConfirm);
@@ -196,6 +199,13 @@
     CommitSome(cluster);
     CPPUNIT_ASSERT(cluster.At(3).Core().Role() == RaftRole::Follower);
     cluster.Heal();
+    AwaitConverged(cluster);
+    cluster.RunFor(Milliseconds(50)); // The leader receives the last answers.
+    cluster.Isolate(3);
+    cluster.RunFor(Milliseconds(700));
+    const auto silent = cluster.Leader()->Change(cluster.Now(), promote);
+    CPPUNIT_ASSERT(!silent && silent.error().mCode == ErrorCode::Conflict);
+    cluster.Heal();
     CPPUNIT_ASSERT(cluster.ChangeAndAwait(promote));
     AwaitConverged(cluster);
     const ReplicaInfo* info = cluster.Leader()->Core().Members().Find(cluster.At(3).Id());
@@ -402,6 +412,64 @@
     CPPUNIT_ASSERT_EQUAL(LogIndex(0), core->CommitIndex());
   }
 
+  // Guards against a replica that cannot hear the leader and takes the leadership from it.
+  void ReplicaThatHearsTheLeaderGivesNoVote()
+  {
+    const RecoveredState state = StateWithOldEntry();
+    const TimePoint now(std::chrono::hours(1));
+    RaftCore core({}, state, Random(1), now);
+    AppendRequest heartbeat;
+    heartbeat.mPreviousIndex = 2;
+    heartbeat.mPreviousTerm = 2;
+    core.Receive(now, MessageTo(state, 3, heartbeat));
+    RaftMessage request = MessageTo(state, 3, PreVoteRequest{4, 9, 3});
+    request.mFrom = "c";
+    const RaftActions actions = core.Receive(now, request);
+    const auto& answer = std::get<SendAction>(actions.at(0)).mMessage;
+    CPPUNIT_ASSERT(!std::get<PreVoteAnswer>(answer.mBody).mGranted);
+    request.mTerm = 4;
+    request.mBody = VoteRequest{9, 3, false};
+    CPPUNIT_ASSERT(core.Receive(now, request).empty());
+    CPPUNIT_ASSERT_EQUAL(Term(3), core.CurrentTerm());
+    core.Receive(now + Milliseconds(500), request);
+    CPPUNIT_ASSERT_EQUAL(Term(4), core.CurrentTerm());
+  }
+
+  // Guards against a replica that counts an entry as durable because the one it replaced was.
+  void ReplacedEntryIsNotDurable()
+  {
+    const RecoveredState state = StateWithOldEntry();
+    const TimePoint now(std::chrono::hours(1));
+    RaftCore core({}, state, Random(1), now);
+    CPPUNIT_ASSERT_EQUAL(LogIndex(2), core.MatchOf("a"));
+    AppendRequest append;
+    append.mPreviousIndex = 1;
+    append.mPreviousTerm = 1;
+    append.mEntries = {{2, 3, EntryKind::NoOp, {}}};
+    core.Receive(now, MessageTo(state, 3, append));
+    CPPUNIT_ASSERT_EQUAL(Term(3), core.TermAt(2).value());
+    CPPUNIT_ASSERT_EQUAL(LogIndex(1), core.MatchOf("a"));
+    core.Persisted(now, {2, 2});
+    CPPUNIT_ASSERT_EQUAL(LogIndex(1), core.MatchOf("a"));
+    core.Persisted(now, {2, 3});
+    CPPUNIT_ASSERT_EQUAL(LogIndex(2), core.MatchOf("a"));
+  }
+
+  // Guards against a vote of a replica that may have forgotten an earlier one.
+  void BlankReplicaGivesNoVote()
+  {
+    RecoveredState state;
+    state.mReplica = "a";
+    state.mStore = 1;
+    const TimePoint now(std::chrono::hours(1));
+    RaftCore core({}, state, Random(1), now);
+    for (const RaftAction& action :
+         core.Receive(now, MessageTo(state, 4, VoteRequest{9, 3, false}))) {
+      const auto* persist = std::get_if<PersistAction>(&action);
+      CPPUNIT_ASSERT(persist == nullptr || persist->mHardState->mVotedFor.empty());
+    }
+  }
+
   // Guards against a cluster that never elects a leader again, because the replica that was
   // promoted last has not received its promotion.
   void LearnerVotesBeforeItKnowsItsPromotion()
