Make the control sources clean under clang-tidy

Cause: the checks found returns that cannot move, and parameter names and a comparison that the style refuses.

--- a/lib/Control/CommandRules.cpp
+++ b/lib/Control/CommandRules.cpp
@@ -25,7 +25,8 @@
 bool IsLabel(std::string_view aText, std::size_t aMaxLength)
 {
   return !aText.empty() && aText.size() <= aMaxLength &&
-         std::all_of(aText.begin(), aText.end(), [](char c) { return c > ' ' && c < '\x7f'; });
+         std::all_of(aText.begin(), aText.end(),
+                     [](char aCharacter) { return aCharacter > ' ' && aCharacter < '\x7f'; });
 }
 
 std::string ServicePath(std::size_t aPosition)
@@ -37,7 +38,7 @@
 // range of each key.
 Result<void> CheckSpec(const ServiceSpec& aSpec, const std::string& aSource)
 {
-  if (const auto check = CheckServiceSpec(aSpec, aSource); !check) {
+  if (auto check = CheckServiceSpec(aSpec, aSource); !check) {
     return check;
   }
   if (const auto decoded = FromJson<ServiceSpec>(ToJson(aSpec), aSource); !decoded) {
@@ -66,7 +67,7 @@
     return Refuse(aPath + ".spec.version: found " + std::to_string(aChange.mSpec->mVersion) +
                   ", expected " + std::to_string(aChange.mExpectedVersion + 1));
   }
-  const auto check = CheckSpec(*aChange.mSpec, aPath);
+  auto check = CheckSpec(*aChange.mSpec, aPath);
   return check ? Rejection() : Refuse(check.error().Message());
 }
 
@@ -178,14 +179,15 @@
 
 Result<void> CheckAddresses(const Configuration& aConfiguration)
 {
-  std::map<Endpoint, std::string> owners;
+  // Keyed by the canonical text: one endpoint has several spellings.
+  std::map<std::string, std::string> owners;
   for (const auto& [name, entry] : aConfiguration.mServices) {
     for (const std::string& address : entry.mSpec.mAddresses) {
       const auto endpoint = Endpoint::Parse(address);
       if (!endpoint) {
         return endpoint.as_failure();
       }
-      if (const auto [owner, isNew] = owners.emplace(endpoint.value(), name); !isNew) {
+      if (const auto [owner, isNew] = owners.emplace(endpoint.value().ToString(), name); !isNew) {
         return Fail(ErrorCode::InvalidInput, "configuration.check", name,
                     "addresses: " + address + " belongs to service " + owner->second +
                       " already, expected an address of one service only");
@@ -197,7 +199,7 @@
 
 Result<void> CheckSizes(const Configuration& aConfiguration)
 {
-  const auto check = [](const char* aKey, std::size_t aFound, std::size_t aMost) -> Result<void> {
+  auto check = [](const char* aKey, std::size_t aFound, std::size_t aMost) -> Result<void> {
     if (aFound > aMost) {
       return Fail(ErrorCode::LimitExceeded, "configuration.check", "",
                   std::string(aKey) + ": found " + std::to_string(aFound) +
@@ -240,11 +242,11 @@
       return Fail(ErrorCode::InvalidInput, "configuration.check", name,
                   "found another service name or an id outside 1 to the revision");
     }
-    if (const auto check = CheckSpec(entry.mSpec, name); !check) {
+    if (auto check = CheckSpec(entry.mSpec, name); !check) {
       return check;
     }
   }
-  if (const auto check = CheckSizes(aConfiguration); !check) {
+  if (auto check = CheckSizes(aConfiguration); !check) {
     return check;
   }
   return CheckAddresses(aConfiguration);
@@ -267,10 +269,10 @@
     }
   }
   ChangeOthers(next, aCommand);
-  if (const auto check = CheckSizes(next); !check) {
+  if (auto check = CheckSizes(next); !check) {
     return Refuse(check.error().Message());
   }
-  if (const auto check = CheckAddresses(next); !check) {
+  if (auto check = CheckAddresses(next); !check) {
     return Refuse(check.error().Message());
   }
   return next;
--- a/lib/Control/ConfigurationStore.cpp
+++ b/lib/Control/ConfigurationStore.cpp
@@ -75,7 +75,7 @@
       aState.mDataCentreWriters.size() > kMaxDataCentres) {
     return Inconsistent("writers: found more than services and data centres are allowed");
   }
-  if (const auto check = CheckAnswers(aState); !check) {
+  if (auto check = CheckAnswers(aState); !check) {
     return check;
   }
   return CheckConfiguration(aState.mConfiguration);
@@ -175,7 +175,7 @@
                 "applied_index: found " + std::to_string(state.value().mAppliedIndex) +
                   ", expected at least " + std::to_string(mState.mAppliedIndex));
   }
-  if (const auto check = CheckState(state.value()); !check) {
+  if (auto check = CheckState(state.value()); !check) {
     return check;
   }
   mState = std::move(state.value());
--- a/lib/Control/ControlMessages.cpp
+++ b/lib/Control/ControlMessages.cpp
@@ -108,7 +108,7 @@
   if (!summary) {
     return summary;
   }
-  if (const auto check = CheckSummary(summary.value(), aSource); !check) {
+  if (auto check = CheckSummary(summary.value(), aSource); !check) {
     return check.as_failure();
   }
   return summary;
@@ -120,7 +120,7 @@
   if (!update) {
     return update;
   }
-  if (const auto check = CheckUpdate(update.value(), aSource); !check) {
+  if (auto check = CheckUpdate(update.value(), aSource); !check) {
     return check.as_failure();
   }
   return update;
--- a/lib/Model/ConfigurationDifference.cpp
+++ b/lib/Model/ConfigurationDifference.cpp
@@ -30,8 +30,8 @@
 Result<void> ApplyDifference(Configuration& aConfiguration,
                              const ConfigurationDifference& aDifference)
 {
-  if (const auto check = CheckDifference(aConfiguration.mRevision, aDifference.mFrom,
-                                         aDifference.mTo, "configuration.apply");
+  if (auto check = CheckDifference(aConfiguration.mRevision, aDifference.mFrom, aDifference.mTo,
+                                   "configuration.apply");
       !check) {
     return check;
   }
--- a/lib/Model/NodeState.cpp
+++ b/lib/Model/NodeState.cpp
@@ -44,13 +44,13 @@
     return Fail(ErrorCode::InvalidInput, "node.take", "",
                 "found state in an unconfirmed answer, expected none");
   }
-  if (const auto check = CheckStart(mConfiguration, aAnswer.mConfigurationDifference); !check) {
+  if (auto check = CheckStart(mConfiguration, aAnswer.mConfigurationDifference); !check) {
     return check;
   }
-  if (const auto check = CheckStart(mView, aAnswer.mViewDifference); !check) {
+  if (auto check = CheckStart(mView, aAnswer.mViewDifference); !check) {
     return check;
   }
-  if (const auto taken =
+  if (auto taken =
         TakeNewer(mConfiguration, aAnswer.mConfiguration, aAnswer.mConfigurationDifference);
       !taken) {
     return taken;
--- a/lib/Model/ViewDifference.cpp
+++ b/lib/Model/ViewDifference.cpp
@@ -25,7 +25,7 @@
 
 Result<void> ApplyDifference(View& aView, const ViewDifference& aDifference)
 {
-  if (const auto check =
+  if (auto check =
         CheckDifference(aView.mRevision, aDifference.mFrom, aDifference.mTo, "view.apply");
       !check) {
     return check;
--- a/unittests/Control/ConfigurationStoreTest.cpp
+++ b/unittests/Control/ConfigurationStoreTest.cpp
@@ -162,16 +162,17 @@
       aChange(command);
       ExpectOutcome(CommandOutcome::Refused, store.Apply(id, command));
     };
-    refuse([](Command& c) { c.mServices[0].mSpec->mBuckets = 2048; });
-    refuse([](Command& c) { c.mServices[0].mSpec->mBuckets = 1000; });
-    refuse([](Command& c) { c.mServices[0].mSpec->mSlots = 0; });
-    refuse([](Command& c) { c.mServices[0].mSpec->mVersion = 3; });
-    refuse([](Command& c) { c.mServices[0].mSpec->mAddresses = {"example:80"}; });
-    refuse([](Command& c) { c.mServices[0].mName = "render"; });
-    refuse([](Command& c) { c.mServices.push_back(c.mServices[0]); });
-    refuse([](Command& c) { c.mServices.clear(); });
-    refuse([](Command& c) { c.mPublicationId = "1"; });
-    refuse([](Command& c) { c.mOperator = std::string(kMaxOperatorLength + 1, 'a'); });
+    refuse([](Command& aCommand) { aCommand.mServices[0].mSpec->mBuckets = 2048; });
+    refuse([](Command& aCommand) { aCommand.mServices[0].mSpec->mBuckets = 1000; });
+    refuse([](Command& aCommand) { aCommand.mServices[0].mSpec->mSlots = 0; });
+    refuse([](Command& aCommand) { aCommand.mServices[0].mSpec->mVersion = 3; });
+    refuse([](Command& aCommand) { aCommand.mServices[0].mSpec->mAddresses = {"example:80"}; });
+    refuse([](Command& aCommand) { aCommand.mServices[0].mName = "render"; });
+    refuse([](Command& aCommand) { aCommand.mServices.push_back(aCommand.mServices[0]); });
+    refuse([](Command& aCommand) { aCommand.mServices.clear(); });
+    refuse([](Command& aCommand) { aCommand.mPublicationId = "1"; });
+    refuse(
+      [](Command& aCommand) { aCommand.mOperator = std::string(kMaxOperatorLength + 1, 'a'); });
     CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, store.Current().mRevision);
   }
 
--- a/unittests/Control/HistoryChecker.h
+++ b/unittests/Control/HistoryChecker.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <limits>
+#include <tuple>
 #include <vector>
 
 namespace dandelionslip {
@@ -15,7 +16,11 @@
   std::uint64_t mVersion = 0;
   std::uint64_t mWriter = 0;
 
-  auto operator<=>(const RegisterState&) const = default;
+  bool operator==(const RegisterState&) const = default;
+  bool operator<(const RegisterState& aOther) const
+  {
+    return std::tie(mVersion, mWriter) < std::tie(aOther.mVersion, aOther.mWriter);
+  }
 };
 
 enum class RegisterOutcome
--- a/unittests/Control/LeaseTableTest.cpp
+++ b/unittests/Control/LeaseTableTest.cpp
@@ -147,12 +147,12 @@
       aChange(announcement.mMember);
       return table.Renew(announcement, kTestStart) == RenewalOutcome::Invalid;
     };
-    CPPUNIT_ASSERT(refuses([](Member& m) { m.mName.clear(); }));
-    CPPUNIT_ASSERT(refuses([](Member& m) { m.mName = std::string(256, 'a'); }));
-    CPPUNIT_ASSERT(refuses([](Member& m) { m.mState = MemberState::Lost; }));
-    CPPUNIT_ASSERT(refuses([](Member& m) { m.mService.clear(); }));
-    CPPUNIT_ASSERT(refuses([](Member& m) { m.mIncarnation = 0; }));
-    CPPUNIT_ASSERT(refuses([](Member& m) { m.mDataCentre.clear(); }));
+    CPPUNIT_ASSERT(refuses([](Member& aMember) { aMember.mName.clear(); }));
+    CPPUNIT_ASSERT(refuses([](Member& aMember) { aMember.mName = std::string(256, 'a'); }));
+    CPPUNIT_ASSERT(refuses([](Member& aMember) { aMember.mState = MemberState::Lost; }));
+    CPPUNIT_ASSERT(refuses([](Member& aMember) { aMember.mService.clear(); }));
+    CPPUNIT_ASSERT(refuses([](Member& aMember) { aMember.mIncarnation = 0; }));
+    CPPUNIT_ASSERT(refuses([](Member& aMember) { aMember.mDataCentre.clear(); }));
   }
 };
 
--- a/unittests/Control/PublicationHistoryTest.cpp
+++ b/unittests/Control/PublicationHistoryTest.cpp
@@ -93,7 +93,8 @@
 
   bool Busy() const
   {
-    return std::any_of(mClients.begin(), mClients.end(), [](const Client& c) { return c.mBusy; });
+    return std::any_of(mClients.begin(), mClients.end(),
+                       [](const Client& aClient) { return aClient.mBusy; });
   }
 
   void Append(Client& aClient)
