Test that leases need a held view

Cause: trial changes to the sources showed that no test noticed a lease granted without a held view, or generation numbers that start over after control lost its memory.

--- a/unittests/Control/MembershipCoreTest.cpp
+++ b/unittests/Control/MembershipCoreTest.cpp
@@ -15,6 +15,7 @@
   CPPUNIT_TEST(NodesGetStateAndLease);
   CPPUNIT_TEST(UnconfirmedReplicasHandOutNothing);
   CPPUNIT_TEST(FirstFollowerAnswerGrantsNoLease);
+  CPPUNIT_TEST(LeasesNeedAHeldView);
   CPPUNIT_TEST(OlderProcessesAreFencedEverywhere);
   CPPUNIT_TEST(NewLeaderTakesTheNewestViewOfAQuorum);
   CPPUNIT_TEST(ControlWithoutMemoryRebuildsTheView);
@@ -81,6 +82,23 @@
     CPPUNIT_ASSERT(before == cluster.NodeOf("n0").mLeaseEnd);
   }
 
+  // Guards against a lease that rests on a view which the next leader may not know, or which the
+  // replica has not received: the member may be lost or have lost its buckets there (I7).
+  void LeasesNeedAHeldView()
+  {
+    MembershipCore leader("r0", MembershipSettings{});
+    leader.OnRoleChange({1, true, "r0", {"r0", "r1", "r2"}}, kTestStart);
+    CPPUNIT_ASSERT(leader.OnAnnouncement(AgentAnnouncement("a"), true, kTestStart).mLease == 0ms);
+    AttachedNodes nodes{MembershipSettings{}};
+    nodes.Take(AgentAnnouncement("a"), kTestStart);
+    nodes.NextSummary("r", 1, 4, kTestStart);
+    SummaryAnswer answer{1, 1, true, 5, false, false, {}, {}};
+    nodes.TakeAnswer(answer, 4);
+    CPPUNIT_ASSERT(nodes.LeaseFor("a", 1, kTestStart) == 0ms);
+    nodes.TakeAnswer(answer, 5);
+    CPPUNIT_ASSERT(nodes.LeaseFor("a", 1, kTestStart) == 2'000ms);
+  }
+
   // Guards against an older process that keeps a lease at another replica.
   void OlderProcessesAreFencedEverywhere()
   {
@@ -123,6 +141,9 @@
     MembershipCluster cluster(1);
     Populate(cluster);
     cluster.Run(6s);
+    // Several generations, so that numbers which start over would be lower than acknowledged ones.
+    cluster.NodeOf("n0").mAnnouncement.mWeight = 640;
+    cluster.Run(8s);
     const auto before = cluster.Core(0).CurrentView().mServices.at("planner").mGenerations[0];
     for (std::size_t i = 0; i < kClusterReplicas; ++i) {
       cluster.Restart(i);
