Fix clang-tidy findings in the request module

clang-tidy took a defaulted three-way comparison for a null pointer and found one implicit widening and one copy. The types now define the comparisons that are used.

--- a/include/dandelionslip/Request/RelayActions.h
+++ b/include/dandelionslip/Request/RelayActions.h
@@ -29,7 +29,7 @@
   RequestId mId;
   Attempt mAttempt = 0;
 
-  auto operator<=>(const AttemptKey&) const = default;
+  bool operator==(const AttemptKey&) const = default;
 };
 
 /// Send a request to an agent. Ends with at most one of RelayCore::OnAgentAnswer and
--- a/include/dandelionslip/Request/RequestId.h
+++ b/include/dandelionslip/Request/RequestId.h
@@ -5,7 +5,6 @@
 #include "dandelionslip/Support/Random.h"
 
 #include <array>
-#include <compare>
 #include <cstdint>
 #include <string>
 #include <string_view>
@@ -33,7 +32,8 @@
   /// The lower-case text form.
   std::string ToString() const;
 
-  auto operator<=>(const RequestId&) const = default;
+  bool operator==(const RequestId&) const = default;
+  bool operator<(const RequestId& aOther) const { return mBytes < aOther.mBytes; }
 
 private:
   std::array<std::uint8_t, 16> mBytes{};
--- a/include/dandelionslip/Request/RequestRecords.h
+++ b/include/dandelionslip/Request/RequestRecords.h
@@ -17,7 +17,7 @@
 inline constexpr Milliseconds kClockSkewBound{30'000};
 
 /// Largest answer body that is kept for resends.
-inline constexpr std::size_t kMaxKeptAnswerBytes = 64 * 1024;
+inline constexpr std::size_t kMaxKeptAnswerBytes = std::size_t{64} * 1024;
 
 /// Bounds of a record table.
 struct RecordLimits
--- a/unittests/Request/HomeCoreTest.cpp
+++ b/unittests/Request/HomeCoreTest.cpp
@@ -251,7 +251,7 @@
     }
     const auto answer = [&](std::size_t aIndex, RequestOutcome aOutcome, ReceivedAnswer aReceived) {
       const auto replies = All<AnswerSender>(mCore->OnAlternateAnswer(
-        runs[aIndex], aOutcome, {RefusalReason::Cold, {}}, aReceived, At(2)));
+        runs[aIndex], aOutcome, {RefusalReason::Cold, {}}, std::move(aReceived), At(2)));
       CPPUNIT_ASSERT_EQUAL(std::size_t(2), replies.size());
       CPPUNIT_ASSERT(replies[0].mAnswer == replies[1].mAnswer);
       return OutcomeName(replies[0].mAnswer);
