--- a/include/dandelionslip/Request/HomeCore.h
+++ b/include/dandelionslip/Request/HomeCore.h
@@ -50,7 +50,7 @@
   HomeActions OnCancel(ReplyHandle aHandle, const RequestTime& aTime);
 
   /// The upstream's answer ended, whole or cut short.
-  HomeActions OnUpstreamAnswer(RunId aRun, ReceivedAnswer aAnswer, const RequestTime& aTime);
+  HomeActions OnUpstreamAnswer(RunId aRun, const ReceivedAnswer& aAnswer, const RequestTime& aTime);
   /// The upstream refused the run and certainly did not start it.
   HomeActions OnUpstreamShed(RunId aRun, const Refusal& aRefusal, const RequestTime& aTime);
   /// The run ended without an answer; it may have happened.
@@ -59,7 +59,7 @@
   /// The alternate's agent answered a relayed request. aReceived is checked for completeness when
   /// the outcome is Answered.
   HomeActions OnAlternateAnswer(RunId aRun, RequestOutcome aOutcome, const Refusal& aRefusal,
-                                ReceivedAnswer aReceived, const RequestTime& aTime);
+                                const ReceivedAnswer& aReceived, const RequestTime& aTime);
   /// The link to the alternate failed; aSent tells whether any of the request was sent.
   HomeActions OnAlternateFailed(RunId aRun, bool aSent, const RequestTime& aTime);
 
--- a/include/dandelionslip/Request/RequestRecords.h
+++ b/include/dandelionslip/Request/RequestRecords.h
@@ -169,7 +169,7 @@
   void Erase(const RequestId& aId);
   void Merge(const RequestId& aId, RequestRecord aIncoming);
   void MergePending(const RequestId& aId, RequestRecord aLocal, RequestRecord aIncoming);
-  void MergeRefused(const RequestId& aId, RequestRecord aLocal, RequestRecord aIncoming);
+  void MergeRefused(const RequestId& aId, const RequestRecord& aLocal, RequestRecord aIncoming);
   void RaiseCutoff(std::int64_t aWallMs);
   Result<void> CheckFreeze(std::uint32_t aBucket, const std::string& aNewOwner,
                            std::uint32_t aGeneration) const;
--- a/lib/Request/HomeCore.cpp
+++ b/lib/Request/HomeCore.cpp
@@ -6,8 +6,8 @@
 namespace {
 
 // Run ids of later incarnations are higher, so that an answer to a run of an earlier process never
-// matches one of this process. An incarnation is a start time in milliseconds, and no process starts
-// 4 million runs in each millisecond of its life.
+// matches one of this process. An incarnation is a start time in milliseconds, and no process
+// starts 4 million runs in each millisecond of its life.
 constexpr std::uint32_t kRunBits = 22;
 
 } // namespace
@@ -66,7 +66,8 @@
   return mInternals->TakeActions();
 }
 
-HomeActions HomeCore::OnUpstreamAnswer(RunId aRun, ReceivedAnswer aAnswer, const RequestTime& aTime)
+HomeActions HomeCore::OnUpstreamAnswer(RunId aRun, const ReceivedAnswer& aAnswer,
+                                       const RequestTime& aTime)
 {
   if (HomeJob* job = mInternals->TakeRun(aRun, JobPhase::Running)) {
     const bool whole = aAnswer.IsWhole();
@@ -109,7 +110,7 @@
 }
 
 HomeActions HomeCore::OnAlternateAnswer(RunId aRun, RequestOutcome aOutcome,
-                                        const Refusal& aRefusal, ReceivedAnswer aReceived,
+                                        const Refusal& aRefusal, const ReceivedAnswer& aReceived,
                                         const RequestTime& /*aTime*/)
 {
   HomeJob* job = mInternals->TakeRun(aRun, JobPhase::AtAlternate);
--- a/lib/Request/RecordMerge.cpp
+++ b/lib/Request/RecordMerge.cpp
@@ -35,7 +35,7 @@
   }
   aIncoming.mState == RecordState::Pending
     ? MergePending(aId, std::move(local), std::move(aIncoming))
-    : MergeRefused(aId, std::move(local), std::move(aIncoming));
+    : MergeRefused(aId, local, std::move(aIncoming));
 }
 
 // The local record is refused or held elsewhere. A pending record is newer than a refusal only if
@@ -55,7 +55,7 @@
 
 // A refusal ends a pending record held elsewhere only if it covers the attempt that began it; a
 // lower one is a late message about an earlier attempt.
-void RequestRecords::MergeRefused(const RequestId& aId, RequestRecord aLocal,
+void RequestRecords::MergeRefused(const RequestId& aId, const RequestRecord& aLocal,
                                   RequestRecord aIncoming)
 {
   const RequestRecord& found = *Find(aId);
--- a/unittests/Request/HomeCoreTest.cpp
+++ b/unittests/Request/HomeCoreTest.cpp
@@ -249,9 +249,10 @@
       CPPUNIT_ASSERT(Send(ids.back(), 2).empty());
       runs.push_back(relayed.mRun);
     }
-    const auto answer = [&](std::size_t aIndex, RequestOutcome aOutcome, ReceivedAnswer aReceived) {
+    const auto answer = [&](std::size_t aIndex, RequestOutcome aOutcome,
+                            const ReceivedAnswer& aReceived) {
       const auto replies = All<AnswerSender>(mCore->OnAlternateAnswer(
-        runs[aIndex], aOutcome, {RefusalReason::Cold, {}}, std::move(aReceived), At(2)));
+        runs[aIndex], aOutcome, {RefusalReason::Cold, {}}, aReceived, At(2)));
       CPPUNIT_ASSERT_EQUAL(std::size_t(2), replies.size());
       CPPUNIT_ASSERT(replies[0].mAnswer == replies[1].mAnswer);
       return OutcomeName(replies[0].mAnswer);
