--- a/include/dandelionslip/Request/RequestRecords.h
+++ b/include/dandelionslip/Request/RequestRecords.h
@@ -17,7 +17,7 @@
 inline constexpr Milliseconds kClockSkewBound{30'000};
 
 /// Largest answer body that is kept for resends.
-inline constexpr std::size_t kMaxKeptAnswerBytes = 64 * 1024;
+inline constexpr std::size_t kMaxKeptAnswerBytes = std::size_t{64} * 1024;
 
 /// Bounds of a record table.
 struct RecordLimits
@@ -169,7 +169,7 @@
   void Erase(const RequestId& aId);
   void Merge(const RequestId& aId, RequestRecord aIncoming);
   void MergePending(const RequestId& aId, RequestRecord aLocal, RequestRecord aIncoming);
-  void MergeRefused(const RequestId& aId, RequestRecord aLocal, RequestRecord aIncoming);
+  void MergeRefused(const RequestId& aId, const RequestRecord& aLocal, RequestRecord aIncoming);
   void RaiseCutoff(std::int64_t aWallMs);
   Result<void> CheckFreeze(std::uint32_t aBucket, const std::string& aNewOwner,
                            std::uint32_t aGeneration) const;
