--- a/include/dandelionslip/Agent/FlowActions.h
+++ b/include/dandelionslip/Agent/FlowActions.h
@@ -68,4 +68,7 @@
 
 using FlowActions = std::vector<FlowAction>;
 
+/// Sends an update that belongs to another agent there, within kMaxUpdateForwards.
+void PassUpdateOn(const std::string& aTo, const DirectoryUpdate& aUpdate, FlowActions& aOut);
+
 } // namespace dandelionslip
--- a/include/dandelionslip/Agent/FlowCustody.h
+++ b/include/dandelionslip/Agent/FlowCustody.h
@@ -21,6 +21,7 @@
   /// The custodian that handed the state on because it restarts itself; empty when the state came
   /// from its member.
   std::string mVia;
+  std::string mSender; ///< Who handed the state over.
   /// Incarnation of the process that fetched the state; 0 while it has not been fetched.
   std::uint64_t mReturnedTo = 0;
   TimePoint mKeepUntil;
@@ -59,7 +60,7 @@
   void Tick(TimePoint aNow);
 
 private:
-  void Add(const std::string& aVia, const Handover& aState, TimePoint aNow);
+  void Add(const std::string& aFrom, const Handover& aState, TimePoint aNow);
   Handover Return(Custody& aCustody, std::uint64_t aIncarnation, TimePoint aNow);
 
   FlowContext& mContext;
--- a/include/dandelionslip/Agent/FlowMessages.h
+++ b/include/dandelionslip/Agent/FlowMessages.h
@@ -218,6 +218,9 @@
   std::string mMember;
   ServiceId mServiceId = 0;
   std::uint64_t mIncarnation = 0;
+  /// Of the sender, which is another agent when a custodian stops and hands the state on. Tells a
+  /// second handover of the same state from a repeated message.
+  std::uint64_t mSenderIncarnation = 0;
   std::vector<FlowState> mFlows;
   /// Complete buckets; Partial for buckets handed off to mNext; Unknown for buckets that were still
   /// to come from mNext, or from all members when mNext is empty.
@@ -234,6 +237,7 @@
   aVisitor.Field("member", aValue.mMember);
   aVisitor.Field("service_id", aValue.mServiceId);
   aVisitor.Field("incarnation", aValue.mIncarnation);
+  aVisitor.Field("sender_incarnation", aValue.mSenderIncarnation);
   aVisitor.Field("flows", aValue.mFlows);
   aVisitor.Field("directory", aValue.mDirectory);
   aVisitor.Optional("records", aValue.mRecords);
@@ -295,6 +299,10 @@
   aVisitor.Optional("custody", aValue.mCustody);
 }
 
+/// Passes of a directory update from one agent to the next, after which it is dropped: agents whose
+/// tables differ, or that stop at the same time, may name each other.
+inline constexpr std::uint32_t kMaxUpdateForwards = 4;
+
 /// Any message between agents.
 using PeerMessage =
   std::variant<TransferRequest, TransferAnswer, HeldFlowsQuery, HeldFlowsAnswer, DirectoryUpdate,
--- a/lib/Agent/BucketHandoff.cpp
+++ b/lib/Agent/BucketHandoff.cpp
@@ -10,9 +10,6 @@
 
 namespace {
 
-// Passes of a directory update between successive owners, after which it is dropped.
-constexpr std::uint32_t kMaxUpdateForwards = 4;
-
 // Buckets examined for old entries in each tick.
 constexpr std::uint32_t kExpiryBuckets = 64;
 
--- /dev/null
+++ b/lib/Agent/FlowActions.cpp
@@ -0,0 +1,16 @@
+// Helpers for actions of the flow core.
+#include "dandelionslip/Agent/FlowActions.h"
+
+namespace dandelionslip {
+
+void PassUpdateOn(const std::string& aTo, const DirectoryUpdate& aUpdate, FlowActions& aOut)
+{
+  if (aTo.empty() || aUpdate.mForwards >= kMaxUpdateForwards) {
+    return;
+  }
+  DirectoryUpdate update = aUpdate;
+  ++update.mForwards;
+  aOut.emplace_back(SendPeerMessage{aTo, std::move(update)});
+}
+
+} // namespace dandelionslip
--- a/lib/Agent/FlowCoreRestart.cpp
+++ b/lib/Agent/FlowCoreRestart.cpp
@@ -55,10 +55,9 @@
                  }
                },
                [&](const DirectoryUpdate& aUpdate) {
-                 if (mStop && !mStop->mCustodian.empty()) {
-                   aOut.emplace_back(SendPeerMessage{mStop->mCustodian, aUpdate});
-                 }
-                 if (!mResumption) {
+                 if (mStop) {
+                   PassUpdateOn(mStop->mCustodian, aUpdate, aOut);
+                 } else if (!mResumption) {
                    mHandoff.OnUpdate(aUpdate, aNow, aOut);
                  }
                },
@@ -105,6 +104,7 @@
   state.mMember = mContext.mSettings.mName;
   state.mServiceId = mContext.mTable.Id();
   state.mIncarnation = mContext.mSettings.mIncarnation;
+  state.mSenderIncarnation = mContext.mSettings.mIncarnation;
   mContext.mFlows.ForEach([&](const FlowEntry& aEntry) {
     state.mFlows.push_back({aEntry.mFlow, aEntry.mCaller.ToString(), aEntry.mService.ToString(),
                             aEntry.mBalancer.ToString(), aEntry.mUpstreamPort, aEntry.mEstablished,
--- a/lib/Agent/FlowCustody.cpp
+++ b/lib/Agent/FlowCustody.cpp
@@ -14,12 +14,13 @@
 {
 }
 
-void FlowCustody::Add(const std::string& aVia, const Handover& aState, TimePoint aNow)
+void FlowCustody::Add(const std::string& aFrom, const Handover& aState, TimePoint aNow)
 {
   Custody custody;
   custody.mState = aState;
   custody.mDirectory = ImportDirectory(aState.mDirectory, mContext.mTable.Buckets(), aNow);
-  custody.mVia = aVia;
+  custody.mVia = aFrom == aState.mMember ? "" : aFrom;
+  custody.mSender = aFrom;
   custody.mKeepUntil = aNow + mContext.mSettings.mCustodyTime;
   for (const FlowState& flow : aState.mFlows) {
     custody.mFlows.insert(flow.mFlow);
@@ -40,9 +41,12 @@
   if (held != nullptr && held->mState.mIncarnation > aState.mIncarnation) {
     return;
   }
-  // A repeated handover is acknowledged again; the directory may have changed since the first.
-  if (held == nullptr || held->mState.mIncarnation < aState.mIncarnation) {
-    Add(aFrom == aState.mMember ? "" : aFrom, aState, aNow);
+  // A repeated handover is only acknowledged; the directory may have changed since the first.
+  const bool repeated = held != nullptr && held->mState.mIncarnation == aState.mIncarnation &&
+                        held->mSender == aFrom &&
+                        held->mState.mSenderIncarnation >= aState.mSenderIncarnation;
+  if (!repeated) {
+    Add(aFrom, aState, aNow);
   }
   aOut.emplace_back(SendPeerMessage{
     aFrom, HandoverAck{mContext.mSettings.mName, aState.mMember, aState.mIncarnation}});
@@ -123,7 +127,7 @@
     return false;
   }
   if (held->mReturnedTo != 0) {
-    aOut.emplace_back(SendPeerMessage{held->mVia.empty() ? aUpdate.mOwner : held->mVia, aUpdate});
+    PassUpdateOn(held->mVia.empty() ? aUpdate.mOwner : held->mVia, aUpdate, aOut);
     return true;
   }
   for (const FlowId flow : aUpdate.mHeld) {
@@ -162,6 +166,7 @@
   for (const auto& [member, custody] : mCustody) {
     if (custody.mReturnedTo == 0) {
       states.push_back(custody.mState);
+      states.back().mSenderIncarnation = mContext.mSettings.mIncarnation;
       states.back().mDirectory = ExportDirectory(custody.mDirectory);
       if (mRecords != nullptr) {
         states.back().mRecords = mRecords->Export(CompleteBuckets(custody.mDirectory));
--- a/unittests/Agent/FlowHistory.h
+++ b/unittests/Agent/FlowHistory.h
@@ -17,6 +17,7 @@
   Silent,        ///< The caller got no reply at the end although nothing changes any more.
   Ended,         ///< The caller closed the session.
   DataCentreOut, ///< Operators took mDataCentre out.
+  DataCentreIn,  ///< Operators brought mDataCentre back.
   Applied,       ///< Balancer mNode applied that mDataCentre is out (mPort 1) or in (mPort 0).
   Forwarded,     ///< Balancer mNode forwarded a packet to mDataCentre.
 };
--- a/unittests/Agent/FlowPropertyTest.cpp
+++ b/unittests/Agent/FlowPropertyTest.cpp
@@ -4,6 +4,8 @@
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <cstdlib>
+#include <map>
+#include <set>
 
 namespace dandelionslip {
 
@@ -13,13 +15,15 @@
 std::uint64_t SeedCount()
 {
   const char* text = std::getenv("DANDELIONSLIP_SEEDS");
-  return text == nullptr ? 20 : std::stoull(text);
+  return text == nullptr ? 10 : std::stoull(text);
 }
 
 class FlowPropertyTest : public CppUnit::TestFixture
 {
   CPPUNIT_TEST_SUITE(FlowPropertyTest);
   CPPUNIT_TEST(FlowsSurviveMixedPlannedChanges);
+  CPPUNIT_TEST(OtherFlowsSurviveDataCentreOut);
+  CPPUNIT_TEST(ReusedAddressNeverMixesServices);
   CPPUNIT_TEST(CheckerFailsWithoutHandoff);
   CPPUNIT_TEST(CheckerFailsWithoutResumption);
   CPPUNIT_TEST_SUITE_END();
@@ -87,6 +91,59 @@
     CPPUNIT_ASSERT(resumptions > SeedCount());
   }
 
+  // Guards against packets to a data centre that a balancer knows to be out, and against flows of
+  // other data centres that break while one leaves and returns (I4).
+  void OtherFlowsSurviveDataCentreOut()
+  {
+    for (std::uint64_t seed = 1; seed <= SeedCount(); ++seed) {
+      const auto system = MakeSystem(seed);
+      system->Run(Milliseconds(5'000));
+      for (int round = 0; round < 3; ++round) {
+        system->SetDataCentreOut("dc-1", true);
+        system->Run(Milliseconds(4'000));
+        system->SetDataCentreOut("dc-1", false);
+        system->Run(Milliseconds(3'000));
+      }
+      system->Settle();
+      const auto violations = CheckFlowHistory(system->History());
+      CPPUNIT_ASSERT_MESSAGE(Describe(seed, violations), violations.empty());
+    }
+  }
+
+  // Guards against packets that reach another service when it takes over an address (I2). Sessions
+  // that were not established while the balancers' configurations differed are not judged: their
+  // opening packets may rightly reach both services.
+  void ReusedAddressNeverMixesServices()
+  {
+    for (std::uint64_t seed = 1; seed <= SeedCount(); ++seed) {
+      const auto system = MakeSystem(seed);
+      system->Run(Milliseconds(4'000));
+      const std::size_t published = system->History().size();
+      system->Publish("planner", {"127.0.2.3:80"});
+      system->Publish("render", {"127.0.2.1:80", "127.0.2.2:80"});
+      system->Run(Milliseconds(1'000));
+      const std::size_t applied = system->History().size();
+      system->Run(Milliseconds(4'000));
+      std::map<std::uint64_t, std::set<std::string>> services;
+      std::map<std::uint64_t, std::size_t> firstEvents;
+      std::set<std::uint64_t> judged;
+      for (std::size_t i = 0; i < system->History().size(); ++i) {
+        const FlowEvent& event = system->History()[i];
+        const std::size_t first = firstEvents.emplace(event.mSession, i).first->second;
+        if (event.mKind == FlowEventKind::Established && (i < published || first > applied)) {
+          judged.insert(event.mSession);
+        }
+        if (event.mKind == FlowEventKind::Delivered) {
+          services[event.mSession].insert(event.mService);
+        }
+      }
+      CPPUNIT_ASSERT(judged.size() > 150);
+      for (const std::uint64_t session : judged) {
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, services[session].size());
+      }
+    }
+  }
+
   // Guards against a checker that accepts every history.
   void CheckerFailsWithoutHandoff()
   {
--- a/unittests/Agent/FlowSystem.cpp
+++ b/unittests/Agent/FlowSystem.cpp
@@ -135,9 +135,13 @@
   ++mConfiguration.mRevision;
   DataCentreState& state = mConfiguration.mDataCentres[aDataCentre];
   state = {aOut, state.mVersion + 1};
-  if (aOut) {
-    Record({FlowEventKind::DataCentreOut, 0, "", aDataCentre, "", 0, {}});
-  }
+  Record({aOut ? FlowEventKind::DataCentreOut : FlowEventKind::DataCentreIn,
+          0,
+          "",
+          aDataCentre,
+          "",
+          0,
+          {}});
 }
 
 void FlowSystem::SetWeight(const std::string& aAgent, std::uint32_t aWeight)
@@ -434,7 +438,7 @@
             caller.mSession,
             upstream,
             mAgents[upstream]->mDataCentre,
-            "",
+            mAgents[upstream]->mService,
             static_cast<std::uint16_t>(std::stoul(text.substr(colon + 1))),
             {}});
   }
