--- a/include/dandelionslip/Agent/FlowMessages.h
+++ b/include/dandelionslip/Agent/FlowMessages.h
@@ -6,6 +6,7 @@
 #include "dandelionslip/Support/Fields.h"
 
 #include <string>
+#include <tuple>
 #include <variant>
 #include <vector>
 
@@ -17,7 +18,12 @@
   std::uint64_t mViewRevision = 0;
   std::uint64_t mConfigurationRevision = 0;
 
-  auto operator<=>(const TableEpoch&) const = default;
+  bool operator==(const TableEpoch&) const = default;
+  auto operator<=>(const TableEpoch& aOther) const
+  {
+    return std::tie(mViewRevision, mConfigurationRevision) <=>
+           std::tie(aOther.mViewRevision, aOther.mConfigurationRevision);
+  }
 };
 
 template <typename V>
--- a/lib/Route/RoutingSnapshot.cpp
+++ b/lib/Route/RoutingSnapshot.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <bit>
+#include <cstring>
 
 namespace dandelionslip {
 
@@ -15,6 +16,15 @@
   return {aReason, kBalancerRetryAfterMs};
 }
 
+// A node has few addresses and operators choose them, so a cheap hash is enough.
+std::size_t AddressHash(const Endpoint& aAddress)
+{
+  std::array<std::uint64_t, 2> halves{};
+  std::memcpy(halves.data(), aAddress.mAddress.data(), sizeof(halves));
+  constexpr std::uint64_t kFactor = 0x9e3779b97f4a7c15; // 2^64 divided by the golden ratio
+  return ((halves[0] ^ halves[1] ^ aAddress.mPort) * kFactor) >> 32U;
+}
+
 } // namespace
 
 RoutingSnapshot::RoutingSnapshot(const View& aView, const Configuration& aConfiguration,
@@ -74,7 +84,7 @@
   }
   mAddresses.resize(std::bit_ceil(aAddresses.size() * 2));
   for (const AddressSlot& address : aAddresses) {
-    std::size_t index = HashOf(address.mAddress) & (mAddresses.size() - 1);
+    std::size_t index = AddressHash(address.mAddress) & (mAddresses.size() - 1);
     while (mAddresses[index].mService != nullptr &&
            mAddresses[index].mAddress != address.mAddress) {
       index = (index + 1) & (mAddresses.size() - 1);
@@ -90,7 +100,7 @@
   if (mAddresses.empty()) {
     return nullptr;
   }
-  std::size_t index = HashOf(aAddress) & (mAddresses.size() - 1);
+  std::size_t index = AddressHash(aAddress) & (mAddresses.size() - 1);
   while (mAddresses[index].mService != nullptr && mAddresses[index].mAddress != aAddress) {
     index = (index + 1) & (mAddresses.size() - 1);
   }
@@ -125,7 +135,10 @@
   if (!target.mGate->IsOpen(aNow)) {
     return RefusalFor(RefusalReason::NoControl);
   }
-  ForwardDatagram forward{target.mTo, {}};
+  // Filled in place: copying the header costs as much as the look-ups.
+  RouteDecision decision(std::in_place_type<ForwardDatagram>);
+  auto& forward = *std::get_if<ForwardDatagram>(&decision);
+  forward.mTo = target.mTo;
   forward.mHeader.mOpening = aOpening;
   forward.mHeader.mServiceId = service->mTable.Id();
   forward.mHeader.mViewRevision = mViewRevision;
@@ -134,7 +147,7 @@
   forward.mHeader.mCaller = aCaller;
   forward.mHeader.mService = aService;
   forward.mHeader.mBalancer = aBalancer;
-  return forward;
+  return decision;
 }
 
 std::optional<RequestTarget> RoutingSnapshot::RequestTargetFor(const Service& aService,
