Write out three comparisons that clang-tidy misreads

clang-tidy reports modernize-use-nullptr inside defaulted three-way comparisons that are used by rewritten operators. The comparisons are now written with std::tie; their order is the same.

--- a/include/dandelionslip/Model/Endpoint.h
+++ b/include/dandelionslip/Model/Endpoint.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <string>
 #include <string_view>
+#include <tuple>
 
 namespace dandelionslip {
 
@@ -25,7 +26,11 @@
   /// The address without the port.
   std::string AddressText() const;
 
-  auto operator<=>(const Endpoint&) const = default;
+  bool operator==(const Endpoint&) const = default;
+  auto operator<=>(const Endpoint& aOther) const
+  {
+    return std::tie(mAddress, mPort) <=> std::tie(aOther.mAddress, aOther.mPort);
+  }
 };
 
 /// Hash of address and port.
--- a/lib/Route/AssignmentTable.cpp
+++ b/lib/Route/AssignmentTable.cpp
@@ -24,7 +24,11 @@
   RendezvousCost mCost;
   std::uint32_t mBucket = 0;
 
-  auto operator<=>(const HeldBucket&) const = default;
+  bool operator==(const HeldBucket&) const = default;
+  auto operator<=>(const HeldBucket& aOther) const
+  {
+    return std::tie(mCost, mBucket) <=> std::tie(aOther.mCost, aOther.mBucket);
+  }
 };
 
 // Matches buckets to members. Each bucket proposes to members in its rendezvous order, and a member
--- a/lib/Route/RendezvousOrder.h
+++ b/lib/Route/RendezvousOrder.h
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <span>
+#include <tuple>
 #include <vector>
 
 namespace dandelionslip {
@@ -16,7 +17,11 @@
   std::uint64_t mCost = 0;
   MemberIndex mMember = kNoMember;
 
-  auto operator<=>(const RendezvousCost&) const = default;
+  bool operator==(const RendezvousCost&) const = default;
+  auto operator<=>(const RendezvousCost& aOther) const
+  {
+    return std::tie(mCost, mMember) <=> std::tie(aOther.mCost, aOther.mMember);
+  }
 };
 
 /// Computes the order of members for each bucket.
