--- a/include/dandelionslip/Daemon/ProgramMain.h
+++ b/include/dandelionslip/Daemon/ProgramMain.h
@@ -18,11 +18,11 @@
 /// Exit codes of the daemons.
 enum ProgramExit : int
 {
-  kExitOk = 0,
-  kExitFailure = 1,     ///< Could not start, for example because an address is in use.
-  kExitUsage = 2,       ///< Wrong command line or settings.
-  kExitDataFailure = 3, ///< A control replica stopped because of its disk or identity.
-  kExitFenced = 4,      ///< A newer process runs under the same name.
+  ExitOk = 0,
+  ExitFailure = 1,     ///< Could not start, for example because an address is in use.
+  ExitUsage = 2,       ///< Wrong command line or settings.
+  ExitDataFailure = 3, ///< A control replica stopped because of its disk or identity.
+  ExitFenced = 4,      ///< A newer process runs under the same name.
 };
 
 /// Parses the command line, loads and checks the settings, and runs the program.
@@ -36,16 +36,16 @@
   const auto settings = LoadSettings<Settings>(path);
   if (!settings) {
     std::cerr << settings.error().Message() << "\n";
-    return kExitUsage;
+    return ExitUsage;
   }
   if (arguments.at("--check-config").asBool()) {
     std::cout << path << ": ok\n";
-    return kExitOk;
+    return ExitOk;
   }
   const auto code = aRun(settings.value(), arguments);
   if (!code) {
     std::cerr << code.error().Message() << "\n";
-    return kExitFailure;
+    return ExitFailure;
   }
   return code.value();
 }
--- a/lib/Daemon/BalancerDaemon.cpp
+++ b/lib/Daemon/BalancerDaemon.cpp
@@ -81,6 +81,11 @@
   mutable Random mRandom{SystemSeed()};
 };
 
+std::pair<std::string, Attempt> MapKey(const AttemptKey& aKey)
+{
+  return {aKey.mId.ToString(), aKey.mAttempt};
+}
+
 class BalancerDaemon
 {
 public:
@@ -464,7 +469,7 @@
     const auto timeout = std::max(aAction.mRemaining, Milliseconds(1));
     // Send only posts; holding the mutex keeps its callback from running before the id is stored.
     const std::lock_guard lock(mRelayMutex);
-    mAttempts[key] = client->Send(std::move(request), timeout, [this, key](auto aResult) {
+    mAttempts[MapKey(key)] = client->Send(std::move(request), timeout, [this, key](auto aResult) {
       OnAgentResult(key, std::move(aResult));
     });
   }
@@ -473,7 +478,7 @@
   {
     {
       const std::lock_guard lock(mRelayMutex);
-      mAttempts.erase(aKey);
+      mAttempts.erase(MapKey(aKey));
     }
     if (!aResult) {
       const bool sent = aResult.error().mCode != ErrorCode::Unavailable;
@@ -494,7 +499,7 @@
     std::optional<std::uint64_t> id;
     {
       const std::lock_guard lock(mRelayMutex);
-      if (const auto found = mAttempts.find(aAction.mKey); found != mAttempts.end()) {
+      if (const auto found = mAttempts.find(MapKey(aAction.mKey)); found != mAttempts.end()) {
         id = found->second;
       }
     }
@@ -595,7 +600,7 @@
   SnapshotTargets mTargets;
   RelayCore mRelay;
   std::map<ReplyHandle, std::shared_ptr<HttpExchange>> mExchanges;
-  std::map<AttemptKey, std::uint64_t> mAttempts;
+  std::map<std::pair<std::string, Attempt>, std::uint64_t> mAttempts; ///< Client's request ids.
   std::atomic<ReplyHandle> mNextHandle{1};
   std::atomic<MemberState> mState{MemberState::Serving};
   std::uint64_t mIncarnation;
--- a/lib/Net/Http2Session.cpp
+++ b/lib/Net/Http2Session.cpp
@@ -70,11 +70,11 @@
   , mPeer(std::move(aPeer))
   , mTraffic(std::move(aTraffic))
 {
-  static nghttp2_session_callbacks* const callbacks = MakeCallbacks();
+  static nghttp2_session_callbacks* const kCallbacks = MakeCallbacks();
   if (mSide == Side::Server) {
-    nghttp2_session_server_new(&mSession, callbacks, this);
+    nghttp2_session_server_new(&mSession, kCallbacks, this);
   } else {
-    nghttp2_session_client_new(&mSession, callbacks, this);
+    nghttp2_session_client_new(&mSession, kCallbacks, this);
   }
 }
 
--- a/tools/dandelionslipctl/main.cpp
+++ b/tools/dandelionslipctl/main.cpp
@@ -48,10 +48,10 @@
 
 enum CtlExit : int
 {
-  kExitOk = 0,
-  kExitFailed = 1,
-  kExitUsage = 2,
-  kExitRefused = 3,
+  ExitOk = 0,
+  ExitFailed = 1,
+  ExitUsage = 2,
+  ExitRefused = 3,
 };
 
 using Arguments = std::map<std::string, docopt::value>;
@@ -85,7 +85,7 @@
 int Fail(const Error& aError)
 {
   std::cerr << aError.Message() << "\n";
-  return aError.mCode == ErrorCode::InvalidInput ? kExitRefused : kExitFailed;
+  return aError.mCode == ErrorCode::InvalidInput ? ExitRefused : ExitFailed;
 }
 
 PublicationIdentity IdentityFrom(const Arguments& aArguments)
@@ -136,7 +136,7 @@
     std::cout << file.mPath << ": ok, service " << file.mSpec.mName << " version "
               << file.mSpec.mVersion << "\n";
   }
-  return kExitOk;
+  return ExitOk;
 }
 
 int PublishFiles(const Arguments& aArguments, const std::vector<ServiceFile>& aFiles)
@@ -180,7 +180,7 @@
   }
   std::cout << "checked=" << files.value().size() << " changed=" << changed.size() << "\n";
   if (changed.empty() || aArguments.at("--dry-run").asBool()) {
-    return kExitOk;
+    return ExitOk;
   }
   return PublishFiles(aArguments, changed);
 }
@@ -286,12 +286,12 @@
     newest = better ? &replica : newest;
   }
   if (newest == nullptr) {
-    return kExitFailed;
+    return ExitFailed;
   }
   if (!aArguments.at("--json").asBool()) {
     PrintState(*newest);
   }
-  return kExitOk;
+  return ExitOk;
 }
 
 int RunCtl(const Arguments& aArguments)
@@ -313,7 +313,7 @@
       return action(aArguments);
     }
   }
-  return kExitUsage;
+  return ExitUsage;
 }
 
 } // namespace
@@ -328,6 +328,6 @@
                      std::string("dandelionslipctl ") + DANDELIONSLIP_VERSION));
   } catch (const std::exception& failure) {
     std::cerr << failure.what() << "\n";
-    return dandelionslip::kExitUsage;
+    return dandelionslip::ExitUsage;
   }
 }
