Move request records with their buckets

Cause: every agent started as the first owner of its buckets, so a resend that reached a new owner could run a second time; and a flow directory was rebuilt on every generation, because generation numbers are not consecutive. Change: HomeRecords connects the hand-off of the flow core to the records of the request core; a missed generation is detected from the view's history; the agent begins its resumption before it applies state, applies state before a renewed lease, and reports the end of its lease to the flow core.

--- a/include/dandelionslip/Agent/BucketHandoff.h
+++ b/include/dandelionslip/Agent/BucketHandoff.h
@@ -38,6 +38,9 @@
   /// Takes over the directory from before a restart.
   void Restore(const Handover& aState, TimePoint aNow);
 
+  /// The agent has run before, so a bucket without a previous owner is not a new one.
+  void NoteResumption() { mResumed = true; }
+
   /// Whether the directories of all buckets owned are complete.
   bool IsComplete() const;
 
@@ -49,13 +52,13 @@
   void UpdateOwned(std::uint32_t aBucket, const std::string& aPrevious, bool aFollowed,
                    bool aDoubtful, TimePoint aNow);
   void StartFrom(std::uint32_t aBucket, const std::string& aPrevious, TimePoint aNow);
-  void StartRebuild(std::uint32_t aBucket, TimePoint aNow);
+  void StartRebuild(std::uint32_t aBucket, TimePoint aNow, bool aFirst = false);
   void UpdateRebuild(Bucket& aBucket, TimePoint aNow);
   void FinishIfAnswered(Bucket& aBucket);
   void Ask(TimePoint aNow, FlowActions& aOut);
   void AskPreviousOwners(TimePoint aNow, FlowActions& aOut);
   void AskMembers(TimePoint aNow, FlowActions& aOut);
-  void StartLostRecords(TimePoint aNow);
+  void StartRecords();
   void TakeBucket(const BucketTransfer& aTransfer, TimePoint aNow, FlowActions& aOut);
   void FollowChain(std::uint32_t aBucket, const std::string& aNext, TimePoint aNow);
   void MergeFlows(const std::vector<DirectoryEntry>& aFlows, TimePoint aNow);
@@ -65,7 +68,9 @@
   FlowCustody& mCustody;
   BucketRecords* mRecords;
   BucketDirectory mDirectory;
-  std::vector<std::uint32_t> mLostRecords; ///< Buckets that start without records.
+  std::vector<std::uint32_t> mLostRecords;  ///< Buckets that start without records.
+  std::vector<std::uint32_t> mFirstRecords; ///< Buckets that never had an owner.
+  bool mResumed = false;
 };
 
 } // namespace dandelionslip
--- a/include/dandelionslip/Agent/BucketRecords.h
+++ b/include/dandelionslip/Agent/BucketRecords.h
@@ -6,6 +6,7 @@
 
 #include <cstdint>
 #include <span>
+#include <string>
 
 namespace dandelionslip {
 
@@ -15,15 +16,20 @@
 public:
   virtual ~BucketRecords() = default;
 
-  /// Takes the records of the buckets out for their new owner. The same buckets may be exported
-  /// again when an answer was lost, and must then give the same records.
-  virtual Json Export(std::span<const std::uint32_t> aBuckets) = 0;
+  /// Takes the records of the buckets out for their new owner; from here on this agent decides
+  /// about no new request in them. The same buckets may be exported again to the same owner when an
+  /// answer was lost, and then give the same records.
+  virtual Json Export(std::span<const std::uint32_t> aBuckets, const std::string& aNewOwner) = 0;
 
-  /// Takes over records of buckets that were handed off completely; null when there are none.
-  virtual void Import(const Json& aRecords) = 0;
+  /// This agent owns the buckets from now on, with the records that the previous owner exported.
+  /// Buckets whose records are missing start without records.
+  virtual void Import(std::span<const std::uint32_t> aBuckets, const Json& aRecords) = 0;
 
-  /// The records of the buckets are lost; the agent owns them from now on.
-  virtual void StartWithoutRecords(std::span<const std::uint32_t> aBuckets, TimePoint aNow) = 0;
+  /// This agent is the first owner that the buckets have ever had.
+  virtual void StartFirst(std::span<const std::uint32_t> aBuckets) = 0;
+
+  /// The records of the buckets are lost; this agent owns them from now on.
+  virtual void StartWithoutRecords(std::span<const std::uint32_t> aBuckets) = 0;
 };
 
 } // namespace dandelionslip
--- a/include/dandelionslip/Agent/FlowCore.h
+++ b/include/dandelionslip/Agent/FlowCore.h
@@ -107,6 +107,7 @@
   };
 
   void OnTable(const ServiceTable& aOld, TimePoint aNow, FlowActions& aOut);
+  bool MissedGeneration(const ServiceTable& aOld) const;
   bool WasOwnDataCentreOut(const Configuration& aOld) const;
   void FollowBalancers();
   void GiveUpFlows(TimePoint aNow, FlowActions& aOut);
--- a/include/dandelionslip/Request/RequestRecords.h
+++ b/include/dandelionslip/Request/RequestRecords.h
@@ -110,6 +110,8 @@
   /// The agent a frozen bucket was handed to.
   const std::string& NewOwner(std::uint32_t aBucket) const;
   std::int64_t CompleteSince(std::uint32_t aBucket) const;
+  /// Number under which the bucket's state was entered.
+  std::uint32_t GenerationOf(std::uint32_t aBucket) const;
 
   /// This agent became the owner in generation aGeneration; the bucket stays incomplete until its
   /// history is settled. Has no effect for a generation that is not newer than the bucket's.
--- a/lib/Agent/BucketHandoff.cpp
+++ b/lib/Agent/BucketHandoff.cpp
@@ -36,7 +36,7 @@
 {
   mDirectory = ImportDirectory(aState.mDirectory, mContext.mTable.Buckets(), aNow);
   if (mRecords != nullptr) {
-    mRecords->Import(aState.mRecords);
+    mRecords->Import(CompleteBuckets(mDirectory), aState.mRecords);
   }
 }
 
@@ -128,11 +128,12 @@
 {
   Bucket& bucket = mDirectory.At(aBucket);
   const TableMember* previous = mContext.Find(aPrevious);
+  const bool first = aPrevious.empty() && !mResumed;
   bucket.mUnknownReason = previous != nullptr && previous->mDataCentreOut
                             ? RefusalReason::DataCentreOut
                             : RefusalReason::UnknownFlow;
   if (previous == nullptr || previous->mOut || mContext.IsSelf(aPrevious)) {
-    StartRebuild(aBucket, aNow);
+    StartRebuild(aBucket, aNow, first);
     return;
   }
   bucket.mState = BucketState::Pending;
@@ -142,7 +143,7 @@
   bucket.mSince = mContext.Epoch();
 }
 
-void BucketHandoff::StartRebuild(std::uint32_t aBucket, TimePoint aNow)
+void BucketHandoff::StartRebuild(std::uint32_t aBucket, TimePoint aNow, bool aFirst)
 {
   Bucket& bucket = mDirectory.At(aBucket);
   bucket.mState = BucketState::Rebuilding;
@@ -158,7 +159,7 @@
     }
   }
   MergeFlows(mCustody.HeldFlows(std::span(&aBucket, 1)), aNow);
-  mLostRecords.push_back(aBucket);
+  (aFirst ? mFirstRecords : mLostRecords).push_back(aBucket);
   FinishIfAnswered(bucket);
 }
 
@@ -190,15 +191,19 @@
 {
   AskPreviousOwners(aNow, aOut);
   AskMembers(aNow, aOut);
-  StartLostRecords(aNow);
+  StartRecords();
 }
 
-void BucketHandoff::StartLostRecords(TimePoint aNow)
+void BucketHandoff::StartRecords()
 {
   if (mRecords != nullptr && !mLostRecords.empty()) {
-    mRecords->StartWithoutRecords(mLostRecords, aNow);
+    mRecords->StartWithoutRecords(mLostRecords);
+  }
+  if (mRecords != nullptr && !mFirstRecords.empty()) {
+    mRecords->StartFirst(mFirstRecords);
   }
   mLostRecords.clear();
+  mFirstRecords.clear();
 }
 
 void BucketHandoff::AskPreviousOwners(TimePoint aNow, FlowActions& aOut)
@@ -285,7 +290,7 @@
     }
   }
   if (mRecords != nullptr && !complete.empty()) {
-    answer.mRecords = mRecords->Export(complete);
+    answer.mRecords = mRecords->Export(complete, aRequest.mRequester);
   }
   aOut.emplace_back(SendPeerMessage{aRequest.mRequester, std::move(answer)});
 }
@@ -295,7 +300,7 @@
   if (aAnswer.mServiceId != mContext.mTable.Id()) {
     return;
   }
-  bool anyComplete = false;
+  std::vector<std::uint32_t> complete;
   for (const BucketTransfer& transfer : aAnswer.mBuckets) {
     if (transfer.mBucket >= mDirectory.Buckets()) {
       continue;
@@ -304,13 +309,15 @@
     if (bucket.mState == BucketState::Pending && bucket.mPeer == aAnswer.mOwner &&
         aAnswer.mEpoch >= bucket.mSince) {
       TakeBucket(transfer, aNow, aOut);
-      anyComplete = anyComplete || transfer.mStatus == TransferStatus::Complete;
+      if (transfer.mStatus == TransferStatus::Complete) {
+        complete.push_back(transfer.mBucket);
+      }
     }
   }
-  if (mRecords != nullptr && anyComplete) {
-    mRecords->Import(aAnswer.mRecords);
+  if (mRecords != nullptr && !complete.empty()) {
+    mRecords->Import(complete, aAnswer.mRecords);
   }
-  StartLostRecords(aNow);
+  StartRecords();
 }
 
 void BucketHandoff::TakeBucket(const BucketTransfer& aTransfer, TimePoint aNow, FlowActions& aOut)
--- a/lib/Agent/FlowCore.cpp
+++ b/lib/Agent/FlowCore.cpp
@@ -63,12 +63,24 @@
   }
 }
 
+// Members acknowledge each generation before the next one is issued. Only an agent that was
+// regarded as lost can miss one, and its buckets had other owners meanwhile. Numbers are not
+// consecutive, so the view's history tells which generation came before.
+bool FlowCore::MissedGeneration(const ServiceTable& aOld) const
+{
+  if (aOld.Generation() == 0 || aOld.Id() != mContext.mTable.Id() ||
+      aOld.Generation() == mContext.mTable.Generation()) {
+    return false;
+  }
+  const ServiceView* service =
+    FindServiceView(mContext.mView, mContext.mConfiguration, mContext.mSettings.mService);
+  return service == nullptr || service->mGenerations.size() < 2 ||
+         service->mGenerations[1].mNumber != aOld.Generation();
+}
+
 void FlowCore::OnTable(const ServiceTable& aOld, TimePoint aNow, FlowActions& aOut)
 {
-  // Members acknowledge each generation before the next one is issued. Only an agent that was
-  // regarded as lost can miss one, and its buckets had other owners meanwhile.
-  const bool skipped = aOld.Generation() > 0 && aOld.Id() == mContext.mTable.Id() &&
-                       mContext.mTable.Generation() > aOld.Generation() + 1;
+  const bool skipped = MissedGeneration(aOld);
   const TableMember* self = mContext.Find(mContext.mSettings.mName);
   if (self != nullptr && self->mOut) {
     mHandoff.Reset();
--- a/lib/Agent/FlowCoreRestart.cpp
+++ b/lib/Agent/FlowCoreRestart.cpp
@@ -112,9 +112,9 @@
   });
   state.mDirectory = ExportDirectory(mHandoff.Directory());
   if (mRecords != nullptr) {
-    state.mRecords = mRecords->Export(CompleteBuckets(mHandoff.Directory()));
+    state.mRecords = mRecords->Export(CompleteBuckets(mHandoff.Directory()), mStop->mCustodian);
   }
-  state.mAdmission = mStop ? mStop->mAdmission : Json();
+  state.mAdmission = mStop->mAdmission;
   return state;
 }
 
@@ -130,20 +130,22 @@
     return;
   }
   mStop->mNextSend = aNow + mContext.mSettings.mAskInterval;
-  std::vector<Handover> states = mCustody.Export();
+  const std::string custodian = ChooseCustodian();
+  const bool changed = custodian != mStop->mCustodian;
+  mStop->mCustodian = custodian;
+  if (custodian.empty()) {
+    mStop->mNextSend = TimePoint::max();
+    aOut.emplace_back(HandoverDone{});
+    return;
+  }
+  std::vector<Handover> states = mCustody.Export(custodian);
   states.push_back(ExportState());
-  if (const std::string custodian = ChooseCustodian(); custodian != mStop->mCustodian) {
-    mStop->mCustodian = custodian;
+  if (changed) {
     mStop->mUnacknowledged.clear();
     for (const Handover& state : states) {
       mStop->mUnacknowledged.insert(state.mMember);
     }
   }
-  if (mStop->mCustodian.empty()) {
-    mStop->mNextSend = TimePoint::max();
-    aOut.emplace_back(HandoverDone{});
-    return;
-  }
   for (Handover& state : states) {
     if (mStop->mUnacknowledged.contains(state.mMember)) {
       aOut.emplace_back(SendPeerMessage{mStop->mCustodian, std::move(state)});
@@ -164,6 +166,7 @@
 
 void FlowCore::BeginResumption(const std::string& aCustodian, TimePoint aNow, FlowActions& aOut)
 {
+  mHandoff.NoteResumption();
   mResumption = Resumption{aCustodian, aNow};
   ContinueResumption(aNow, aOut);
 }
--- a/lib/Agent/FlowCustody.cpp
+++ b/lib/Agent/FlowCustody.cpp
@@ -26,7 +26,7 @@
     custody.mFlows.insert(flow.mFlow);
   }
   if (mRecords != nullptr) {
-    mRecords->Import(aState.mRecords);
+    mRecords->Import(CompleteBuckets(custody.mDirectory), aState.mRecords);
   }
   mCustody[aState.mMember] = std::move(custody);
 }
@@ -59,7 +59,8 @@
     aCustody.mKeepUntil = aNow + mContext.mSettings.mCustodyTime;
     aCustody.mState.mDirectory = ExportDirectory(aCustody.mDirectory);
     if (mRecords != nullptr) {
-      aCustody.mState.mRecords = mRecords->Export(CompleteBuckets(aCustody.mDirectory));
+      aCustody.mState.mRecords =
+        mRecords->Export(CompleteBuckets(aCustody.mDirectory), aCustody.mState.mMember);
     }
   }
   return aCustody.mState;
@@ -115,7 +116,7 @@
     }
   }
   if (mRecords != nullptr && !complete.empty()) {
-    answer.mRecords = mRecords->Export(complete);
+    answer.mRecords = mRecords->Export(complete, aRequest.mRequester);
   }
   return answer;
 }
@@ -160,7 +161,7 @@
   return flows;
 }
 
-std::vector<Handover> FlowCustody::Export() const
+std::vector<Handover> FlowCustody::Export(const std::string& aCustodian) const
 {
   std::vector<Handover> states;
   for (const auto& [member, custody] : mCustody) {
@@ -169,7 +170,7 @@
       states.back().mSenderIncarnation = mContext.mSettings.mIncarnation;
       states.back().mDirectory = ExportDirectory(custody.mDirectory);
       if (mRecords != nullptr) {
-        states.back().mRecords = mRecords->Export(CompleteBuckets(custody.mDirectory));
+        states.back().mRecords = mRecords->Export(CompleteBuckets(custody.mDirectory), aCustodian);
       }
     }
   }
--- a/lib/Daemon/AgentDaemon.cpp
+++ b/lib/Daemon/AgentDaemon.cpp
@@ -8,6 +8,7 @@
 
 #include "dandelionslip/Agent/FlowCore.h"
 #include "dandelionslip/Agent/UpstreamAdmission.h"
+#include "dandelionslip/Daemon/HomeRecords.h"
 #include "dandelionslip/Daemon/WorkerPool.h"
 #include "dandelionslip/Net/MetricsEndpoint.h"
 #include "dandelionslip/Request/HomeCore.h"
@@ -54,6 +55,11 @@
   UpstreamAdmission& mAdmission;
 };
 
+void AppendTo(HomeActions& aActions, HomeActions aMore)
+{
+  std::move(aMore.begin(), aMore.end(), std::back_inserter(aActions));
+}
+
 RequestTime Now()
 {
   return {RuntimeClock::now(), WallClockMs()};
@@ -135,12 +141,12 @@
       CreateCores(*entry, now);
       mLastView = aState.CurrentView();
       mConfiguration = aState.CurrentConfiguration();
-      mFlows->OnState(aState.CurrentView(), aState.CurrentConfiguration(), now, actions);
       if (self != nullptr && self->mState == MemberState::Restarting && !self->mCustodian.empty()) {
         LogEvent(LogLevel::Info, "resuming").With("custodian", self->mCustodian);
         mResuming = true;
         mFlows->BeginResumption(self->mCustodian, now, actions);
       }
+      mFlows->OnState(aState.CurrentView(), aState.CurrentConfiguration(), now, actions);
     }
     Perform(std::move(actions));
     mFlowTimer =
@@ -179,13 +185,14 @@
     home.mRecords.mRetention = mSettings.mRecordRetention;
     mHome = std::make_unique<HomeCore>(
       home, *mSlots, [this](std::uint32_t aBucket) { return AlternateOf(aBucket); }, mRegistry);
+    mRecords.Attach(*mHome);
     FlowSettings flows;
     flows.mName = mSettings.mNode;
     flows.mService = mSettings.mService;
     flows.mEndpoint = mSelf;
     flows.mIncarnation = mIncarnation;
     flows.mMaxFlows = mSettings.mMaxFlows;
-    mFlows = std::make_unique<FlowCore>(flows, *mAdmission);
+    mFlows = std::make_unique<FlowCore>(flows, *mAdmission, &mRecords);
   }
 
   // Called by the request core while mMutex is held.
@@ -246,8 +253,11 @@
       if (aAnswer.mLease.count() > 0) {
         mLeaseEnd = std::max(mLeaseEnd, aSentAt + aAnswer.mLease);
       }
-      homeActions = mHome->OnLease(now < mLeaseEnd, Now());
+      // State comes first: buckets that had other owners in between must be known before the lease
+      // allows requests again.
       ApplyState(aState, now, flowActions, homeActions);
+      AppendTo(homeActions, mRecords.TakeActions());
+      AppendTo(homeActions, mHome->OnLease(now < mLeaseEnd, Now()));
     }
     Perform(std::move(flowActions));
     Perform(std::move(homeActions));
@@ -274,19 +284,6 @@
     mLastView = view;
     mConfiguration = configuration;
     mFlows->OnState(view, configuration, aNow, aFlowActions);
-    AcquireBuckets();
-  }
-
-  // Starts to decide about the requests of the buckets that this agent owns.
-  void AcquireBuckets()
-  {
-    const ServiceTable& table = mFlows->Table();
-    for (std::uint32_t bucket = 0; bucket < table.Buckets(); ++bucket) {
-      const MemberIndex owner = table.Assignment().Owner(bucket);
-      if (owner != kNoMember && table.Members()[owner].mName == mSettings.mNode) {
-        mHome->OnBucketFirstOwner(bucket, table.Generation(), Now());
-      }
-    }
   }
 
   // Requests that a lost agent was still running for this one have an unknown outcome.
@@ -297,8 +294,7 @@
       const bool lostNow = member.mState == MemberState::Lost &&
                            (before == nullptr || before->mState != MemberState::Lost);
       if (lostNow && member.mService == mSettings.mService) {
-        auto actions = mHome->OnAgentLost(name, Now());
-        std::move(actions.begin(), actions.end(), std::back_inserter(aHomeActions));
+        AppendTo(aHomeActions, mHome->OnAgentLost(name, Now()));
       }
     }
   }
@@ -315,6 +311,7 @@
         return;
       }
       aEvent(*mFlows, flowActions);
+      homeActions = mRecords.TakeActions();
     }
     Perform(std::move(flowActions));
     Perform(std::move(homeActions));
@@ -368,7 +365,13 @@
 
   void OnFlowTick()
   {
-    WithFlows([](FlowCore& aCore, FlowActions& aOut) { aCore.OnTick(RuntimeClock::now(), aOut); });
+    WithFlows([this](FlowCore& aCore, FlowActions& aOut) {
+      const TimePoint now = RuntimeClock::now();
+      if (now >= mLeaseEnd) {
+        aCore.OnLeaseEnd();
+      }
+      aCore.OnTick(now, aOut);
+    });
   }
 
   void Perform(FlowActions aActions)
@@ -584,9 +587,8 @@
   void OnRequestTick()
   {
     WithHome([this](HomeCore& aCore) {
-      auto actions = aCore.OnLease(RuntimeClock::now() < mLeaseEnd, Now());
-      auto more = aCore.OnTick(Now());
-      std::move(more.begin(), more.end(), std::back_inserter(actions));
+      HomeActions actions = aCore.OnLease(RuntimeClock::now() < mLeaseEnd, Now());
+      AppendTo(actions, aCore.OnTick(Now()));
       return actions;
     });
   }
@@ -852,6 +854,7 @@
   std::unique_ptr<UpstreamAdmission> mAdmission;
   std::unique_ptr<AdmissionSlots> mSlots;
   std::unique_ptr<HomeCore> mHome;
+  HomeRecords mRecords{&Now};
   std::unique_ptr<FlowCore> mFlows;
   std::map<ReplyHandle, std::shared_ptr<HttpExchange>> mExchanges;
   std::unordered_map<FlowId, TimePoint> mSentToUpstream; ///< Oldest unanswered datagram of a flow.
--- a/lib/Request/RecordHandoff.cpp
+++ b/lib/Request/RecordHandoff.cpp
@@ -37,6 +37,11 @@
   return mBucketStates[aBucket].mCompleteSince;
 }
 
+std::uint32_t RequestRecords::GenerationOf(std::uint32_t aBucket) const
+{
+  return mBucketStates[aBucket].mGeneration;
+}
+
 void RequestRecords::Acquire(std::uint32_t aBucket, std::uint32_t aGeneration)
 {
   Bucket& bucket = mBucketStates[aBucket];
