Give usage errors exit code 2 and publication ids their time of issue

Change: ParseCommandLine for all programs, publication ids of UUID version 7, a check of the data folder, and a loopback prefix for the demo.

--- a/include/dandelionslip/Daemon/ProgramMain.h
+++ b/include/dandelionslip/Daemon/ProgramMain.h
@@ -2,27 +2,22 @@
 #pragma once
 
 #include "dandelionslip/Config/LoadSettings.h"
-
-#include <docopt/docopt.h>
+#include "dandelionslip/Daemon/CommandLine.h"
 
 #include <functional>
 #include <iostream>
-#include <map>
 #include <string>
 
 namespace dandelionslip {
 
-/// Parsed command line by option name.
-using ProgramArguments = std::map<std::string, docopt::value>;
-
 /// Exit codes of the daemons.
 enum ProgramExit : int
 {
   ExitOk = 0,
-  ExitFailure = 1,     ///< Could not start, for example because an address is in use.
-  ExitUsage = 2,       ///< Wrong command line or settings.
-  ExitDataFailure = 3, ///< A control replica stopped because of its disk or identity.
-  ExitFenced = 4,      ///< A newer process runs under the same name.
+  ExitFailure = 1,        ///< Could not start, for example because an address is in use.
+  ExitUsage = kUsageExit, ///< Wrong command line or settings.
+  ExitDataFailure = 3,    ///< A control replica stopped because of its disk or identity.
+  ExitFenced = 4,         ///< A newer process runs under the same name.
 };
 
 /// Parses the command line, loads and checks the settings, and runs the program.
@@ -30,8 +25,11 @@
 int ProgramMain(const char* aUsage, const std::string& aName, int aArgc, char** aArgv,
                 const std::function<Result<int>(const Settings&, const ProgramArguments&)>& aRun)
 {
-  const ProgramArguments arguments =
-    docopt::docopt(aUsage, {aArgv + 1, aArgv + aArgc}, true, aName + " " + DANDELIONSLIP_VERSION);
+  const auto parsed = ParseCommandLine(aUsage, aName, aArgc, aArgv);
+  if (const int* exitCode = std::get_if<int>(&parsed)) {
+    return *exitCode;
+  }
+  const auto& arguments = std::get<ProgramArguments>(parsed);
   const std::string path = arguments.at("--config").asString();
   const auto settings = LoadSettings<Settings>(path);
   if (!settings) {
--- a/lib/Daemon/AgentDaemon.cpp
+++ b/lib/Daemon/AgentDaemon.cpp
@@ -340,7 +340,8 @@
       mRegistry.CounterFor("dandelionslip_agent_drops_total", "reason=\"malformed\"").Add();
       return;
     }
-    const auto& [header, payload] = frame.value();
+    const DatagramHeader& header = frame.value().mHeader;
+    const auto payload = frame.value().mPayload;
     WithFlows([&](FlowCore& aCore, FlowActions& aOut) {
       const TimePoint now = RuntimeClock::now();
       if (header.mKind == DatagramKind::Forward) {
@@ -377,7 +378,7 @@
   void Perform(FlowActions aActions)
   {
     for (auto& action : aActions) {
-      std::visit([this](auto& aAction) { Do(aAction); }, action);
+      std::visit([this](auto& aAction) { this->Do(aAction); }, action);
     }
   }
 
@@ -596,7 +597,7 @@
   void Perform(HomeActions aActions)
   {
     for (auto& action : aActions) {
-      std::visit([this](auto& aAction) { Do(aAction); }, action);
+      std::visit([this](auto& aAction) { this->Do(aAction); }, action);
     }
   }
 
@@ -693,7 +694,7 @@
       }
       auto response = FromResponse(std::move(aResult.value()));
       return aCore.OnAlternateAnswer(aRun, response.mOutcome, response.mRefusal.value_or(Refusal{}),
-                                     std::move(response.mReceived), Now());
+                                     response.mReceived, Now());
     });
   }
 
--- a/lib/Daemon/BalancerDaemon.cpp
+++ b/lib/Daemon/BalancerDaemon.cpp
@@ -441,7 +441,7 @@
       actions = aEvent(mRelay, RequestTime{RuntimeClock::now(), WallClockMs()});
     }
     for (auto& action : actions) {
-      std::visit([this](auto& aAction) { Do(aAction); }, action);
+      std::visit([this](auto& aAction) { this->Do(aAction); }, action);
     }
   }
 
--- a/lib/Daemon/ControlDaemon.cpp
+++ b/lib/Daemon/ControlDaemon.cpp
@@ -74,7 +74,17 @@
     storeSettings.mReplica = FoundingIdentity(aSettings.mNode);
   }
   auto store = LogStore::Open(aFiles, storeSettings, aRandom);
-  if (!store || !aStart.mBootstrap) {
+  if (!store) {
+    return store;
+  }
+  if (!aStart.mBootstrap) {
+    const bool blank = store.value()->LastIndex() == 0;
+    if (blank && !aSettings.mJoin) {
+      return Fail(
+        ErrorCode::InvalidInput, "control.start", aSettings.mDataFolder,
+        "the data folder is empty: found a new group with --bootstrap, or set \"join\" for "
+        "a replica that joins an existing group");
+    }
     return store;
   }
   if (const auto done = store.value()->Bootstrap(FoundingMembership(aSettings)); !done) {
@@ -91,7 +101,7 @@
     , mPool(aSettings.mWorkers)
     , mPeers(mPool.Loop())
     , mRaft(mPool.Loop(), mPeers, *this, std::move(aStore), RaftSettingsFrom(aSettings),
-            aSettings.mSnapshotEntries, std::move(aRandom))
+            aSettings.mSnapshotEntries, aRandom)
     , mMembership(mRaft.Self(), MembershipSettingsFrom(aSettings))
   {
   }
@@ -251,23 +261,22 @@
 
   // Posts a message to a replica and passes the decoded answer to the membership core.
   template <typename Answer>
-  void Exchange(const ReplicaId& aTo, const char* aPath, Bytes aBody,
+  void Exchange(const ReplicaId& aTo, const char* aPath, const Bytes& aBody,
                 void (MembershipCore::*aHandler)(const Answer&))
   {
     const std::string address = mRaft.AddressOf(aTo);
-    mPeers.Post(address, aPath, std::move(aBody), kPeerTimeout,
-                [this, address, aHandler](auto aResult) {
-                  if (!aResult) {
-                    return;
-                  }
-                  const auto answer = FromCbor<Answer>(aResult.value(), address);
-                  if (!answer) {
-                    LogEvent(LogLevel::Warning, "answer_not_decoded").With(answer.error());
-                    return;
-                  }
-                  const std::lock_guard lock(mMutex);
-                  (mMembership.*aHandler)(answer.value());
-                });
+    mPeers.Post(address, aPath, aBody, kPeerTimeout, [this, address, aHandler](auto aResult) {
+      if (!aResult) {
+        return;
+      }
+      const auto answer = FromCbor<Answer>(aResult.value(), address);
+      if (!answer) {
+        LogEvent(LogLevel::Warning, "answer_not_decoded").With(answer.error());
+        return;
+      }
+      const std::lock_guard lock(mMutex);
+      (mMembership.*aHandler)(answer.value());
+    });
   }
 
   void OnRequest(const std::shared_ptr<HttpExchange>& aExchange)
--- a/lib/Daemon/ControlLink.cpp
+++ b/lib/Daemon/ControlLink.cpp
@@ -47,13 +47,14 @@
     .With(aReason);
 }
 
-void ControlLink::FetchState(std::function<void(const NodeState&)> aDone)
+void ControlLink::FetchState(const std::function<void(const NodeState&)>& aDone)
 {
   mPeers.Post(Current(), "/v1/state", {}, kAnswerTimeout,
               [this, aDone](auto aResult) { OnState(aResult, aDone); });
 }
 
-void ControlLink::OnState(const Result<Bytes>& aResult, std::function<void(const NodeState&)> aDone)
+void ControlLink::OnState(const Result<Bytes>& aResult,
+                          const std::function<void(const NodeState&)>& aDone)
 {
   const auto answer = aResult ? FromCbor<AnnouncementAnswer>(aResult.value(), Current())
                               : Result<AnnouncementAnswer>(aResult.as_failure());
--- a/lib/Daemon/ControlLink.h
+++ b/lib/Daemon/ControlLink.h
@@ -30,7 +30,7 @@
               MetricsRegistry& aRegistry, Handlers aHandlers);
 
   /// Fetches the whole state from a replica that confirms it, repeating until one does.
-  void FetchState(std::function<void(const NodeState&)> aDone);
+  void FetchState(const std::function<void(const NodeState&)>& aDone);
 
   /// Starts the periodic announcements.
   void Start();
@@ -49,7 +49,7 @@
   std::string Current();
   void Rotate(const Error& aReason);
   bool OnAnswer(const Result<Bytes>& aResult, TimePoint aSentAt, const std::string& aEndpoint);
-  void OnState(const Result<Bytes>& aResult, std::function<void(const NodeState&)> aDone);
+  void OnState(const Result<Bytes>& aResult, const std::function<void(const NodeState&)>& aDone);
 
   boost::asio::io_context& mLoop;
   PeerClients& mPeers;
--- a/lib/Daemon/RaftRuntime.cpp
+++ b/lib/Daemon/RaftRuntime.cpp
@@ -25,8 +25,7 @@
   RecoveredState recovered = mStore->TakeRecovered();
   mSelf = recovered.mReplica;
   mFirstSnapshot = recovered.mSnapshot;
-  mCore = std::make_unique<RaftCore>(std::move(aSettings), std::move(recovered), std::move(aRandom),
-                                     RuntimeClock::now());
+  mCore = std::make_unique<RaftCore>(aSettings, std::move(recovered), aRandom, RuntimeClock::now());
 }
 
 Result<void> RaftRuntime::Start()
@@ -37,7 +36,7 @@
   mSnapshotIndex = mFirstSnapshot->mIndex;
   mApplied = mFirstSnapshot->Id();
   const bool holdsState = !mFirstSnapshot->mState.empty();
-  const auto loaded = holdsState ? mListener.OnState(mFirstSnapshot->mState) : Ok();
+  auto loaded = holdsState ? mListener.OnState(mFirstSnapshot->mState) : Ok();
   mFirstSnapshot.reset();
   return loaded;
 }
@@ -60,7 +59,7 @@
     if (mFailed) {
       return;
     }
-    std::visit([this](auto& aAction) { Do(aAction); }, action);
+    std::visit([this](auto& aAction) { this->Do(aAction); }, action);
   }
 }
 
--- a/scripts/cluster.py
+++ b/scripts/cluster.py
@@ -10,6 +10,9 @@
 
 BUILD = os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "build")
 
+# First two numbers of all loopback addresses, so that two deployments can run side by side.
+NET = os.environ.get("DANDELIONSLIP_NET", "127.0")
+
 # Longest wait for a condition, in seconds.
 WAIT_S = 30
 
@@ -64,7 +67,7 @@
         self.services = services
         self.processes = {}
         self.agents = {}
-        self.control_endpoints = [f"127.0.1.{i + 1}:7400" for i in range(3)]
+        self.control_endpoints = [f"{NET}.1.{i + 1}:7400" for i in range(3)]
         self.callers = {}
 
     def program(self, name):
@@ -88,7 +91,7 @@
     def start_control(self):
         for i, endpoint in enumerate(self.control_endpoints):
             settings = self.common(f"control-{i + 1}", self.data_centres[i],
-                                   f"127.0.1.{i + 1}:9100")
+                                   f"{NET}.1.{i + 1}:9100")
             settings["endpoint"] = endpoint
             settings["peers"] = [{"name": f"control-{k + 1}", "endpoint": other}
                                  for k, other in enumerate(self.control_endpoints) if k != i]
@@ -103,7 +106,7 @@
     def start_balancers(self):
         for i, data_centre in enumerate(self.data_centres):
             name = f"balancer-{i + 1}"
-            address = f"127.0.2.{i + 1}"
+            address = f"{NET}.2.{i + 1}"
             settings = self.common(name, data_centre, f"{address}:9100")
             settings.update({"datagram_endpoint": f"{address}:7500",
                              "request_endpoint": f"{address}:7501", "listen_address": address})
@@ -120,8 +123,8 @@
                 self.start_pair(name, service, data_centre, number, warm_up_ms)
 
     def start_pair(self, name, service, data_centre, number, warm_up_ms):
-        upstream = f"127.0.4.{number}"
-        agent = f"127.0.3.{number}"
+        upstream = f"{NET}.4.{number}"
+        agent = f"{NET}.3.{number}"
         self.add("upstream-" + name, [
             self.program("standin-upstream"), "--name=" + name, f"--udp={upstream}:7700",
             f"--http={upstream}:7701", f"--slots={service['slots']}",
@@ -139,7 +142,7 @@
                              "upstream": f"{upstream}:7701", "service": service["name"]}
 
     def start_caller(self, name, service, options):
-        balancers = ",".join(f"127.0.2.{i + 1}:{service['port']}"
+        balancers = ",".join(f"{NET}.2.{i + 1}:{service['port']}"
                              for i in range(len(self.data_centres)))
         out = os.path.join(self.folder, name + ".summary.json")
         arguments = [self.program("standin-caller"), "--balancers=" + balancers,
@@ -199,7 +202,7 @@
         return values
 
     def node_endpoints(self):
-        nodes = [f"127.0.2.{i + 1}:9100" for i in range(len(self.data_centres))]
+        nodes = [f"{NET}.2.{i + 1}:9100" for i in range(len(self.data_centres))]
         return nodes + [agent["metrics"] for agent in self.agents.values()]
 
     def in_force(self, revision, endpoints=None):
--- a/scripts/demo.py
+++ b/scripts/demo.py
@@ -4,11 +4,13 @@
 """
 
 import argparse
+import secrets
 import shutil
 import sys
 import time
+import uuid
 
-from cluster import Cluster, wait_for
+from cluster import NET, Cluster, wait_for
 
 DATA_CENTRES = ["klang-a", "klang-b", "klang-c"]
 PLANNER = {"name": "planner", "port": 7000, "servers": 7, "slots": 4, "service_ms": 20}
@@ -92,7 +94,7 @@
 
 def leader(cluster):
     for i in range(len(cluster.control_endpoints)):
-        if cluster.metrics(f"127.0.1.{i + 1}:9100").get("dandelionslip_raft_leader") == 1:
+        if cluster.metrics(f"{NET}.1.{i + 1}:9100").get("dandelionslip_raft_leader") == 1:
             return f"control-{i + 1}"
     return None
 
@@ -187,10 +189,16 @@
                  codes == [0, 4])
 
 
+def publication_id():
+    """A UUID of version 7 made now."""
+    bits = (time.time_ns() // 1_000_000) << 80 | 7 << 76 | secrets.randbits(12) << 64
+    return str(uuid.UUID(int=bits | 2 << 62 | secrets.randbits(62)))
+
+
 def resend(cluster, report, version):
     """A resend under the same publication id gets the first answer."""
     path = cluster.write_service(RENDER, version, opens_per_second=450)
-    publication = "7d0c3a52-53ad-4f0e-9f41-0d9d9a1f6c11"
+    publication = publication_id()
     first = cluster.ctl("publish", path, "--id=" + publication)
     second = cluster.ctl("publish", path, "--id=" + publication)
     report.check("I10", "resend of an applied publication",
--- a/standins/caller/main.cpp
+++ b/standins/caller/main.cpp
@@ -2,11 +2,10 @@
 #include "FlowCallers.h"
 #include "RequestCallers.h"
 
+#include "dandelionslip/Daemon/CommandLine.h"
 #include "dandelionslip/Daemon/WorkerPool.h"
 #include "dandelionslip/Support/Log.h"
 
-#include <docopt/docopt.h>
-
 #include <algorithm>
 #include <fstream>
 #include <iostream>
@@ -39,8 +38,6 @@
   --seed=N                 Seed of the random choices [default: 1].
 )";
 
-using Arguments = std::map<std::string, docopt::value>;
-
 Result<std::vector<Endpoint>> ParseList(const std::string& aText)
 {
   std::vector<Endpoint> endpoints;
@@ -81,7 +78,7 @@
   std::rename(temporary.c_str(), aPath.c_str());
 }
 
-int RunCaller(const Arguments& aArguments)
+int RunCaller(const ProgramArguments& aArguments)
 {
   const auto balancers = ParseList(aArguments.at("--balancers").asString());
   if (!balancers || balancers.value().empty()) {
@@ -146,6 +143,10 @@
 
 int main(int aArgc, char** aArgv)
 {
-  return dandelionslip::RunCaller(docopt::docopt(dandelionslip::kUsage, {aArgv + 1, aArgv + aArgc},
-                                                 true, "standin-caller 0.1.0"));
+  using namespace dandelionslip;
+  const auto parsed = ParseCommandLine(kUsage, "standin-caller", aArgc, aArgv);
+  if (const int* exitCode = std::get_if<int>(&parsed)) {
+    return *exitCode;
+  }
+  return RunCaller(std::get<ProgramArguments>(parsed));
 }
--- a/standins/upstream/main.cpp
+++ b/standins/upstream/main.cpp
@@ -1,6 +1,7 @@
 // Stand-in upstream: quote sessions and feeds over UDP, one-shot answers over HTTP/2.
 #include "UpstreamModel.h"
 
+#include "dandelionslip/Daemon/CommandLine.h"
 #include "dandelionslip/Daemon/WorkerPool.h"
 #include "dandelionslip/Net/CallerDatagram.h"
 #include "dandelionslip/Net/Http2Server.h"
@@ -8,8 +9,6 @@
 #include "dandelionslip/Net/UdpSocket.h"
 #include "dandelionslip/Support/Log.h"
 
-#include <docopt/docopt.h>
-
 #include <iostream>
 #include <map>
 #include <mutex>
@@ -202,27 +201,27 @@
   std::unique_ptr<RepeatingTimer> mTimer;
 };
 
-std::uint32_t Number(std::map<std::string, docopt::value>& aArguments, const std::string& aKey)
+std::uint32_t Number(const ProgramArguments& aArguments, const std::string& aKey)
 {
-  return static_cast<std::uint32_t>(aArguments[aKey].asLong());
+  return static_cast<std::uint32_t>(aArguments.at(aKey).asLong());
 }
 
-int RunUpstream(std::map<std::string, docopt::value> aArguments)
+int RunUpstream(const ProgramArguments& aArguments)
 {
-  const auto udp = Endpoint::Parse(aArguments["--udp"].asString());
-  const auto http = Endpoint::Parse(aArguments["--http"].asString());
+  const auto udp = Endpoint::Parse(aArguments.at("--udp").asString());
+  const auto http = Endpoint::Parse(aArguments.at("--http").asString());
   if (!udp || !http) {
     std::cerr << (udp ? http.error() : udp.error()).Message() << "\n";
     return 2;
   }
   UpstreamOptions options;
-  options.mName = aArguments["--name"].asString();
+  options.mName = aArguments.at("--name").asString();
   options.mSlots = Number(aArguments, "--slots");
   options.mConnections = Number(aArguments, "--connections");
   options.mColdSlots = Number(aArguments, "--cold-slots");
   options.mColdConnections = Number(aArguments, "--cold-connections");
-  options.mService = Milliseconds(aArguments["--service-ms"].asLong());
-  options.mWarmUp = Milliseconds(aArguments["--warm-up-ms"].asLong());
+  options.mService = Milliseconds(aArguments.at("--service-ms").asLong());
+  options.mWarmUp = Milliseconds(aArguments.at("--warm-up-ms").asLong());
   InitialiseLog("standin-upstream", options.mName, LogLevel::Info);
   WorkerPool pool(1);
   Upstream upstream(pool.Loop(), options);
@@ -240,6 +239,10 @@
 
 int main(int aArgc, char** aArgv)
 {
-  return dandelionslip::RunUpstream(docopt::docopt(
-    dandelionslip::kUsage, {aArgv + 1, aArgv + aArgc}, true, "standin-upstream 0.1.0"));
+  using namespace dandelionslip;
+  const auto parsed = ParseCommandLine(kUsage, "standin-upstream", aArgc, aArgv);
+  if (const int* exitCode = std::get_if<int>(&parsed)) {
+    return *exitCode;
+  }
+  return RunUpstream(std::get<ProgramArguments>(parsed));
 }
--- a/tools/dandelionslipctl/main.cpp
+++ b/tools/dandelionslipctl/main.cpp
@@ -1,11 +1,10 @@
 // Operators' command-line tool.
 #include "dandelionslip/Config/Publication.h"
-#include "dandelionslip/Control/ReplicaId.h"
+#include "dandelionslip/Daemon/CommandLine.h"
 #include "dandelionslip/Daemon/OperatorClient.h"
+#include "dandelionslip/Request/RequestId.h"
 #include "dandelionslip/Support/RuntimeClock.h"
 
-#include <docopt/docopt.h>
-
 #include <algorithm>
 #include <array>
 #include <cstdlib>
@@ -36,7 +35,8 @@
   --control=LIST        Control endpoints, separated by commas
                         [default: 127.0.0.1:7400,127.0.0.1:7401,127.0.0.1:7402].
   --timeout-ms=N        Time to wait for a decision [default: 5000].
-  --id=UUID             Publication id; resend with the id of a lost answer to learn its outcome.
+  --id=UUID             Publication id, a UUID of version 7; resend with the id of a lost answer to
+                        learn its outcome.
   --operator=NAME       Name shown to the loser of a conflict [default: operator].
   --expected-version=N  Refuse unless the file's version is N + 1.
   --dry-run             Show what would be published.
@@ -50,11 +50,10 @@
 {
   ExitOk = 0,
   ExitFailed = 1,
-  ExitUsage = 2,
   ExitRefused = 3,
 };
 
-using Arguments = std::map<std::string, docopt::value>;
+using Arguments = ProgramArguments;
 
 int ExitCodeOf(CommandOutcome aOutcome)
 {
@@ -88,12 +87,18 @@
   return aError.mCode == ErrorCode::InvalidInput ? ExitRefused : ExitFailed;
 }
 
-PublicationIdentity IdentityFrom(const Arguments& aArguments)
+// The time of issue is that of the publication id, so that a resend carries the same one.
+Result<PublicationIdentity> IdentityFrom(const Arguments& aArguments)
 {
   Random random(SystemSeed());
-  const auto& id = aArguments.at("--id");
-  return {id ? id.asString() : NewReplicaId(random), aArguments.at("--operator").asString(),
-          WallClockMs()};
+  const auto& given = aArguments.at("--id");
+  const auto id = given ? RequestId::Parse(given.asString())
+                        : Result<RequestId>(RequestId::Make(WallClockMs(), random));
+  if (!id) {
+    return id.as_failure();
+  }
+  return PublicationIdentity{id.value().ToString(), aArguments.at("--operator").asString(),
+                             id.value().TimestampMs()};
 }
 
 int Report(const CommandAnswer& aAnswer, const std::string& aPublicationId)
@@ -141,7 +146,11 @@
 
 int PublishFiles(const Arguments& aArguments, const std::vector<ServiceFile>& aFiles)
 {
-  const auto command = BuildPublication(IdentityFrom(aArguments), aFiles);
+  const auto identity = IdentityFrom(aArguments);
+  if (!identity) {
+    return Fail(identity.error());
+  }
+  const auto command = BuildPublication(identity.value(), aFiles);
   return command ? SendCommand(aArguments, command.value()) : Fail(command.error());
 }
 
@@ -190,34 +199,44 @@
   const std::array<ServiceDeletion, 1> deletions{
     {{aArguments.at("SERVICE").asString(),
       static_cast<std::uint64_t>(aArguments.at("VERSION").asLong())}}};
-  const auto command = BuildPublication(IdentityFrom(aArguments), {}, deletions);
+  const auto identity = IdentityFrom(aArguments);
+  if (!identity) {
+    return Fail(identity.error());
+  }
+  const auto command = BuildPublication(identity.value(), {}, deletions);
   return command ? SendCommand(aArguments, command.value()) : Fail(command.error());
 }
 
-Command EmptyCommand(const Arguments& aArguments)
+// Sends a command that aFill completes.
+template <typename Fill>
+int SendFilled(const Arguments& aArguments, Fill aFill)
 {
   const auto identity = IdentityFrom(aArguments);
+  if (!identity) {
+    return Fail(identity.error());
+  }
   Command command;
-  command.mPublicationId = identity.mPublicationId;
-  command.mOperator = identity.mOperator;
-  command.mIssuedMs = identity.mIssuedMs;
-  return command;
+  command.mPublicationId = identity.value().mPublicationId;
+  command.mOperator = identity.value().mOperator;
+  command.mIssuedMs = identity.value().mIssuedMs;
+  aFill(command);
+  return SendCommand(aArguments, command);
 }
 
 int DataCentre(const Arguments& aArguments)
 {
-  Command command = EmptyCommand(aArguments);
-  command.mDataCentre =
-    DataCentreChange{aArguments.at("NAME").asString(), aArguments.at("out").asBool(), {}};
-  return SendCommand(aArguments, command);
+  return SendFilled(aArguments, [&](Command& aCommand) {
+    aCommand.mDataCentre =
+      DataCentreChange{aArguments.at("NAME").asString(), aArguments.at("out").asBool(), {}};
+  });
 }
 
 int Drain(const Arguments& aArguments)
 {
-  Command command = EmptyCommand(aArguments);
-  command.mDrain =
-    DrainChange{aArguments.at("UPSTREAM").asString(), aArguments.at("drain").asBool()};
-  return SendCommand(aArguments, command);
+  return SendFilled(aArguments, [&](Command& aCommand) {
+    aCommand.mDrain =
+      DrainChange{aArguments.at("UPSTREAM").asString(), aArguments.at("drain").asBool()};
+  });
 }
 
 int Replica(const Arguments& aArguments)
@@ -313,7 +332,7 @@
       return action(aArguments);
     }
   }
-  return ExitUsage;
+  return kUsageExit;
 }
 
 } // namespace
@@ -322,12 +341,16 @@
 
 int main(int aArgc, char** aArgv)
 {
+  using namespace dandelionslip;
+  const auto parsed = ParseCommandLine(kUsage, "dandelionslipctl", aArgc, aArgv);
+  if (const int* exitCode = std::get_if<int>(&parsed)) {
+    return *exitCode;
+  }
   try {
-    return dandelionslip::RunCtl(
-      docopt::docopt(dandelionslip::kUsage, {aArgv + 1, aArgv + aArgc}, true,
-                     std::string("dandelionslipctl ") + DANDELIONSLIP_VERSION));
+    return RunCtl(std::get<ProgramArguments>(parsed));
   } catch (const std::exception& failure) {
+    // Options whose value is not a number.
     std::cerr << failure.what() << "\n";
-    return dandelionslip::ExitUsage;
+    return kUsageExit;
   }
 }
