Run requests that cannot have run before, and keep records after a lease

Change: the balancer says whether an earlier attempt may have run; a request that cannot have run is new even where records were lost. A missing attempt number counts as a resend. The end of a lease is reported once, and only after a lease. Lint findings are fixed.

--- a/include/dandelionslip/Agent/FlowCore.h
+++ b/include/dandelionslip/Agent/FlowCore.h
@@ -32,6 +32,10 @@
   /// the next state arrives.
   void OnLeaseEnd() { mDoubtful = true; }
 
+  /// The lease is valid again, and every state up to then has been applied. Without a newer state
+  /// no other member has owned the buckets.
+  void OnLeaseRenewed() { mDoubtful = false; }
+
   /// A datagram of kind forward from a balancer or another agent.
   void OnForward(const DatagramHeader& aHeader, std::span<const std::uint8_t> aPayload,
                  const Endpoint& aSender, TimePoint aNow, FlowActions& aOut);
--- a/include/dandelionslip/Request/HomeEvents.h
+++ b/include/dandelionslip/Request/HomeEvents.h
@@ -21,7 +21,10 @@
   ReplyHandle mHandle = 0;
   std::optional<RequestId> mId; ///< Empty when the id is not a UUID of version 7.
   Attempt mAttempt = 0;
-  bool mIdempotent = false;             ///< Only if both the service and the request say so.
+  bool mIdempotent = false; ///< Only if both the service and the request say so.
+  /// False only when no earlier attempt of this id can have reached an agent and run. Such a
+  /// request is new even in a bucket whose records were lost.
+  bool mMayHaveRun = true;
   bool mRelayed = false;                ///< Sent by a home agent that keeps the record.
   std::uint64_t mTargetIncarnation = 0; ///< Relayed: the incarnation the home agent addressed.
   Milliseconds mRemaining{0};           ///< Time left until the deadline.
--- a/include/dandelionslip/Request/RelayActions.h
+++ b/include/dandelionslip/Request/RelayActions.h
@@ -40,6 +40,7 @@
   AttemptKey mKey;
   ServiceId mService = 0;
   bool mIdempotent = false;
+  bool mMayHaveRun = true; ///< An earlier attempt may have reached an agent and run.
   Milliseconds mRemaining{0};
   CallerKey mCaller = 0;
   TrafficClass mClass = TrafficClass::Quote;
--- a/include/dandelionslip/Request/RequestRecords.h
+++ b/include/dandelionslip/Request/RequestRecords.h
@@ -87,7 +87,9 @@
   const RequestRecord* Find(const RequestId& aId) const;
 
   /// Whether an id without a record was surely never seen, for a complete bucket.
-  IdKnowledge Judge(const RequestId& aId, std::int64_t aWallMs);
+  /// aMayHaveRun is false when the request cannot have run before, so that lost records say nothing
+  /// about it.
+  IdKnowledge Judge(const RequestId& aId, std::int64_t aWallMs, bool aMayHaveRun = true);
 
   /// Writes a pending record before a run; false when the table is full. Reserves room for the
   /// answer, so that the answer of a request that was started can always be kept.
--- a/lib/Daemon/AgentDaemon.cpp
+++ b/lib/Daemon/AgentDaemon.cpp
@@ -257,6 +257,10 @@
       // allows requests again.
       ApplyState(aState, now, flowActions, homeActions);
       AppendTo(homeActions, mRecords.TakeActions());
+      if (now < mLeaseEnd) {
+        mLeased = true;
+        mFlows->OnLeaseRenewed();
+      }
       AppendTo(homeActions, mHome->OnLease(now < mLeaseEnd, Now()));
     }
     Perform(std::move(flowActions));
@@ -368,7 +372,8 @@
   {
     WithFlows([this](FlowCore& aCore, FlowActions& aOut) {
       const TimePoint now = RuntimeClock::now();
-      if (now >= mLeaseEnd) {
+      if (mLeased && now >= mLeaseEnd) {
+        mLeased = false;
         aCore.OnLeaseEnd();
       }
       aCore.OnTick(now, aOut);
@@ -572,6 +577,7 @@
     }
     request.mAttempt = static_cast<Attempt>(NumberHeader(headers, kHeaderAttempt).value_or(0));
     request.mIdempotent = FindHeader(headers, kHeaderIdempotent) == "true";
+    request.mMayHaveRun = FindHeader(headers, kHeaderMayHaveRun) != "false";
     request.mRelayed = FindHeader(headers, kHeaderRelayed) == "true";
     request.mTargetIncarnation = NumberHeader(headers, kHeaderIncarnation).value_or(0);
     request.mRemaining =
@@ -860,6 +866,7 @@
   std::map<ReplyHandle, std::shared_ptr<HttpExchange>> mExchanges;
   std::unordered_map<FlowId, TimePoint> mSentToUpstream; ///< Oldest unanswered datagram of a flow.
   TimePoint mLeaseEnd;
+  bool mLeased = false; ///< The end of the newest lease has not been reported yet.
   std::optional<MemberState> mStopState;
   std::string mCustodian;
   bool mResuming = false;
--- a/lib/Daemon/BalancerDaemon.cpp
+++ b/lib/Daemon/BalancerDaemon.cpp
@@ -21,6 +21,8 @@
 
 namespace {
 
+// A request without an attempt number may be a resend; only an explicit 1 says that it is not.
+constexpr std::uint32_t kAssumedAttempt = 2;
 constexpr Milliseconds kRoutingTick{100};
 constexpr Milliseconds kRelayTick{10};
 constexpr Milliseconds kStopPoll{50};
@@ -419,7 +421,7 @@
       request.mIdText = std::string(id);
     }
     request.mCallerAttempt = static_cast<std::uint32_t>(std::min<std::uint64_t>(
-      NumberHeader(headers, kHeaderAttempt).value_or(1), kMaxCallerAttempt));
+      NumberHeader(headers, kHeaderAttempt).value_or(kAssumedAttempt), kMaxCallerAttempt));
     request.mIdempotent =
       aEntry.mSpec.mIdempotent && FindHeader(headers, kHeaderIdempotent) != "false";
     const auto limit = static_cast<std::uint64_t>(aEntry.mSpec.mRequestTimeout.count());
@@ -459,6 +461,7 @@
       {kHeaderRequestId, aAction.mKey.mId.ToString()},
       {kHeaderAttempt, std::to_string(aAction.mKey.mAttempt)},
       {kHeaderIdempotent, aAction.mIdempotent ? "true" : "false"},
+      {kHeaderMayHaveRun, aAction.mMayHaveRun ? "true" : "false"},
       {kHeaderDeadline, std::to_string(aAction.mRemaining.count())},
       {kHeaderCaller, std::to_string(aAction.mCaller)},
       {kHeaderClass, ToJson(aAction.mClass).get<std::string>()},
--- a/lib/Daemon/HomeRecords.cpp
+++ b/lib/Daemon/HomeRecords.cpp
@@ -93,6 +93,10 @@
 
 void HomeRecords::StartWithoutRecords(std::span<const std::uint32_t> aBuckets)
 {
+  if (aBuckets.empty()) {
+    return;
+  }
+  LogEvent(LogLevel::Warning, "records_lost").With("buckets", aBuckets.size());
   const RequestTime now = mClock();
   const auto seconds = static_cast<std::uint32_t>(now.mWallMs / kMsInSecond);
   for (const std::uint32_t bucket : aBuckets) {
--- a/lib/Daemon/RequestHeaders.h
+++ b/lib/Daemon/RequestHeaders.h
@@ -13,6 +13,8 @@
 inline constexpr char kHeaderRequestId[] = "dslip-request-id";
 inline constexpr char kHeaderAttempt[] = "dslip-attempt";
 inline constexpr char kHeaderDeadline[] = "dslip-deadline-ms";
+/// "false" only when no earlier attempt can have run.
+inline constexpr char kHeaderMayHaveRun[] = "dslip-may-have-run";
 inline constexpr char kHeaderIdempotent[] = "dslip-idempotent";
 inline constexpr char kHeaderCaller[] = "dslip-caller";
 inline constexpr char kHeaderClass[] = "dslip-class";
--- a/lib/Request/HomeArrival.cpp
+++ b/lib/Request/HomeArrival.cpp
@@ -107,7 +107,7 @@
   RequestRecords& table = TableFor(aRequest.mRelayed);
   const bool known = table.Find(*aRequest.mId) != nullptr;
   const IdKnowledge knowledge =
-    known ? IdKnowledge::New : table.Judge(*aRequest.mId, aTime.mWallMs);
+    known ? IdKnowledge::New : table.Judge(*aRequest.mId, aTime.mWallMs, aRequest.mMayHaveRun);
   if (knowledge == IdKnowledge::TooOld) {
     Reply(aRequest.mHandle, UnknownOutcome());
     return true;
--- a/lib/Request/RelayAttempts.cpp
+++ b/lib/Request/RelayAttempts.cpp
@@ -50,7 +50,8 @@
   ++mInFlight[*agent];
   WakeAt(aExchange, aExchange.mDeadline);
   mActions.emplace_back(SendToAgent{*agent, aExchange.mKey, request.mService, request.mIdempotent,
-                                    remaining, request.mCaller, request.mClass, request.mBody});
+                                    aExchange.mMayHaveRunBefore, remaining, request.mCaller,
+                                    request.mClass, request.mBody});
 }
 
 std::optional<std::string> RelayCore::Internals::ChooseAgent(const RelayExchange& aExchange)
--- a/lib/Request/RelayCore.cpp
+++ b/lib/Request/RelayCore.cpp
@@ -169,6 +169,7 @@
       mInternals->HandleUnknown(*exchange, aRefusal, aTime);
       break;
     case RequestOutcome::NotHome:
+      exchange->mMayHaveRun = exchange->mMayHaveRunBefore;
       mInternals->Retry(*exchange, RetryReason::NotHome, refusal.mRetryAfter, aTime);
       break;
   }
--- a/lib/Request/RequestRecords.cpp
+++ b/lib/Request/RequestRecords.cpp
@@ -34,11 +34,12 @@
   return found == mRecords.end() ? nullptr : &found->second;
 }
 
-IdKnowledge RequestRecords::Judge(const RequestId& aId, std::int64_t aWallMs)
+IdKnowledge RequestRecords::Judge(const RequestId& aId, std::int64_t aWallMs, bool aMayHaveRun)
 {
   RaiseCutoff(aWallMs);
   const std::int64_t made = aId.TimestampMs();
-  if (made < std::max(mCutoffMs, mBucketStates[BucketFor(aId)].mCompleteSince)) {
+  const bool lost = aMayHaveRun && made < mBucketStates[BucketFor(aId)].mCompleteSince;
+  if (lost || made < mCutoffMs) {
     return IdKnowledge::TooOld;
   }
   return made > aWallMs + kClockSkewBound.count() ? IdKnowledge::InFuture : IdKnowledge::New;
--- a/lib/Route/ServiceTable.cpp
+++ b/lib/Route/ServiceTable.cpp
@@ -25,6 +25,7 @@
                                              const std::vector<TableMember>& aMembers)
 {
   std::vector<WeightedMember> weights;
+  weights.reserve(aMembers.size());
   for (const TableMember& member : aMembers) {
     weights.push_back({member.mName, member.mOut ? 0 : WeightIn(aGeneration, member.mName)});
   }
--- a/unittests/Daemon/HomeRecordsTest.cpp
+++ b/unittests/Daemon/HomeRecordsTest.cpp
@@ -56,6 +56,7 @@
   CPPUNIT_TEST(RepeatedExportGivesTheSameRecords);
   CPPUNIT_TEST(BucketsReturnToAnEarlierOwner);
   CPPUNIT_TEST(ResendWithoutRecordsNeverRuns);
+  CPPUNIT_TEST(FirstAttemptRunsWithoutRecords);
   CPPUNIT_TEST(LowNumberAfterALossDoesNotBlockTheBucket);
   CPPUNIT_TEST_SUITE_END();
 
@@ -188,6 +189,20 @@
     RunAt(second, "work made after the loss runs");
   }
 
+  // Guards against unknown outcomes of requests that certainly never ran before.
+  void FirstAttemptRunsWithoutRecords()
+  {
+    Agent agent("a", mWallMs);
+    agent.mRecords.StartWithoutRecords(mAll);
+    ArrivedRequest request;
+    request.mHandle = ++mHandle;
+    request.mId = RequestId::Make(mWallMs, mRandom);
+    request.mAttempt = MakeAttempt(1, 0);
+    request.mMayHaveRun = false;
+    request.mRemaining = Milliseconds(1'000);
+    CPPUNIT_ASSERT(Find<RunAtUpstream>(agent.mHome.OnRequest(request, Now())) != nullptr);
+  }
+
   // Guards against a bucket that stays without an owner because a lost owner's successor, whose
   // clock is behind, numbered it too low.
   void LowNumberAfterALossDoesNotBlockTheBucket()
--- a/unittests/Request/RequestWorld.h
+++ b/unittests/Request/RequestWorld.h
@@ -96,7 +96,7 @@
   // Callers (RequestWorldCallers.cpp).
   void ScheduleBurst(std::int64_t aStart);
   void NewRequest();
-  void SendCall(std::shared_ptr<Call> aCall);
+  void SendCall(const std::shared_ptr<Call>& aCall);
   void Withdraw(std::size_t aBalancer, ReplyHandle aHandle, std::int64_t aDelay);
   void OnCallerReply(std::size_t aBalancer, const AnswerCaller& aReply);
   void PerformRelay(std::size_t aBalancer, const RelayActions& aActions);
@@ -105,8 +105,8 @@
 
   // Agents and upstreams (RequestWorldAgents.cpp).
   void StartAgent(std::size_t aAgent);
-  void Deliver(std::size_t aAgent, const ArrivedRequest& aRequest, Replied aReplied, Task aLost,
-               const AttemptKey& aKey);
+  void Deliver(std::size_t aAgent, const ArrivedRequest& aRequest, const Replied& aReplied,
+               const Task& aLost, const AttemptKey& aKey);
   void Arrive(std::size_t aAgent, ArrivedRequest aRequest, Replied aReplied, Task aLost,
               const AttemptKey& aKey);
   void PerformHome(std::size_t aAgent, const HomeActions& aActions);
--- a/unittests/Request/RequestWorldAgents.cpp
+++ b/unittests/Request/RequestWorldAgents.cpp
@@ -23,8 +23,8 @@
 }
 
 // Sends a request with delays, loss of the link and, for recorded requests, duplicates.
-void RequestWorld::Deliver(std::size_t aAgent, const ArrivedRequest& aRequest, Replied aReplied,
-                           Task aLost, const AttemptKey& aKey)
+void RequestWorld::Deliver(std::size_t aAgent, const ArrivedRequest& aRequest,
+                           const Replied& aReplied, const Task& aLost, const AttemptKey& aKey)
 {
   const int copies = !aRequest.mIdempotent && Chance(0.1) ? 2 : 1;
   const bool linkFails = Chance(0.06);
@@ -113,7 +113,7 @@
     const std::size_t index = mHistory.Started(aRun.mId, aRun.mAttempt);
     ++mTotals.mRuns;
     const std::string body = aRun.mId.ToString() + "#" + std::to_string(index);
-    After(10'000 + Delay() * 4, [this, run, aRun, aAgent, number, failed, index, body] {
+    After(10'000 + Delay() * 4, [this, run, aRun, aAgent, number, index, body] {
       if (run->mEnded) {
         return;
       }
--- a/unittests/Request/RequestWorldCallers.cpp
+++ b/unittests/Request/RequestWorldCallers.cpp
@@ -28,7 +28,7 @@
   SendCall(call);
 }
 
-void RequestWorld::SendCall(std::shared_ptr<Call> aCall)
+void RequestWorld::SendCall(const std::shared_ptr<Call>& aCall)
 {
   const std::size_t index = mRandom.Below(kBalancers);
   const ReplyHandle handle = mNextHandle++;
