Remove an unused function of the agent daemon

Cause: Remember had no caller since runs are stored where they are sent. Change: the function is gone; no behaviour changes. The program builds.

--- a/lib/Daemon/AgentDaemon.cpp
+++ b/lib/Daemon/AgentDaemon.cpp
@@ -607,12 +607,6 @@
     }
   }
 
-  void Remember(RunId aRun, const std::shared_ptr<Http2Client>& aClient, std::uint64_t aRequest)
-  {
-    const std::lock_guard lock(mRunsMutex);
-    mRuns[aRun] = {aClient, aRequest};
-  }
-
   void Forget(RunId aRun)
   {
     const std::lock_guard lock(mRunsMutex);
