--- a/include/dandelionslip/Config/ControlSettings.h
+++ b/include/dandelionslip/Config/ControlSettings.h
@@ -38,6 +38,11 @@
   std::uint32_t mSnapshotEntries = 4'096; ///< Log entries between two snapshots.
   Milliseconds mLease{2'000};
   bool mJoin = false; ///< Start as a learner of an existing group.
+  /// Endpoints of the replicas that found the group together, this one possibly among them. Used in
+  /// place of mPeers where the replicas of the group are not known beforehand: all others join.
+  std::vector<std::string> mFounders;
+  /// Voters that the leader keeps by promoting learners; 0 leaves membership to the operator.
+  std::uint32_t mTargetVoters = 0;
 
   bool operator==(const ControlSettings&) const = default;
 };
@@ -55,6 +60,8 @@
   aVisitor.Optional("snapshot_entries", aValue.mSnapshotEntries, {16, 1'000'000});
   aVisitor.Optional("lease_ms", aValue.mLease, {500, 60'000});
   aVisitor.Optional("join", aValue.mJoin);
+  aVisitor.Optional("founders", aValue.mFounders);
+  aVisitor.Optional("target_voters", aValue.mTargetVoters, {0, 7});
 }
 
 } // namespace dandelionslip
--- a/include/dandelionslip/Control/ConfigurationStore.h
+++ b/include/dandelionslip/Control/ConfigurationStore.h
@@ -20,6 +20,9 @@
   /// The configuration in force; its revision is the index of the last entry that changed it.
   const Configuration& Current() const { return mState.mConfiguration; }
 
+  /// Text of the route table in force, as its operator published it; empty before the first.
+  const std::string& RouteDocument() const { return mState.mRouteDocument; }
+
   /// The kept answer to a publication id.
   std::optional<CommandAnswer> AnswerFor(const std::string& aPublicationId) const;
 
--- /dev/null
+++ b/include/dandelionslip/Control/JoinRequest.h
@@ -0,0 +1,29 @@
+// A replica's request to become part of the group.
+#pragma once
+
+#include "dandelionslip/Control/ReplicaId.h"
+#include "dandelionslip/Support/Fields.h"
+
+#include <string>
+
+namespace dandelionslip {
+
+/// Sent by every replica, again and again; for members it shows that they live at the address.
+struct JoinRequest
+{
+  ReplicaId mReplica;
+  std::string mAddress;
+  bool mForwarded = false; ///< Came through a replica that is not the leader.
+
+  bool operator==(const JoinRequest&) const = default;
+};
+
+template <typename V>
+void DescribeFields(V& aVisitor, JoinRequest& aValue)
+{
+  aVisitor.Field("replica", aValue.mReplica);
+  aVisitor.Field("address", aValue.mAddress);
+  aVisitor.Optional("forwarded", aValue.mForwarded);
+}
+
+} // namespace dandelionslip
--- a/include/dandelionslip/Control/RaftMessage.h
+++ b/include/dandelionslip/Control/RaftMessage.h
@@ -230,6 +230,9 @@
   bool mFromBlank = false; ///< The sender holds no log.
   StoreId mToStore = 0;    ///< Receiver's store as known to the sender; zero when unknown.
   RaftBody mBody;
+  /// Endpoint of the sender, filled in by its runtime: a learner without a log does not know the
+  /// members yet and could not answer otherwise.
+  std::string mFromAddress = {};
 
   bool operator==(const RaftMessage&) const = default;
 };
--- /dev/null
+++ b/include/dandelionslip/Control/ReplicaKeeper.h
@@ -0,0 +1,74 @@
+// Decides which replica to add, promote or remove so that the group keeps its voters.
+#pragma once
+
+#include "dandelionslip/Control/LogEntry.h"
+#include "dandelionslip/Control/Membership.h"
+#include "dandelionslip/Support/RuntimeClock.h"
+
+#include <functional>
+#include <map>
+#include <optional>
+
+namespace dandelionslip {
+
+/// Settings of the replacement of replicas.
+struct ReplicaKeeperSettings
+{
+  std::size_t mTargetVoters = 5; ///< Twice the disks that may be lost at once, plus one.
+  /// A voter that is silent for longer may be replaced by a learner. It is longer than a process
+  /// takes to restart and shorter than the time until the next loss must be survived.
+  Milliseconds mSilence{2'000};
+  Milliseconds mJoinLifetime{2'000};    ///< Age at which an unrepeated join request lapses.
+  Milliseconds mLearnerSilence{30'000}; ///< A silent learner is removed after this time.
+  std::size_t mMaxReplicas = 16;        ///< Voters and learners.
+};
+
+/// What the leader knows of its group when it decides.
+struct ReplicaGroup
+{
+  const Membership& mMembers; ///< The newest membership in the log.
+  ReplicaId mSelf;
+  LogIndex mCommit = 0;
+  std::function<LogIndex(const ReplicaId&)> mMatchOf; ///< Durable and equal up to this index.
+};
+
+/// Keeps the number of voters at the target while disks are lost and VMs are replaced. A replica
+/// that lost its disk comes back under a new identity at its old address; it is promoted before the
+/// old identity is removed, so that at no time fewer disks hold a committed entry. Used by the
+/// leader only. Not thread-safe.
+class ReplicaKeeper
+{
+public:
+  explicit ReplicaKeeper(const ReplicaKeeperSettings& aSettings);
+
+  /// A replica asked to join, or repeated that. The newest identity at an address replaces others.
+  void OnJoinRequest(const ReplicaId& aReplica, const std::string& aAddress, TimePoint aNow);
+  /// A message of a replica arrived.
+  void OnHeard(const ReplicaId& aReplica, TimePoint aNow);
+  /// This replica became the leader; silence is counted from now on.
+  void OnLeading(TimePoint aNow);
+
+  /// The next change to propose, if any. Only one change may be open at a time.
+  std::optional<MembershipChange> Next(const ReplicaGroup& aGroup, TimePoint aNow) const;
+
+private:
+  struct Presence
+  {
+    std::string mAddress;
+    TimePoint mAt;
+  };
+
+  Milliseconds SilenceOf(const ReplicaId& aReplica, TimePoint aNow) const;
+  bool IsSuperseded(const ReplicaGroup& aGroup, const ReplicaId& aReplica, TimePoint aNow) const;
+  std::optional<ReplicaId> ReplaceableVoter(const ReplicaGroup& aGroup, TimePoint aNow) const;
+  std::optional<MembershipChange> AddJoining(const ReplicaGroup& aGroup, TimePoint aNow) const;
+  std::optional<MembershipChange> PromoteLearner(const ReplicaGroup& aGroup, TimePoint aNow) const;
+  std::optional<MembershipChange> RemoveReplica(const ReplicaGroup& aGroup, TimePoint aNow) const;
+
+  ReplicaKeeperSettings mSettings;
+  TimePoint mLeadingSince;
+  std::map<ReplicaId, TimePoint> mHeard;
+  std::map<ReplicaId, Presence> mJoining; ///< At most one identity for each address.
+};
+
+} // namespace dandelionslip
--- a/include/dandelionslip/Control/StoreState.h
+++ b/include/dandelionslip/Control/StoreState.h
@@ -75,6 +75,7 @@
   std::vector<KeptAnswer> mAnswers;                  ///< In log order.
   std::map<std::string, LastWriter> mServiceWriters; ///< Also of deleted services.
   std::map<std::string, LastWriter> mDataCentreWriters;
+  std::string mRouteDocument; ///< Text of the route table in force, as published.
 
   bool operator==(const StoreState&) const = default;
 };
@@ -89,6 +90,7 @@
   aVisitor.Field("answers", aValue.mAnswers);
   aVisitor.Field("service_writers", aValue.mServiceWriters);
   aVisitor.Field("data_centre_writers", aValue.mDataCentreWriters);
+  aVisitor.Optional("route_document", aValue.mRouteDocument);
 }
 
 } // namespace dandelionslip
--- a/include/dandelionslip/Daemon/ControlDaemon.h
+++ b/include/dandelionslip/Daemon/ControlDaemon.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "dandelionslip/Config/ControlSettings.h"
+#include "dandelionslip/Daemon/ControlCalls.h"
 #include "dandelionslip/Support/Error.h"
 
 namespace dandelionslip {
@@ -12,6 +13,7 @@
   /// Writes the first membership from the settings to an empty data folder. Only for a new group:
   /// a replica that lost its disk must join as a learner under a new identity.
   bool mBootstrap = false;
+  ControlAdapterFactory mAdapter; ///< Empty for none.
 };
 
 /// Runs a control replica until it is stopped by a signal. Returns the exit code of the process;
--- a/include/dandelionslip/Daemon/WorkerPool.h
+++ b/include/dandelionslip/Daemon/WorkerPool.h
@@ -25,6 +25,9 @@
   /// Sets what a stop signal starts; it must end with Exit.
   void OnStop(std::function<void()> aFunction);
 
+  /// Sets what SIGHUP does: the settings may have changed. Without it the signal is only logged.
+  void OnReload(std::function<void()> aFunction);
+
   /// Ends Run with an exit code.
   void Exit(int aCode);
 
--- a/include/dandelionslip/Model/Announcement.h
+++ b/include/dandelionslip/Model/Announcement.h
@@ -45,6 +45,8 @@
   std::optional<ConfigurationDifference> mConfigurationDifference; ///< From the announced revision.
   std::optional<View> mView;                     ///< Present when the node is far behind.
   std::optional<ViewDifference> mViewDifference; ///< From the announced revision.
+  /// All control replicas, "address:port"; empty when the replica knows of no membership.
+  std::vector<std::string> mControlEndpoints;
 
   bool operator==(const AnnouncementAnswer&) const = default;
 };
@@ -61,6 +63,7 @@
   aVisitor.Optional("configuration_difference", aValue.mConfigurationDifference);
   aVisitor.Optional("view", aValue.mView);
   aVisitor.Optional("view_difference", aValue.mViewDifference);
+  aVisitor.Optional("control_endpoints", aValue.mControlEndpoints);
 }
 
 } // namespace dandelionslip
--- a/include/dandelionslip/Model/Command.h
+++ b/include/dandelionslip/Model/Command.h
@@ -61,6 +61,23 @@
   aVisitor.Field("drained", aValue.mDrained);
 }
 
+/// Replaces the route table. A version that is not higher than the one in force changes nothing and
+/// is reported as applied, so that a late copy of an older publication does no harm.
+struct RouteTableChange
+{
+  RouteTable mTable;
+  std::string mDocument; ///< The text that the operator published; returned to readers.
+
+  bool operator==(const RouteTableChange&) const = default;
+};
+
+template <typename V>
+void DescribeFields(V& aVisitor, RouteTableChange& aValue)
+{
+  aVisitor.Field("table", aValue.mTable);
+  aVisitor.Field("document", aValue.mDocument);
+}
+
 /// An operator's command; applied whole or not at all.
 struct Command
 {
@@ -70,6 +87,7 @@
   std::vector<ServiceChange> mServices;
   std::optional<DataCentreChange> mDataCentre;
   std::optional<DrainChange> mDrain;
+  std::optional<RouteTableChange> mRoutes;
 
   bool operator==(const Command&) const = default;
 };
@@ -83,6 +101,7 @@
   aVisitor.Optional("services", aValue.mServices);
   aVisitor.Optional("data_centre", aValue.mDataCentre);
   aVisitor.Optional("drain", aValue.mDrain);
+  aVisitor.Optional("routes", aValue.mRoutes);
 }
 
 enum class CommandOutcome
--- a/include/dandelionslip/Model/Configuration.h
+++ b/include/dandelionslip/Model/Configuration.h
@@ -1,6 +1,7 @@
 // The accepted configuration: the replicated state that every node applies.
 #pragma once
 
+#include "dandelionslip/Model/RouteTable.h"
 #include "dandelionslip/Model/ServiceSpec.h"
 
 #include <map>
@@ -50,6 +51,7 @@
   std::map<std::string, ServiceEntry> mServices;
   std::map<std::string, DataCentreState> mDataCentres;
   std::map<std::string, bool> mDrained; ///< Upstream names that operators drain.
+  RouteTable mRoutes;
 
   /// The service with this name, or null.
   const ServiceEntry* FindService(const std::string& aName) const;
@@ -66,6 +68,7 @@
   aVisitor.Field("services", aValue.mServices);
   aVisitor.Field("data_centres", aValue.mDataCentres);
   aVisitor.Field("drained", aValue.mDrained);
+  aVisitor.Optional("routes", aValue.mRoutes);
 }
 
 } // namespace dandelionslip
--- a/include/dandelionslip/Model/ConfigurationDifference.h
+++ b/include/dandelionslip/Model/ConfigurationDifference.h
@@ -4,6 +4,7 @@
 #include "dandelionslip/Model/Configuration.h"
 
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -20,6 +21,7 @@
   std::vector<std::string> mRemovedDataCentres;
   std::map<std::string, bool> mDrained;
   std::vector<std::string> mRemovedDrained;
+  std::optional<RouteTable> mRoutes; ///< Present when the version changed.
 
   bool operator==(const ConfigurationDifference&) const = default;
 };
@@ -35,6 +37,7 @@
   aVisitor.Optional("removed_data_centres", aValue.mRemovedDataCentres);
   aVisitor.Optional("drained", aValue.mDrained);
   aVisitor.Optional("removed_drained", aValue.mRemovedDrained);
+  aVisitor.Optional("routes", aValue.mRoutes);
 }
 
 /// The difference that leads from aFrom to aTo.
--- /dev/null
+++ b/include/dandelionslip/Model/RouteTable.h
@@ -0,0 +1,101 @@
+// Where new flows to the service addresses go, published as one versioned whole.
+#pragma once
+
+#include "dandelionslip/Support/Fields.h"
+#include "dandelionslip/Support/RuntimeClock.h"
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace dandelionslip {
+
+/// A service that takes a share of a route's new flows.
+struct RouteTarget
+{
+  std::string mService;
+  std::uint32_t mWeight = 0; ///< Share relative to the other targets of the route.
+
+  bool operator==(const RouteTarget&) const = default;
+};
+
+template <typename V>
+void DescribeFields(V& aVisitor, RouteTarget& aValue)
+{
+  aVisitor.Field("service", aValue.mService);
+  aVisitor.Field("weight", aValue.mWeight);
+}
+
+/// One address that callers open flows to.
+struct Route
+{
+  std::string mName;
+  std::string mAddress; ///< Numeric "address:port" that callers send to.
+  std::vector<RouteTarget> mTargets;
+  Milliseconds mTimeout{0}; ///< Longest time a request on the route may take.
+  /// Importance of the route's requests; 0 is the highest.
+  std::uint32_t mPriority = 0;
+
+  bool operator==(const Route&) const = default;
+};
+
+template <typename V>
+void DescribeFields(V& aVisitor, Route& aValue)
+{
+  aVisitor.Field("name", aValue.mName);
+  aVisitor.Field("address", aValue.mAddress);
+  aVisitor.Field("targets", aValue.mTargets);
+  aVisitor.Field("timeout_ms", aValue.mTimeout);
+  aVisitor.Optional("priority", aValue.mPriority);
+}
+
+/// Limits of a service that routes refer to.
+struct RoutedService
+{
+  std::string mName;
+  std::uint32_t mMaxFlows = 0; ///< Flows that one upstream holds at once.
+  Milliseconds mWarmUp{0};     ///< How long an upstream is cold after its start.
+  /// Flows a second that a cold upstream may be opened, before the slack of the settings.
+  double mColdOpensPerSecond = 0;
+
+  bool operator==(const RoutedService&) const = default;
+};
+
+template <typename V>
+void DescribeFields(V& aVisitor, RoutedService& aValue)
+{
+  aVisitor.Field("name", aValue.mName);
+  aVisitor.Field("max_flows", aValue.mMaxFlows);
+  aVisitor.Field("warm_up_ms", aValue.mWarmUp);
+  aVisitor.Field("cold_opens_per_second", aValue.mColdOpensPerSecond);
+}
+
+/// All routes under one version. Version 0 means that none was published.
+struct RouteTable
+{
+  std::uint64_t mVersion = 0;
+  std::vector<Route> mRoutes;
+  std::vector<RoutedService> mServices;
+  Milliseconds mFlowIdleTimeout{0}; ///< A flow without packets for this long may be forgotten.
+
+  /// The service with this name, or null.
+  const RoutedService* FindService(std::string_view aName) const;
+
+  bool operator==(const RouteTable&) const = default;
+};
+
+template <typename V>
+void DescribeFields(V& aVisitor, RouteTable& aValue)
+{
+  aVisitor.Field("version", aValue.mVersion);
+  aVisitor.Field("routes", aValue.mRoutes);
+  aVisitor.Field("services", aValue.mServices);
+  aVisitor.Field("flow_idle_timeout_ms", aValue.mFlowIdleTimeout);
+}
+
+/// Checks the rules between the parts: distinct names and addresses, known services, positive
+/// weights and timeouts. InvalidInput names the route or service.
+Result<void> CheckRouteTable(const RouteTable& aTable);
+
+} // namespace dandelionslip
--- /dev/null
+++ b/include/dandelionslip/Net/Http1Server.h
@@ -0,0 +1,28 @@
+// HTTP/1.1 server over cleartext TCP, for callers that do not speak HTTP/2.
+#pragma once
+
+#include "dandelionslip/Net/Http2Server.h"
+
+#include <memory>
+
+namespace dandelionslip {
+
+/// Accepts connections and hands whole requests to a handler on the loop's threads. A connection
+/// carries one request at a time and stays open between requests.
+class Http1Server
+{
+public:
+  using Handler = Http2Server::Handler;
+
+  /// Binds and starts accepting. Fails with ErrorCode::Io when the address cannot be bound.
+  static Result<std::unique_ptr<Http1Server>> Listen(boost::asio::io_context& aLoop,
+                                                     const Endpoint& aEndpoint, Handler aHandler);
+  ~Http1Server();
+
+private:
+  struct State;
+  explicit Http1Server(std::shared_ptr<State> aState);
+  std::shared_ptr<State> mState;
+};
+
+} // namespace dandelionslip
--- a/include/dandelionslip/Net/MetricsEndpoint.h
+++ b/include/dandelionslip/Net/MetricsEndpoint.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "dandelionslip/Model/Endpoint.h"
+#include "dandelionslip/Net/HttpMessage.h"
 #include "dandelionslip/Support/Metrics.h"
 
 #include <functional>
@@ -13,6 +14,9 @@
 
 namespace dandelionslip {
 
+/// The registry and the process's own usage in the text exposition format.
+HttpResponse RenderMetrics(const MetricsRegistry& aRegistry);
+
 /// Answers GET /metrics with the text exposition format.
 class MetricsEndpoint
 {
--- a/include/dandelionslip/Net/UdpSocket.h
+++ b/include/dandelionslip/Net/UdpSocket.h
@@ -17,7 +17,8 @@
 class UdpSocket
 {
 public:
-  using Handler = std::function<void(std::span<const std::uint8_t>, const Endpoint&)>;
+  /// The bytes may be changed; they are valid only during the call.
+  using Handler = std::function<void(std::span<std::uint8_t>, const Endpoint&)>;
 
   /// Binds to an address; port 0 takes any free port. Fails with ErrorCode::Io.
   static Result<std::unique_ptr<UdpSocket>> Bind(boost::asio::io_context& aLoop,
--- a/lib/Config/CheckSettings.cpp
+++ b/lib/Config/CheckSettings.cpp
@@ -71,7 +71,11 @@
                       "an endpoint other than this node's and the other peers'");
     }
   }
-  aChecks.Require(!aSettings.mJoin || !aSettings.mPeers.empty(), "join", "true without peers",
+  for (std::size_t i = 0; i < aSettings.mFounders.size(); ++i) {
+    aChecks.RemoteEndpoint(Indexed("founders", i), aSettings.mFounders[i]);
+  }
+  const bool knowsGroup = !aSettings.mPeers.empty() || !aSettings.mFounders.empty();
+  aChecks.Require(!aSettings.mJoin || knowsGroup, "join", "true without peers",
                   "at least one peer to join");
 }
 
--- a/lib/Control/CommandRules.cpp
+++ b/lib/Control/CommandRules.cpp
@@ -89,7 +89,8 @@
 
 Rejection CheckForm(const Command& aCommand)
 {
-  if (aCommand.mServices.empty() && !aCommand.mDataCentre && !aCommand.mDrain) {
+  if (aCommand.mServices.empty() && !aCommand.mDataCentre && !aCommand.mDrain &&
+      !aCommand.mRoutes) {
     return Refuse("the command holds no change");
   }
   if (aCommand.mOperator.size() > kMaxOperatorLength) {
@@ -104,6 +105,11 @@
     return Refuse("drain.upstream: expected 1 to " + std::to_string(kMaxUpstreamLength) +
                   " printable characters without spaces");
   }
+  if (aCommand.mRoutes) {
+    if (const auto check = CheckRouteTable(aCommand.mRoutes->mTable); !check) {
+      return Refuse(check.error().Message());
+    }
+  }
   return CheckServicesForm(aCommand);
 }
 
@@ -167,6 +173,9 @@
     state.mOut = aCommand.mDataCentre->mOut;
     ++state.mVersion;
   }
+  if (aCommand.mRoutes && aCommand.mRoutes->mTable.mVersion > aNext.mRoutes.mVersion) {
+    aNext.mRoutes = aCommand.mRoutes->mTable;
+  }
   if (!aCommand.mDrain) {
     return;
   }
--- a/lib/Control/ConfigurationStore.cpp
+++ b/lib/Control/ConfigurationStore.cpp
@@ -123,7 +123,11 @@
     Keep(aIndex, aCommand, *rejection);
     return std::move(*rejection);
   }
-  mState.mConfiguration = std::move(std::get<Configuration>(result));
+  auto& next = std::get<Configuration>(result);
+  if (next.mRoutes.mVersion > mState.mConfiguration.mRoutes.mVersion) {
+    mState.mRouteDocument = aCommand.mRoutes->mDocument;
+  }
+  mState.mConfiguration = std::move(next);
   RecordWriters(mState, aIndex, aCommand);
   CommandAnswer answer{CommandOutcome::Applied, aIndex, ""};
   Keep(aIndex, aCommand, answer);
--- a/lib/Control/MembershipCore.cpp
+++ b/lib/Control/MembershipCore.cpp
@@ -234,8 +234,9 @@
   mIssuing = true;
   mIssueFrom = aNow;
   // Without a view from before, the first generation would go to the agents that happen to
-  // announce themselves first. All live ones do so within one lease.
-  if (CurrentView().mRevision == 0) {
+  // announce themselves first. All live ones do so within one lease. Without services there are no
+  // generations.
+  if (CurrentView().mRevision == 0 && !mStore.Current().mServices.empty()) {
     mIssueFrom += mSettings.mLease + mSettings.mLeaseMargin;
   }
   mBuilder.StartTerm(mRole.mTerm, CurrentView());
--- a/lib/Control/RaftMessage.cpp
+++ b/lib/Control/RaftMessage.cpp
@@ -29,6 +29,7 @@
   aVisitor.Field("from_store", aValue.mMessage.mFromStore);
   aVisitor.Field("from_blank", aValue.mMessage.mFromBlank);
   aVisitor.Field("to_store", aValue.mMessage.mToStore);
+  aVisitor.Optional("from_address", aValue.mMessage.mFromAddress);
   aVisitor.Field("body", aValue.mBody);
 }
 
@@ -66,6 +67,7 @@
   envelope.mMessage.mFromStore = aMessage.mFromStore;
   envelope.mMessage.mFromBlank = aMessage.mFromBlank;
   envelope.mMessage.mToStore = aMessage.mToStore;
+  envelope.mMessage.mFromAddress = aMessage.mFromAddress;
   return ToCbor(envelope);
 }
 
--- /dev/null
+++ b/lib/Control/ReplicaKeeper.cpp
@@ -0,0 +1,148 @@
+// Decides which replica to add, promote or remove.
+#include "dandelionslip/Control/ReplicaKeeper.h"
+
+#include <algorithm>
+#include <array>
+
+namespace dandelionslip {
+
+ReplicaKeeper::ReplicaKeeper(const ReplicaKeeperSettings& aSettings)
+  : mSettings(aSettings)
+{
+}
+
+void ReplicaKeeper::OnJoinRequest(const ReplicaId& aReplica, const std::string& aAddress,
+                                  TimePoint aNow)
+{
+  std::erase_if(mJoining, [&](const auto& aItem) {
+    return aNow - aItem.second.mAt > mSettings.mJoinLifetime ||
+           (aItem.second.mAddress == aAddress && aItem.first != aReplica);
+  });
+  if (mJoining.size() < mSettings.mMaxReplicas || mJoining.contains(aReplica)) {
+    mJoining[aReplica] = {aAddress, aNow};
+  }
+}
+
+void ReplicaKeeper::OnHeard(const ReplicaId& aReplica, TimePoint aNow)
+{
+  mHeard[aReplica] = aNow;
+}
+
+void ReplicaKeeper::OnLeading(TimePoint aNow)
+{
+  mLeadingSince = aNow;
+  mHeard.clear();
+}
+
+Milliseconds ReplicaKeeper::SilenceOf(const ReplicaId& aReplica, TimePoint aNow) const
+{
+  const auto heard = mHeard.find(aReplica);
+  const TimePoint since = heard == mHeard.end() ? mLeadingSince : heard->second;
+  return std::chrono::duration_cast<Milliseconds>(aNow - since);
+}
+
+// Two replicas cannot share an address: the later identity shows that the earlier one's disk is
+// gone. The earlier one is silent by then, because its process has ended.
+bool ReplicaKeeper::IsSuperseded(const ReplicaGroup& aGroup, const ReplicaId& aReplica,
+                                 TimePoint aNow) const
+{
+  const ReplicaInfo* info = aGroup.mMembers.Find(aReplica);
+  if (info == nullptr || aReplica == aGroup.mSelf) {
+    return false;
+  }
+  return std::any_of(mJoining.begin(), mJoining.end(), [&](const auto& aItem) {
+    const auto& [joining, request] = aItem;
+    return joining != aReplica && request.mAddress == info->mAddress &&
+           !aGroup.mMembers.IsRemoved(joining) && aNow - request.mAt <= mSettings.mJoinLifetime;
+  });
+}
+
+std::optional<ReplicaId> ReplicaKeeper::ReplaceableVoter(const ReplicaGroup& aGroup,
+                                                         TimePoint aNow) const
+{
+  std::optional<ReplicaId> longestSilent;
+  Milliseconds longest = mSettings.mSilence;
+  for (const auto& [id, info] : aGroup.mMembers.mReplicas) {
+    if (!info.mVoter || id == aGroup.mSelf) {
+      continue;
+    }
+    if (IsSuperseded(aGroup, id, aNow)) {
+      return id;
+    }
+    if (const Milliseconds silence = SilenceOf(id, aNow); silence > longest) {
+      longest = silence;
+      longestSilent = id;
+    }
+  }
+  return longestSilent;
+}
+
+std::optional<MembershipChange> ReplicaKeeper::AddJoining(const ReplicaGroup& aGroup,
+                                                          TimePoint aNow) const
+{
+  if (aGroup.mMembers.mReplicas.size() >= mSettings.mMaxReplicas) {
+    return std::nullopt;
+  }
+  for (const auto& [id, request] : mJoining) {
+    const bool fresh = aNow - request.mAt <= mSettings.mJoinLifetime;
+    if (fresh && aGroup.mMembers.Find(id) == nullptr && !aGroup.mMembers.IsRemoved(id)) {
+      return MembershipChange{MembershipChangeKind::AddLearner, id, request.mAddress};
+    }
+  }
+  return std::nullopt;
+}
+
+std::optional<MembershipChange> ReplicaKeeper::PromoteLearner(const ReplicaGroup& aGroup,
+                                                              TimePoint aNow) const
+{
+  const std::size_t voters = aGroup.mMembers.VoterCount();
+  const bool wanted = voters < mSettings.mTargetVoters ||
+                      (voters == mSettings.mTargetVoters && ReplaceableVoter(aGroup, aNow));
+  if (!wanted) {
+    return std::nullopt;
+  }
+  for (const auto& [id, info] : aGroup.mMembers.mReplicas) {
+    const bool live =
+      !info.mVoter && SilenceOf(id, aNow) < mSettings.mSilence && !IsSuperseded(aGroup, id, aNow);
+    if (live && aGroup.mMatchOf(id) >= aGroup.mCommit) {
+      return MembershipChange{MembershipChangeKind::Promote, id, {}};
+    }
+  }
+  return std::nullopt;
+}
+
+std::optional<MembershipChange> ReplicaKeeper::RemoveReplica(const ReplicaGroup& aGroup,
+                                                             TimePoint aNow) const
+{
+  if (aGroup.mMembers.VoterCount() > mSettings.mTargetVoters) {
+    if (const auto voter = ReplaceableVoter(aGroup, aNow)) {
+      return MembershipChange{MembershipChangeKind::Remove, *voter, {}};
+    }
+  }
+  for (const auto& [id, info] : aGroup.mMembers.mReplicas) {
+    const bool gone =
+      IsSuperseded(aGroup, id, aNow) || SilenceOf(id, aNow) > mSettings.mLearnerSilence;
+    if (!info.mVoter && id != aGroup.mSelf && gone) {
+      return MembershipChange{MembershipChangeKind::Remove, id, {}};
+    }
+  }
+  return std::nullopt;
+}
+
+std::optional<MembershipChange> ReplicaKeeper::Next(const ReplicaGroup& aGroup,
+                                                    TimePoint aNow) const
+{
+  using Step =
+    std::optional<MembershipChange> (ReplicaKeeper::*)(const ReplicaGroup&, TimePoint) const;
+  // A surplus voter goes first: while it counts, one more loss can stop the group.
+  static constexpr std::array<Step, 3> kSteps{
+    &ReplicaKeeper::RemoveReplica, &ReplicaKeeper::PromoteLearner, &ReplicaKeeper::AddJoining};
+  for (const Step step : kSteps) {
+    if (auto change = (this->*step)(aGroup, aNow)) {
+      return change;
+    }
+  }
+  return std::nullopt;
+}
+
+} // namespace dandelionslip
--- a/lib/Daemon/ControlDaemon.cpp
+++ b/lib/Daemon/ControlDaemon.cpp
@@ -4,16 +4,21 @@
 #include "HttpReply.h"
 #include "RaftRuntime.h"
 
+#include "dandelionslip/Control/JoinRequest.h"
 #include "dandelionslip/Control/MembershipCore.h"
 #include "dandelionslip/Control/PosixFileLayer.h"
+#include "dandelionslip/Control/ReplicaKeeper.h"
 #include "dandelionslip/Daemon/WorkerPool.h"
 #include "dandelionslip/Net/MetricsEndpoint.h"
 #include "dandelionslip/Net/Timer.h"
 #include "dandelionslip/Support/Hash.h"
 #include "dandelionslip/Support/Log.h"
 
+#include <algorithm>
 #include <array>
 #include <cstdio>
+#include <filesystem>
+#include <set>
 
 namespace dandelionslip {
 
@@ -23,6 +28,15 @@
 constexpr Milliseconds kPeerTimeout{1'000};
 // An operator's command without a quorum is answered outcome_unknown after this time.
 constexpr Milliseconds kCommandTimeout{5'000};
+// An adapter's command is decided or given up within this time: callers try another replica after
+// one second.
+constexpr Milliseconds kSubmitTimeout{900};
+constexpr Milliseconds kSubmitPause{40};       // Between two tries while no leader is known.
+constexpr Milliseconds kForwardTimeout{500};   // For the leader's answer to a forwarded command.
+constexpr Milliseconds kJoinInterval{200};     // Of a replica that has no vote yet.
+constexpr Milliseconds kPresenceInterval{800}; // Of a voter; below the lifetime of a join request.
+constexpr Milliseconds kKeeperInterval{100};
+constexpr int kFatalExit = 3;
 
 // The identity of a founding replica follows from its node name, so that all founders write the
 // same first membership without talking to each other.
@@ -41,6 +55,12 @@
 Membership FoundingMembership(const ControlSettings& aSettings)
 {
   Membership membership;
+  for (const auto& founder : aSettings.mFounders) {
+    membership.mReplicas[FoundingIdentity(founder)] = {founder, true, 0};
+  }
+  if (!aSettings.mFounders.empty()) {
+    return membership;
+  }
   membership.mReplicas[FoundingIdentity(aSettings.mNode)] = {aSettings.mEndpoint, true, 0};
   for (const auto& peer : aSettings.mPeers) {
     membership.mReplicas[FoundingIdentity(peer.mName)] = {peer.mEndpoint, true, 0};
@@ -57,6 +77,22 @@
   return settings;
 }
 
+// Founders listed by endpoint are identified by it, since their names are not known to each other.
+bool FoundsGroup(const ControlSettings& aSettings, const ControlStart& aStart)
+{
+  const auto& founders = aSettings.mFounders;
+  return aStart.mBootstrap &&
+         (founders.empty() ||
+          std::find(founders.begin(), founders.end(), aSettings.mEndpoint) != founders.end());
+}
+
+ReplicaKeeperSettings KeeperSettingsFrom(const ControlSettings& aSettings)
+{
+  ReplicaKeeperSettings settings;
+  settings.mTargetVoters = aSettings.mTargetVoters;
+  return settings;
+}
+
 MembershipSettings MembershipSettingsFrom(const ControlSettings& aSettings)
 {
   MembershipSettings settings;
@@ -70,14 +106,16 @@
 {
   LogStoreSettings storeSettings;
   storeSettings.mDirectory = aSettings.mDataFolder;
-  if (aStart.mBootstrap) {
-    storeSettings.mReplica = FoundingIdentity(aSettings.mNode);
+  const bool founds = FoundsGroup(aSettings, aStart);
+  if (founds) {
+    storeSettings.mReplica =
+      FoundingIdentity(aSettings.mFounders.empty() ? aSettings.mNode : aSettings.mEndpoint);
   }
   auto store = LogStore::Open(aFiles, storeSettings, aRandom);
   if (!store) {
     return store;
   }
-  if (!aStart.mBootstrap) {
+  if (!founds) {
     const bool blank = store.value()->LastIndex() == 0;
     if (blank && !aSettings.mJoin) {
       return Fail(
@@ -87,26 +125,33 @@
     }
     return store;
   }
+  // A founder that restarts before its settings say that the group exists keeps its log.
+  if (!aSettings.mFounders.empty() && store.value()->LastIndex() != 0) {
+    return store;
+  }
   if (const auto done = store.value()->Bootstrap(FoundingMembership(aSettings)); !done) {
     return done.as_failure();
   }
   return store;
 }
 
-class ControlDaemon : public RaftListener
+class ControlDaemon
+  : public RaftListener
+  , public ControlCalls
 {
 public:
   ControlDaemon(const ControlSettings& aSettings, std::unique_ptr<LogStore> aStore, Random aRandom)
     : mSettings(aSettings)
     , mPool(aSettings.mWorkers)
     , mPeers(mPool.Loop())
-    , mRaft(mPool.Loop(), mPeers, *this, std::move(aStore), RaftSettingsFrom(aSettings),
-            aSettings.mSnapshotEntries, aRandom)
+    , mRaft(mPool.Loop(), mPeers, *this, aSettings.mEndpoint, std::move(aStore),
+            RaftSettingsFrom(aSettings), aSettings.mSnapshotEntries, aRandom)
     , mMembership(mRaft.Self(), MembershipSettingsFrom(aSettings))
+    , mKeeper(KeeperSettingsFrom(aSettings))
   {
   }
 
-  Result<int> Run()
+  Result<int> Run(const ControlAdapterFactory& aAdapter)
   {
     if (const auto started = mRaft.Start(); !started) {
       return started.as_failure();
@@ -121,7 +166,18 @@
     if (const auto metrics = StartMetrics(); !metrics) {
       return metrics.as_failure();
     }
+    if (aAdapter) {
+      auto adapter = aAdapter(*this);
+      if (!adapter) {
+        return adapter.as_failure();
+      }
+      mAdapter = std::move(adapter.value());
+    }
     mTimer = std::make_unique<RepeatingTimer>(mPool.Loop(), kTick, [this] { OnTick(); });
+    if (mSettings.mTargetVoters > 0) {
+      mKeeperTimer =
+        std::make_unique<RepeatingTimer>(mPool.Loop(), kKeeperInterval, [this] { KeepReplicas(); });
+    }
     mPool.OnStop([this] { Stop(); });
     LogEvent(LogLevel::Info, "started")
       .With("replica", mRaft.Self())
@@ -185,18 +241,57 @@
     }
     const std::lock_guard lock(mMutex);
     mMembership.OnRoleChange(change, RuntimeClock::now());
+    if (change.mLeading && mLedTerm != aTerm) {
+      mLedTerm = aTerm;
+      mKeeper.OnLeading(RuntimeClock::now());
+    }
   }
 
   void OnFatal(const Error& aError) override
   {
     LogEvent(LogLevel::Error, "replica_stopped").With(aError);
-    constexpr int kFatalExit = 3;
+    mIdentityRefused = aError.mStep == "raft.identity";
     mPool.Exit(kFatalExit);
   }
 
+  /// Whether the process ended because the group no longer accepts this replica's identity.
+  bool IdentityRefused() const { return mIdentityRefused; }
+
+  void Submit(Command aCommand, std::function<void(const CommandAnswer&)> aCallback) override
+  {
+    auto call = std::make_shared<SubmitCall>();
+    call->mBody = ToCbor(aCommand);
+    call->mCallback = std::move(aCallback);
+    call->mDeadline = RuntimeClock::now() + kSubmitTimeout;
+    Try(call);
+  }
+
+  Result<std::string> ConfirmedRouteDocument() override
+  {
+    if (!mRaft.Confirmed()) {
+      return Fail(ErrorCode::Unavailable, "routes.read", mRaft.LeaderAddress(),
+                  "no quorum has confirmed this replica's state recently");
+    }
+    const std::lock_guard lock(mMutex);
+    if (mMembership.Store().Current().mRoutes.mVersion == 0) {
+      return Fail(ErrorCode::NotFound, "routes.read", "", "no route table was published yet");
+    }
+    return mMembership.Store().RouteDocument();
+  }
+
+  boost::asio::io_context& Loop() override { return mPool.Loop(); }
+
 private:
   using Handler = void (ControlDaemon::*)(const std::shared_ptr<HttpExchange>&);
 
+  /// A command of the adapter that is not decided yet.
+  struct SubmitCall
+  {
+    Bytes mBody;
+    std::function<void(const CommandAnswer&)> mCallback;
+    TimePoint mDeadline;
+  };
+
   struct RouteEntry
   {
     std::string_view mPath;
@@ -247,6 +342,118 @@
     }
   }
 
+  // Proposes the command here or passes it to the leader.
+  void Try(const std::shared_ptr<SubmitCall>& aCall)
+  {
+    if (mRaft.IsLeader()) {
+      ProposeCommand(aCall->mBody, [this, aCall](const auto& aAnswer) { Decide(aCall, aAnswer); });
+      return;
+    }
+    const std::string leader = mRaft.LeaderAddress();
+    if (leader.empty() || leader == mSettings.mEndpoint) {
+      Decide(aCall, {CommandOutcome::NotApplied, 0, "no leader is known"});
+      return;
+    }
+    mPeers.Post(leader, "/v1/command", aCall->mBody, kForwardTimeout,
+                [this, aCall, leader](const Result<Bytes>& aResult) {
+                  const auto answer = aResult ? FromCbor<CommandAnswer>(aResult.value(), leader)
+                                              : Result<CommandAnswer>(aResult.as_failure());
+                  Decide(aCall, answer ? answer.value()
+                                       : CommandAnswer{CommandOutcome::OutcomeUnknown, 0,
+                                                       answer.error().Message()});
+                });
+  }
+
+  // Repeating is safe: the state machine applies a publication id once.
+  void Decide(const std::shared_ptr<SubmitCall>& aCall, const CommandAnswer& aAnswer)
+  {
+    const bool open = aAnswer.mOutcome == CommandOutcome::NotApplied ||
+                      aAnswer.mOutcome == CommandOutcome::OutcomeUnknown;
+    if (!open || RuntimeClock::now() + kSubmitPause >= aCall->mDeadline) {
+      aCall->mCallback(aAnswer);
+      return;
+    }
+    CallAfter(mPool.Loop(), kSubmitPause, [this, aCall] { Try(aCall); });
+  }
+
+  // Until the group has its voters, a first route table could be lost with fewer disks than the
+  // deployment must survive.
+  bool AwaitsVoters()
+  {
+    if (mSettings.mTargetVoters == 0) {
+      return false;
+    }
+    const std::size_t voters = mRaft.Members().VoterCount();
+    const std::lock_guard lock(mMutex);
+    return mMembership.Store().Current().mRoutes.mVersion == 0 && voters < mSettings.mTargetVoters;
+  }
+
+  void ProposeCommand(const Bytes& aBody, std::function<void(const CommandAnswer&)> aCallback)
+  {
+    if (AwaitsVoters()) {
+      aCallback({CommandOutcome::NotApplied, 0, "the group does not have all its voters yet"});
+      return;
+    }
+    mRaft.Propose(aBody, [this, callback = std::move(aCallback)](auto aResult) {
+      callback(AnswerFor(aResult));
+    });
+  }
+
+  // Announces this replica to the group and, as the leader, replaces lost replicas.
+  void KeepReplicas()
+  {
+    const TimePoint now = RuntimeClock::now();
+    const Membership members = mRaft.Members();
+    const Milliseconds pause = members.IsVoter(mRaft.Self()) ? kPresenceInterval : kJoinInterval;
+    if (!mJoinSentAt || now - *mJoinSentAt >= pause) {
+      mJoinSentAt = now;
+      SendJoin(members);
+    }
+    mRaft.MaintainMembers([this](const RaftCore& aCore, TimePoint aNow) {
+      const std::lock_guard lock(mMutex);
+      return mKeeper.Next({aCore.Members(), mRaft.Self(), aCore.CommitIndex(),
+                           [&](const ReplicaId& aId) { return aCore.MatchOf(aId); }},
+                          aNow);
+    });
+  }
+
+  void SendJoin(const Membership& aMembers)
+  {
+    const JoinRequest request{mRaft.Self(), mSettings.mEndpoint, false};
+    if (mRaft.IsLeader()) {
+      return;
+    }
+    std::set<std::string> endpoints(mSettings.mFounders.begin(), mSettings.mFounders.end());
+    if (const std::string leader = mRaft.LeaderAddress(); !leader.empty()) {
+      endpoints = {leader};
+    } else {
+      for (const auto& [id, info] : aMembers.mReplicas) {
+        endpoints.insert(info.mAddress);
+      }
+    }
+    endpoints.erase(mSettings.mEndpoint);
+    for (const std::string& endpoint : endpoints) {
+      mPeers.Post(endpoint, "/v1/join", ToCbor(request), kPeerTimeout, [](const auto&) {});
+    }
+  }
+
+  void OnJoin(const std::shared_ptr<HttpExchange>& aExchange)
+  {
+    auto request = Decode<JoinRequest>(aExchange);
+    if (!request) {
+      return;
+    }
+    if (mRaft.IsLeader()) {
+      const std::lock_guard lock(mMutex);
+      mKeeper.OnJoinRequest(request->mReplica, request->mAddress, RuntimeClock::now());
+    } else if (const std::string leader = mRaft.LeaderAddress();
+               !request->mForwarded && !leader.empty()) {
+      request->mForwarded = true;
+      mPeers.Post(leader, "/v1/join", ToCbor(*request), kPeerTimeout, [](const auto&) {});
+    }
+    aExchange->Respond({});
+  }
+
   void Send(const SendSummary& aAction)
   {
     Exchange<SummaryAnswer>(aAction.mTo, "/v1/summary", ToCbor(aAction.mSummary),
@@ -281,9 +488,10 @@
 
   void OnRequest(const std::shared_ptr<HttpExchange>& aExchange)
   {
-    static constexpr std::array<RouteEntry, 8> kRoutes{{
+    static constexpr std::array<RouteEntry, 9> kRoutes{{
       {"/v1/announce", &ControlDaemon::OnAnnounce},
       {"/v1/raft", &ControlDaemon::OnRaft},
+      {"/v1/join", &ControlDaemon::OnJoin},
       {"/v1/summary", &ControlDaemon::OnSummary},
       {"/v1/view", &ControlDaemon::OnView},
       {"/v1/state", &ControlDaemon::OnStateRequest},
@@ -325,6 +533,11 @@
       const std::lock_guard lock(mMutex);
       answer = mMembership.OnAnnouncement(*announcement, confirmed, RuntimeClock::now());
     }
+    if (confirmed) {
+      for (const auto& [id, info] : mRaft.Members().mReplicas) {
+        answer.mControlEndpoints.push_back(info.mAddress);
+      }
+    }
     RespondCbor(*aExchange, answer);
   }
 
@@ -336,6 +549,10 @@
       RespondError(*aExchange, kStatusBadRequest, message.error().Message());
       return;
     }
+    {
+      const std::lock_guard lock(mMutex);
+      mKeeper.OnHeard(message.value().mFrom, RuntimeClock::now());
+    }
     mRaft.Receive(std::move(message.value()));
     aExchange->Respond({});
   }
@@ -396,8 +613,8 @@
                   CommandAnswer{CommandOutcome::OutcomeUnknown, 0,
                                 "no quorum answered in time; resend with the same publication id"});
     });
-    mRaft.Propose(aExchange->Request().mBody,
-                  [this, aExchange](auto aResult) { RespondCbor(*aExchange, AnswerFor(aResult)); });
+    ProposeCommand(aExchange->Request().mBody,
+                   [aExchange](const auto& aAnswer) { RespondCbor(*aExchange, aAnswer); });
   }
 
   // Runs on the Raft strand right after OnCommand for the same entry.
@@ -471,8 +688,28 @@
   std::unique_ptr<Http2Server> mServer;
   std::unique_ptr<MetricsEndpoint> mMetrics;
   std::unique_ptr<RepeatingTimer> mTimer;
+  ReplicaKeeper mKeeper;      ///< Guarded by mMutex.
+  std::uint64_t mLedTerm = 0; ///< Newest term that this replica led; guarded by mMutex.
+  std::unique_ptr<RepeatingTimer> mKeeperTimer;
+  std::optional<TimePoint> mJoinSentAt;
+  bool mIdentityRefused = false;
+  std::unique_ptr<ControlAdapter> mAdapter;
 };
 
+// Removes the log of an identity that the group refuses, so that the replica can join anew.
+Result<void> DiscardData(const std::string& aFolder)
+{
+  std::error_code error;
+  for (const auto& entry : std::filesystem::directory_iterator(aFolder, error)) {
+    std::filesystem::remove_all(entry.path(), error);
+  }
+  if (error) {
+    return Fail(ErrorCode::Io, "control.discard", aFolder, error.message());
+  }
+  LogEvent(LogLevel::Warning, "data_discarded").With("folder", aFolder);
+  return Ok();
+}
+
 } // namespace
 
 Result<int> RunControl(const ControlSettings& aSettings, const ControlStart& aStart)
@@ -480,12 +717,23 @@
   InitialiseLog("dandelionslip-control", aSettings.mNode, aSettings.mLogLevel);
   PosixFileLayer files;
   Random random(SystemSeed());
-  auto store = OpenStore(files, aSettings, aStart, random);
-  if (!store) {
-    return store.as_failure();
+  ControlStart start = aStart;
+  while (true) {
+    auto store = OpenStore(files, aSettings, start, random);
+    if (!store) {
+      return store.as_failure();
+    }
+    ControlDaemon daemon(aSettings, std::move(store.value()), Random(random.Next()));
+    auto code = daemon.Run(start.mAdapter);
+    if (!code || !daemon.IdentityRefused() || !aSettings.mJoin) {
+      return code;
+    }
+    // The group has replaced this replica while it was away.
+    start.mBootstrap = false;
+    if (const auto discarded = DiscardData(aSettings.mDataFolder); !discarded) {
+      return discarded.as_failure();
+    }
   }
-  ControlDaemon daemon(aSettings, std::move(store.value()), Random(random.Next()));
-  return daemon.Run();
 }
 
 } // namespace dandelionslip
--- a/lib/Daemon/ControlLink.cpp
+++ b/lib/Daemon/ControlLink.cpp
@@ -3,6 +3,9 @@
 
 #include "dandelionslip/Support/Log.h"
 
+#include <algorithm>
+#include <utility>
+
 namespace dandelionslip {
 
 namespace {
@@ -22,6 +25,7 @@
   , mSettings(aSettings)
   , mRegistry(aRegistry)
   , mHandlers(std::move(aHandlers))
+  , mEndpoints(aSettings.mControlEndpoints)
   , mLastLease(RuntimeClock::now())
 {
 }
@@ -29,7 +33,38 @@
 std::string ControlLink::Current()
 {
   const std::lock_guard lock(mMutex);
-  return mSettings.mControlEndpoints[mIndex % mSettings.mControlEndpoints.size()];
+  return mEndpoints[mIndex % mEndpoints.size()];
+}
+
+// The current endpoint stays current if it is still known.
+void ControlLink::LearnEndpoints(const std::vector<std::string>& aEndpoints)
+{
+  if (aEndpoints.empty() || aEndpoints == mEndpoints) {
+    return;
+  }
+  const std::string current = mEndpoints[mIndex % mEndpoints.size()];
+  mEndpoints = aEndpoints;
+  const auto found = std::find(mEndpoints.begin(), mEndpoints.end(), current);
+  mIndex = found == mEndpoints.end() ? 0 : static_cast<std::size_t>(found - mEndpoints.begin());
+}
+
+void ControlLink::SetSeeds(std::vector<std::string> aSeeds)
+{
+  const std::lock_guard lock(mMutex);
+  mSettings.mControlEndpoints = std::move(aSeeds);
+  std::vector<std::string> all = mEndpoints;
+  for (const std::string& seed : mSettings.mControlEndpoints) {
+    if (std::find(all.begin(), all.end(), seed) == all.end()) {
+      all.push_back(seed);
+    }
+  }
+  LearnEndpoints(all);
+}
+
+bool ControlLink::InContact(Milliseconds aWithin)
+{
+  const std::lock_guard lock(mMutex);
+  return mLeaseGranted && RuntimeClock::now() - *mLeaseGranted <= aWithin;
 }
 
 void ControlLink::Rotate(const Error& aReason)
@@ -39,6 +74,10 @@
     const std::lock_guard lock(mMutex);
     index = ++mIndex;
     mLastLease = RuntimeClock::now();
+    if (std::exchange(mLossLogged, true)) {
+      mRegistry.CounterFor("dandelionslip_control_switches_total").Add();
+      return;
+    }
   }
   mRegistry.CounterFor("dandelionslip_control_switches_total").Add();
   LogEvent(LogLevel::Warning, "control_replica_changed")
@@ -125,6 +164,11 @@
       }
       if (answer.value().mLease.count() > 0) {
         mLastLease = aSentAt;
+        mLeaseGranted = aSentAt;
+        if (std::exchange(mLossLogged, false)) {
+          LogEvent(LogLevel::Info, "control_regained").With("replica", aEndpoint);
+        }
+        LearnEndpoints(answer.value().mControlEndpoints);
       }
     }
     silent = RuntimeClock::now() - mLastLease > kMaxWithoutLease;
@@ -143,7 +187,12 @@
 std::uint64_t ControlLink::TrafficBytes()
 {
   std::uint64_t bytes = 0;
-  for (const auto& endpoint : mSettings.mControlEndpoints) {
+  std::vector<std::string> endpoints;
+  {
+    const std::lock_guard lock(mMutex);
+    endpoints = mEndpoints;
+  }
+  for (const auto& endpoint : endpoints) {
     const TrafficCount& traffic = mPeers.For(endpoint)->Traffic();
     bytes += traffic.mRead + traffic.mWritten;
   }
--- a/lib/Daemon/ControlLink.h
+++ b/lib/Daemon/ControlLink.h
@@ -39,6 +39,13 @@
   /// Announces now; aDone is told whether an answer came.
   void AnnounceNow(std::function<void(bool)> aDone = {});
 
+  /// Replaces the endpoints of the settings, for example after the file has changed. Endpoints
+  /// learned from control stay in use.
+  void SetSeeds(std::vector<std::string> aSeeds);
+
+  /// Whether a replica has granted a lease within the given time.
+  bool InContact(Milliseconds aWithin);
+
   /// Bytes sent to and received from all control replicas.
   std::uint64_t TrafficBytes();
 
@@ -47,6 +54,7 @@
 
 private:
   std::string Current();
+  void LearnEndpoints(const std::vector<std::string>& aEndpoints);
   void Rotate(const Error& aReason);
   bool OnAnswer(const Result<Bytes>& aResult, TimePoint aSentAt, const std::string& aEndpoint);
   void OnState(const Result<Bytes>& aResult, const std::function<void(const NodeState&)>& aDone);
@@ -58,8 +66,11 @@
   Handlers mHandlers;
   std::mutex mMutex; ///< Guards the members below; not held while handlers run.
   NodeState mState;
+  std::vector<std::string> mEndpoints; ///< Seeds, then those learned from control.
   std::size_t mIndex = 0;
   TimePoint mLastLease;
+  std::optional<TimePoint> mLeaseGranted;
+  bool mLossLogged = false; ///< The loss of control was logged and has not ended yet.
   bool mInFlight = false;
   std::unique_ptr<RepeatingTimer> mTimer;
 };
--- a/lib/Daemon/RaftRuntime.cpp
+++ b/lib/Daemon/RaftRuntime.cpp
@@ -14,10 +14,12 @@
 } // namespace
 
 RaftRuntime::RaftRuntime(boost::asio::io_context& aLoop, PeerClients& aPeers,
-                         RaftListener& aListener, std::unique_ptr<LogStore> aStore,
-                         RaftSettings aSettings, std::uint32_t aSnapshotEntries, Random aRandom)
+                         RaftListener& aListener, std::string aEndpoint,
+                         std::unique_ptr<LogStore> aStore, RaftSettings aSettings,
+                         std::uint32_t aSnapshotEntries, Random aRandom)
   : mPeers(aPeers)
   , mListener(aListener)
+  , mEndpoint(std::move(aEndpoint))
   , mStore(std::move(aStore))
   , mSnapshotEntries(aSnapshotEntries)
   , mStrand(boost::asio::make_strand(aLoop))
@@ -70,6 +72,10 @@
 
 void RaftRuntime::Receive(RaftMessage aMessage)
 {
+  if (!aMessage.mFromAddress.empty()) {
+    const std::lock_guard lock(mMutex);
+    mSenders[aMessage.mFrom] = aMessage.mFromAddress;
+  }
   Run([message = std::move(aMessage)](RaftCore& aCore, TimePoint aNow) {
     return aCore.Receive(aNow, message);
   });
@@ -101,6 +107,37 @@
   });
 }
 
+void RaftRuntime::MaintainMembers(
+  std::function<std::optional<MembershipChange>(const RaftCore&, TimePoint)> aDecide)
+{
+  boost::asio::post(mStrand, [this, decide = std::move(aDecide)] {
+    RaftActions actions;
+    {
+      const std::lock_guard lock(mMutex);
+      const TimePoint now = RuntimeClock::now();
+      const bool leads = mCore->Role() == RaftRole::Leader;
+      const auto change = leads ? decide(*mCore, now) : std::nullopt;
+      if (!change) {
+        return;
+      }
+      const auto entry = mCore->ProposeChange(now, *change, actions);
+      // A conflict means that an earlier change is still open; the next round asks again.
+      LogEvent(entry ? LogLevel::Info : LogLevel::Debug, "membership_change")
+        .With("kind", ToJson(change->mKind).get<std::string>())
+        .With("replica", change->mReplica)
+        .With("address", change->mAddress)
+        .With("outcome", entry ? "proposed" : entry.error().mDetail);
+    }
+    Perform(std::move(actions));
+  });
+}
+
+Membership RaftRuntime::Members()
+{
+  const std::lock_guard lock(mMutex);
+  return mCore->Members();
+}
+
 void RaftRuntime::Track(const Result<EntryId>& aEntry, const ProposalCallback& aCallback)
 {
   if (!aEntry) {
@@ -229,8 +266,9 @@
   if (address.empty()) {
     return;
   }
-  mPeers.Post(address, "/v1/raft", EncodeRaftMessage(aMessage), kMessageTimeout,
-              [](const auto&) {});
+  RaftMessage message = aMessage;
+  message.mFromAddress = mEndpoint;
+  mPeers.Post(address, "/v1/raft", EncodeRaftMessage(message), kMessageTimeout, [](const auto&) {});
 }
 
 void RaftRuntime::Resolve(const std::vector<ProposalResult>& aResults)
@@ -280,15 +318,22 @@
 {
   const std::lock_guard lock(mMutex);
   const auto leader = mCore->Leader();
-  const auto* info = leader ? mCore->Members().Find(*leader) : nullptr;
-  return info == nullptr ? "" : info->mAddress;
+  return leader ? AddressLocked(*leader) : "";
 }
 
 std::string RaftRuntime::AddressOf(const ReplicaId& aReplica)
 {
   const std::lock_guard lock(mMutex);
-  const auto* info = mCore->Members().Find(aReplica);
-  return info == nullptr ? "" : info->mAddress;
+  return AddressLocked(aReplica);
+}
+
+std::string RaftRuntime::AddressLocked(const ReplicaId& aReplica) const
+{
+  if (const auto* info = mCore->Members().Find(aReplica)) {
+    return info->mAddress;
+  }
+  const auto sender = mSenders.find(aReplica);
+  return sender == mSenders.end() ? "" : sender->second;
 }
 
 Json RaftRuntime::Report()
--- a/lib/Daemon/RaftRuntime.h
+++ b/lib/Daemon/RaftRuntime.h
@@ -40,8 +40,9 @@
 public:
   using ProposalCallback = std::function<void(Result<ProposalOutcome>)>;
 
+  /// aEndpoint is the address and port at which peers reach this replica.
   RaftRuntime(boost::asio::io_context& aLoop, PeerClients& aPeers, RaftListener& aListener,
-              std::unique_ptr<LogStore> aStore, RaftSettings aSettings,
+              std::string aEndpoint, std::unique_ptr<LogStore> aStore, RaftSettings aSettings,
               std::uint32_t aSnapshotEntries, Random aRandom);
 
   /// Loads the state machine from the newest snapshot. Call once before any other event.
@@ -52,6 +53,10 @@
   /// Proposes a command; the callback tells whether it was applied.
   void Propose(Bytes aPayload, ProposalCallback aCallback);
   void ProposeChange(const MembershipChange& aChange, ProposalCallback aCallback);
+  /// Asks the function for a membership change and proposes it. The function runs on the strand
+  /// while this replica leads.
+  void MaintainMembers(
+    std::function<std::optional<MembershipChange>(const RaftCore&, TimePoint)> aDecide);
   /// Hands leadership over before a planned stop; the callback runs on the strand.
   void TransferLeadership(std::function<void()> aCallback);
 
@@ -59,6 +64,7 @@
   bool IsLeader();
   std::string LeaderAddress();
   std::string AddressOf(const ReplicaId& aReplica);
+  Membership Members();
   Json Report();
   const ReplicaId& Self() const { return mSelf; }
 
@@ -75,6 +81,7 @@
   void Do(RoleAction& aAction);
   void Do(PeerRefusedAction& aAction);
   void Do(StopAction& aAction);
+  std::string AddressLocked(const ReplicaId& aReplica) const;
   void Send(const RaftMessage& aMessage);
   void Resolve(const std::vector<ProposalResult>& aResults);
   void MaybeSnapshot();
@@ -82,11 +89,13 @@
 
   PeerClients& mPeers;
   RaftListener& mListener;
+  std::string mEndpoint;
   std::unique_ptr<LogStore> mStore;
   std::uint32_t mSnapshotEntries;
   ReplicaId mSelf;
   boost::asio::strand<boost::asio::io_context::executor_type> mStrand;
-  std::mutex mMutex; ///< Guards mCore.
+  std::mutex mMutex;                         ///< Guards mCore and mSenders.
+  std::map<ReplicaId, std::string> mSenders; ///< Endpoints of replicas that sent messages.
   std::unique_ptr<RaftCore> mCore;
   std::shared_ptr<const Snapshot> mFirstSnapshot;
   // The members below are used on the strand only.
--- a/lib/Daemon/WorkerPool.cpp
+++ b/lib/Daemon/WorkerPool.cpp
@@ -23,6 +23,7 @@
     , mLoop(static_cast<int>(aThreads))
     , mGuard(asio::make_work_guard(mLoop))
     , mSignals(mLoop, SIGTERM, SIGINT)
+    , mReloads(mLoop, SIGHUP)
   {
   }
 
@@ -41,10 +42,26 @@
     });
   }
 
+  void WaitForReload()
+  {
+    mReloads.async_wait([this](const boost::system::error_code& aError, int /*aSignal*/) {
+      if (aError) {
+        return;
+      }
+      LogEvent(LogLevel::Info, "reload_requested");
+      if (mOnReload) {
+        mOnReload();
+      }
+      WaitForReload();
+    });
+  }
+
   std::size_t mThreads;
   asio::io_context mLoop;
   asio::executor_work_guard<asio::io_context::executor_type> mGuard;
   asio::signal_set mSignals;
+  asio::signal_set mReloads;
+  std::function<void()> mOnReload;
   std::function<void()> mOnStop;
   std::atomic<int> mExitCode{0};
 };
@@ -66,6 +83,11 @@
   mState->mOnStop = std::move(aFunction);
 }
 
+void WorkerPool::OnReload(std::function<void()> aFunction)
+{
+  mState->mOnReload = std::move(aFunction);
+}
+
 void WorkerPool::Exit(int aCode)
 {
   mState->mExitCode = aCode;
@@ -75,6 +97,7 @@
 int WorkerPool::Run()
 {
   mState->WaitForSignal();
+  mState->WaitForReload();
   std::vector<std::thread> threads;
   for (std::size_t i = 1; i < mState->mThreads; ++i) {
     threads.emplace_back([this] { mState->mLoop.run(); });
--- a/lib/Model/ConfigurationDifference.cpp
+++ b/lib/Model/ConfigurationDifference.cpp
@@ -14,6 +14,9 @@
   CollectChanges(aFrom.mDataCentres, aTo.mDataCentres, difference.mDataCentres,
                  difference.mRemovedDataCentres);
   CollectChanges(aFrom.mDrained, aTo.mDrained, difference.mDrained, difference.mRemovedDrained);
+  if (aFrom.mRoutes.mVersion != aTo.mRoutes.mVersion) {
+    difference.mRoutes = aTo.mRoutes;
+  }
   return difference;
 }
 
@@ -25,6 +28,9 @@
   MergeChanges(aFirst.mDataCentres, aFirst.mRemovedDataCentres, aSecond.mDataCentres,
                aSecond.mRemovedDataCentres);
   MergeChanges(aFirst.mDrained, aFirst.mRemovedDrained, aSecond.mDrained, aSecond.mRemovedDrained);
+  if (aSecond.mRoutes) {
+    aFirst.mRoutes = aSecond.mRoutes;
+  }
 }
 
 Result<void> ApplyDifference(Configuration& aConfiguration,
@@ -39,6 +45,9 @@
   ApplyChanges(aConfiguration.mDataCentres, aDifference.mDataCentres,
                aDifference.mRemovedDataCentres);
   ApplyChanges(aConfiguration.mDrained, aDifference.mDrained, aDifference.mRemovedDrained);
+  if (aDifference.mRoutes) {
+    aConfiguration.mRoutes = *aDifference.mRoutes;
+  }
   aConfiguration.mRevision = aDifference.mTo;
   return Ok();
 }
--- a/lib/Net/AsioEndpoint.h
+++ b/lib/Net/AsioEndpoint.h
@@ -37,4 +37,27 @@
   return endpoint;
 }
 
+/// Opens, binds and listens. Fails with ErrorCode::Io, naming the step and the address.
+inline Result<void> OpenAcceptor(boost::asio::ip::tcp::acceptor& aAcceptor,
+                                 const Endpoint& aEndpoint, const char* aStep)
+{
+  using boost::asio::ip::tcp;
+  const auto local = ToAsio<tcp>(aEndpoint);
+  boost::system::error_code error;
+  aAcceptor.open(local.protocol(), error);
+  if (!error) {
+    aAcceptor.set_option(tcp::acceptor::reuse_address(true), error);
+  }
+  if (!error) {
+    aAcceptor.bind(local, error);
+  }
+  if (!error) {
+    aAcceptor.listen(boost::asio::socket_base::max_listen_connections, error);
+  }
+  if (error) {
+    return Fail(ErrorCode::Io, aStep, aEndpoint.ToString(), error.message());
+  }
+  return Ok();
+}
+
 } // namespace dandelionslip
--- a/lib/Net/Http2Client.cpp
+++ b/lib/Net/Http2Client.cpp
@@ -20,6 +20,10 @@
 namespace {
 
 using Timer = asio::basic_waitable_timer<RuntimeClock>;
+// A peer that is off or cut off does not answer the connection attempt at all, and the operating
+// system repeats it only after seconds. The peers are at most a few milliseconds away.
+constexpr Milliseconds kConnectTimeout{700};
+
 using Strand = asio::strand<asio::io_context::executor_type>;
 
 // A request from Send until its callback has run.
@@ -211,8 +215,16 @@
     }
     mConnecting = true;
     auto socket = std::make_shared<tcp::socket>(mStrand);
-    socket->async_connect(ToAsio<tcp>(mPeer), [self = shared_from_this(),
-                                               socket](const boost::system::error_code& aError) {
+    auto timer = std::make_shared<Timer>(mStrand, kConnectTimeout);
+    timer->async_wait([socket](const boost::system::error_code& aError) {
+      if (!aError) {
+        boost::system::error_code ignored;
+        socket->close(ignored);
+      }
+    });
+    socket->async_connect(ToAsio<tcp>(mPeer), [self = shared_from_this(), socket,
+                                               timer](const boost::system::error_code& aError) {
+      timer->cancel();
       self->mConnecting = false;
       auto waiting = std::move(self->mWaiting);
       self->mWaiting.clear();
--- a/lib/Net/Http2Server.cpp
+++ b/lib/Net/Http2Server.cpp
@@ -239,20 +239,8 @@
                                                          Handler aHandler)
 {
   auto state = std::make_shared<State>(aLoop, std::move(aHandler));
-  const auto local = ToAsio<tcp>(aEndpoint);
-  boost::system::error_code error;
-  state->mAcceptor.open(local.protocol(), error);
-  if (!error) {
-    state->mAcceptor.set_option(tcp::acceptor::reuse_address(true), error);
-  }
-  if (!error) {
-    state->mAcceptor.bind(local, error);
-  }
-  if (!error) {
-    state->mAcceptor.listen(asio::socket_base::max_listen_connections, error);
-  }
-  if (error) {
-    return Fail(ErrorCode::Io, "http2.listen", aEndpoint.ToString(), error.message());
+  if (const auto opened = OpenAcceptor(state->mAcceptor, aEndpoint, "http2.listen"); !opened) {
+    return opened.as_failure();
   }
   state->Accept();
   return std::unique_ptr<Http2Server>(new Http2Server(std::move(state)));
--- a/lib/Support/RuntimeClock.cpp
+++ b/lib/Support/RuntimeClock.cpp
@@ -2,6 +2,7 @@
 #include "dandelionslip/Support/RuntimeClock.h"
 
 #include <atomic>
+#include <ctime>
 
 namespace dandelionslip {
 
@@ -11,14 +12,16 @@
 
 // Reading of the paused clock, or kRunning.
 std::atomic<std::int64_t> gPausedAt{kRunning};
-// Difference between the runtime clock and the steady clock.
+// Difference between the runtime clock and the boot-time clock.
 std::atomic<std::int64_t> gOffset{0};
 
-std::int64_t SteadyCount()
+std::int64_t BootTimeCount()
 {
-  return std::chrono::duration_cast<RuntimeClock::duration>(
-           std::chrono::steady_clock::now().time_since_epoch())
-    .count();
+  // The steady clock stands still while a VM is suspended; leases and read confirmations must not
+  // outlive a suspension.
+  timespec now{};
+  ::clock_gettime(CLOCK_BOOTTIME, &now);
+  return (std::chrono::seconds(now.tv_sec) + std::chrono::nanoseconds(now.tv_nsec)).count();
 }
 
 } // namespace
@@ -26,7 +29,7 @@
 RuntimeClock::time_point RuntimeClock::now()
 {
   const std::int64_t paused = gPausedAt.load();
-  return time_point(duration(paused == kRunning ? SteadyCount() + gOffset.load() : paused));
+  return time_point(duration(paused == kRunning ? BootTimeCount() + gOffset.load() : paused));
 }
 
 void RuntimeClock::Pause()
@@ -44,7 +47,7 @@
 void RuntimeClock::Resume()
 {
   if (const std::int64_t paused = gPausedAt.load(); paused != kRunning) {
-    gOffset.store(paused - SteadyCount());
+    gOffset.store(paused - BootTimeCount());
     gPausedAt.store(kRunning);
   }
 }
--- a/unittests/Control/ControlCodecTest.cpp
+++ b/unittests/Control/ControlCodecTest.cpp
@@ -125,7 +125,8 @@
     answer.mConfirmed = true;
     answer.mLease = Milliseconds(2'000);
     answer.mConfiguration = PlannerConfiguration();
-    answer.mConfigurationDifference = ConfigurationDifference{1, 2, {}, {"render"}, {}, {}, {}, {}};
+    answer.mConfigurationDifference =
+      ConfigurationDifference{1, 2, {}, {"render"}, {}, {}, {}, {}, {}};
     answer.mView = SampleView();
     answer.mViewDifference = DifferenceBetween(View{}, SampleView());
     Try(answer, Decode<AnnouncementAnswer>, [](const AnnouncementAnswer& aAnswer) {
@@ -198,7 +199,7 @@
     Try(ViewUpdate{1, next.mRevision, std::nullopt, DifferenceBetween(SampleView(), next)}, decode,
         use);
     Try(SampleView(), Decode<View>, [](const View&) {});
-    ConfigurationDifference difference{1, 2, {}, {"render"}, {}, {"x"}, {{"n", true}}, {"m"}};
+    ConfigurationDifference difference{1, 2, {}, {"render"}, {}, {"x"}, {{"n", true}}, {"m"}, {}};
     difference.mServices = PlannerConfiguration().mServices;
     difference.mDataCentres["klang-a"] = {true, 4};
     Try(difference, Decode<ConfigurationDifference>,
--- a/unittests/Control/DifferenceTest.cpp
+++ b/unittests/Control/DifferenceTest.cpp
@@ -156,7 +156,7 @@
     CPPUNIT_ASSERT_EQUAL(std::uint64_t{9}, node.CurrentView().mRevision);
     answer = AnnouncementAnswer{};
     answer.mConfirmed = true;
-    answer.mConfigurationDifference = ConfigurationDifference{8, 10, {}, {}, {}, {}, {}, {}};
+    answer.mConfigurationDifference = ConfigurationDifference{8, 10, {}, {}, {}, {}, {}, {}, {}};
     answer.mViewDifference = ViewDifference{8, 10, {}, {}, {}, {}};
     CPPUNIT_ASSERT(!node.Take(answer));
     CPPUNIT_ASSERT_EQUAL(std::uint64_t{8}, node.CurrentConfiguration().mRevision);
