Add the packet plane and the adapter to the users' platform

Cause: the platform's packets carry no session tag that the system may set, and the upstream itself knows which flows it holds. The flow core relies on a table and bucket hand-offs and cannot serve them.

Change: a packet balancer sends each packet to the agent that holds the flow; what it remembers is a cache, and an unknown flow is looked for at all agents of the route's services. A packet agent delivers to the upstream beside it, refuses new flows for a stated reason and acts on packets that the upstream gives back. Placement weighs open flows by slots and measured speed. platform/ holds the packet codec, the HTTP calls and the settings file, and decides nothing.

--- /dev/null
+++ b/include/dandelionslip/Daemon/PacketDaemons.h
@@ -0,0 +1,28 @@
+// Balancer and agent of the packet plane as processes.
+#pragma once
+
+#include "dandelionslip/Config/PacketSettings.h"
+#include "dandelionslip/Daemon/PacketNodeCalls.h"
+
+namespace dandelionslip {
+
+/// What a platform provides to a packet node.
+template <typename Calls>
+struct PacketPlatform
+{
+  const SegmentCodec& mCodec;
+  PacketAdapterFactory<Calls> mAdapter;
+  /// Reads the control endpoints again after the settings may have changed; empty on an error.
+  std::function<std::vector<std::string>()> mReadSeeds;
+};
+
+/// Runs a balancer until it is stopped by a signal; returns the exit code of the process. An error
+/// means that it could not start.
+Result<int> RunPacketBalancer(const PacketBalancerNodeSettings& aSettings,
+                              const PacketPlatform<PacketNodeCalls>& aPlatform);
+
+/// Runs an agent until it is stopped by a signal.
+Result<int> RunPacketAgent(const PacketAgentNodeSettings& aSettings,
+                           const PacketPlatform<PacketAgentCalls>& aPlatform);
+
+} // namespace dandelionslip
--- /dev/null
+++ b/include/dandelionslip/Packet/FlowKey.h
@@ -0,0 +1,29 @@
+// The two ends of a flow.
+#pragma once
+
+#include <array>
+#include <compare>
+#include <cstdint>
+
+namespace dandelionslip {
+
+/// IPv4 addresses and ports of a flow in host byte order, the same for both directions.
+struct FlowKey
+{
+  std::uint32_t mCallerAddress = 0;
+  std::uint16_t mCallerPort = 0;
+  std::uint16_t mServicePort = 0;
+  std::uint32_t mServiceAddress = 0;
+
+  auto operator<=>(const FlowKey&) const = default;
+};
+
+/// A well-mixed hash, equal on every node.
+std::uint64_t HashOf(const FlowKey& aKey);
+
+struct FlowKeyHash
+{
+  std::size_t operator()(const FlowKey& aKey) const { return HashOf(aKey); }
+};
+
+} // namespace dandelionslip
--- /dev/null
+++ b/include/dandelionslip/Packet/PacketBalancer.h
@@ -0,0 +1,118 @@
+// Decision core of a balancer of the packet plane.
+#pragma once
+
+#include "dandelionslip/Model/Configuration.h"
+#include "dandelionslip/Model/View.h"
+#include "dandelionslip/Packet/PacketActions.h"
+#include "dandelionslip/Packet/Placement.h"
+#include "dandelionslip/Support/Metrics.h"
+
+#include <array>
+#include <map>
+#include <unordered_map>
+
+namespace dandelionslip {
+
+/// Times and bounds of a packet balancer.
+struct PacketBalancerSettings
+{
+  /// An agent that has not reported for this long takes no new flows; five reports of 200 ms.
+  Milliseconds mReportLifetime{1'000};
+  /// How long a flow's holder is remembered without packets; longer than an idle flow may live.
+  Milliseconds mFlowMemory{20'000};
+  std::size_t mMaxFlows = 500'000;
+};
+
+/// Sends each packet of a caller to the agent whose upstream holds the flow, and places new flows.
+/// What it remembers of flows is a cache: an unknown flow is looked for at all agents of the
+/// route's services. Not thread-safe.
+class PacketBalancer
+{
+public:
+  PacketBalancer(const PacketBalancerSettings& aSettings, const SegmentCodec& aCodec,
+                 MetricsRegistry& aRegistry, Random aRandom);
+
+  /// Takes a configuration and view; neither ever has a lower revision than the one before.
+  void OnState(const Configuration& aConfiguration, const View& aView);
+  /// A packet of a caller. The packet may be changed.
+  void OnCallerPacket(std::span<std::uint8_t> aPacket, PacketOutput& aOutput, TimePoint aNow);
+  /// A datagram of an agent after its hop header.
+  void OnNodePacket(const Endpoint& aFrom, const HopHeader& aHeader,
+                    std::span<std::uint8_t> aPacket, PacketOutput& aOutput, TimePoint aNow);
+  /// Forgets idle flows; called every second.
+  void OnTick(TimePoint aNow);
+
+  /// Whether the balancer knows routes and agents, so that it can serve callers.
+  bool Ready() const { return mRouteVersion != 0 && !mAgents.empty(); }
+  std::uint64_t RouteVersion() const { return mRouteVersion; }
+
+private:
+  /// An agent as known from the view and from its own reports.
+  struct Agent
+  {
+    std::string mService;
+    std::string mDataCentre;
+    bool mInView = false;
+    bool mTakesNewWork = false; ///< By the view; used without a report.
+    LoadReport mReport;
+    std::optional<TimePoint> mReportedAt;
+    std::uint32_t mPlaced = 0; ///< Flows placed since the report.
+  };
+
+  struct RouteEntry
+  {
+    std::string mName;
+    std::vector<RouteTarget> mTargets;
+    std::uint64_t mTotalWeight = 0;
+  };
+
+  /// Where a flow is, as far as this balancer knows.
+  struct Flow
+  {
+    std::optional<Endpoint> mHolder;
+    std::vector<Endpoint> mTried; ///< Agents that returned the opening packet.
+    TimePoint mUsedAt;
+    TimePoint mSearchedAt;
+    std::uint32_t mSearches = 0; ///< Without an answer so far.
+  };
+
+  using AgentMap = std::map<Endpoint, Agent>;
+
+  const RouteEntry* FindRoute(const FlowKey& aFlow) const;
+  const std::string& ServiceFor(const RouteEntry& aRoute, const FlowKey& aFlow) const;
+  Flow& FlowOf(const FlowKey& aFlow, TimePoint aNow);
+  void Open(const Segment& aSegment, std::span<const std::uint8_t> aPacket, PacketOutput& aOutput,
+            TimePoint aNow);
+  void Place(const Segment& aSegment, Flow& aFlow, const RouteEntry& aRoute,
+             std::span<const std::uint8_t> aPacket, PacketOutput& aOutput, TimePoint aNow);
+  std::optional<Endpoint> ChooseAgent(const std::string& aService, const Flow& aFlow,
+                                      TimePoint aNow);
+  bool MayPlace(const Endpoint& aEndpoint, const Agent& aAgent, const Flow& aFlow) const;
+  void Search(const Segment& aSegment, Flow& aFlow, std::span<const std::uint8_t> aPacket,
+              const std::optional<Endpoint>& aExcept, PacketOutput& aOutput, TimePoint aNow);
+  void OnReturned(const Endpoint& aFrom, ReturnReason aReason, std::span<std::uint8_t> aPacket,
+                  PacketOutput& aOutput, TimePoint aNow);
+  void OnLoad(const Endpoint& aFrom, std::span<const std::uint8_t> aBytes, TimePoint aNow);
+  void Reset(const Segment& aSegment, PacketOutput& aOutput, Counter& aCounter);
+
+  PacketBalancerSettings mSettings;
+  const SegmentCodec& mCodec;
+  Random mRandom;
+  std::uint64_t mRouteVersion = 0;
+  std::unordered_map<std::uint64_t, RouteEntry> mRoutes; ///< By address and port.
+  std::map<std::string, DataCentreState> mDataCentres;
+  std::uint64_t mViewRevision = 0;
+  std::uint64_t mRevision = 0;
+  AgentMap mAgents; ///< By datagram endpoint.
+  std::unordered_map<FlowKey, Flow, FlowKeyHash> mFlows;
+  Counter& mForwarded;
+  Counter& mSearched;
+  Counter& mMalformed;
+  Counter& mNoRoute;
+  Counter& mNoUpstream;
+  Counter& mPlaced;
+  Counter& mFlowsFull;
+  std::array<Counter*, kReturnReasons> mReturned{};
+};
+
+} // namespace dandelionslip
--- /dev/null
+++ b/lib/Daemon/PacketAgentDaemon.cpp
@@ -0,0 +1,195 @@
+// A packet agent as a process.
+#include "PacketNode.h"
+
+#include "dandelionslip/Daemon/PacketDaemons.h"
+#include "dandelionslip/Net/MetricsEndpoint.h"
+#include "dandelionslip/Packet/PacketAgent.h"
+#include "dandelionslip/Support/Log.h"
+
+namespace dandelionslip {
+
+namespace {
+
+constexpr Milliseconds kTick{1'000};
+
+// Placement reacts within this time to a changed load. A report costs each balancer one datagram.
+constexpr Milliseconds kReportInterval{200};
+
+// Time for the last reports and the last packets on their way.
+constexpr Milliseconds kStopDelay{100};
+
+PacketAgentSettings CoreSettings(const PacketAgentNodeSettings& aSettings)
+{
+  PacketAgentSettings settings;
+  settings.mService = aSettings.mService;
+  settings.mDataCentre = aSettings.mDataCentre;
+  settings.mHeartbeat = aSettings.mHeartbeat;
+  settings.mMaxFlowAge = aSettings.mMaxFlowAge;
+  settings.mColdExcessFactor = aSettings.mColdExcessFactor;
+  settings.mColdSlack = aSettings.mColdSlack;
+  return settings;
+}
+
+class PacketAgentDaemon : public PacketAgentCalls
+{
+public:
+  PacketAgentDaemon(const PacketAgentNodeSettings& aSettings,
+                    const PacketPlatform<PacketAgentCalls>& aPlatform)
+    : mSettings(aSettings)
+    , mNode(aSettings, {[this](Member& aMember) { Describe(aMember); },
+                        [this](const NodeState& aState) { OnState(aState); }, aPlatform.mReadSeeds})
+    , mCore(CoreSettings(aSettings), aPlatform.mCodec, mNode.Registry(), RuntimeClock::now())
+    , mOutput(aSettings.mCallerPort, mNode.Registry())
+    , mAdapterFactory(aPlatform.mAdapter)
+  {
+  }
+
+  Result<int> Run()
+  {
+    if (const auto opened = Open(); !opened) {
+      return opened.as_failure();
+    }
+    mTimer = std::make_unique<RepeatingTimer>(mNode.Loop(), kTick,
+                                              [this] { mCore.OnTick(RuntimeClock::now()); });
+    mReportTimer =
+      std::make_unique<RepeatingTimer>(mNode.Loop(), kReportInterval, [this] { SendReports(); });
+    mNode.Pool().OnStop([this] { Stop(); });
+    mNode.Start();
+    LogEvent(LogLevel::Info, "started")
+      .With("nodes", mSettings.mDatagramEndpoint)
+      .With("upstream", mSettings.mUpstreamEndpoint)
+      .With("service", mSettings.mService)
+      .With("version", DANDELIONSLIP_VERSION);
+    return mNode.Pool().Run();
+  }
+
+  bool Ready() override { return !mStopping; }
+  HttpResponse Metrics() override { return RenderMetrics(mNode.Registry()); }
+  boost::asio::io_context& Loop() override { return mNode.Loop(); }
+
+  ReportOutcome OnUpstreamReport(const UpstreamReport& aReport) override
+  {
+    const MemberState before = mCore.State(RuntimeClock::now());
+    const ReportOutcome outcome = mCore.OnUpstreamReport(aReport, RuntimeClock::now());
+    TellChange(before);
+    return outcome;
+  }
+
+  void OnUpstreamLeft(const std::string& aId) override
+  {
+    const MemberState before = mCore.State(RuntimeClock::now());
+    mCore.OnUpstreamLeft(aId);
+    TellChange(before);
+  }
+
+private:
+  Result<void> Open()
+  {
+    auto nodes =
+      UdpSocket::Bind(mNode.Loop(), Endpoint::Parse(mSettings.mDatagramEndpoint).value(),
+                      [this](auto aBytes, const Endpoint& aFrom) { OnNode(aBytes, aFrom); });
+    if (!nodes) {
+      return nodes.as_failure();
+    }
+    mNodes = std::move(nodes.value());
+    auto upstream =
+      UdpSocket::Bind(mNode.Loop(), Endpoint::Parse(mSettings.mUpstreamOutboundEndpoint).value(),
+                      [this](auto aBytes, const Endpoint&) {
+                        mCore.OnUpstreamPacket(aBytes, mOutput, RuntimeClock::now());
+                      });
+    if (!upstream) {
+      return upstream.as_failure();
+    }
+    mUpstream = std::move(upstream.value());
+    mOutput.SetSockets({mNodes.get(), mNodes.get(), mUpstream.get(),
+                        Endpoint::Parse(mSettings.mUpstreamEndpoint).value()});
+    auto adapter = mAdapterFactory(*this);
+    if (!adapter) {
+      return adapter.as_failure();
+    }
+    mAdapter = std::move(adapter.value());
+    return Ok();
+  }
+
+  void OnNode(std::span<std::uint8_t> aBytes, const Endpoint& aFrom)
+  {
+    const auto header = HopHeader::Decode(aBytes);
+    if (!header) {
+      mNode.Registry()
+        .CounterFor("dandelionslip_packets_dropped_total", "reason=\"malformed\"")
+        .Add();
+      return;
+    }
+    mCore.OnNodePacket(aFrom, header.value(), aBytes.subspan(HopHeader::kBytes), mOutput,
+                       RuntimeClock::now());
+  }
+
+  void Describe(Member& aMember) const
+  {
+    aMember.mKind = MemberKind::Agent;
+    aMember.mService = mSettings.mService;
+    aMember.mState = mCore.State(RuntimeClock::now());
+  }
+
+  void OnState(const NodeState& aState)
+  {
+    mCore.OnConfiguration(aState.CurrentConfiguration());
+    mBalancers.clear();
+    for (const auto& [name, member] : aState.CurrentView().mMembers) {
+      const auto endpoint = Endpoint::Parse(member.mDatagramEndpoint);
+      if (member.mKind == MemberKind::Balancer && HoldsFlows(member.mState) && endpoint) {
+        mBalancers.push_back(endpoint.value());
+      }
+    }
+  }
+
+  void SendReports()
+  {
+    const Bytes report = ToCbor(mCore.Report(RuntimeClock::now()));
+    for (const Endpoint& balancer : mBalancers) {
+      mOutput.SendToNode(balancer, {HopKind::Load, ReturnReason::None}, report);
+    }
+  }
+
+  // A changed state reaches balancers and control without waiting for the next interval.
+  void TellChange(MemberState aBefore)
+  {
+    if (mCore.State(RuntimeClock::now()) != aBefore) {
+      SendReports();
+      mNode.Link().AnnounceNow();
+    }
+  }
+
+  void Stop()
+  {
+    mStopping = true;
+    mCore.StopAccepting();
+    SendReports();
+    mNode.AnnounceAndExit(kStopDelay);
+  }
+
+  PacketAgentNodeSettings mSettings;
+  PacketNode mNode;
+  PacketAgent mCore;
+  SocketOutput mOutput;
+  PacketAdapterFactory<PacketAgentCalls> mAdapterFactory;
+  std::vector<Endpoint> mBalancers;
+  std::unique_ptr<UdpSocket> mNodes;
+  std::unique_ptr<UdpSocket> mUpstream;
+  std::unique_ptr<RepeatingTimer> mTimer;
+  std::unique_ptr<RepeatingTimer> mReportTimer;
+  std::unique_ptr<PacketNodeAdapter> mAdapter;
+  bool mStopping = false;
+};
+
+} // namespace
+
+Result<int> RunPacketAgent(const PacketAgentNodeSettings& aSettings,
+                           const PacketPlatform<PacketAgentCalls>& aPlatform)
+{
+  InitialiseLog("dandelionslip-agent", aSettings.mNode, aSettings.mLogLevel);
+  PacketAgentDaemon daemon(aSettings, aPlatform);
+  return daemon.Run();
+}
+
+} // namespace dandelionslip
--- /dev/null
+++ b/lib/Daemon/PacketBalancerDaemon.cpp
@@ -0,0 +1,136 @@
+// A packet balancer as a process.
+#include "PacketNode.h"
+
+#include "dandelionslip/Daemon/PacketDaemons.h"
+#include "dandelionslip/Net/MetricsEndpoint.h"
+#include "dandelionslip/Packet/PacketBalancer.h"
+#include "dandelionslip/Support/Log.h"
+
+namespace dandelionslip {
+
+namespace {
+
+constexpr Milliseconds kTick{1'000};
+
+// After a stop signal the balancer is not ready, and it still forwards until the fabric has noticed
+// that: two checks half a second apart, and the last packets on their way.
+constexpr Milliseconds kStopDelay{2'000};
+
+class PacketBalancerDaemon : public PacketNodeCalls
+{
+public:
+  PacketBalancerDaemon(const PacketBalancerNodeSettings& aSettings,
+                       const PacketPlatform<PacketNodeCalls>& aPlatform)
+    : mSettings(aSettings)
+    , mNode(aSettings, {[this](Member& aMember) { Describe(aMember); },
+                        [this](const NodeState& aState) { OnState(aState); }, aPlatform.mReadSeeds})
+    , mCore({}, aPlatform.mCodec, mNode.Registry(), Random(SystemSeed()))
+    , mOutput(aSettings.mCallerPort, mNode.Registry())
+    , mAdapterFactory(aPlatform.mAdapter)
+  {
+  }
+
+  Result<int> Run()
+  {
+    if (const auto opened = Open(); !opened) {
+      return opened.as_failure();
+    }
+    mTimer = std::make_unique<RepeatingTimer>(mNode.Loop(), kTick,
+                                              [this] { mCore.OnTick(RuntimeClock::now()); });
+    mNode.Pool().OnStop([this] { Stop(); });
+    mNode.Start();
+    LogEvent(LogLevel::Info, "started")
+      .With("callers", mSettings.mCallerEndpoint)
+      .With("nodes", mSettings.mDatagramEndpoint)
+      .With("version", DANDELIONSLIP_VERSION);
+    return mNode.Pool().Run();
+  }
+
+  bool Ready() override { return mCore.Ready() && !mStopping; }
+  HttpResponse Metrics() override { return RenderMetrics(mNode.Registry()); }
+  boost::asio::io_context& Loop() override { return mNode.Loop(); }
+
+private:
+  Result<void> Open()
+  {
+    auto callers = UdpSocket::Bind(mNode.Loop(), Endpoint::Parse(mSettings.mCallerEndpoint).value(),
+                                   [this](auto aBytes, const Endpoint&) {
+                                     mCore.OnCallerPacket(aBytes, mOutput, RuntimeClock::now());
+                                   });
+    if (!callers) {
+      return callers.as_failure();
+    }
+    mCallers = std::move(callers.value());
+    auto nodes =
+      UdpSocket::Bind(mNode.Loop(), Endpoint::Parse(mSettings.mDatagramEndpoint).value(),
+                      [this](auto aBytes, const Endpoint& aFrom) { OnNode(aBytes, aFrom); });
+    if (!nodes) {
+      return nodes.as_failure();
+    }
+    mNodes = std::move(nodes.value());
+    mOutput.SetSockets({mNodes.get(), mCallers.get(), nullptr, {}});
+    auto adapter = mAdapterFactory(*this);
+    if (!adapter) {
+      return adapter.as_failure();
+    }
+    mAdapter = std::move(adapter.value());
+    return Ok();
+  }
+
+  void OnNode(std::span<std::uint8_t> aBytes, const Endpoint& aFrom)
+  {
+    const auto header = HopHeader::Decode(aBytes);
+    if (!header) {
+      mNode.Registry()
+        .CounterFor("dandelionslip_packets_dropped_total", "reason=\"malformed\"")
+        .Add();
+      return;
+    }
+    mCore.OnNodePacket(aFrom, header.value(), aBytes.subspan(HopHeader::kBytes), mOutput,
+                       RuntimeClock::now());
+  }
+
+  void Describe(Member& aMember) const
+  {
+    aMember.mKind = MemberKind::Balancer;
+    aMember.mState = mStopping ? MemberState::Draining : MemberState::Serving;
+  }
+
+  void OnState(const NodeState& aState)
+  {
+    mCore.OnState(aState.CurrentConfiguration(), aState.CurrentView());
+    if (mCore.Ready() && !std::exchange(mWasReady, true)) {
+      LogEvent(LogLevel::Info, "ready").With("routes", mCore.RouteVersion());
+    }
+  }
+
+  void Stop()
+  {
+    mStopping = true;
+    mNode.AnnounceAndExit(kStopDelay);
+  }
+
+  PacketBalancerNodeSettings mSettings;
+  PacketNode mNode;
+  PacketBalancer mCore;
+  SocketOutput mOutput;
+  PacketAdapterFactory<PacketNodeCalls> mAdapterFactory;
+  std::unique_ptr<UdpSocket> mCallers;
+  std::unique_ptr<UdpSocket> mNodes;
+  std::unique_ptr<RepeatingTimer> mTimer;
+  std::unique_ptr<PacketNodeAdapter> mAdapter;
+  bool mStopping = false;
+  bool mWasReady = false;
+};
+
+} // namespace
+
+Result<int> RunPacketBalancer(const PacketBalancerNodeSettings& aSettings,
+                              const PacketPlatform<PacketNodeCalls>& aPlatform)
+{
+  InitialiseLog("dandelionslip-balancer", aSettings.mNode, aSettings.mLogLevel);
+  PacketBalancerDaemon daemon(aSettings, aPlatform);
+  return daemon.Run();
+}
+
+} // namespace dandelionslip
--- /dev/null
+++ b/lib/Daemon/PacketNode.cpp
@@ -0,0 +1,141 @@
+// Control link and sockets of packet nodes.
+#include "PacketNode.h"
+
+#include "dandelionslip/Support/Log.h"
+
+#include <algorithm>
+
+namespace dandelionslip {
+
+namespace {
+
+// The settings file may change without a signal; it is read this often while control is out of
+// reach, and only then is a new seed needed.
+constexpr Milliseconds kSeedInterval{2'000};
+
+// Added to the incarnation when control knows a higher one: the wall clock was set back since the
+// earlier process started. Larger than the steps of the clock that were seen, up to 2.4 s.
+constexpr std::uint64_t kIncarnationStep = 5'000;
+
+Endpoint CallerEndpoint(const FlowKey& aFlow, std::uint16_t aPort)
+{
+  constexpr std::size_t kV4Marker = 10;
+  constexpr std::size_t kV4Offset = 12;
+  constexpr unsigned kByteBits = 8;
+  Endpoint endpoint;
+  endpoint.mAddress[kV4Marker] = 0xff;
+  endpoint.mAddress[kV4Marker + 1] = 0xff;
+  for (std::size_t i = 0; i < sizeof(aFlow.mCallerAddress); ++i) {
+    const unsigned shift = kByteBits * static_cast<unsigned>(sizeof(aFlow.mCallerAddress) - 1 - i);
+    endpoint.mAddress[kV4Offset + i] = static_cast<std::uint8_t>(aFlow.mCallerAddress >> shift);
+  }
+  endpoint.mPort = aPort;
+  return endpoint;
+}
+
+} // namespace
+
+PacketNode::PacketNode(const PacketNodeSettings& aSettings, Handlers aHandlers)
+  : mSettings(aSettings)
+  , mHandlers(std::move(aHandlers))
+  , mPool(1)
+  , mPeers(mPool.Loop())
+  , mIncarnation(static_cast<std::uint64_t>(WallClockMs()))
+  , mSeeds(aSettings.mControlEndpoints)
+  , mLink(mPool.Loop(), mPeers, aSettings, mRegistry,
+          {[this] { return Describe(); }, [this](const auto& aAnswer, const auto& aState,
+                                                 TimePoint) { OnAnswer(aAnswer, aState); }})
+{
+}
+
+Announcement PacketNode::Describe() const
+{
+  Announcement announcement;
+  Member& member = announcement.mMember;
+  member.mName = mSettings.mNode;
+  member.mDataCentre = mSettings.mDataCentre;
+  member.mDatagramEndpoint = mSettings.mDatagramEndpoint;
+  member.mRequestEndpoint = mSettings.mStatusEndpoint;
+  member.mIncarnation = mIncarnation;
+  mHandlers.mDescribe(member);
+  return announcement;
+}
+
+void PacketNode::Start()
+{
+  mLink.FetchState([this](const NodeState& aState) {
+    mHandlers.mOnState(aState);
+    mLink.Start();
+  });
+  mPool.OnReload([this] { ReadSeeds(); });
+  mSeedTimer =
+    std::make_unique<RepeatingTimer>(mPool.Loop(), kSeedInterval, [this] { CheckSeeds(); });
+}
+
+void PacketNode::OnAnswer(const AnnouncementAnswer& aAnswer, const NodeState& aState)
+{
+  if (aAnswer.mFenced) {
+    mIncarnation += kIncarnationStep;
+    LogEvent(LogLevel::Info, "incarnation_raised").With("incarnation", mIncarnation);
+  }
+  mHandlers.mOnState(aState);
+}
+
+void PacketNode::CheckSeeds()
+{
+  if (!mLink.InContact(kSeedInterval)) {
+    ReadSeeds();
+  }
+}
+
+void PacketNode::ReadSeeds()
+{
+  if (auto seeds = mHandlers.mReadSeeds(); !seeds.empty() && seeds != mSeeds) {
+    mSeeds = seeds;
+    LogEvent(LogLevel::Info, "seeds_changed").With("first", mSeeds.front());
+    mLink.SetSeeds(std::move(seeds));
+  }
+}
+
+void PacketNode::AnnounceAndExit(Milliseconds aDelay)
+{
+  mLink.AnnounceNow([](bool) {});
+  CallAfter(mPool.Loop(), aDelay, [this] {
+    LogEvent(LogLevel::Info, "stopped");
+    mPool.Exit(0);
+  });
+}
+
+SocketOutput::SocketOutput(std::uint16_t aCallerPort, MetricsRegistry& aRegistry)
+  : mCallerPort(aCallerPort)
+  , mNotSent(aRegistry.CounterFor("dandelionslip_packets_dropped_total", "reason=\"not_sent\""))
+{
+}
+
+void SocketOutput::Count(bool aSent)
+{
+  if (!aSent) {
+    mNotSent.Add();
+  }
+}
+
+void SocketOutput::SendToNode(const Endpoint& aNode, const HopHeader& aHeader,
+                              std::span<const std::uint8_t> aPacket)
+{
+  const auto header = aHeader.Encode();
+  mBuffer.assign(header.begin(), header.end());
+  mBuffer.insert(mBuffer.end(), aPacket.begin(), aPacket.end());
+  Count(mSockets.mNodes->Send(mBuffer, aNode));
+}
+
+void SocketOutput::SendToCaller(const FlowKey& aFlow, std::span<const std::uint8_t> aPacket)
+{
+  Count(mSockets.mCallers->Send(aPacket, CallerEndpoint(aFlow, mCallerPort)));
+}
+
+void SocketOutput::SendToUpstream(std::span<const std::uint8_t> aPacket)
+{
+  Count(mSockets.mUpstream->Send(aPacket, mSockets.mUpstreamEndpoint));
+}
+
+} // namespace dandelionslip
--- /dev/null
+++ b/lib/Daemon/PacketNode.h
@@ -0,0 +1,90 @@
+// What balancers and agents of the packet plane have in common.
+#pragma once
+
+#include "ControlLink.h"
+#include "PeerClients.h"
+
+#include "dandelionslip/Config/PacketSettings.h"
+#include "dandelionslip/Daemon/WorkerPool.h"
+#include "dandelionslip/Net/UdpSocket.h"
+#include "dandelionslip/Packet/PacketActions.h"
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace dandelionslip {
+
+/// Event loop, control link and sockets of a packet node. One thread runs everything.
+class PacketNode
+{
+public:
+  struct Handlers
+  {
+    std::function<void(Member&)> mDescribe; ///< Fills in kind, service and state.
+    std::function<void(const NodeState&)> mOnState;
+    std::function<std::vector<std::string>()> mReadSeeds;
+  };
+
+  PacketNode(const PacketNodeSettings& aSettings, Handlers aHandlers);
+
+  /// Fetches the state from control and announces the node from then on.
+  void Start();
+  /// Stops announcing after a last announcement.
+  void AnnounceAndExit(Milliseconds aDelay);
+
+  WorkerPool& Pool() { return mPool; }
+  boost::asio::io_context& Loop() { return mPool.Loop(); }
+  ControlLink& Link() { return mLink; }
+  MetricsRegistry& Registry() { return mRegistry; }
+
+private:
+  Announcement Describe() const;
+  void OnAnswer(const AnnouncementAnswer& aAnswer, const NodeState& aState);
+  void CheckSeeds();
+  void ReadSeeds();
+
+  PacketNodeSettings mSettings;
+  Handlers mHandlers;
+  WorkerPool mPool;
+  PeerClients mPeers;
+  MetricsRegistry mRegistry;
+  std::uint64_t mIncarnation;
+  std::vector<std::string> mSeeds;
+  ControlLink mLink;
+  std::unique_ptr<RepeatingTimer> mSeedTimer;
+};
+
+/// The sockets of a node as the output of its core.
+class SocketOutput : public PacketOutput
+{
+public:
+  /// Sockets are owned by the caller and must be set before the first packet.
+  struct Sockets
+  {
+    UdpSocket* mNodes = nullptr;
+    UdpSocket* mCallers = nullptr;
+    UdpSocket* mUpstream = nullptr;
+    Endpoint mUpstreamEndpoint;
+  };
+
+  SocketOutput(std::uint16_t aCallerPort, MetricsRegistry& aRegistry);
+
+  void SetSockets(const Sockets& aSockets) { mSockets = aSockets; }
+
+  void SendToNode(const Endpoint& aNode, const HopHeader& aHeader,
+                  std::span<const std::uint8_t> aPacket) override;
+  void SendToCaller(const FlowKey& aFlow, std::span<const std::uint8_t> aPacket) override;
+  void SendToUpstream(std::span<const std::uint8_t> aPacket) override;
+
+private:
+  void Count(bool aSent);
+
+  std::uint16_t mCallerPort;
+  Counter& mNotSent;
+  Sockets mSockets;
+  std::vector<std::uint8_t> mBuffer;
+};
+
+} // namespace dandelionslip
--- /dev/null
+++ b/lib/Packet/HopHeader.cpp
@@ -0,0 +1,48 @@
+// Codec of the hop header.
+#include "dandelionslip/Packet/HopHeader.h"
+
+#include <string>
+
+namespace dandelionslip {
+
+namespace {
+
+constexpr std::uint8_t kMagic = 0xd5;
+constexpr std::uint8_t kVersion = 1;
+
+} // namespace
+
+std::string_view ToString(ReturnReason aReason)
+{
+  static constexpr std::array<std::string_view, kReturnReasons> kNames{
+    "none",     "not_held", "refused",       "unresponsive",
+    "draining", "cold",     "wrong_service", "no_upstream"};
+  return kNames[static_cast<std::size_t>(aReason)];
+}
+
+std::array<std::uint8_t, HopHeader::kBytes> HopHeader::Encode() const
+{
+  return {kMagic, kVersion, static_cast<std::uint8_t>(mKind), static_cast<std::uint8_t>(mReason)};
+}
+
+Result<HopHeader> HopHeader::Decode(std::span<const std::uint8_t> aBytes)
+{
+  const auto invalid = [](std::string aDetail) {
+    return Fail(ErrorCode::InvalidInput, "hop.decode", "", std::move(aDetail));
+  };
+  if (aBytes.size() < kBytes) {
+    return invalid("found " + std::to_string(aBytes.size()) + " bytes, expected at least 4");
+  }
+  if (aBytes[0] != kMagic || aBytes[1] != kVersion) {
+    return invalid("found another magic number or version");
+  }
+  constexpr auto first = static_cast<std::uint8_t>(HopKind::Deliver);
+  constexpr auto last = static_cast<std::uint8_t>(HopKind::Load);
+  if (aBytes[2] < first || aBytes[2] > last || aBytes[3] >= kReturnReasons) {
+    return invalid("found kind " + std::to_string(aBytes[2]) + " with reason " +
+                   std::to_string(aBytes[3]));
+  }
+  return HopHeader{static_cast<HopKind>(aBytes[2]), static_cast<ReturnReason>(aBytes[3])};
+}
+
+} // namespace dandelionslip
--- /dev/null
+++ b/lib/Packet/PacketAgentFlows.cpp
@@ -0,0 +1,224 @@
+// Packets of a packet agent.
+#include "dandelionslip/Packet/PacketAgent.h"
+
+namespace dandelionslip {
+
+namespace {
+
+// Sequence numbers wrap around; aFirst is later when the distance is below half of the range.
+bool IsLater(std::uint32_t aFirst, std::uint32_t aSecond)
+{
+  return static_cast<std::int32_t>(aFirst - aSecond) > 0;
+}
+
+} // namespace
+
+void PacketAgent::OnNodePacket(const Endpoint& aFrom, const HopHeader& aHeader,
+                               std::span<std::uint8_t> aPacket, PacketOutput& aOutput,
+                               TimePoint aNow)
+{
+  const auto segment = mCodec.DecodeFromCaller(aPacket);
+  const bool known = aHeader.mKind == HopKind::Deliver || aHeader.mKind == HopKind::DeliverIfHeld;
+  if (!segment || !known || segment->mBounced) {
+    mMalformed.Add();
+    return;
+  }
+  if (segment->mOpens) {
+    OnOpening(aFrom, *segment, aPacket, aOutput, aNow);
+    return;
+  }
+  OnMidFlow(aFrom, aHeader.mKind, *segment, aPacket, aOutput, aNow);
+}
+
+void PacketAgent::OnOpening(const Endpoint& aFrom, const Segment& aSegment,
+                            std::span<std::uint8_t> aPacket, PacketOutput& aOutput, TimePoint aNow)
+{
+  const auto found = mFlows.find(aSegment.mFlow);
+  if (found != mFlows.end() && aSegment.mCopyNumber > 0 && !found->second.mAccepted) {
+    Forget(aSegment.mFlow, aNow);
+    Return(aFrom, ReturnReason::Unresponsive, aPacket, aOutput);
+    return;
+  }
+  if (const auto reason = ReasonToRefuse(aSegment, aNow)) {
+    Return(aFrom, *reason, aPacket, aOutput);
+    return;
+  }
+  if (aSegment.mCopyNumber == 0) {
+    Forget(aSegment.mFlow, aNow);
+  }
+  Flow& flow = FlowOf(aSegment.mFlow, aNow);
+  flow.mDelivered = aSegment.mSequence;
+  if (mUnansweredOpens++ == 0) {
+    mUnansweredSince = aNow;
+  }
+  Deliver(aFrom, HopKind::Deliver, aPacket, aOutput);
+}
+
+void PacketAgent::OnMidFlow(const Endpoint& aFrom, HopKind aKind, const Segment& aSegment,
+                            std::span<std::uint8_t> aPacket, PacketOutput& aOutput, TimePoint aNow)
+{
+  const auto found = mFlows.find(aSegment.mFlow);
+  if (found == mFlows.end()) {
+    if (!TableIsComplete(aNow)) {
+      Deliver(aFrom, aKind, aPacket, aOutput);
+    } else if (aKind == HopKind::Deliver) {
+      Return(aFrom, ReturnReason::NotHeld, aPacket, aOutput);
+    }
+    return;
+  }
+  Flow& flow = found->second;
+  flow.mUsedAt = aNow;
+  NoteRequest(flow, aSegment, aNow);
+  if (aKind == HopKind::DeliverIfHeld) {
+    aOutput.SendToNode(aFrom, {HopKind::Held, ReturnReason::None}, aPacket);
+  }
+  Deliver(aFrom, aKind, aPacket, aOutput);
+  if (aSegment.mResets) {
+    Forget(aSegment.mFlow, aNow);
+    return;
+  }
+  flow.mCallerEnded = flow.mCallerEnded || aSegment.mEnds;
+  if (flow.mCallerEnded && flow.mUpstreamEnded) {
+    Close(flow, aNow);
+  }
+}
+
+void PacketAgent::OnUpstreamPacket(std::span<std::uint8_t> aPacket, PacketOutput& aOutput,
+                                   TimePoint aNow)
+{
+  mUnansweredOpens = 0;
+  if (mCodec.IsBounced(aPacket)) {
+    OnBounced(aPacket, aOutput, aNow);
+    return;
+  }
+  const auto segment = mCodec.DecodeFromUpstream(aPacket);
+  if (!segment) {
+    mMalformed.Add();
+    return;
+  }
+  mReplies.Add();
+  aOutput.SendToCaller(segment->mFlow, aPacket);
+  if (segment->mResets) {
+    Forget(segment->mFlow, aNow);
+    return;
+  }
+  Flow& flow = FlowOf(segment->mFlow, aNow);
+  flow.mAccepted = true;
+  flow.mEstablished = flow.mEstablished || !segment->mAccepts;
+  if (segment->mDataBytes > 0 && flow.mBusy) {
+    mSpeed.OnCompleted();
+    SetBusy(flow, false, aNow);
+  }
+  flow.mUpstreamEnded = flow.mUpstreamEnded || segment->mEnds;
+  if (flow.mCallerEnded && flow.mUpstreamEnded) {
+    Close(flow, aNow);
+  }
+}
+
+void PacketAgent::OnBounced(std::span<std::uint8_t> aPacket, PacketOutput& aOutput, TimePoint aNow)
+{
+  mBounced.Add();
+  const auto segment = mCodec.DecodeFromCaller(aPacket);
+  if (!segment) {
+    mMalformed.Add();
+    return;
+  }
+  const Delivery delivery = mDeliveries[segment->mTag % kDeliveries];
+  if (delivery.mTag != segment->mTag) {
+    return;
+  }
+  mCodec.ClearBounce(aPacket);
+  if (segment->mOpens) {
+    Forget(segment->mFlow, aNow);
+    Return(delivery.mBalancer, ReturnReason::Refused, aPacket, aOutput);
+    return;
+  }
+  const auto found = mFlows.find(segment->mFlow);
+  if (found != mFlows.end() && found->second.mEstablished) {
+    // The flow was open here and its upstream no longer holds it: nobody does.
+    const bool ended = found->second.mUpstreamEnded || found->second.mClosed;
+    Forget(segment->mFlow, aNow);
+    if (!ended) {
+      mResets.Add();
+      aOutput.SendToCaller(segment->mFlow,
+                           mCodec.EncodeReset(segment->mFlow, segment->mAcknowledged));
+    }
+    return;
+  }
+  Forget(segment->mFlow, aNow);
+  if (delivery.mKind == HopKind::Deliver) {
+    Return(delivery.mBalancer, ReturnReason::NotHeld, aPacket, aOutput);
+  }
+}
+
+void PacketAgent::Deliver(const Endpoint& aBalancer, HopKind aKind, std::span<std::uint8_t> aPacket,
+                          PacketOutput& aOutput)
+{
+  mDelivered.Add();
+  const std::uint32_t tag = mNextTag++;
+  mDeliveries[tag % kDeliveries] = {tag, aBalancer, aKind};
+  mCodec.SetTag(aPacket, tag);
+  aOutput.SendToUpstream(aPacket);
+}
+
+void PacketAgent::Return(const Endpoint& aBalancer, ReturnReason aReason,
+                         std::span<const std::uint8_t> aPacket, PacketOutput& aOutput)
+{
+  mReturned[static_cast<std::size_t>(aReason)]->Add();
+  aOutput.SendToNode(aBalancer, {HopKind::Returned, aReason}, aPacket);
+}
+
+PacketAgent::Flow& PacketAgent::FlowOf(const FlowKey& aFlow, TimePoint aNow)
+{
+  const auto [item, isNew] = mFlows.try_emplace(aFlow);
+  Flow& flow = item->second;
+  if (isNew) {
+    ++mOpenFlows;
+  }
+  flow.mUsedAt = aNow;
+  return flow;
+}
+
+// A request begins with data that was not delivered before; retransmissions do not count.
+void PacketAgent::NoteRequest(Flow& aFlow, const Segment& aSegment, TimePoint aNow)
+{
+  if (aSegment.mDataBytes == 0) {
+    return;
+  }
+  const std::uint32_t end = aSegment.mSequence + aSegment.mDataBytes;
+  if (aFlow.mDelivered && !IsLater(end, *aFlow.mDelivered)) {
+    return;
+  }
+  aFlow.mDelivered = end;
+  SetBusy(aFlow, true, aNow);
+}
+
+void PacketAgent::SetBusy(Flow& aFlow, bool aBusy, TimePoint aNow)
+{
+  if (aFlow.mBusy == aBusy) {
+    return;
+  }
+  aFlow.mBusy = aBusy;
+  aFlow.mBusySince = aNow;
+  mActive = aBusy ? mActive + 1 : mActive - 1;
+  mSpeed.OnActive(mActive, mUpstream ? mUpstream->mReport.mSlots : 1, aNow);
+}
+
+void PacketAgent::Close(Flow& aFlow, TimePoint aNow)
+{
+  SetBusy(aFlow, false, aNow);
+  if (!aFlow.mClosed) {
+    aFlow.mClosed = true;
+    --mOpenFlows;
+  }
+}
+
+void PacketAgent::Forget(const FlowKey& aFlow, TimePoint aNow)
+{
+  if (const auto found = mFlows.find(aFlow); found != mFlows.end()) {
+    Close(found->second, aNow);
+    mFlows.erase(found);
+  }
+}
+
+} // namespace dandelionslip
