Let opening packets wait for an upstream that may accept them, and reset lost flows

Balancers reset opening packets while they knew no routes or only some agents, which used up the callers' three tries within milliseconds. Cold upstreams take five flows a second, so most later openings were reset too. Callers with flows from before the loss waited for their deadline, because nobody told them that the flow was gone.

Change: an opening packet waits, at most 1.3 s or the route's timeout, when an agent has just started, was silent, or is cold and will have room in time; the most important routes go first. Agents report their cold allowance. A flow that every agent denies is reset.

--- a/include/dandelionslip/Packet/FlowKey.h
+++ b/include/dandelionslip/Packet/FlowKey.h
@@ -4,6 +4,7 @@
 #include <array>
 #include <compare>
 #include <cstdint>
+#include <string>
 
 namespace dandelionslip {
 
@@ -18,6 +19,9 @@
   auto operator<=>(const FlowKey&) const = default;
 };
 
+/// "caller address:port>service address:port", for logs.
+std::string ToString(const FlowKey& aKey);
+
 /// A well-mixed hash, equal on every node.
 std::uint64_t HashOf(const FlowKey& aKey);
 
--- a/include/dandelionslip/Packet/HopHeader.h
+++ b/include/dandelionslip/Packet/HopHeader.h
@@ -29,9 +29,10 @@
   Cold,         ///< The upstream is cold and has been opened as many flows as it can bear.
   WrongService, ///< The route does not lead to the upstream's service.
   NoUpstream,   ///< The agent has not heard from its upstream.
+  NotFound,     ///< Answer to DeliverIfHeld: the upstream does not hold the flow.
 };
 
-inline constexpr std::size_t kReturnReasons = 8;
+inline constexpr std::size_t kReturnReasons = 9;
 
 std::string_view ToString(ReturnReason aReason);
 
--- a/include/dandelionslip/Packet/PacketAgent.h
+++ b/include/dandelionslip/Packet/PacketAgent.h
@@ -124,6 +124,7 @@
   const SegmentCodec& mCodec;
   TimePoint mStartedAt;
   std::optional<Upstream> mUpstream;
+  bool mUpstreamStartSeen = false; ///< All flows of the upstream were opened by this process.
   bool mStopping = false;
   bool mDataCentreOut = false;
   bool mReturnUnconfirmed = false; ///< The data centre came back; no heartbeat since then.
--- a/include/dandelionslip/Packet/PacketBalancer.h
+++ b/include/dandelionslip/Packet/PacketBalancer.h
@@ -8,6 +8,7 @@
 #include "dandelionslip/Support/Metrics.h"
 
 #include <array>
+#include <functional>
 #include <map>
 #include <unordered_map>
 
@@ -21,6 +22,13 @@
   /// How long a flow's holder is remembered without packets; longer than an idle flow may live.
   Milliseconds mFlowMemory{20'000};
   std::size_t mMaxFlows = 500'000;
+  /// How long an opening packet waits for an upstream that may be about to accept it. Callers give
+  /// up 1.4 s after the first packet.
+  Milliseconds mOpeningWait{1'300};
+  /// After the first agents are known, others may still be missing from the view for this long:
+  /// agents announce themselves every 100 ms after their start.
+  Milliseconds mSettleTime{1'000};
+  std::size_t mMaxWaiting = 10'000; ///< Opening packets that wait at once; 32 bytes each.
 };
 
 /// Sends each packet of a caller to the agent whose upstream holds the flow, and places new flows.
@@ -33,7 +41,8 @@
                  MetricsRegistry& aRegistry, Random aRandom);
 
   /// Takes a configuration and view; neither ever has a lower revision than the one before.
-  void OnState(const Configuration& aConfiguration, const View& aView);
+  void OnState(const Configuration& aConfiguration, const View& aView, PacketOutput& aOutput,
+               TimePoint aNow);
   /// A packet of a caller. The packet may be changed.
   void OnCallerPacket(std::span<std::uint8_t> aPacket, PacketOutput& aOutput, TimePoint aNow);
   /// A datagram of an agent after its hop header.
@@ -64,6 +73,8 @@
     std::string mName;
     std::vector<RouteTarget> mTargets;
     std::uint64_t mTotalWeight = 0;
+    std::uint32_t mPriority = 0; ///< 0 is the highest.
+    Milliseconds mWait{0};       ///< Longest wait of an opening packet for an upstream.
   };
 
   /// Where a flow is, as far as this balancer knows.
@@ -73,7 +84,19 @@
     std::vector<Endpoint> mTried; ///< Agents that returned the opening packet.
     TimePoint mUsedAt;
     TimePoint mSearchedAt;
-    std::uint32_t mSearches = 0; ///< Without an answer so far.
+    std::uint32_t mSearches = 0;  ///< Without an answer so far.
+    std::vector<Endpoint> mAsked; ///< Agents that have not answered the search yet.
+    bool mAskedAll = false;       ///< The search covers every agent.
+  };
+
+  /// An opening packet that waits for an upstream.
+  struct WaitingOpening
+  {
+    FlowKey mFlow;
+    std::vector<std::uint8_t> mPacket;
+    std::uint32_t mPriority = 0;
+    TimePoint mSince;
+    Milliseconds mWait{0}; ///< Longest wait.
   };
 
   using AgentMap = std::map<Endpoint, Agent>;
@@ -85,14 +108,26 @@
             TimePoint aNow);
   void Place(const Segment& aSegment, Flow& aFlow, const RouteEntry& aRoute,
              std::span<const std::uint8_t> aPacket, PacketOutput& aOutput, TimePoint aNow);
+  void Wait(const Segment& aSegment, std::uint32_t aPriority, Milliseconds aWait,
+            std::span<const std::uint8_t> aPacket, TimePoint aNow);
+  void RetryWaiting(PacketOutput& aOutput, TimePoint aNow);
+  bool IsWaiting(const FlowKey& aFlow) const;
+  bool MayAcceptSoon(const RouteEntry& aRoute, const Flow& aFlow, TimePoint aNow) const;
+  std::uint32_t OpensLeft(const Agent& aAgent) const;
   std::optional<Endpoint> ChooseAgent(const std::string& aService, const Flow& aFlow,
                                       TimePoint aNow);
   bool MayPlace(const Endpoint& aEndpoint, const Agent& aAgent, const Flow& aFlow) const;
   void Search(const Segment& aSegment, Flow& aFlow, std::span<const std::uint8_t> aPacket,
-              const std::optional<Endpoint>& aExcept, PacketOutput& aOutput, TimePoint aNow);
+              PacketOutput& aOutput, TimePoint aNow);
+  void Ask(Flow& aFlow, std::span<const std::uint8_t> aPacket,
+           const std::function<bool(const Agent&)>& aWhich, PacketOutput& aOutput);
+  bool IsSettled(TimePoint aNow) const;
+  void OnNotFound(const Endpoint& aFrom, const Segment& aSegment,
+                  std::span<const std::uint8_t> aPacket, PacketOutput& aOutput, TimePoint aNow);
   void OnReturned(const Endpoint& aFrom, ReturnReason aReason, std::span<std::uint8_t> aPacket,
                   PacketOutput& aOutput, TimePoint aNow);
-  void OnLoad(const Endpoint& aFrom, std::span<const std::uint8_t> aBytes, TimePoint aNow);
+  void OnLoad(const Endpoint& aFrom, std::span<const std::uint8_t> aBytes, PacketOutput& aOutput,
+              TimePoint aNow);
   void Reset(const Segment& aSegment, PacketOutput& aOutput, Counter& aCounter);
 
   PacketBalancerSettings mSettings;
@@ -104,14 +139,20 @@
   std::uint64_t mViewRevision = 0;
   std::uint64_t mRevision = 0;
   AgentMap mAgents; ///< By datagram endpoint.
+  std::optional<TimePoint> mFirstAgentAt;
   std::unordered_map<FlowKey, Flow, FlowKeyHash> mFlows;
+  std::vector<WaitingOpening> mWaiting; ///< In order of arrival.
+  std::size_t mBalancers = 1;           ///< In the view, this one included.
   Counter& mForwarded;
   Counter& mSearched;
   Counter& mMalformed;
   Counter& mNoRoute;
   Counter& mNoUpstream;
+  Counter& mNotFound;
   Counter& mPlaced;
   Counter& mFlowsFull;
+  Counter& mWaited;
+  Counter& mWaitedInVain;
   std::array<Counter*, kReturnReasons> mReturned{};
 };
 
--- a/lib/Daemon/PacketAgentDaemon.cpp
+++ b/lib/Daemon/PacketAgentDaemon.cpp
@@ -6,6 +6,8 @@
 #include "dandelionslip/Packet/PacketAgent.h"
 #include "dandelionslip/Support/Log.h"
 
+#include <map>
+
 namespace dandelionslip {
 
 namespace {
@@ -15,6 +17,9 @@
 // Placement reacts within this time to a changed load. A report costs each balancer one datagram.
 constexpr Milliseconds kReportInterval{200};
 
+// A balancer that neither the view nor a packet has named for this long gets no reports.
+constexpr Milliseconds kBalancerMemory{5'000};
+
 // Time for the last reports and the last packets on their way.
 constexpr Milliseconds kStopDelay{100};
 
@@ -120,6 +125,7 @@
         .Add();
       return;
     }
+    NoteBalancer(aFrom);
     mCore.OnNodePacket(aFrom, header.value(), aBytes.subspan(HopHeader::kBytes), mOutput,
                        RuntimeClock::now());
   }
@@ -134,20 +140,40 @@
   void OnState(const NodeState& aState)
   {
     mCore.OnConfiguration(aState.CurrentConfiguration());
-    mBalancers.clear();
     for (const auto& [name, member] : aState.CurrentView().mMembers) {
       const auto endpoint = Endpoint::Parse(member.mDatagramEndpoint);
       if (member.mKind == MemberKind::Balancer && HoldsFlows(member.mState) && endpoint) {
-        mBalancers.push_back(endpoint.value());
+        NoteBalancer(endpoint.value());
       }
     }
   }
 
+  // Balancers are known from the view and from their packets: after a restart of everything, packets
+  // may come before the first view.
+  void NoteBalancer(const Endpoint& aBalancer)
+  {
+    const auto [item, isNew] = mBalancers.try_emplace(aBalancer);
+    item->second = RuntimeClock::now();
+    if (isNew) {
+      SendReport(aBalancer, EncodedReport());
+    }
+  }
+
+  Bytes EncodedReport() { return ToCbor(mCore.Report(RuntimeClock::now())); }
+
+  void SendReport(const Endpoint& aBalancer, const Bytes& aReport)
+  {
+    mOutput.SendToNode(aBalancer, {HopKind::Load, ReturnReason::None}, aReport);
+  }
+
   void SendReports()
   {
-    const Bytes report = ToCbor(mCore.Report(RuntimeClock::now()));
-    for (const Endpoint& balancer : mBalancers) {
-      mOutput.SendToNode(balancer, {HopKind::Load, ReturnReason::None}, report);
+    const TimePoint now = RuntimeClock::now();
+    std::erase_if(mBalancers,
+                  [&](const auto& aItem) { return now - aItem.second > kBalancerMemory; });
+    const Bytes report = EncodedReport();
+    for (const auto& [balancer, heard] : mBalancers) {
+      SendReport(balancer, report);
     }
   }
 
@@ -173,7 +199,7 @@
   PacketAgent mCore;
   SocketOutput mOutput;
   PacketAdapterFactory<PacketAgentCalls> mAdapterFactory;
-  std::vector<Endpoint> mBalancers;
+  std::map<Endpoint, TimePoint> mBalancers; ///< When each was last in the view or heard from.
   std::unique_ptr<UdpSocket> mNodes;
   std::unique_ptr<UdpSocket> mUpstream;
   std::unique_ptr<RepeatingTimer> mTimer;
--- a/lib/Daemon/PacketBalancerDaemon.cpp
+++ b/lib/Daemon/PacketBalancerDaemon.cpp
@@ -98,7 +98,8 @@
 
   void OnState(const NodeState& aState)
   {
-    mCore.OnState(aState.CurrentConfiguration(), aState.CurrentView());
+    mCore.OnState(aState.CurrentConfiguration(), aState.CurrentView(), mOutput,
+                  RuntimeClock::now());
     if (mCore.Ready() && !std::exchange(mWasReady, true)) {
       LogEvent(LogLevel::Info, "ready").With("routes", mCore.RouteVersion());
     }
--- a/lib/Daemon/PacketNode.cpp
+++ b/lib/Daemon/PacketNode.cpp
@@ -17,6 +17,11 @@
 // earlier process started. Larger than the steps of the clock that were seen, up to 2.4 s.
 constexpr std::uint64_t kIncarnationStep = 5'000;
 
+// A node that has just started announces itself this often for a short time, so that it takes part
+// in the first views after a restart of everything.
+constexpr Milliseconds kEagerInterval{100};
+constexpr Milliseconds kEagerTime{3'000};
+
 Endpoint CallerEndpoint(const FlowKey& aFlow, std::uint16_t aPort)
 {
   constexpr std::size_t kV4Marker = 10;
@@ -66,6 +71,9 @@
   mLink.FetchState([this](const NodeState& aState) {
     mHandlers.mOnState(aState);
     mLink.Start();
+    mEagerTimer = std::make_unique<RepeatingTimer>(mPool.Loop(), kEagerInterval,
+                                                   [this] { mLink.AnnounceNow(); });
+    CallAfter(mPool.Loop(), kEagerTime, [this] { mEagerTimer.reset(); });
   });
   mPool.OnReload([this] { ReadSeeds(); });
   mSeedTimer =
--- a/lib/Daemon/PacketNode.h
+++ b/lib/Daemon/PacketNode.h
@@ -54,6 +54,7 @@
   std::vector<std::string> mSeeds;
   ControlLink mLink;
   std::unique_ptr<RepeatingTimer> mSeedTimer;
+  std::unique_ptr<RepeatingTimer> mEagerTimer;
 };
 
 /// The sockets of a node as the output of its core.
--- a/lib/Packet/FlowKey.cpp
+++ b/lib/Packet/FlowKey.cpp
@@ -5,6 +5,26 @@
 
 namespace dandelionslip {
 
+namespace {
+
+std::string AddressText(std::uint32_t aAddress, std::uint16_t aPort)
+{
+  std::string text;
+  for (int shift = 24; shift >= 0; shift -= 8) {
+    text += std::to_string((aAddress >> static_cast<unsigned>(shift)) & 0xffU);
+    text += shift > 0 ? '.' : ':';
+  }
+  return text + std::to_string(aPort);
+}
+
+} // namespace
+
+std::string ToString(const FlowKey& aKey)
+{
+  return AddressText(aKey.mCallerAddress, aKey.mCallerPort) + ">" +
+         AddressText(aKey.mServiceAddress, aKey.mServicePort);
+}
+
 std::uint64_t HashOf(const FlowKey& aKey)
 {
   const std::uint64_t caller =
--- a/lib/Packet/HopHeader.cpp
+++ b/lib/Packet/HopHeader.cpp
@@ -15,8 +15,8 @@
 std::string_view ToString(ReturnReason aReason)
 {
   static constexpr std::array<std::string_view, kReturnReasons> kNames{
-    "none",     "not_held", "refused",       "unresponsive",
-    "draining", "cold",     "wrong_service", "no_upstream"};
+    "none", "not_held",      "refused",     "unresponsive", "draining",
+    "cold", "wrong_service", "no_upstream", "not_found"};
   return kNames[static_cast<std::size_t>(aReason)];
 }
 
--- a/lib/Packet/PacketAgent.cpp
+++ b/lib/Packet/PacketAgent.cpp
@@ -95,6 +95,7 @@
     if (sameStart && mUpstream->mLeft) {
       return ReportOutcome::Late;
     }
+    mUpstreamStartSeen = mUpstreamStartSeen || !sameStart;
     if (!sameStart || known.mDraining != aReport.mDraining) {
       LogEvent(LogLevel::Info, "upstream_changed")
         .With("upstream", aReport.mId)
@@ -107,6 +108,11 @@
       .With("upstream", aReport.mId)
       .With("started_ms", aReport.mStartedMs)
       .With("cold_left_ms", aReport.mColdLeft.count());
+    // Without its first heartbeat, an earlier process of this agent may have opened flows.
+    mUpstreamStartSeen = aReport.mSequence <= 1;
+    if (!mUpstreamStartSeen) {
+      mColdOpens.Block(mStartedAt);
+    }
   }
   mUpstream = Upstream{aReport, aNow, aNow + aReport.mColdLeft, false};
   mReturnUnconfirmed = false;
@@ -127,12 +133,11 @@
   return mReturnUnconfirmed || (mUpstream && aNow < mUpstream->mColdUntil);
 }
 
-// One less than the bound: a copy of an opening packet that the network doubles also counts.
 std::size_t PacketAgent::ColdLimit() const
 {
   const RoutedService* service = mRoutes.FindService(mSettings.mService);
   const double rate = service == nullptr ? 0.0 : service->mColdOpensPerSecond;
-  const double bound = std::floor(rate * mSettings.mColdExcessFactor + mSettings.mColdSlack) - 1;
+  const double bound = std::floor(rate * mSettings.mColdExcessFactor + mSettings.mColdSlack);
   return bound < 1 ? 1 : static_cast<std::size_t>(bound);
 }
 
@@ -177,9 +182,7 @@
 
 bool PacketAgent::TableIsComplete(TimePoint aNow) const
 {
-  // The first heartbeat of an upstream that started after this agent.
-  const bool upstreamIsNew = mUpstream && mUpstream->mReport.mSequence <= 1;
-  return upstreamIsNew || aNow - mStartedAt > mSettings.mMaxFlowAge;
+  return mUpstreamStartSeen || aNow - mStartedAt > mSettings.mMaxFlowAge;
 }
 
 LoadReport PacketAgent::Report(TimePoint aNow) const
@@ -189,6 +192,15 @@
   report.mDataCentre = mSettings.mDataCentre;
   report.mAccepts = UpstreamCondition(aNow) == ReturnReason::None;
   report.mCold = IsCold(aNow);
+  if (report.mCold) {
+    report.mOpensAllowed = static_cast<std::uint32_t>(mColdOpens.Allowed(ColdLimit(), aNow));
+    report.mColdLeft = mReturnUnconfirmed
+                         ? mSettings.mHeartbeat
+                         : std::chrono::duration_cast<Milliseconds>(mUpstream->mColdUntil - aNow);
+    report.mOpensPerSecond = static_cast<std::uint32_t>(ColdLimit());
+  }
+  report.mGone = mStopping && (!mUpstream || mUpstream->mLeft);
+  report.mStarting = !mUpstream && aNow - mStartedAt < kMissedHeartbeats * mSettings.mHeartbeat;
   report.mFlows = mOpenFlows;
   report.mRequests = mActive;
   report.mSlots = mUpstream ? std::max<std::uint32_t>(mUpstream->mReport.mSlots, 1) : 1;
--- a/lib/Packet/PacketAgentFlows.cpp
+++ b/lib/Packet/PacketAgentFlows.cpp
@@ -11,6 +11,11 @@
   return static_cast<std::int32_t>(aFirst - aSecond) > 0;
 }
 
+ReturnReason ReasonNotHeld(HopKind aKind)
+{
+  return aKind == HopKind::DeliverIfHeld ? ReturnReason::NotFound : ReturnReason::NotHeld;
+}
+
 } // namespace
 
 void PacketAgent::OnNodePacket(const Endpoint& aFrom, const HopHeader& aHeader,
@@ -61,8 +66,8 @@
   if (found == mFlows.end()) {
     if (!TableIsComplete(aNow)) {
       Deliver(aFrom, aKind, aPacket, aOutput);
-    } else if (aKind == HopKind::Deliver) {
-      Return(aFrom, ReturnReason::NotHeld, aPacket, aOutput);
+    } else {
+      Return(aFrom, ReasonNotHeld(aKind), aPacket, aOutput);
     }
     return;
   }
@@ -146,9 +151,7 @@
     return;
   }
   Forget(segment->mFlow, aNow);
-  if (delivery.mKind == HopKind::Deliver) {
-    Return(delivery.mBalancer, ReturnReason::NotHeld, aPacket, aOutput);
-  }
+  Return(delivery.mBalancer, ReasonNotHeld(delivery.mKind), aPacket, aOutput);
 }
 
 void PacketAgent::Deliver(const Endpoint& aBalancer, HopKind aKind, std::span<std::uint8_t> aPacket,
--- a/lib/Packet/PacketBalancer.cpp
+++ b/lib/Packet/PacketBalancer.cpp
@@ -6,6 +6,7 @@
 #include "dandelionslip/Support/Log.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace dandelionslip {
 
@@ -18,7 +19,7 @@
 
 // An agent without a place in the view is kept while it reports, and this much longer, since its
 // upstream may still hold flows.
-constexpr Milliseconds kAgentMemory{5'000};
+constexpr Milliseconds kAgentMemory{10'000};
 
 } // namespace
 
@@ -32,8 +33,11 @@
   , mMalformed(aRegistry.CounterFor("dandelionslip_packets_dropped_total", "reason=\"malformed\""))
   , mNoRoute(aRegistry.CounterFor("dandelionslip_flows_refused_total", "reason=\"no_route\""))
   , mNoUpstream(aRegistry.CounterFor("dandelionslip_flows_refused_total", "reason=\"no_upstream\""))
+  , mNotFound(aRegistry.CounterFor("dandelionslip_flows_refused_total", "reason=\"not_found\""))
   , mPlaced(aRegistry.CounterFor("dandelionslip_flows_placed_total"))
   , mFlowsFull(aRegistry.CounterFor("dandelionslip_packets_dropped_total", "reason=\"flows_full\""))
+  , mWaited(aRegistry.CounterFor("dandelionslip_openings_waited_total"))
+  , mWaitedInVain(aRegistry.CounterFor("dandelionslip_openings_waited_in_vain_total"))
 {
   for (std::size_t i = 0; i < kReturnReasons; ++i) {
     const auto reason = ToString(static_cast<ReturnReason>(i));
@@ -42,7 +46,8 @@
   }
 }
 
-void PacketBalancer::OnState(const Configuration& aConfiguration, const View& aView)
+void PacketBalancer::OnState(const Configuration& aConfiguration, const View& aView,
+                             PacketOutput& aOutput, TimePoint aNow)
 {
   if (aConfiguration.mRevision > mRevision) {
     mRevision = aConfiguration.mRevision;
@@ -52,7 +57,8 @@
     mRouteVersion = aConfiguration.mRoutes.mVersion;
     mRoutes.clear();
     for (const Route& route : aConfiguration.mRoutes.mRoutes) {
-      RouteEntry entry{route.mName, route.mTargets, 0};
+      RouteEntry entry{route.mName, route.mTargets, 0, route.mPriority,
+                       std::min(mSettings.mOpeningWait, route.mTimeout)};
       for (const RouteTarget& target : route.mTargets) {
         entry.mTotalWeight += target.mWeight;
       }
@@ -64,6 +70,7 @@
       .With("routes", mRoutes.size());
   }
   if (aView.mRevision <= mViewRevision) {
+    RetryWaiting(aOutput, aNow);
     return;
   }
   mViewRevision = aView.mRevision;
@@ -71,6 +78,10 @@
     agent.mInView = false;
     agent.mTakesNewWork = false;
   }
+  mBalancers = static_cast<std::size_t>(
+    std::count_if(aView.mMembers.begin(), aView.mMembers.end(), [](const auto& aItem) {
+      return aItem.second.mKind == MemberKind::Balancer && HoldsFlows(aItem.second.mState);
+    }));
   for (const auto& [name, member] : aView.mMembers) {
     const auto endpoint = Endpoint::Parse(member.mDatagramEndpoint);
     if (member.mKind != MemberKind::Agent || !HoldsFlows(member.mState) || !endpoint) {
@@ -82,6 +93,10 @@
     agent.mInView = true;
     agent.mTakesNewWork = TakesNewWork(member.mState);
   }
+  if (!mFirstAgentAt && !mAgents.empty()) {
+    mFirstAgentAt = aNow;
+  }
+  RetryWaiting(aOutput, aNow);
 }
 
 const PacketBalancer::RouteEntry* PacketBalancer::FindRoute(const FlowKey& aFlow) const
@@ -132,7 +147,7 @@
   }
   Flow& flow = FlowOf(segment->mFlow, aNow);
   if (!flow.mHolder) {
-    Search(*segment, flow, aPacket, std::nullopt, aOutput, aNow);
+    Search(*segment, flow, aPacket, aOutput, aNow);
     return;
   }
   mForwarded.Add();
@@ -142,11 +157,18 @@
 void PacketBalancer::Open(const Segment& aSegment, std::span<const std::uint8_t> aPacket,
                           PacketOutput& aOutput, TimePoint aNow)
 {
+  if (mRouteVersion == 0) {
+    Wait(aSegment, 0, mSettings.mOpeningWait, aPacket, aNow);
+    return;
+  }
   const RouteEntry* route = FindRoute(aSegment.mFlow);
   if (route == nullptr) {
     Reset(aSegment, aOutput, mNoRoute);
     return;
   }
+  if (IsWaiting(aSegment.mFlow)) {
+    return;
+  }
   Flow& flow = FlowOf(aSegment.mFlow, aNow);
   if (aSegment.mCopyNumber > 0 && flow.mHolder) {
     mForwarded.Add();
@@ -172,8 +194,13 @@
   }
   aFlow.mHolder = holder;
   if (!holder) {
+    const bool waits = MayAcceptSoon(aRoute, aFlow, aNow);
     mFlows.erase(aSegment.mFlow);
-    Reset(aSegment, aOutput, mNoUpstream);
+    if (waits) {
+      Wait(aSegment, aRoute.mPriority, aRoute.mWait, aPacket, aNow);
+    } else {
+      Reset(aSegment, aOutput, mNoUpstream);
+    }
     return;
   }
   mPlaced.Add();
@@ -181,6 +208,87 @@
   aOutput.SendToNode(*holder, {HopKind::Deliver, ReturnReason::None}, aPacket);
 }
 
+bool PacketBalancer::IsWaiting(const FlowKey& aFlow) const
+{
+  return std::any_of(mWaiting.begin(), mWaiting.end(),
+                     [&](const WaitingOpening& aOpening) { return aOpening.mFlow == aFlow; });
+}
+
+void PacketBalancer::Wait(const Segment& aSegment, std::uint32_t aPriority, Milliseconds aWait,
+                          std::span<const std::uint8_t> aPacket, TimePoint aNow)
+{
+  if (mWaiting.size() >= mSettings.mMaxWaiting) {
+    mFlowsFull.Add();
+    return;
+  }
+  if (!IsWaiting(aSegment.mFlow)) {
+    mWaiting.push_back({aSegment.mFlow, {aPacket.begin(), aPacket.end()}, aPriority, aNow, aWait});
+    mWaited.Add();
+  }
+}
+
+// Tries the waiting packets again, the most important routes first and in order of arrival.
+void PacketBalancer::RetryWaiting(PacketOutput& aOutput, TimePoint aNow)
+{
+  if (mWaiting.empty() || mRouteVersion == 0) {
+    return;
+  }
+  auto waiting = std::exchange(mWaiting, {});
+  std::stable_sort(waiting.begin(), waiting.end(), [](const auto& aFirst, const auto& aSecond) {
+    return aFirst.mPriority < aSecond.mPriority;
+  });
+  for (auto& opening : waiting) {
+    const auto segment = mCodec.DecodeFromCaller(opening.mPacket);
+    if (!segment || aNow - opening.mSince > opening.mWait) {
+      mWaitedInVain.Add();
+      continue;
+    }
+    const std::size_t before = mWaiting.size();
+    Open(*segment, opening.mPacket, aOutput, aNow);
+    // One that waits again keeps its first time.
+    if (mWaiting.size() > before) {
+      mWaiting.back().mSince = opening.mSince;
+    }
+  }
+}
+
+std::uint32_t PacketBalancer::OpensLeft(const Agent& aAgent) const
+{
+  const LoadReport& report = aAgent.mReport;
+  return aAgent.mPlaced >= report.mOpensAllowed ? 0 : report.mOpensAllowed - aAgent.mPlaced;
+}
+
+// Whether an upstream of the route may accept the flow shortly: its agent has just started or has
+// not been heard from for so long that its last report says nothing; or cold upstreams, which are
+// opened few flows a second, will have taken those that wait before the caller gives up.
+bool PacketBalancer::MayAcceptSoon(const RouteEntry& aRoute, const Flow& aFlow,
+                                   TimePoint aNow) const
+{
+  double coldOpens = 0;
+  for (const auto& [endpoint, agent] : mAgents) {
+    const bool onRoute =
+      std::any_of(aRoute.mTargets.begin(), aRoute.mTargets.end(), [&](const RouteTarget& aTarget) {
+        return aTarget.mWeight > 0 && aTarget.mService == agent.mService;
+      });
+    if (!onRoute) {
+      continue;
+    }
+    const bool silent = !agent.mReportedAt || aNow - *agent.mReportedAt > mSettings.mReportLifetime;
+    if ((silent && MayPlace(endpoint, agent, aFlow)) || (!silent && agent.mReport.mStarting)) {
+      return true;
+    }
+    if (!silent && agent.mReport.mAccepts && agent.mReport.mCold) {
+      if (agent.mReport.mColdLeft < aRoute.mWait) {
+        return true;
+      }
+      coldOpens += agent.mReport.mOpensPerSecond;
+    }
+  }
+  const double share = coldOpens / static_cast<double>(std::max<std::size_t>(mBalancers, 1));
+  const double seconds = std::chrono::duration<double>(aRoute.mWait).count();
+  return !IsSettled(aNow) || static_cast<double>(mWaiting.size()) < share * seconds;
+}
+
 bool PacketBalancer::MayPlace(const Endpoint& aEndpoint, const Agent& aAgent,
                               const Flow& aFlow) const
 {
@@ -201,7 +309,9 @@
     const bool accepts = agent.mReportedAt ? agent.mReport.mAccepts && aNow - *agent.mReportedAt <=
                                                                          mSettings.mReportLifetime
                                            : agent.mTakesNewWork;
-    if (agent.mService != aService || !accepts || !MayPlace(endpoint, agent, aFlow)) {
+    const bool coldAndFull = agent.mReportedAt && agent.mReport.mCold && OpensLeft(agent) == 0;
+    if (agent.mService != aService || !accepts || coldAndFull ||
+        !MayPlace(endpoint, agent, aFlow)) {
       continue;
     }
     candidates.push_back(
@@ -212,11 +322,21 @@
   return chosen ? std::optional(endpoints[*chosen]) : std::nullopt;
 }
 
-// Asks the agents that may hold the flow: first those of the route's services, later all, since a
-// route may have led elsewhere when the flow was opened.
+void PacketBalancer::Ask(Flow& aFlow, std::span<const std::uint8_t> aPacket,
+                         const std::function<bool(const Agent&)>& aWhich, PacketOutput& aOutput)
+{
+  aFlow.mAsked.clear();
+  for (const auto& [endpoint, agent] : mAgents) {
+    if (aWhich(agent)) {
+      aFlow.mAsked.push_back(endpoint);
+      aOutput.SendToNode(endpoint, {HopKind::DeliverIfHeld, ReturnReason::None}, aPacket);
+    }
+  }
+}
+
+// Asks the agents of the route's services whether their upstream holds the flow.
 void PacketBalancer::Search(const Segment& aSegment, Flow& aFlow,
-                            std::span<const std::uint8_t> aPacket,
-                            const std::optional<Endpoint>& aExcept, PacketOutput& aOutput,
+                            std::span<const std::uint8_t> aPacket, PacketOutput& aOutput,
                             TimePoint aNow)
 {
   const RouteEntry* route = FindRoute(aSegment.mFlow);
@@ -224,17 +344,53 @@
       (aFlow.mSearches >= kFreeSearches && aNow - aFlow.mSearchedAt < kSearchPause)) {
     return;
   }
-  const bool everywhere = aFlow.mSearches > 0;
   ++aFlow.mSearches;
   aFlow.mSearchedAt = aNow;
+  aFlow.mAskedAll = false;
   mSearched.Add();
-  for (const auto& [endpoint, agent] : mAgents) {
-    const bool onRoute =
-      std::any_of(route->mTargets.begin(), route->mTargets.end(),
-                  [&](const auto& aTarget) { return aTarget.mService == agent.mService; });
-    if ((onRoute || everywhere) && endpoint != aExcept) {
-      aOutput.SendToNode(endpoint, {HopKind::DeliverIfHeld, ReturnReason::None}, aPacket);
-    }
+  Ask(
+    aFlow, aPacket,
+    [&](const Agent& aAgent) {
+      return std::any_of(route->mTargets.begin(), route->mTargets.end(),
+                         [&](const auto& aTarget) { return aTarget.mService == aAgent.mService; });
+    },
+    aOutput);
+}
+
+bool PacketBalancer::IsSettled(TimePoint aNow) const
+{
+  return mFirstAgentAt && aNow - *mFirstAgentAt >= mSettings.mSettleTime;
+}
+
+// Once every agent of the route's services has answered, the others are asked, since the route may
+// have led elsewhere when the flow was opened. A flow that no upstream holds is reset, so that its
+// caller does not wait for an answer until its deadline.
+void PacketBalancer::OnNotFound(const Endpoint& aFrom, const Segment& aSegment,
+                                std::span<const std::uint8_t> aPacket, PacketOutput& aOutput,
+                                TimePoint aNow)
+{
+  const auto found = mFlows.find(aSegment.mFlow);
+  if (found == mFlows.end() || found->second.mHolder ||
+      std::erase(found->second.mAsked, aFrom) == 0 || !found->second.mAsked.empty()) {
+    return;
+  }
+  Flow& flow = found->second;
+  if (!flow.mAskedAll) {
+    flow.mAskedAll = true;
+    const RouteEntry* route = FindRoute(aSegment.mFlow);
+    Ask(
+      flow, aPacket,
+      [&](const Agent& aAgent) {
+        return route == nullptr || std::none_of(route->mTargets.begin(), route->mTargets.end(),
+                                                [&](const auto& aTarget) {
+                                                  return aTarget.mService == aAgent.mService;
+                                                });
+      },
+      aOutput);
+  }
+  if (flow.mAsked.empty() && IsSettled(aNow) && !aSegment.mResets) {
+    mFlows.erase(found);
+    Reset(aSegment, aOutput, mNotFound);
   }
 }
 
@@ -243,7 +399,7 @@
                                   TimePoint aNow)
 {
   if (aHeader.mKind == HopKind::Load) {
-    OnLoad(aFrom, aPacket, aNow);
+    OnLoad(aFrom, aPacket, aOutput, aNow);
   } else if (aHeader.mKind == HopKind::Returned) {
     OnReturned(aFrom, aHeader.mReason, aPacket, aOutput, aNow);
   } else if (aHeader.mKind == HopKind::Held) {
@@ -251,6 +407,7 @@
       Flow& flow = FlowOf(segment->mFlow, aNow);
       flow.mHolder = aFrom;
       flow.mSearches = 0;
+      flow.mAsked.clear();
     }
   } else {
     mMalformed.Add();
@@ -267,6 +424,10 @@
     return;
   }
   mReturned[static_cast<std::size_t>(aReason)]->Add();
+  if (aReason == ReturnReason::NotFound) {
+    OnNotFound(aFrom, *segment, aPacket, aOutput, aNow);
+    return;
+  }
   Flow& flow = FlowOf(segment->mFlow, aNow);
   if (flow.mHolder && *flow.mHolder != aFrom) {
     // The flow was found or placed elsewhere meanwhile.
@@ -275,10 +436,15 @@
   }
   flow.mHolder.reset();
   if (!segment->mOpens) {
-    Search(*segment, flow, aPacket, aFrom, aOutput, aNow);
+    Search(*segment, flow, aPacket, aOutput, aNow);
     return;
   }
-  flow.mTried.push_back(aFrom);
+  if (aReason == ReturnReason::Cold) {
+    // Another balancer used the allowance; the next report brings a new one.
+    mAgents[aFrom].mReport.mOpensAllowed = 0;
+  } else {
+    flow.mTried.push_back(aFrom);
+  }
   const RouteEntry* route = FindRoute(segment->mFlow);
   if (route == nullptr) {
     Reset(*segment, aOutput, mNoRoute);
@@ -288,29 +454,47 @@
 }
 
 void PacketBalancer::OnLoad(const Endpoint& aFrom, std::span<const std::uint8_t> aBytes,
-                            TimePoint aNow)
+                            PacketOutput& aOutput, TimePoint aNow)
 {
   auto report = FromCbor<LoadReport>(aBytes, "load report");
   if (!report) {
     mMalformed.Add();
     return;
   }
+  if (report.value().mGone) {
+    mAgents.erase(aFrom);
+    return;
+  }
   Agent& agent = mAgents[aFrom];
   agent.mService = report.value().mService;
   agent.mDataCentre = report.value().mDataCentre;
   agent.mReport = std::move(report.value());
   agent.mReportedAt = aNow;
   agent.mPlaced = 0;
+  if (agent.mReport.mAccepts) {
+    RetryWaiting(aOutput, aNow);
+  }
 }
 
 void PacketBalancer::Reset(const Segment& aSegment, PacketOutput& aOutput, Counter& aCounter)
 {
   aCounter.Add();
+  LogEvent(LogLevel::Info, "flow_refused")
+    .With("flow", ToString(aSegment.mFlow))
+    .With("copy", aSegment.mCopyNumber)
+    .With("reason", &aCounter == &mNoRoute    ? "no_route"
+                    : &aCounter == &mNotFound ? "not_found"
+                                              : "no_upstream")
+    .With("routes", mRouteVersion)
+    .With("agents", mAgents.size())
+    .With("waiting", mWaiting.size());
   aOutput.SendToCaller(aSegment.mFlow, mCodec.EncodeReset(aSegment.mFlow, aSegment.mAcknowledged));
 }
 
 void PacketBalancer::OnTick(TimePoint aNow)
 {
+  mWaitedInVain.Add(
+    std::erase_if(mWaiting, [&](const auto& aItem) { return aNow - aItem.mSince > aItem.mWait; }));
   std::erase_if(
     mFlows, [&](const auto& aItem) { return aNow - aItem.second.mUsedAt > mSettings.mFlowMemory; });
   std::erase_if(mAgents, [&](const auto& aItem) {
