--- a/unittests/Control/ConfigurationStoreTest.cpp
+++ b/unittests/Control/ConfigurationStoreTest.cpp
@@ -23,6 +23,8 @@
   CPPUNIT_TEST(DataCentresAndDrainsChange);
   CPPUNIT_TEST(BadSnapshotsAreRefused);
   CPPUNIT_TEST(IssueTimesAreChecked);
+  CPPUNIT_TEST(HighestRouteTableStaysInForce);
+  CPPUNIT_TEST(InvalidRouteTablesAreRefused);
   CPPUNIT_TEST_SUITE_END();
 
   static void ExpectOutcome(CommandOutcome aOutcome, const CommandAnswer& aAnswer)
@@ -35,6 +37,46 @@
     return aAnswer.mDetail.find(aText) != std::string::npos;
   }
 
+  static Command RouteCommand(int aId, std::uint64_t aVersion, const std::string& aDocument)
+  {
+    Command command;
+    command.mPublicationId = PublicationId(aId);
+    command.mOperator = "operator";
+    RouteTable table;
+    table.mVersion = aVersion;
+    table.mServices.push_back({"web", 10, Milliseconds{0}, 0});
+    table.mRoutes.push_back({"route", "198.18.0.1:443", {{"web", 1}}, Milliseconds{100}, 0});
+    command.mRoutes = RouteTableChange{std::move(table), aDocument};
+    return command;
+  }
+
+  // Guards against an older route table, or another one under the version in force, that replaces
+  // what was acknowledged, and against a refusal of such a late copy.
+  void HighestRouteTableStaysInForce()
+  {
+    ConfigurationStore store;
+    ExpectOutcome(CommandOutcome::Applied, store.Apply(3, RouteCommand(1, 7, "seven")));
+    ExpectOutcome(CommandOutcome::Applied, store.Apply(4, RouteCommand(2, 5, "five")));
+    ExpectOutcome(CommandOutcome::Applied, store.Apply(5, RouteCommand(3, 7, "other seven")));
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{7}, store.Current().mRoutes.mVersion);
+    CPPUNIT_ASSERT_EQUAL(std::string("seven"), store.RouteDocument());
+    ConfigurationStore restored;
+    CPPUNIT_ASSERT(restored.Restore(store.Snapshot()));
+    CPPUNIT_ASSERT_EQUAL(std::string("seven"), restored.RouteDocument());
+    ExpectOutcome(CommandOutcome::Applied, restored.Apply(6, RouteCommand(4, 9, "nine")));
+    CPPUNIT_ASSERT_EQUAL(std::string("nine"), restored.RouteDocument());
+  }
+
+  // Guards against a route to an unknown service that gets into force.
+  void InvalidRouteTablesAreRefused()
+  {
+    ConfigurationStore store;
+    Command command = RouteCommand(1, 7, "seven");
+    command.mRoutes->mTable.mRoutes[0].mTargets[0].mService = "unknown";
+    ExpectOutcome(CommandOutcome::Refused, store.Apply(3, command));
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, store.Current().mRoutes.mVersion);
+  }
+
   // Guards against two operators who both believe that their version is in force.
   void LoserOfARaceLearnsTheWinner()
   {
--- /dev/null
+++ b/unittests/Net/Http1Test.cpp
@@ -0,0 +1,113 @@
+// Tests of the HTTP/1.1 server over loopback.
+#include "dandelionslip/Net/Http1Server.h"
+
+#include <boost/asio/connect.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/write.hpp>
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <thread>
+
+namespace dandelionslip {
+
+namespace {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+
+constexpr std::uint16_t kPort = 17'411;
+
+class Http1Test : public CppUnit::TestFixture
+{
+  CPPUNIT_TEST_SUITE(Http1Test);
+  CPPUNIT_TEST(ConnectionsCarrySeveralRequests);
+  CPPUNIT_TEST(DroppedExchangesEndTheConnection);
+  CPPUNIT_TEST(UnreadableRequestsEndTheConnection);
+  CPPUNIT_TEST_SUITE_END();
+
+  asio::io_context mLoop;
+  std::unique_ptr<Http1Server> mServer;
+  std::thread mThread;
+  std::atomic<bool> mDrop{false};
+
+public:
+  void setUp() override
+  {
+    auto server =
+      Http1Server::Listen(mLoop, Endpoint::Parse("127.0.0.1:" + std::to_string(kPort)).value(),
+                          [this](const std::shared_ptr<HttpExchange>& aExchange) {
+                            if (mDrop) {
+                              return;
+                            }
+                            HttpResponse response;
+                            const std::string text =
+                              aExchange->Request().mMethod + " " + aExchange->Request().mPath;
+                            response.mBody.assign(text.begin(), text.end());
+                            aExchange->Respond(std::move(response));
+                          });
+    CPPUNIT_ASSERT(server.has_value());
+    mServer = std::move(server.value());
+    mThread = std::thread([this] { mLoop.run(); });
+  }
+
+  void tearDown() override
+  {
+    mServer.reset();
+    mThread.join();
+  }
+
+private:
+  // Sends a text and returns what comes back until the connection ends or the marker is read.
+  static std::string Ask(tcp::socket& aSocket, const std::string& aText, const std::string& aMarker)
+  {
+    asio::write(aSocket, asio::buffer(aText));
+    std::string answer;
+    boost::system::error_code ignored;
+    asio::read_until(aSocket, asio::dynamic_buffer(answer), aMarker, ignored);
+    return answer;
+  }
+
+  static tcp::socket Connect(asio::io_context& aLoop)
+  {
+    tcp::socket socket(aLoop);
+    socket.connect({asio::ip::make_address("127.0.0.1"), kPort});
+    return socket;
+  }
+
+  // Guards against a connection that is closed after one answer although the caller keeps it.
+  void ConnectionsCarrySeveralRequests()
+  {
+    asio::io_context loop;
+    tcp::socket socket = Connect(loop);
+    const std::string first = Ask(socket, "GET /a HTTP/1.1\r\nHost: x\r\n\r\n", "GET /a");
+    CPPUNIT_ASSERT(first.find("200") != std::string::npos);
+    const std::string second =
+      Ask(socket, "POST /b HTTP/1.1\r\nHost: x\r\nContent-Length: 2\r\n\r\nhi", "POST /b");
+    CPPUNIT_ASSERT(second.find("POST /b") != std::string::npos);
+  }
+
+  // Guards against a caller that waits for its own timeout because nobody answers.
+  void DroppedExchangesEndTheConnection()
+  {
+    mDrop = true;
+    asio::io_context loop;
+    tcp::socket socket = Connect(loop);
+    CPPUNIT_ASSERT_EQUAL(std::string(), Ask(socket, "GET /a HTTP/1.1\r\nHost: x\r\n\r\n", "never"));
+  }
+
+  // Guards against a handler that runs for a request which cannot be read.
+  void UnreadableRequestsEndTheConnection()
+  {
+    asio::io_context loop;
+    tcp::socket socket = Connect(loop);
+    CPPUNIT_ASSERT_EQUAL(std::string(), Ask(socket, "\x01\x02 nonsense\r\n\r\n", "never"));
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(Http1Test);
+
+} // namespace
+
+} // namespace dandelionslip
--- /dev/null
+++ b/unittests/Packet/PacketBalancerTest.cpp
@@ -0,0 +1,290 @@
+// Tests of the packet balancer's decisions.
+#include "PacketFixtures.h"
+
+#include "dandelionslip/Packet/PacketBalancer.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace dandelionslip {
+
+namespace {
+
+constexpr TimePoint kStart{std::chrono::seconds(100)};
+constexpr Milliseconds kSettled{1'500};
+
+class PacketBalancerTest : public CppUnit::TestFixture
+{
+  CPPUNIT_TEST_SUITE(PacketBalancerTest);
+  CPPUNIT_TEST(FlowsStayWithTheirHolder);
+  CPPUNIT_TEST(UnknownFlowsAreSearched);
+  CPPUNIT_TEST(FlowsThatNobodyHoldsAreReset);
+  CPPUNIT_TEST(SilentAgentsPreventAReset);
+  CPPUNIT_TEST(RefusedOpeningsTryAnotherUpstream);
+  CPPUNIT_TEST(UnroutableOpeningsAreResetAtOnce);
+  CPPUNIT_TEST(OpeningsWaitForRoutes);
+  CPPUNIT_TEST(OpeningsWaitForColdUpstreams);
+  CPPUNIT_TEST(OpeningsThatCannotBeServedInTimeAreReset);
+  CPPUNIT_TEST(ImportantRoutesLeaveTheQueueFirst);
+  CPPUNIT_TEST(DataCentresThatAreOutGetNoOpenings);
+  CPPUNIT_TEST(EvenLoadAcrossUnevenUpstreams);
+  CPPUNIT_TEST_SUITE_END();
+
+  platform::PacketCodec mCodec;
+  MetricsRegistry mRegistry;
+  RecordingOutput mOutput;
+  TimePoint mNow = kStart;
+  PacketBalancer mBalancer{{}, mCodec, mRegistry, Random(1)};
+
+  void Send(PacketBytes aPacket) { mBalancer.OnCallerPacket(aPacket, mOutput, mNow); }
+
+  void Report(unsigned aNode, LoadReport aReport)
+  {
+    aReport.mDataCentre = "north";
+    if (aReport.mService.empty()) {
+      aReport.mService = "web";
+    }
+    Bytes bytes = ToCbor(aReport);
+    mBalancer.OnNodePacket(NodeEndpoint(aNode), {HopKind::Load, ReturnReason::None}, bytes, mOutput,
+                           mNow);
+  }
+
+  static LoadReport Accepting()
+  {
+    LoadReport report;
+    report.mAccepts = true;
+    report.mSlots = 4;
+    return report;
+  }
+
+  static LoadReport Cold(std::uint32_t aAllowed, Milliseconds aLeft)
+  {
+    LoadReport report = Accepting();
+    report.mCold = true;
+    report.mOpensAllowed = aAllowed;
+    report.mOpensPerSecond = 5;
+    report.mColdLeft = aLeft;
+    return report;
+  }
+
+  void Return(unsigned aNode, ReturnReason aReason, PacketBytes aPacket)
+  {
+    mBalancer.OnNodePacket(NodeEndpoint(aNode), {HopKind::Returned, aReason}, aPacket, mOutput,
+                           mNow);
+  }
+
+  // Two agents of "web", nodes 1 and 2, that accept flows; past the time of settling.
+  void Settle()
+  {
+    mBalancer.OnState(TestRoutes(1, {"web"}),
+                      TestView(1, {TestAgent(1, "web"), TestAgent(2, "web")}), mOutput, mNow);
+    mNow += kSettled;
+    Report(1, Accepting());
+    Report(2, Accepting());
+    mOutput.Clear();
+  }
+
+  // Guards against packets of one flow that reach different upstreams.
+  void FlowsStayWithTheirHolder()
+  {
+    Settle();
+    Send(CallerPacket(TestFlow(1), FlagSyn));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, mOutput.mToNodes.size());
+    const Endpoint holder = mOutput.mToNodes[0].mNode;
+    Report(holder == NodeEndpoint(1) ? 2 : 1, Accepting());
+    for (std::uint32_t i = 0; i < 5; ++i) {
+      Send(CallerPacket(TestFlow(1), FlagSyn, 1, i + 1));
+      Send(CallerPacket(TestFlow(1), FlagAck, 2 + i, 1, 100));
+    }
+    for (const auto& sent : mOutput.mToNodes) {
+      CPPUNIT_ASSERT(sent.mNode == holder);
+    }
+  }
+
+  // Guards against a broken flow when the fabric hands its packets to another balancer.
+  void UnknownFlowsAreSearched()
+  {
+    Settle();
+    PacketBytes packet = CallerPacket(TestFlow(1), FlagAck, 7, 9, 50);
+    Send(packet);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, mOutput.mToNodes.size());
+    for (const auto& sent : mOutput.mToNodes) {
+      CPPUNIT_ASSERT(sent.mHeader.mKind == HopKind::DeliverIfHeld);
+    }
+    mBalancer.OnNodePacket(NodeEndpoint(2), {HopKind::Held, ReturnReason::None}, packet, mOutput,
+                           mNow);
+    mOutput.Clear();
+    Send(packet);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, mOutput.mToNodes.size());
+    CPPUNIT_ASSERT(mOutput.mToNodes[0].mNode == NodeEndpoint(2));
+    CPPUNIT_ASSERT(mOutput.mToNodes[0].mHeader.mKind == HopKind::Deliver);
+  }
+
+  // Guards against callers that wait for their deadline on a flow that ended with its upstream.
+  void FlowsThatNobodyHoldsAreReset()
+  {
+    Settle();
+    const PacketBytes packet = CallerPacket(TestFlow(1), FlagAck, 7, 9, 50);
+    Send(packet);
+    Return(1, ReturnReason::NotFound, packet);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, mOutput.Resets());
+    Return(2, ReturnReason::NotFound, packet);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, mOutput.Resets());
+    const auto reset = mCodec.DecodeFromUpstream(mOutput.mToCallers[0]);
+    CPPUNIT_ASSERT(reset && reset->mFlow == TestFlow(1) && reset->mSequence == 9);
+  }
+
+  // Guards against the reset of a flow whose agent is restarting while its upstream lives.
+  void SilentAgentsPreventAReset()
+  {
+    Settle();
+    const PacketBytes packet = CallerPacket(TestFlow(1), FlagAck, 7, 9, 50);
+    for (int i = 0; i < 5; ++i) {
+      Send(packet);
+      Return(1, ReturnReason::NotFound, packet);
+      mNow += Milliseconds{300};
+    }
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, mOutput.Resets());
+  }
+
+  // Guards against a refusal while another upstream has room, and against an endless loop.
+  void RefusedOpeningsTryAnotherUpstream()
+  {
+    Settle();
+    const PacketBytes packet = CallerPacket(TestFlow(1), FlagSyn);
+    Send(packet);
+    const unsigned first = mOutput.mToNodes[0].mNode == NodeEndpoint(1) ? 1 : 2;
+    Return(first, ReturnReason::Refused, packet);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, mOutput.mToNodes.size());
+    CPPUNIT_ASSERT(mOutput.mToNodes[1].mNode == NodeEndpoint(3 - first));
+    Return(3 - first, ReturnReason::Draining, packet);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, mOutput.Resets());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, mOutput.mToNodes.size());
+  }
+
+  // Guards against a caller that waits although no route will ever take its flow.
+  void UnroutableOpeningsAreResetAtOnce()
+  {
+    Settle();
+    FlowKey flow = TestFlow(1);
+    flow.mServicePort = 444;
+    Send(CallerPacket(flow, FlagSyn));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, mOutput.Resets());
+  }
+
+  // Guards against resets that use up a caller's tries while a balancer starts.
+  void OpeningsWaitForRoutes()
+  {
+    Send(CallerPacket(TestFlow(1), FlagSyn));
+    CPPUNIT_ASSERT(mOutput.mToCallers.empty() && mOutput.mToNodes.empty());
+    mNow += Milliseconds{300};
+    Settle();
+    // Settling takes longer than the packet waits, so a fresh one shows the delivery.
+    PacketBalancer balancer({}, mCodec, mRegistry, Random(1));
+    PacketBytes packet = CallerPacket(TestFlow(2), FlagSyn);
+    balancer.OnCallerPacket(packet, mOutput, mNow);
+    balancer.OnState(TestRoutes(1, {"web"}), TestView(1, {TestAgent(1, "web")}), mOutput,
+                     mNow + Milliseconds{400});
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, mOutput.mToNodes.size());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, mOutput.Resets());
+  }
+
+  // Guards against refusals of a crowd that cold upstreams could take within its deadline: the load
+  // after a loss of power, when all callers open their flows again.
+  void OpeningsWaitForColdUpstreams()
+  {
+    Settle();
+    Report(1, Cold(2, Milliseconds{500}));
+    Report(2, Cold(1, Milliseconds{500}));
+    for (std::uint16_t i = 0; i < 20; ++i) {
+      Send(CallerPacket(TestFlow(i), FlagSyn));
+    }
+    CPPUNIT_ASSERT_EQUAL(std::size_t{3}, mOutput.mToNodes.size());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, mOutput.Resets());
+    mNow += Milliseconds{500};
+    Report(1, Accepting());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{20}, mOutput.mToNodes.size());
+  }
+
+  // Guards against callers that wait in vain: upstreams stay cold for longer than the route allows,
+  // and take fewer flows a second than wait already.
+  void OpeningsThatCannotBeServedInTimeAreReset()
+  {
+    Settle();
+    Report(1, Cold(0, Milliseconds{30'000}));
+    Report(2, Cold(0, Milliseconds{30'000}));
+    for (std::uint16_t i = 0; i < 50; ++i) {
+      Send(CallerPacket(TestFlow(i), FlagSyn));
+    }
+    // Ten openings a second for the route's second.
+    CPPUNIT_ASSERT_EQUAL(std::size_t{40}, mOutput.Resets());
+    CPPUNIT_ASSERT(mOutput.mToNodes.empty());
+  }
+
+  // Guards against a crowd of unimportant flows that takes the places of important ones.
+  void ImportantRoutesLeaveTheQueueFirst()
+  {
+    Configuration configuration = TestRoutes(1, {"web"});
+    configuration.mRoutes.mRoutes[0].mPriority = 3;
+    configuration.mRoutes.mRoutes.push_back(
+      {"urgent", "198.18.0.1:444", {{"web", 1}}, Milliseconds{1'000}, 0});
+    mBalancer.OnState(configuration, TestView(1, {TestAgent(1, "web")}), mOutput, mNow);
+    mNow += kSettled;
+    Report(1, Cold(0, Milliseconds{500}));
+    Send(CallerPacket(TestFlow(1), FlagSyn));
+    FlowKey urgent = TestFlow(2);
+    urgent.mServicePort = 444;
+    Send(CallerPacket(urgent, FlagSyn));
+    Report(1, Cold(1, Milliseconds{300}));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, mOutput.mToNodes.size());
+    CPPUNIT_ASSERT(mCodec.DecodeFromCaller(mOutput.mToNodes[0].mPacket)->mFlow == urgent);
+  }
+
+  // Guards against new flows in a data centre that operators have taken out.
+  void DataCentresThatAreOutGetNoOpenings()
+  {
+    Settle();
+    Configuration configuration = TestRoutes(2, {"web"});
+    configuration.mDataCentres["north"].mOut = true;
+    mBalancer.OnState(configuration, View{}, mOutput, mNow);
+    Send(CallerPacket(TestFlow(1), FlagSyn));
+    CPPUNIT_ASSERT(mOutput.mToNodes.empty());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, mOutput.Resets());
+  }
+
+  // Guards against equal shares for upstreams of unequal speed: a crowd of long flows is opened,
+  // with reports only every 40 openings, and no upstream may get more than 15% above its share.
+  void EvenLoadAcrossUnevenUpstreams()
+  {
+    const std::array<std::uint32_t, 3> speeds{30'000, 50'000, 80'000};
+    std::vector<Member> members;
+    for (unsigned node = 1; node <= speeds.size(); ++node) {
+      members.push_back(TestAgent(node, "web"));
+    }
+    mBalancer.OnState(TestRoutes(1, {"web"}), TestView(1, members), mOutput, mNow);
+    mNow += kSettled;
+    std::array<std::uint32_t, 3> flows{};
+    constexpr std::uint16_t kFlows = 640;
+    for (std::uint16_t i = 0; i < kFlows; ++i) {
+      for (unsigned node = 0; i % 40 == 0 && node < speeds.size(); ++node) {
+        LoadReport report = Accepting();
+        report.mFlows = flows[node];
+        report.mMilliRequestsPerSlot = speeds[node];
+        Report(node + 1, report);
+      }
+      Send(CallerPacket(TestFlow(i), FlagSyn));
+      for (unsigned node = 0; node < speeds.size(); ++node) {
+        flows[node] += mOutput.mToNodes.back().mNode == NodeEndpoint(node + 1) ? 1 : 0;
+      }
+    }
+    constexpr double kSpeedSum = 160'000;
+    for (std::size_t node = 0; node < speeds.size(); ++node) {
+      CPPUNIT_ASSERT(flows[node] <= 1.15 * kFlows * speeds[node] / kSpeedSum);
+    }
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(PacketBalancerTest);
+
+} // namespace
+
+} // namespace dandelionslip
--- /dev/null
+++ b/unittests/Packet/PacketFixtures.h
@@ -0,0 +1,84 @@
+// Packets, configurations and a recording output for tests of the packet cores.
+#pragma once
+
+#include "PacketCodec.h"
+
+#include "dandelionslip/Model/Configuration.h"
+#include "dandelionslip/Model/View.h"
+#include "dandelionslip/Packet/LoadReport.h"
+#include "dandelionslip/Packet/PacketActions.h"
+
+#include <string>
+#include <vector>
+
+namespace dandelionslip {
+
+using PacketBytes = std::vector<std::uint8_t>;
+
+/// Flags of the packet format.
+enum PacketFlag : std::uint8_t
+{
+  FlagFin = 2,
+  FlagRst = 16,
+  FlagBounced = 32,
+  FlagSyn = 64,
+  FlagAck = 128,
+};
+
+/// A packet of the caller of the flow.
+PacketBytes CallerPacket(const FlowKey& aFlow, std::uint8_t aFlags, std::uint32_t aSequence = 1,
+                         std::uint32_t aAcknowledged = 0, std::uint16_t aDataBytes = 0);
+/// A packet of the upstream of the flow.
+PacketBytes UpstreamPacket(const FlowKey& aFlow, std::uint8_t aFlags, std::uint32_t aSequence = 1,
+                           std::uint16_t aDataBytes = 0);
+
+/// The flow of caller number aCaller to the address of TestRoutes.
+FlowKey TestFlow(std::uint16_t aCaller);
+
+/// Endpoint of node number aNode.
+Endpoint NodeEndpoint(unsigned aNode);
+
+/// One route, 198.18.0.1:443, to the given services with equal weights.
+Configuration TestRoutes(std::uint64_t aVersion, const std::vector<std::string>& aServices);
+
+/// An agent of a service at NodeEndpoint(aNode).
+Member TestAgent(unsigned aNode, const std::string& aService,
+                 MemberState aState = MemberState::Serving);
+
+/// A view with these members.
+View TestView(std::uint64_t aRevision, const std::vector<Member>& aMembers);
+
+/// Keeps what a core sent.
+struct RecordingOutput : PacketOutput
+{
+  struct ToNode
+  {
+    Endpoint mNode;
+    HopHeader mHeader;
+    PacketBytes mPacket;
+  };
+
+  void SendToNode(const Endpoint& aNode, const HopHeader& aHeader,
+                  std::span<const std::uint8_t> aPacket) override
+  {
+    mToNodes.push_back({aNode, aHeader, {aPacket.begin(), aPacket.end()}});
+  }
+  void SendToCaller(const FlowKey& /*aFlow*/, std::span<const std::uint8_t> aPacket) override
+  {
+    mToCallers.emplace_back(aPacket.begin(), aPacket.end());
+  }
+  void SendToUpstream(std::span<const std::uint8_t> aPacket) override
+  {
+    mToUpstream.emplace_back(aPacket.begin(), aPacket.end());
+  }
+  void Clear() { *this = {}; }
+
+  /// Number of resets among the packets to callers.
+  std::size_t Resets() const;
+
+  std::vector<ToNode> mToNodes;
+  std::vector<PacketBytes> mToCallers;
+  std::vector<PacketBytes> mToUpstream;
+};
+
+} // namespace dandelionslip
--- /dev/null
+++ b/unittests/Platform/PlatformCodecTest.cpp
@@ -0,0 +1,208 @@
+// Tests of the platform's formats.
+#include "NodeApi.h"
+#include "NodeFile.h"
+#include "PacketCodec.h"
+#include "RouteDocument.h"
+
+#include "dandelionslip/Config/LoadSettings.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace dandelionslip::platform {
+
+namespace {
+
+constexpr std::string_view kDocument = R"({"version":7,"routes":[
+  {"name":"a","host":"198.18.0.1","path_prefix":"/8443/","type":"safe","timeout_ms":500,
+   "priority":2,"split":[{"service":"x","weight":90},{"service":"y","weight":10}],"attempts":2},
+  {"name":"b","host":"198.18.0.1","path_prefix":"/8080/","timeout_ms":600,"service":"x"}],
+  "services":[{"name":"x","max_conns":2000,"warmup_s":2.5,"ramp_per_s":1.5},{"name":"y"}],
+  "limits":{"idle_timeout_ms":15000},"later":"ignored"})";
+
+constexpr std::string_view kHeartbeat =
+  R"({"service":"x","addr":"10.0.0.1:80","zone":"z","version":"v1","concurrency":2,
+  "state":"ready","cold_left_ms":12.5,"seq":4,"born":1700000000000})";
+
+std::string Replaced(std::string_view aText, std::string_view aFrom, std::string_view aTo)
+{
+  std::string text(aText);
+  const auto at = text.find(aFrom);
+  CPPUNIT_ASSERT(at != std::string::npos);
+  return text.replace(at, aFrom.size(), aTo);
+}
+
+class PlatformCodecTest : public CppUnit::TestFixture
+{
+  CPPUNIT_TEST_SUITE(PlatformCodecTest);
+  CPPUNIT_TEST(PacketsMatchThePublishedExamples);
+  CPPUNIT_TEST(DamagedPacketsAreRefused);
+  CPPUNIT_TEST(TagsAndBouncesLeaveTheRestAlone);
+  CPPUNIT_TEST(RouteDocumentsBecomeRouteTables);
+  CPPUNIT_TEST(InvalidRouteDocumentsAreRefused);
+  CPPUNIT_TEST(HeartbeatsOfOtherWritersAreRefused);
+  CPPUNIT_TEST(NodeFilesBecomeSettings);
+  CPPUNIT_TEST(IncompleteNodeFilesAreRefused);
+  CPPUNIT_TEST_SUITE_END();
+
+  // Guards against a header that callers or upstreams cannot read.
+  void PacketsMatchThePublishedExamples()
+  {
+    const std::vector<std::uint8_t> syn{
+      0xa1, 0xb2, 0xc3, 0xd5, 0,    0,    0, 0,    0x40, 0,    0,    0,    0x9c, 0x41, 0x01, 0xbb,
+      0x64, 0x40, 0,    0x07, 0xc6, 0x12, 0, 0x01, 0x11, 0x22, 0x33, 0x44, 0,    0,    0,    0};
+    const std::vector<std::uint8_t> reset{
+      0,    0,    0, 0,    0,    0,    0, 0,    0x10, 0, 0, 0, 0x01, 0xbb, 0x9c, 0x41,
+      0xc6, 0x12, 0, 0x01, 0x64, 0x40, 0, 0x07, 0,    0, 0, 0, 0,    0,    0,    0};
+    const PacketCodec codec;
+    const auto segment = codec.DecodeFromCaller(syn);
+    CPPUNIT_ASSERT(segment && segment->mOpens && !segment->mAccepts && !segment->mBounced);
+    CPPUNIT_ASSERT_EQUAL(std::string("100.64.0.7:40001>198.18.0.1:443"), ToString(segment->mFlow));
+    CPPUNIT_ASSERT_EQUAL(std::uint32_t{0x11223344}, segment->mSequence);
+    CPPUNIT_ASSERT(codec.EncodeReset(segment->mFlow, 0) == reset);
+    const auto back = codec.DecodeFromUpstream(reset);
+    CPPUNIT_ASSERT(back && back->mResets && back->mFlow == segment->mFlow);
+  }
+
+  // Guards against reads beyond the end of a short packet, and against lengths that lie.
+  void DamagedPacketsAreRefused()
+  {
+    const PacketCodec codec;
+    const std::vector<std::uint8_t> whole = codec.EncodeReset({1, 2, 3, 4}, 5);
+    for (std::size_t size = 0; size < whole.size(); ++size) {
+      CPPUNIT_ASSERT(!codec.DecodeFromCaller(std::span(whole).first(size)));
+    }
+    std::vector<std::uint8_t> longer = whole;
+    longer.push_back(0);
+    CPPUNIT_ASSERT(!codec.DecodeFromCaller(longer));
+    const std::vector<std::uint8_t> huge(32 + 1201, 0);
+    CPPUNIT_ASSERT(!codec.DecodeFromCaller(huge));
+  }
+
+  // Guards against a changed packet: the checksum does not cover the tag and the mark.
+  void TagsAndBouncesLeaveTheRestAlone()
+  {
+    const PacketCodec codec;
+    const auto original = codec.EncodeReset({1, 2, 3, 4}, 5);
+    auto packet = original;
+    codec.SetTag(packet, 0xdeadbeef);
+    CPPUNIT_ASSERT_EQUAL(std::uint32_t{0xdeadbeef}, codec.DecodeFromCaller(packet)->mTag);
+    packet[8] |= 32;
+    CPPUNIT_ASSERT(codec.IsBounced(packet));
+    codec.ClearBounce(packet);
+    CPPUNIT_ASSERT(packet == original);
+  }
+
+  // Guards against fields that are lost or misread on the way into the product's types.
+  void RouteDocumentsBecomeRouteTables()
+  {
+    const auto table = DecodeRouteDocument(kDocument);
+    CPPUNIT_ASSERT(table && CheckRouteTable(table.value()));
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{7}, table.value().mVersion);
+    const Route& first = table.value().mRoutes.at(0);
+    CPPUNIT_ASSERT_EQUAL(std::string("198.18.0.1:8443"), first.mAddress);
+    CPPUNIT_ASSERT(first.mTimeout == Milliseconds{500} && first.mPriority == 2);
+    CPPUNIT_ASSERT_EQUAL(9 * first.mTargets.at(1).mWeight, first.mTargets.at(0).mWeight);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, table.value().mRoutes.at(1).mTargets.size());
+    const RoutedService* service = table.value().FindService("x");
+    CPPUNIT_ASSERT(service->mWarmUp == Milliseconds{2'500} && service->mColdOpensPerSecond == 1.5);
+    CPPUNIT_ASSERT(table.value().mFlowIdleTimeout == Milliseconds{15'000});
+  }
+
+  // Guards against an invalid configuration that is acknowledged.
+  void InvalidRouteDocumentsAreRefused()
+  {
+    const auto refused = [](const std::string& aText) {
+      const auto table = DecodeRouteDocument(aText);
+      CPPUNIT_ASSERT_MESSAGE(aText, !table || !CheckRouteTable(table.value()));
+    };
+    for (std::size_t size = 0; size < kDocument.size(); size += 7) {
+      refused(std::string(kDocument.substr(0, size)));
+    }
+    refused(Replaced(kDocument, "\"version\":7", "\"version\":0"));
+    refused(Replaced(kDocument, "\"version\":7", "\"version\":\"7\""));
+    refused(
+      Replaced(kDocument, "\"service\":\"x\",\"weight\":90", "\"service\":\"q\",\"weight\":90"));
+    refused(Replaced(kDocument, "/8080/", "/8443/"));
+    refused(Replaced(kDocument, "/8080/", "/web/"));
+    refused(Replaced(kDocument, "\"timeout_ms\":600", "\"timeout_ms\":0"));
+    refused(Replaced(kDocument, "\"timeout_ms\":600", "\"timeout_ms\":-5"));
+    refused(Replaced(Replaced(kDocument, "\"weight\":90", "\"weight\":0"), "\"weight\":10",
+                     "\"weight\":0"));
+    refused(Replaced(kDocument, "\"weight\":90", "\"share\":90"));
+    refused(Replaced(kDocument, "\"host\":\"198.18.0.1\"", "\"host\":\"web.example\""));
+  }
+
+  // Guards against an upstream taken from a heartbeat that somebody else wrote.
+  void HeartbeatsOfOtherWritersAreRefused()
+  {
+    const auto good = DecodeHeartbeat("i-1", kHeartbeat);
+    CPPUNIT_ASSERT(good && good.value().mId == "i-1" && good.value().mSlots == 2);
+    CPPUNIT_ASSERT(good.value().mColdLeft == Milliseconds{13} && good.value().mSequence == 4);
+    CPPUNIT_ASSERT_EQUAL(std::int64_t{1'700'000'000'000}, good.value().mStartedMs);
+    for (const auto& [from, to] : std::vector<std::pair<std::string, std::string>>{
+           {"\"ready\"", "\"resting\""},
+           {"\"ready\"", "1"},
+           {"\"service\":\"x\",", ""},
+           {"\"concurrency\":2", "\"concurrency\":\"2\""},
+           {"\"concurrency\":2", "\"concurrency\":0"},
+           {"\"seq\":4", "\"seq\":null"},
+           {"12.5", "[]"},
+           {"1700000000000", "1.5"},
+           {"}", "]"}}) {
+      CPPUNIT_ASSERT_MESSAGE(to, !DecodeHeartbeat("i-1", Replaced(kHeartbeat, from, to)));
+    }
+  }
+
+  static NodeFile File()
+  {
+    NodeFile file;
+    file.mNode = "core-1";
+    file.mDataCentre = "north";
+    file.mAddress = "10.1.0.1";
+    file.mSeeds = {"10.1.0.1:8166", "10.2.0.1:8166"};
+    file.mPeerPort = 7720;
+    file.mPacketEndpoint = "10.1.0.1:8172";
+    file.mReadyEndpoint = "10.1.0.1:8167";
+    file.mControlEndpoint = "10.1.0.1:8166";
+    file.mOutboundEndpoint = "10.1.0.1:8162";
+    file.mUpstreamEndpoint = "10.1.0.1:8165";
+    file.mService = "web";
+    file.mDataFolder = "/data/replica";
+    file.mDisksLost = 2;
+    return file;
+  }
+
+  // Guards against settings that the product's own checks refuse.
+  void NodeFilesBecomeSettings()
+  {
+    const auto control = ControlSettingsFrom(File());
+    CPPUNIT_ASSERT(control && CheckSettings(control.value(), "test"));
+    CPPUNIT_ASSERT_EQUAL(std::uint32_t{5}, control.value().mTargetVoters);
+    CPPUNIT_ASSERT_EQUAL(std::string("10.2.0.1:7720"), control.value().mFounders.at(1));
+    const auto balancer = BalancerSettingsFrom(File());
+    CPPUNIT_ASSERT(balancer && balancer.value().mCallerPort == 8172);
+    CPPUNIT_ASSERT_EQUAL(std::string("10.1.0.1:7720"), balancer.value().mDatagramEndpoint);
+    CPPUNIT_ASSERT(AgentSettingsFrom(File()).has_value());
+  }
+
+  // Guards against a role that starts without what it needs.
+  void IncompleteNodeFilesAreRefused()
+  {
+    NodeFile file = File();
+    file.mDataFolder.clear();
+    CPPUNIT_ASSERT(!ControlSettingsFrom(file) && BalancerSettingsFrom(file));
+    file = File();
+    file.mUpstreamEndpoint = "localhost:80";
+    const auto agent = AgentSettingsFrom(file);
+    CPPUNIT_ASSERT(!agent);
+    CPPUNIT_ASSERT(agent.error().mDetail.find("upstream_endpoint: found \"localhost:80\"") !=
+                   std::string::npos);
+    CPPUNIT_ASSERT(!LoadNodeFile("/nonexistent/node.json"));
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(PlatformCodecTest);
+
+} // namespace
+
+} // namespace dandelionslip::platform
--- a/unittests/main.cpp
+++ b/unittests/main.cpp
@@ -1,4 +1,6 @@
 // Runs the registered CppUnit tests; arguments select tests by name.
+#include "dandelionslip/Support/Log.h"
+
 #include <cppunit/BriefTestProgressListener.h>
 #include <cppunit/CompilerOutputter.h>
 #include <cppunit/TestResult.h>
@@ -10,6 +12,7 @@
 
 int main(int aArgc, char** aArgv)
 {
+  dandelionslip::InitialiseLog("unittests", "", dandelionslip::LogLevel::Error);
   CppUnit::TestRunner runner;
   runner.addTest(CppUnit::TestFactoryRegistry::getRegistry().makeTest());
   CppUnit::TestResult controller;
