Keep flows of agents without a lease

Control was split for seven seconds. Agents attached to the smaller half needed 3.6 s to find a replica with a quorum, because each unconfirmed replica was kept for a second, so their leases ended. A balancer that joined meanwhile saw them as lost, did not ask them for a flow they held, and reset it after all others had denied it.

Ruled out: a wrong denial by an agent; every agent that was asked answered truly.

Change: a balancer also asks lost agents until their flows are older than flows may become, and resets nothing that they have not denied. An agent whose upstream has left says so and is not asked. A node leaves a replica that is not confirmed at once. The test LostAgentsPreventAReset failed before.

--- a/include/dandelionslip/Packet/PacketAgent.h
+++ b/include/dandelionslip/Packet/PacketAgent.h
@@ -103,6 +103,7 @@
   ReturnReason UpstreamCondition(TimePoint aNow) const;
   bool RouteLeadsHere(const FlowKey& aFlow) const;
   bool IsCold(TimePoint aNow) const;
+  bool Gone() const;
   std::size_t ColdLimit() const;
   bool TableIsComplete(TimePoint aNow) const;
   void Deliver(const Endpoint& aBalancer, HopKind aKind, std::span<std::uint8_t> aPacket,
--- a/include/dandelionslip/Packet/PacketBalancer.h
+++ b/include/dandelionslip/Packet/PacketBalancer.h
@@ -21,6 +21,7 @@
   Milliseconds mReportLifetime{1'000};
   /// How long a flow's holder is remembered without packets; longer than an idle flow may live.
   Milliseconds mFlowMemory{20'000};
+  Milliseconds mMaxFlowAge{60'000}; ///< Older flows may be given up.
   std::size_t mMaxFlows = 500'000;
   /// How long an opening packet waits for an upstream that may be about to accept it. Callers give
   /// up 1.4 s after the first packet.
@@ -63,6 +64,8 @@
     std::string mDataCentre;
     bool mInView = false;
     bool mTakesNewWork = false; ///< By the view; used without a report.
+    /// Since when the view shows it as lost: its upstream may live on and hold flows.
+    std::optional<TimePoint> mLostAt;
     LoadReport mReport;
     std::optional<TimePoint> mReportedAt;
     std::uint32_t mPlaced = 0; ///< Flows placed since the report.
@@ -128,6 +131,8 @@
                   PacketOutput& aOutput, TimePoint aNow);
   void OnLoad(const Endpoint& aFrom, std::span<const std::uint8_t> aBytes, PacketOutput& aOutput,
               TimePoint aNow);
+  void TakeView(const View& aView, TimePoint aNow);
+  void TakeAgent(const Member& aMember, TimePoint aNow);
   void Reset(const Segment& aSegment, PacketOutput& aOutput, Counter& aCounter);
 
   PacketBalancerSettings mSettings;
--- a/lib/Daemon/ControlLink.cpp
+++ b/lib/Daemon/ControlLink.cpp
@@ -171,12 +171,15 @@
         LearnEndpoints(answer.value().mControlEndpoints);
       }
     }
-    silent = RuntimeClock::now() - mLastLease > kMaxWithoutLease;
+    // Without a leader in reach the replica has nothing to give; another one may be better placed.
+    silent =
+      (answer && !answer.value().mConfirmed) || RuntimeClock::now() - mLastLease > kMaxWithoutLease;
     state = mState;
   }
   if (!answer || silent) {
     Rotate(answer ? Error{ErrorCode::Unavailable, "control.announce", aEndpoint, "no lease"}
                   : answer.error());
+    CallAfter(mLoop, kFetchRetry, [this] { AnnounceNow(); });
   }
   if (answer) {
     mHandlers.mAnswered(answer.value(), state, aSentAt);
--- a/lib/Daemon/PacketAgentDaemon.cpp
+++ b/lib/Daemon/PacketAgentDaemon.cpp
@@ -148,8 +148,8 @@
     }
   }
 
-  // Balancers are known from the view and from their packets: after a restart of everything, packets
-  // may come before the first view.
+  // Balancers are known from the view and from their packets: after a restart of everything,
+  // packets may come before the first view.
   void NoteBalancer(const Endpoint& aBalancer)
   {
     const auto [item, isNew] = mBalancers.try_emplace(aBalancer);
--- a/lib/Packet/PacketAgent.cpp
+++ b/lib/Packet/PacketAgent.cpp
@@ -199,7 +199,7 @@
                          : std::chrono::duration_cast<Milliseconds>(mUpstream->mColdUntil - aNow);
     report.mOpensPerSecond = static_cast<std::uint32_t>(ColdLimit());
   }
-  report.mGone = mStopping && (!mUpstream || mUpstream->mLeft);
+  report.mGone = Gone();
   report.mStarting = !mUpstream && aNow - mStartedAt < kMissedHeartbeats * mSettings.mHeartbeat;
   report.mFlows = mOpenFlows;
   report.mRequests = mActive;
@@ -209,10 +209,16 @@
   return report;
 }
 
+// The upstream has said that it exits, so no flow is left here.
+bool PacketAgent::Gone() const
+{
+  return mStopping && mUpstream && mUpstream->mLeft;
+}
+
 MemberState PacketAgent::State(TimePoint aNow) const
 {
   if (mStopping) {
-    return MemberState::Draining;
+    return Gone() ? MemberState::Left : MemberState::Draining;
   }
   if (UpstreamCondition(aNow) != ReturnReason::None) {
     return mUpstream ? MemberState::Draining : MemberState::Cold;
--- a/lib/Packet/PacketBalancer.cpp
+++ b/lib/Packet/PacketBalancer.cpp
@@ -69,11 +69,15 @@
       .With("revision", mRevision)
       .With("routes", mRoutes.size());
   }
-  if (aView.mRevision <= mViewRevision) {
-    RetryWaiting(aOutput, aNow);
-    return;
+  if (aView.mRevision > mViewRevision) {
+    mViewRevision = aView.mRevision;
+    TakeView(aView, aNow);
   }
-  mViewRevision = aView.mRevision;
+  RetryWaiting(aOutput, aNow);
+}
+
+void PacketBalancer::TakeView(const View& aView, TimePoint aNow)
+{
   for (auto& [endpoint, agent] : mAgents) {
     agent.mInView = false;
     agent.mTakesNewWork = false;
@@ -82,21 +86,39 @@
     std::count_if(aView.mMembers.begin(), aView.mMembers.end(), [](const auto& aItem) {
       return aItem.second.mKind == MemberKind::Balancer && HoldsFlows(aItem.second.mState);
     }));
-  for (const auto& [name, member] : aView.mMembers) {
-    const auto endpoint = Endpoint::Parse(member.mDatagramEndpoint);
-    if (member.mKind != MemberKind::Agent || !HoldsFlows(member.mState) || !endpoint) {
-      continue;
+  // A lost agent's endpoint may belong to a live one by now, which comes second.
+  for (const bool lost : {true, false}) {
+    for (const auto& [name, member] : aView.mMembers) {
+      if (member.mKind == MemberKind::Agent && member.mState != MemberState::Left &&
+          (member.mState == MemberState::Lost) == lost) {
+        TakeAgent(member, aNow);
+      }
     }
-    Agent& agent = mAgents[endpoint.value()];
-    agent.mService = member.mService;
-    agent.mDataCentre = member.mDataCentre;
-    agent.mInView = true;
-    agent.mTakesNewWork = TakesNewWork(member.mState);
   }
   if (!mFirstAgentAt && !mAgents.empty()) {
     mFirstAgentAt = aNow;
   }
-  RetryWaiting(aOutput, aNow);
+}
+
+void PacketBalancer::TakeAgent(const Member& aMember, TimePoint aNow)
+{
+  const auto endpoint = Endpoint::Parse(aMember.mDatagramEndpoint);
+  if (!endpoint) {
+    LogEvent(LogLevel::Warning, "member_ignored")
+      .With("member", aMember.mName)
+      .With(endpoint.error());
+    return;
+  }
+  Agent& agent = mAgents[endpoint.value()];
+  agent.mService = aMember.mService;
+  agent.mDataCentre = aMember.mDataCentre;
+  if (aMember.mState == MemberState::Lost) {
+    agent.mLostAt = agent.mLostAt.value_or(aNow);
+    return;
+  }
+  agent.mLostAt.reset();
+  agent.mInView = true;
+  agent.mTakesNewWork = TakesNewWork(aMember.mState);
 }
 
 const PacketBalancer::RouteEntry* PacketBalancer::FindRoute(const FlowKey& aFlow) const
@@ -274,7 +296,8 @@
       continue;
     }
     const bool silent = !agent.mReportedAt || aNow - *agent.mReportedAt > mSettings.mReportLifetime;
-    if ((silent && MayPlace(endpoint, agent, aFlow)) || (!silent && agent.mReport.mStarting)) {
+    if ((silent && agent.mInView && MayPlace(endpoint, agent, aFlow)) ||
+        (!silent && agent.mReport.mStarting)) {
       return true;
     }
     if (!silent && agent.mReport.mAccepts && agent.mReport.mCold) {
@@ -499,7 +522,9 @@
     mFlows, [&](const auto& aItem) { return aNow - aItem.second.mUsedAt > mSettings.mFlowMemory; });
   std::erase_if(mAgents, [&](const auto& aItem) {
     const Agent& agent = aItem.second;
-    return !agent.mInView && (!agent.mReportedAt || aNow - *agent.mReportedAt > kAgentMemory);
+    const bool mayHoldFlows = agent.mLostAt && aNow - *agent.mLostAt <= mSettings.mMaxFlowAge;
+    return !agent.mInView && !mayHoldFlows &&
+           (!agent.mReportedAt || aNow - *agent.mReportedAt > kAgentMemory);
   });
 }
 
--- a/unittests/Packet/PacketBalancerTest.cpp
+++ b/unittests/Packet/PacketBalancerTest.cpp
@@ -19,6 +19,7 @@
   CPPUNIT_TEST(UnknownFlowsAreSearched);
   CPPUNIT_TEST(FlowsThatNobodyHoldsAreReset);
   CPPUNIT_TEST(SilentAgentsPreventAReset);
+  CPPUNIT_TEST(LostAgentsPreventAReset);
   CPPUNIT_TEST(RefusedOpeningsTryAnotherUpstream);
   CPPUNIT_TEST(UnroutableOpeningsAreResetAtOnce);
   CPPUNIT_TEST(OpeningsWaitForRoutes);
@@ -146,6 +147,33 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{0}, mOutput.Resets());
   }
 
+  // Guards against the reset of an open flow by a balancer that joined while the flow's agent had no
+  // lease: control was split, and the agent and its upstream went on.
+  void LostAgentsPreventAReset()
+  {
+    mBalancer.OnState(
+      TestRoutes(1, {"web"}),
+      TestView(1, {TestAgent(1, "web"), TestAgent(2, "web", MemberState::Lost),
+                   TestAgent(3, "web", MemberState::Left)}),
+      mOutput, mNow);
+    mNow += kSettled;
+    const PacketBytes packet = CallerPacket(TestFlow(1), FlagAck, 7, 9, 50);
+    Send(packet);
+    Return(1, ReturnReason::NotFound, packet);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, mOutput.Resets());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, mOutput.mToNodes.size());
+    mOutput.Clear();
+    Send(CallerPacket(TestFlow(2), FlagSyn));
+    CPPUNIT_ASSERT(mOutput.mToNodes.at(0).mNode == NodeEndpoint(1));
+    // By now every flow of the lost agent is older than flows may become.
+    mNow += std::chrono::seconds(61);
+    Report(1, Accepting());
+    mBalancer.OnTick(mNow);
+    Send(packet);
+    Return(1, ReturnReason::NotFound, packet);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, mOutput.Resets());
+  }
+
   // Guards against a refusal while another upstream has room, and against an endless loop.
   void RefusedOpeningsTryAnotherUpstream()
   {
