--- a/include/dandelionslip/Config/ControlSettings.h
+++ b/include/dandelionslip/Config/ControlSettings.h
@@ -35,6 +35,7 @@
   Milliseconds mHeartbeat{100};
   Milliseconds mElectionTimeoutMin{500};
   Milliseconds mElectionTimeoutMax{1'000};
+  Milliseconds mFirstElection{0}; ///< Longest election timeout right after a start; 0: as usual.
   std::uint32_t mSnapshotEntries = 4'096; ///< Log entries between two snapshots.
   Milliseconds mLease{2'000};
   bool mJoin = false; ///< Start as a learner of an existing group.
@@ -57,6 +58,7 @@
   aVisitor.Optional("heartbeat_ms", aValue.mHeartbeat, {10, 5'000});
   aVisitor.Optional("election_timeout_min_ms", aValue.mElectionTimeoutMin, {50, 60'000});
   aVisitor.Optional("election_timeout_max_ms", aValue.mElectionTimeoutMax, {50, 120'000});
+  aVisitor.Optional("first_election_ms", aValue.mFirstElection, {0, 10'000});
   aVisitor.Optional("snapshot_entries", aValue.mSnapshotEntries, {16, 1'000'000});
   aVisitor.Optional("lease_ms", aValue.mLease, {500, 60'000});
   aVisitor.Optional("join", aValue.mJoin);
--- a/include/dandelionslip/Control/RaftCore.h
+++ b/include/dandelionslip/Control/RaftCore.h
@@ -17,6 +17,9 @@
   Milliseconds mHeartbeat{100};
   Milliseconds mElectionMin{500};
   Milliseconds mElectionMax{1000};
+  /// Longest election timeout within the first second after a start, when a restart of the whole
+  /// group is likely; a leader that is there refuses the pre-vote. Zero uses the usual timeouts.
+  Milliseconds mFirstElection{0};
   Milliseconds mConfirmWindow{500}; ///< How long a quorum contact confirms reads.
   std::size_t mMaxAppendBytes = 64U << 10U;
   std::size_t mMaxAppendEntries = 256;
--- a/lib/Control/RaftNode.cpp
+++ b/lib/Control/RaftNode.cpp
@@ -23,6 +23,9 @@
   }
 }
 
+// How long after the start the first election timeout applies.
+constexpr Milliseconds kFirstElections{1'000};
+
 } // namespace
 
 RaftCore::Node::Node(RaftSettings aSettings, RecoveredState aState, Random aRandom, TimePoint aNow)
@@ -32,6 +35,7 @@
   , mRandom(aRandom)
   , mSession(mRandom.Next())
   , mNow(aNow)
+  , mStartedAt(aNow)
   , mHardState(std::move(aState.mHardState))
   , mLog(std::move(aState.mSnapshot), std::move(aState.mEntries))
   , mPersisted(mLog.LastIndex())
@@ -195,10 +199,14 @@
 
 void RaftCore::Node::ResetElectionDeadline()
 {
-  const auto range = static_cast<std::uint64_t>(
-    RuntimeClock::duration(mSettings.mElectionMax - mSettings.mElectionMin).count());
-  mElectionDeadline = mNow + mSettings.mElectionMin +
-                      RuntimeClock::duration(static_cast<std::int64_t>(mRandom.Below(range + 1)));
+  const bool first = mNow - mStartedAt < kFirstElections;
+  const Milliseconds longest = first && mSettings.mFirstElection.count() > 0
+                                 ? mSettings.mFirstElection
+                                 : mSettings.mElectionMax;
+  const Milliseconds shortest = std::min(mSettings.mElectionMin, longest / 2);
+  const auto range = static_cast<std::uint64_t>(RuntimeClock::duration(longest - shortest).count());
+  mElectionDeadline =
+    mNow + shortest + RuntimeClock::duration(static_cast<std::int64_t>(mRandom.Below(range + 1)));
 }
 
 void RaftCore::Node::BecomeFollower(Term aTerm, std::optional<ReplicaId> aLeader)
--- a/lib/Control/RaftNode.h
+++ b/lib/Control/RaftNode.h
@@ -126,6 +126,7 @@
   Random mRandom;
   const std::uint64_t mSession; ///< Tells clock stamps of this process from earlier ones.
   TimePoint mNow;
+  TimePoint mStartedAt;
 
   RoleMachine mRole;
   HardState mHardState;
--- a/lib/Daemon/ControlDaemon.cpp
+++ b/lib/Daemon/ControlDaemon.cpp
@@ -74,6 +74,7 @@
   settings.mHeartbeat = aSettings.mHeartbeat;
   settings.mElectionMin = aSettings.mElectionTimeoutMin;
   settings.mElectionMax = aSettings.mElectionTimeoutMax;
+  settings.mFirstElection = aSettings.mFirstElection;
   return settings;
 }
 
--- a/lib/Daemon/ControlLink.cpp
+++ b/lib/Daemon/ControlLink.cpp
@@ -11,7 +11,7 @@
 namespace {
 
 constexpr Milliseconds kAnswerTimeout{400};
-constexpr Milliseconds kFetchRetry{100};
+constexpr Milliseconds kFetchRetry{40};
 // A replica that gives no lease for this long is replaced by the next one.
 constexpr Milliseconds kMaxWithoutLease{1'000};
 
