--- a/include/dandelionslip/Config/ControlSettings.h
+++ b/include/dandelionslip/Config/ControlSettings.h
@@ -38,6 +38,7 @@
   Milliseconds mFirstElection{0}; ///< Longest election timeout right after a start; 0: as usual.
   std::uint32_t mSnapshotEntries = 4'096; ///< Log entries between two snapshots.
   Milliseconds mLease{2'000};
+  Milliseconds mSummaryInterval{250}; ///< Between two reports of a replica on its nodes.
   bool mJoin = false; ///< Start as a learner of an existing group.
   /// Endpoints of the replicas that found the group together, this one possibly among them. Used in
   /// place of mPeers where the replicas of the group are not known beforehand: all others join.
@@ -61,6 +62,7 @@
   aVisitor.Optional("first_election_ms", aValue.mFirstElection, {0, 10'000});
   aVisitor.Optional("snapshot_entries", aValue.mSnapshotEntries, {16, 1'000'000});
   aVisitor.Optional("lease_ms", aValue.mLease, {500, 60'000});
+  aVisitor.Optional("summary_interval_ms", aValue.mSummaryInterval, {10, 5'000});
   aVisitor.Optional("join", aValue.mJoin);
   aVisitor.Optional("founders", aValue.mFounders);
   aVisitor.Optional("target_voters", aValue.mTargetVoters, {0, 7});
--- a/lib/Daemon/ControlDaemon.cpp
+++ b/lib/Daemon/ControlDaemon.cpp
@@ -98,6 +98,7 @@
 {
   MembershipSettings settings;
   settings.mLease = aSettings.mLease;
+  settings.mSummaryInterval = aSettings.mSummaryInterval;
   return settings;
 }
 
--- a/lib/Packet/PacketAgent.cpp
+++ b/lib/Packet/PacketAgent.cpp
@@ -106,6 +106,7 @@
   } else {
     LogEvent(LogLevel::Info, "upstream_found")
       .With("upstream", aReport.mId)
+      .With("sequence", aReport.mSequence)
       .With("started_ms", aReport.mStartedMs)
       .With("cold_left_ms", aReport.mColdLeft.count());
     // Without its first heartbeat, an earlier process of this agent may have opened flows.
