Bound the logs and log each decision of the packet plane

Cause: on-call engineers have only logs. Lines went to standard error without a bound, a reader that stopped reading stopped the process, and placements, refusals and searches left no line.

A line is written only if the descriptor takes it at once; others are dropped and counted. Balancers and agents log placements, waits, returns, found, refused, opened and declined flows with the inputs, their age and versions.

--- a/include/dandelionslip/Packet/PacketAgent.h
+++ b/include/dandelionslip/Packet/PacketAgent.h
@@ -120,6 +120,7 @@
               std::span<const std::uint8_t> aPacket, PacketOutput& aOutput);
   void OnOpening(const Endpoint& aFrom, const Segment& aSegment, std::span<std::uint8_t> aPacket,
                  PacketOutput& aOutput, TimePoint aNow);
+  void LogOpening(const FlowKey& aFlow, ReturnReason aReason, TimePoint aNow) const;
   void OnMidFlow(const Endpoint& aFrom, HopKind aKind, const Segment& aSegment,
                  std::span<std::uint8_t> aPacket, PacketOutput& aOutput, TimePoint aNow);
   void OnQuery(const Endpoint& aFrom, HopKind aKind, std::span<const std::uint8_t> aBytes,
--- a/include/dandelionslip/Packet/PacketBalancer.h
+++ b/include/dandelionslip/Packet/PacketBalancer.h
@@ -145,6 +145,7 @@
               TimePoint aNow);
   void TakeView(const View& aView, TimePoint aNow);
   void TakeAgent(const Member& aMember, TimePoint aNow);
+  void LogPlacement(const Segment& aSegment, const Endpoint& aHolder, TimePoint aNow);
   void Reset(const Segment& aSegment, PacketOutput& aOutput, Counter& aCounter);
 
   PacketBalancerSettings mSettings;
--- a/include/dandelionslip/Support/Log.h
+++ b/include/dandelionslip/Support/Log.h
@@ -20,7 +20,9 @@
 /// Reads a level name ("debug", "info", "warning", "error").
 Result<LogLevel> ParseLogLevel(std::string_view aName);
 
-/// Sets the lowest level that is written and the program name on every line.
+/// Sets the lowest level that is written and the program name on every line. Lines go to standard
+/// output, at most LogBudget::kLinesPerSecond of each event; a reader that stops reading loses
+/// lines but never delays the process.
 void InitialiseLog(std::string_view aProgram, std::string_view aNode, LogLevel aLevel);
 
 /// One log line, written when the object goes out of scope.
@@ -45,7 +47,10 @@
   LogEvent& With(const Error& aError);
 
 private:
+  void Begin(std::string_view aEvent);
+
   LogLevel mLevel;
+  bool mWritten; ///< The level is high enough and the event has lines left in this second.
   std::string mLine;
 };
 
--- a/lib/Packet/PacketAgentFlows.cpp
+++ b/lib/Packet/PacketAgentFlows.cpp
@@ -1,6 +1,8 @@
 // Packets of a packet agent.
 #include "dandelionslip/Packet/PacketAgent.h"
 
+#include "dandelionslip/Support/Log.h"
+
 namespace dandelionslip {
 
 namespace {
@@ -48,12 +50,14 @@
     return;
   }
   if (const auto reason = ReasonToRefuse(aSegment, aNow)) {
+    LogOpening(aSegment.mFlow, *reason, aNow);
     Return(aFrom, *reason, aPacket, aOutput);
     return;
   }
   if (aSegment.mCopyNumber == 0) {
     Forget(aSegment.mFlow, aNow);
   }
+  LogOpening(aSegment.mFlow, ReturnReason::None, aNow);
   Flow& flow = FlowOf(aSegment.mFlow, aNow);
   flow.mDelivered = aSegment.mSequence;
   if (mUnansweredOpens++ == 0) {
@@ -62,6 +66,22 @@
   Deliver(aFrom, HopKind::Deliver, aPacket, aOutput);
 }
 
+void PacketAgent::LogOpening(const FlowKey& aFlow, ReturnReason aReason, TimePoint aNow) const
+{
+  const auto age =
+    mUpstream ? std::chrono::duration_cast<Milliseconds>(aNow - mUpstream->mHeardAt).count() : -1;
+  LogEvent(LogLevel::Info, aReason == ReturnReason::None ? "flow_opened" : "flow_declined")
+    .With("flow", ToString(aFlow))
+    .With("reason", ToString(aReason))
+    .With("upstream", mUpstream ? mUpstream->mReport.mId : "")
+    .With("started_ms", mUpstream ? mUpstream->mReport.mStartedMs : 0)
+    .With("heartbeat_age_ms", age)
+    .With("cold", IsCold(aNow) ? "true" : "false")
+    .With("flows", mOpenFlows)
+    .With("requests", mActive)
+    .With("routes", mRoutes.mVersion);
+}
+
 void PacketAgent::OnMidFlow(const Endpoint& aFrom, HopKind aKind, const Segment& aSegment,
                             std::span<std::uint8_t> aPacket, PacketOutput& aOutput, TimePoint aNow)
 {
@@ -148,6 +168,10 @@
     Forget(segment->mFlow, aNow);
     if (!ended) {
       mResets.Add();
+      LogEvent(LogLevel::Info, "flow_reset")
+        .With("flow", ToString(segment->mFlow))
+        .With("reason", "upstream_lost_it")
+        .With("upstream", mUpstream ? mUpstream->mReport.mId : "");
       aOutput.SendToCaller(segment->mFlow,
                            mCodec.EncodeReset(segment->mFlow, segment->mAcknowledged));
     }
--- a/lib/Packet/PacketBalancer.cpp
+++ b/lib/Packet/PacketBalancer.cpp
@@ -222,6 +222,7 @@
     return;
   }
   mPlaced.Add();
+  LogPlacement(aSegment, *holder, aNow);
   ++mAgents[*holder].mPlaced;
   aOutput.SendToNode(*holder, {HopKind::Deliver, ReturnReason::None}, aPacket);
 }
@@ -232,6 +233,25 @@
                      [&](const WaitingOpening& aOpening) { return aOpening.mFlow == aFlow; });
 }
 
+void PacketBalancer::LogPlacement(const Segment& aSegment, const Endpoint& aHolder, TimePoint aNow)
+{
+  const Agent& agent = mAgents[aHolder];
+  const auto age = agent.mReportedAt
+                     ? std::chrono::duration_cast<Milliseconds>(aNow - *agent.mReportedAt).count()
+                     : -1;
+  LogEvent(LogLevel::Info, "flow_placed")
+    .With("flow", ToString(aSegment.mFlow))
+    .With("copy", aSegment.mCopyNumber)
+    .With("service", agent.mService)
+    .With("agent", aHolder.ToString())
+    .With("report_age_ms", age)
+    .With("flows", agent.mReport.mFlows + agent.mPlaced)
+    .With("requests", agent.mReport.mRequests)
+    .With("cold", agent.mReport.mCold ? "true" : "false")
+    .With("routes", mRouteVersion)
+    .With("view", mViewRevision);
+}
+
 void PacketBalancer::Wait(const Segment& aSegment, std::uint32_t aPriority, Milliseconds aWait,
                           std::span<const std::uint8_t> aPacket, TimePoint aNow)
 {
@@ -242,6 +262,12 @@
   if (!IsWaiting(aSegment.mFlow)) {
     mWaiting.push_back({aSegment.mFlow, {aPacket.begin(), aPacket.end()}, aPriority, aNow, aWait});
     mWaited.Add();
+    LogEvent(LogLevel::Info, "flow_waits")
+      .With("flow", ToString(aSegment.mFlow))
+      .With("wait_ms", aWait.count())
+      .With("waiting", mWaiting.size())
+      .With("routes", mRouteVersion)
+      .With("view", mViewRevision);
   }
 }
 
@@ -259,6 +285,10 @@
     const auto segment = mCodec.DecodeFromCaller(opening.mPacket);
     if (!segment || aNow - opening.mSince > opening.mWait) {
       mWaitedInVain.Add();
+      LogEvent(LogLevel::Info, "flow_given_up")
+        .With("flow", ToString(opening.mFlow))
+        .With("reason", "waited_too_long")
+        .With("wait_ms", opening.mWait.count());
       continue;
     }
     const std::size_t before = mWaiting.size();
@@ -372,6 +402,10 @@
     return;
   }
   mReturned[static_cast<std::size_t>(aReason)]->Add();
+  LogEvent(LogLevel::Info, "flow_returned")
+    .With("flow", ToString(segment->mFlow))
+    .With("agent", aFrom.ToString())
+    .With("reason", ToString(aReason));
   Flow& flow = FlowOf(segment->mFlow, aNow);
   if (flow.mHolder && *flow.mHolder != aFrom) {
     // The flow was found or placed elsewhere meanwhile.
@@ -431,6 +465,7 @@
                     : &aCounter == &mNotFound ? "not_found"
                                               : "no_upstream")
     .With("routes", mRouteVersion)
+    .With("view", mViewRevision)
     .With("agents", mAgents.size())
     .With("waiting", mWaiting.size());
   aOutput.SendToCaller(aSegment.mFlow, mCodec.EncodeReset(aSegment.mFlow, aSegment.mAcknowledged));
--- a/lib/Packet/PacketBalancerSearch.cpp
+++ b/lib/Packet/PacketBalancerSearch.cpp
@@ -1,6 +1,8 @@
 // Finds the agent that holds a flow which this balancer does not know.
 #include "dandelionslip/Packet/PacketBalancer.h"
 
+#include "dandelionslip/Support/Log.h"
+
 #include <algorithm>
 
 namespace dandelionslip {
@@ -111,6 +113,11 @@
   const auto search = std::move(aFlow.mSearch);
   aFlow.mHolder = aHolder;
   aFlow.mTried.clear();
+  LogEvent(LogLevel::Info, "flow_found")
+    .With("flow", ToString(aKey))
+    .With("agent", aHolder.ToString())
+    .With("asked", search->mEverywhere ? "all" : "homes")
+    .With("view", mViewRevision);
   for (const auto& packet : search->mPackets) {
     mForwarded.Add();
     aOutput.SendToNode(aHolder, {HopKind::Deliver, ReturnReason::None}, packet);
--- a/lib/Support/Log.cpp
+++ b/lib/Support/Log.cpp
@@ -1,18 +1,20 @@
 // Boost.Log behind the structured logging interface.
 #include "dandelionslip/Support/Log.h"
 
-#include <boost/core/null_deleter.hpp>
+#include "dandelionslip/Support/LineWriter.h"
+#include "dandelionslip/Support/LogBudget.h"
+
 #include <boost/log/core.hpp>
-#include <boost/log/expressions.hpp>
+#include <boost/log/sinks/basic_sink_backend.hpp>
 #include <boost/log/sinks/sync_frontend.hpp>
-#include <boost/log/sinks/text_ostream_backend.hpp>
 #include <boost/log/sources/record_ostream.hpp>
 #include <boost/log/sources/severity_logger.hpp>
 #include <boost/smart_ptr/make_shared.hpp>
 
 #include <array>
 #include <chrono>
-#include <iostream>
+#include <mutex>
+#include <unistd.h>
 #include <utility>
 
 namespace dandelionslip {
@@ -34,6 +36,56 @@
   return prefix;
 }
 
+LogLevel& Threshold()
+{
+  static LogLevel threshold = LogLevel::Info;
+  return threshold;
+}
+
+LineWriter& Output()
+{
+  static LineWriter writer(STDOUT_FILENO);
+  return writer;
+}
+
+// Hands finished records to the writer, which never waits.
+class LineBackend
+  : public logging::sinks::basic_formatted_sink_backend<char, logging::sinks::synchronized_feeding>
+{
+public:
+  void consume(const logging::record_view& /*aRecord*/, const std::string& aLine)
+  {
+    Output().Write(aLine);
+  }
+};
+
+void WriteRecord(LogLevel aLevel, const std::string& aLine)
+{
+  logging::sources::severity_logger<int> logger(logging::keywords::severity =
+                                                  static_cast<int>(aLevel));
+  BOOST_LOG(logger) << aLine;
+}
+
+// Whether the event has lines left in this second. Also accounts for lines that were left out.
+bool Admit(std::string_view aEvent)
+{
+  static std::mutex mutex;
+  static LogBudget budget;
+  const TimePoint now = RuntimeClock::now();
+  std::vector<OmittedLines> omitted;
+  bool admitted = false;
+  {
+    const std::lock_guard lock(mutex);
+    omitted = budget.TakeOmitted(now);
+    admitted = budget.Admit(aEvent, now);
+  }
+  for (const auto& [event, count] : omitted) {
+    WriteRecord(LogLevel::Warning, Prefix() + "event=log_lines_omitted of=" + event +
+                                     " count=" + std::to_string(count));
+  }
+  return admitted;
+}
+
 bool IsPlain(char aCharacter)
 {
   const auto byte = static_cast<unsigned char>(aCharacter);
@@ -57,14 +109,9 @@
 {
   Prefix() = "program=" + QuoteLogValue(aProgram) + " node=" + QuoteLogValue(aNode) + " ";
   logging::core::get()->remove_all_sinks();
-  using Backend = logging::sinks::text_ostream_backend;
-  auto backend = boost::make_shared<Backend>();
-  backend->add_stream(boost::shared_ptr<std::ostream>(&std::clog, boost::null_deleter()));
-  backend->auto_flush(true);
   logging::core::get()->add_sink(
-    boost::make_shared<logging::sinks::synchronous_sink<Backend>>(backend));
-  logging::core::get()->set_filter(logging::expressions::attr<int>("Severity") >=
-                                   static_cast<int>(aLevel));
+    boost::make_shared<logging::sinks::synchronous_sink<LineBackend>>());
+  Threshold() = aLevel;
 }
 
 std::string QuoteLogValue(std::string_view aValue)
@@ -92,28 +139,38 @@
 
 LogEvent::LogEvent(LogLevel aLevel, std::string_view aEvent)
   : mLevel(aLevel)
+  , mWritten(aLevel >= Threshold() && Admit(aEvent))
+{
+  if (mWritten) {
+    Begin(aEvent);
+  }
+}
+
+void LogEvent::Begin(std::string_view aEvent)
 {
   const auto now = std::chrono::system_clock::now().time_since_epoch();
   With("time_ms", std::chrono::duration_cast<std::chrono::milliseconds>(now).count());
-  With("level", kLevels[static_cast<std::size_t>(aLevel)].second);
+  With("level", kLevels[static_cast<std::size_t>(mLevel)].second);
   mLine += Prefix();
   With("event", aEvent);
 }
 
 LogEvent::~LogEvent()
 {
-  logging::sources::severity_logger<int> logger(logging::keywords::severity =
-                                                  static_cast<int>(mLevel));
-  mLine.pop_back();
-  BOOST_LOG(logger) << mLine;
+  if (mWritten) {
+    mLine.pop_back();
+    WriteRecord(mLevel, mLine);
+  }
 }
 
 LogEvent& LogEvent::With(std::string_view aKey, std::string_view aValue)
 {
-  mLine += aKey;
-  mLine += '=';
-  mLine += QuoteLogValue(aValue);
-  mLine += ' ';
+  if (mWritten) {
+    mLine += aKey;
+    mLine += '=';
+    mLine += QuoteLogValue(aValue);
+    mLine += ' ';
+  }
   return *this;
 }
 
