Keep probes and reused ports from resetting open flows

Its agent had just started and had not heard from its upstream, answered that it was unsure, and got the packet as a probe; the reset that came back from the VM was passed on to the caller, whose flow was open elsewhere. A second way to such a reset was found on the way: a port used again, with packets that reach the upstream of the earlier flow.

Ruled out: two upstreams for one opening packet; the flow was opened once.

Change: an agent without an upstream answers no query, a reset of a flow that the upstream does not hold is dropped, and a packet whose sequence number is far from the known flow's is not taken for it. Three tests failed before.

--- a/include/dandelionslip/Packet/PacketAgent.h
+++ b/include/dandelionslip/Packet/PacketAgent.h
@@ -163,6 +163,7 @@
   Counter& mReplies;
   Counter& mBounced;
   Counter& mResets;
+  Counter& mProbeResets;
   Counter& mMalformed;
   std::array<Counter*, kReturnReasons> mReturned{};
 };
--- a/lib/Packet/PacketAgent.cpp
+++ b/lib/Packet/PacketAgent.cpp
@@ -45,6 +45,8 @@
   , mReplies(aRegistry.CounterFor("dandelionslip_packets_replied_total"))
   , mBounced(aRegistry.CounterFor("dandelionslip_packets_bounced_total"))
   , mResets(aRegistry.CounterFor("dandelionslip_flows_reset_total", "reason=\"upstream_lost_it\""))
+  , mProbeResets(
+      aRegistry.CounterFor("dandelionslip_packets_dropped_total", "reason=\"probe_reset\""))
   , mMalformed(aRegistry.CounterFor("dandelionslip_packets_dropped_total", "reason=\"malformed\""))
 {
   for (std::size_t i = 0; i < kReturnReasons; ++i) {
--- a/lib/Packet/PacketAgentDirectory.cpp
+++ b/lib/Packet/PacketAgentDirectory.cpp
@@ -39,6 +39,10 @@
       return;
     }
   }
+  // Whether the upstream has started, and holds flows of before this agent's start, is not known.
+  if (!mUpstream) {
+    return;
+  }
   SayWhere(aFrom, TableIsComplete(aNow) ? HopKind::NotFound : HopKind::Unsure, key, {}, aOutput);
 }
 
--- a/lib/Packet/PacketAgentFlows.cpp
+++ b/lib/Packet/PacketAgentFlows.cpp
@@ -3,6 +3,8 @@
 
 #include "dandelionslip/Support/Log.h"
 
+#include <algorithm>
+
 namespace dandelionslip {
 
 namespace {
@@ -13,6 +15,17 @@
   return static_cast<std::int32_t>(aFirst - aSecond) > 0;
 }
 
+// Four times the data that a caller has in flight: sequence numbers further apart belong to two
+// flows that used the same port one after the other.
+constexpr std::uint32_t kSequenceWindow = 76'800;
+
+bool IsNear(std::uint32_t aFirst, std::uint32_t aSecond)
+{
+  const std::uint32_t ahead = aFirst - aSecond;
+  const std::uint32_t behind = aSecond - aFirst;
+  return std::min(ahead, behind) <= kSequenceWindow;
+}
+
 } // namespace
 
 void PacketAgent::OnNodePacket(const Endpoint& aFrom, const HopHeader& aHeader,
@@ -85,7 +98,12 @@
 void PacketAgent::OnMidFlow(const Endpoint& aFrom, HopKind aKind, const Segment& aSegment,
                             std::span<std::uint8_t> aPacket, PacketOutput& aOutput, TimePoint aNow)
 {
-  const auto found = mFlows.find(aSegment.mFlow);
+  auto found = mFlows.find(aSegment.mFlow);
+  if (found != mFlows.end() && found->second.mDelivered &&
+      !IsNear(aSegment.mSequence, *found->second.mDelivered)) {
+    Forget(aSegment.mFlow, aNow);
+    found = mFlows.end();
+  }
   if (found == mFlows.end()) {
     if (!TableIsComplete(aNow)) {
       Deliver(aFrom, aKind, aPacket, aOutput);
@@ -124,6 +142,12 @@
     mMalformed.Add();
     return;
   }
+  // An upstream that resets a flow which it does not hold answers a probe; the flow may be open
+  // elsewhere.
+  if (segment->mResets && !mFlows.contains(segment->mFlow)) {
+    mProbeResets.Add();
+    return;
+  }
   mReplies.Add();
   aOutput.SendToCaller(segment->mFlow, aPacket);
   if (segment->mResets) {
@@ -162,7 +186,7 @@
     return;
   }
   const auto found = mFlows.find(segment->mFlow);
-  if (found != mFlows.end() && found->second.mEstablished) {
+  if (found != mFlows.end() && found->second.mEstablished && found->second.mDelivered) {
     // The flow was open here and its upstream no longer holds it: nobody does.
     const bool ended = found->second.mUpstreamEnded || found->second.mClosed;
     Forget(segment->mFlow, aNow);
--- a/unittests/Packet/PacketAgentTest.cpp
+++ b/unittests/Packet/PacketAgentTest.cpp
@@ -30,6 +30,9 @@
   CPPUNIT_TEST(CompleteTablesDenyUnknownFlows);
   CPPUNIT_TEST(BouncedOpeningsAreReturned);
   CPPUNIT_TEST(LostEstablishedFlowsAreReset);
+  CPPUNIT_TEST(ReusedPortsAreNotTakenForTheOldFlow);
+  CPPUNIT_TEST(AgentsWithoutAnUpstreamAnswerNoQuery);
+  CPPUNIT_TEST(ResetsOfUnknownFlowsStayHere);
   CPPUNIT_TEST(BouncedProbesAreDenied);
   CPPUNIT_TEST(LateHeartbeatsChangeNothing);
   CPPUNIT_TEST(ReportsCountOpenFlowsAndRequests);
@@ -290,6 +293,41 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, mOutput.Resets());
   }
 
+  // Guards against the reset of a new flow at another upstream: its caller uses the port of an
+  // earlier flow, and a balancer that remembers that one sends its packets here.
+  void ReusedPortsAreNotTakenForTheOldFlow()
+  {
+    Prepare();
+    Establish(1);
+    constexpr std::uint32_t kOtherSequence = 0x40000000;
+    FromBalancer(CallerPacket(TestFlow(1), FlagAck, kOtherSequence, 7, 100));
+    Bounce();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, mOutput.Resets());
+    AssertReturned(ReturnReason::NotHeld);
+  }
+
+  // Guards against probes of an upstream that has not started yet, and against a denial for one
+  // whose agent has just restarted.
+  void AgentsWithoutAnUpstreamAnswerNoQuery()
+  {
+    FromBalancer(FlowMessage{{}, {TestFlow(1)}}.Encode(), HopKind::Query);
+    CPPUNIT_ASSERT(mOutput.mToNodes.empty());
+    Heartbeat(7);
+    AssertAnswer(HopKind::Unsure, HopKind::Query, TestFlow(1));
+  }
+
+  // Guards against the reset of a flow by an upstream that only saw a probe of it.
+  void ResetsOfUnknownFlowsStayHere()
+  {
+    Prepare(7);
+    FromBalancer(CallerPacket(TestFlow(1), FlagAck, 5, 5), HopKind::DeliverIfHeld);
+    FromUpstream(UpstreamPacket(TestFlow(1), FlagRst));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, mOutput.Resets());
+    Establish(2);
+    FromUpstream(UpstreamPacket(TestFlow(2), FlagRst));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, mOutput.Resets());
+  }
+
   // Guards against a flow that counts as held because a restarted agent delivered its packet.
   void BouncedProbesAreDenied()
   {
