Place each flow among a few agents and look for it there first

Ruled out: control, which was ready 0.27 s after the start.

Change: a flow is placed among the six agents of its service that its hash ranks first, and among all only when none of them accepts it. A search asks the homes, then these six, then everyone, and probes of everyone are limited to 50 a second for a balancer.

--- a/include/dandelionslip/Packet/PacketBalancer.h
+++ b/include/dandelionslip/Packet/PacketBalancer.h
@@ -65,6 +65,7 @@
   {
     std::string mService;
     std::string mDataCentre;
+    std::uint64_t mSeed = 0; ///< Ranks the agent for a flow.
     bool mInView = false;
     bool mTakesNewWork = false; ///< By the view; used without a report.
     /// Since when the view shows it as lost: its upstream may live on and hold flows.
@@ -83,12 +84,20 @@
     Milliseconds mWait{0};       ///< Longest wait of an opening packet for an upstream.
   };
 
+  /// Whom a search asks, one stage after the other.
+  enum class SearchStage
+  {
+    Homes,   ///< The agents with which the flow would be registered.
+    Choices, ///< The agents among which the flow was placed.
+    Everywhere,
+  };
+
   /// A flow whose holder is being looked for.
   struct Search
   {
     TimePoint mSince;
-    bool mEverywhere = false;     ///< Every agent was asked, not only the flow's homes.
-    std::vector<Endpoint> mAsked; ///< Agents that have not answered yet.
+    SearchStage mStage = SearchStage::Homes;
+    std::vector<Endpoint> mAsked;                    ///< Agents that have not answered yet.
     std::vector<std::vector<std::uint8_t>> mPackets; ///< Delivered once the holder is found.
   };
 
@@ -126,13 +135,18 @@
   bool IsWaiting(const FlowKey& aFlow) const;
   bool MayAcceptSoon(const RouteEntry& aRoute, const Flow& aFlow, TimePoint aNow) const;
   std::uint32_t OpensLeft(const Agent& aAgent) const;
-  std::optional<Endpoint> ChooseAgent(const std::string& aService, const Flow& aFlow,
+  std::optional<Endpoint> ChooseAgent(const std::string& aService, const FlowKey& aKey,
+                                      const Flow& aFlow, TimePoint aNow);
+  std::optional<Endpoint> ChooseAmong(std::span<const Endpoint> aAgents, const Flow& aFlow,
                                       TimePoint aNow);
+  bool Accepts(const Endpoint& aEndpoint, const Agent& aAgent, const Flow& aFlow,
+               TimePoint aNow) const;
   bool MayPlace(const Endpoint& aEndpoint, const Agent& aAgent, const Flow& aFlow) const;
   void LookFor(const Segment& aSegment, Flow& aFlow, std::span<const std::uint8_t> aPacket,
                PacketOutput& aOutput, TimePoint aNow);
   void Ask(const FlowKey& aKey, Search& aSearch, HopKind aKind, PacketOutput& aOutput);
-  void AskEveryone(const FlowKey& aKey, Search& aSearch, PacketOutput& aOutput);
+  void AskNext(const FlowKey& aKey, Search& aSearch, PacketOutput& aOutput);
+  std::vector<Endpoint> ChoicesFor(const std::string& aService, const FlowKey& aKey) const;
   bool IsSettled(TimePoint aNow) const;
   void OnFlowMessage(const Endpoint& aFrom, HopKind aKind, std::span<const std::uint8_t> aBytes,
                      PacketOutput& aOutput, TimePoint aNow);
@@ -159,6 +173,7 @@
   AgentMap mAgents; ///< By datagram endpoint.
   FlowHomes mHomes;
   std::optional<TimePoint> mFirstAgentAt;
+  std::uint32_t mProbesLeft = 0; ///< Probes of all agents that may be sent in this second.
   std::unordered_map<FlowKey, Flow, FlowKeyHash> mFlows;
   std::vector<WaitingOpening> mWaiting; ///< In order of arrival.
   std::size_t mBalancers = 1;           ///< In the view, this one included.
--- a/include/dandelionslip/Packet/Placement.h
+++ b/include/dandelionslip/Packet/Placement.h
@@ -32,6 +32,11 @@
 std::optional<std::size_t> ChoosePlacement(std::span<const PlacementCandidate> aCandidates,
                                            Random& aRandom);
 
+/// Upstreams of a service among which a flow is placed, chosen by the flow's hash. A few choices
+/// even out the load nearly as well as all, and after a restart of everything a flow is looked for
+/// at these first.
+inline constexpr std::size_t kPlacementChoices = 6;
+
 /// Scores within this factor of the best count as equal: one flow of ten.
 inline constexpr double kPlacementSlack = 1.1;
 
--- a/lib/Packet/PacketBalancer.cpp
+++ b/lib/Packet/PacketBalancer.cpp
@@ -3,9 +3,11 @@
 
 #include "RouteKey.h"
 
+#include "dandelionslip/Support/Hash.h"
 #include "dandelionslip/Support/Log.h"
 
 #include <algorithm>
+#include <functional>
 #include <utility>
 
 namespace dandelionslip {
@@ -16,6 +18,10 @@
 // upstream may still hold flows.
 constexpr Milliseconds kAgentMemory{10'000};
 
+// Packets that all agents get because only their upstreams know a flow. At 1,200 bytes they take a
+// quarter of the smallest link, 1.9 Mbit/s.
+constexpr std::uint32_t kProbesPerSecond = 50;
+
 } // namespace
 
 PacketBalancer::PacketBalancer(const PacketBalancerSettings& aSettings, const SegmentCodec& aCodec,
@@ -107,6 +113,7 @@
   }
   Agent& agent = mAgents[endpoint.value()];
   agent.mService = aMember.mService;
+  agent.mSeed = HashOf(endpoint.value());
   agent.mDataCentre = aMember.mDataCentre;
   if (aMember.mState == MemberState::Lost) {
     agent.mLostAt = agent.mLostAt.value_or(aNow);
@@ -202,12 +209,12 @@
                            std::span<const std::uint8_t> aPacket, PacketOutput& aOutput,
                            TimePoint aNow)
 {
-  auto holder = ChooseAgent(ServiceFor(aRoute, aSegment.mFlow), aFlow, aNow);
+  auto holder = ChooseAgent(ServiceFor(aRoute, aSegment.mFlow), aSegment.mFlow, aFlow, aNow);
   // Where the drawn service has no upstream left, the other services of the route may serve.
   for (auto target = aRoute.mTargets.begin(); !holder && target != aRoute.mTargets.end();
        ++target) {
     if (target->mWeight > 0) {
-      holder = ChooseAgent(target->mService, aFlow, aNow);
+      holder = ChooseAgent(target->mService, aSegment.mFlow, aFlow, aNow);
     }
   }
   aFlow.mHolder = holder;
@@ -348,27 +355,69 @@
   return std::find(aFlow.mTried.begin(), aFlow.mTried.end(), aEndpoint) == aFlow.mTried.end();
 }
 
-std::optional<Endpoint> PacketBalancer::ChooseAgent(const std::string& aService, const Flow& aFlow,
-                                                    TimePoint aNow)
+bool PacketBalancer::Accepts(const Endpoint& aEndpoint, const Agent& aAgent, const Flow& aFlow,
+                             TimePoint aNow) const
+{
+  if (!MayPlace(aEndpoint, aAgent, aFlow)) {
+    return false;
+  }
+  if (!aAgent.mReportedAt) {
+    return aAgent.mTakesNewWork;
+  }
+  const bool fresh = aNow - *aAgent.mReportedAt <= mSettings.mReportLifetime;
+  const bool coldAndFull = aAgent.mReport.mCold && OpensLeft(aAgent) == 0;
+  return fresh && aAgent.mReport.mAccepts && !coldAndFull;
+}
+
+std::vector<Endpoint> PacketBalancer::ChoicesFor(const std::string& aService,
+                                                 const FlowKey& aKey) const
+{
+  const std::uint64_t hash = HashOf(aKey);
+  std::vector<std::pair<std::uint64_t, Endpoint>> ranked;
+  for (const auto& [endpoint, agent] : mAgents) {
+    if (agent.mService == aService) {
+      ranked.emplace_back(CombineHash(hash, agent.mSeed), endpoint);
+    }
+  }
+  const std::size_t count = std::min(ranked.size(), kPlacementChoices);
+  std::partial_sort(ranked.begin(), ranked.begin() + static_cast<std::ptrdiff_t>(count),
+                    ranked.end(), std::greater<>());
+  std::vector<Endpoint> choices;
+  for (std::size_t i = 0; i < count; ++i) {
+    choices.push_back(ranked[i].second);
+  }
+  return choices;
+}
+
+std::optional<Endpoint> PacketBalancer::ChooseAmong(std::span<const Endpoint> aAgents,
+                                                    const Flow& aFlow, TimePoint aNow)
 {
   static const LoadReport kUnreported;
   std::vector<PlacementCandidate> candidates;
-  std::vector<Endpoint> endpoints;
-  for (const auto& [endpoint, agent] : mAgents) {
-    const bool accepts = agent.mReportedAt ? agent.mReport.mAccepts && aNow - *agent.mReportedAt <=
-                                                                         mSettings.mReportLifetime
-                                           : agent.mTakesNewWork;
-    const bool coldAndFull = agent.mReportedAt && agent.mReport.mCold && OpensLeft(agent) == 0;
-    if (agent.mService != aService || !accepts || coldAndFull ||
-        !MayPlace(endpoint, agent, aFlow)) {
-      continue;
+  for (std::size_t i = 0; i < aAgents.size(); ++i) {
+    const Agent& agent = mAgents.at(aAgents[i]);
+    if (Accepts(aAgents[i], agent, aFlow, aNow)) {
+      candidates.push_back({i, agent.mReportedAt ? &agent.mReport : &kUnreported, agent.mPlaced});
     }
-    candidates.push_back(
-      {endpoints.size(), agent.mReportedAt ? &agent.mReport : &kUnreported, agent.mPlaced});
-    endpoints.push_back(endpoint);
   }
   const auto chosen = ChoosePlacement(candidates, mRandom);
-  return chosen ? std::optional(endpoints[*chosen]) : std::nullopt;
+  return chosen ? std::optional(aAgents[*chosen]) : std::nullopt;
+}
+
+std::optional<Endpoint> PacketBalancer::ChooseAgent(const std::string& aService,
+                                                    const FlowKey& aKey, const Flow& aFlow,
+                                                    TimePoint aNow)
+{
+  if (const auto chosen = ChooseAmong(ChoicesFor(aService, aKey), aFlow, aNow)) {
+    return chosen;
+  }
+  std::vector<Endpoint> all;
+  for (const auto& [endpoint, agent] : mAgents) {
+    if (agent.mService == aService) {
+      all.push_back(endpoint);
+    }
+  }
+  return ChooseAmong(all, aFlow, aNow);
 }
 
 void PacketBalancer::OnNodePacket(const Endpoint& aFrom, const HopHeader& aHeader,
@@ -445,6 +494,7 @@
     return;
   }
   Agent& agent = mAgents[aFrom];
+  agent.mSeed = HashOf(aFrom);
   agent.mService = report.value().mService;
   agent.mDataCentre = report.value().mDataCentre;
   agent.mReport = std::move(report.value());
@@ -473,6 +523,7 @@
 
 void PacketBalancer::OnTick(TimePoint aNow)
 {
+  mProbesLeft = kProbesPerSecond;
   mWaitedInVain.Add(
     std::erase_if(mWaiting, [&](const auto& aItem) { return aNow - aItem.mSince > aItem.mWait; }));
   std::erase_if(
--- a/lib/Packet/PacketBalancerSearch.cpp
+++ b/lib/Packet/PacketBalancerSearch.cpp
@@ -34,23 +34,37 @@
   }
 }
 
-void PacketBalancer::AskEveryone(const FlowKey& aKey, Search& aSearch, PacketOutput& aOutput)
+// The next stage of a search that has someone to ask; the last one asks every agent.
+void PacketBalancer::AskNext(const FlowKey& aKey, Search& aSearch, PacketOutput& aOutput)
 {
-  aSearch.mEverywhere = true;
   aSearch.mAsked.clear();
-  for (const auto& [endpoint, agent] : mAgents) {
-    aSearch.mAsked.push_back(endpoint);
+  if (aSearch.mStage == SearchStage::Homes) {
+    aSearch.mStage = SearchStage::Choices;
+    const RouteEntry* route = FindRoute(aKey);
+    for (std::size_t i = 0; route != nullptr && i < route->mTargets.size(); ++i) {
+      const auto choices = ChoicesFor(route->mTargets[i].mService, aKey);
+      aSearch.mAsked.insert(aSearch.mAsked.end(), choices.begin(), choices.end());
+    }
+  }
+  if (aSearch.mAsked.size() == mAgents.size()) {
+    aSearch.mStage = SearchStage::Everywhere;
+  } else if (aSearch.mAsked.empty()) {
+    aSearch.mStage = SearchStage::Everywhere;
+    for (const auto& [endpoint, agent] : mAgents) {
+      aSearch.mAsked.push_back(endpoint);
+    }
   }
   Ask(aKey, aSearch, HopKind::QueryHeld, aOutput);
 }
 
 // The homes of the flow are asked first. When they do not answer, or named an agent that does not
-// hold the flow, every agent is asked.
+// hold the flow, the search goes on.
 void PacketBalancer::LookFor(const Segment& aSegment, Flow& aFlow,
                              std::span<const std::uint8_t> aPacket, PacketOutput& aOutput,
                              TimePoint aNow)
 {
   const bool again = aFlow.mSearch && aNow - aFlow.mSearch->mSince > kSearchPause;
+  const SearchStage before = aFlow.mSearch ? aFlow.mSearch->mStage : SearchStage::Homes;
   if (aFlow.mSearch && !again) {
     if (aFlow.mSearch->mPackets.size() < kKeptPackets) {
       aFlow.mSearch->mPackets.emplace_back(aPacket.begin(), aPacket.end());
@@ -64,7 +78,9 @@
   mSearched.Add();
   search.mAsked = mHomes.Of(aSegment.mFlow);
   if (again || search.mAsked.empty() || !aFlow.mTried.empty()) {
-    AskEveryone(aSegment.mFlow, search, aOutput);
+    // A search without an answer begins anew with the stage after the one that it reached.
+    search.mStage = before == SearchStage::Everywhere ? SearchStage::Homes : before;
+    AskNext(aSegment.mFlow, search, aOutput);
     return;
   }
   Ask(aSegment.mFlow, search, HopKind::Query, aOutput);
@@ -91,6 +107,10 @@
   }
   Flow& flow = found->second;
   if (aKind == HopKind::Unsure) {
+    if (flow.mSearch->mStage == SearchStage::Everywhere && mProbesLeft == 0) {
+      return;
+    }
+    mProbesLeft -= flow.mSearch->mStage == SearchStage::Everywhere ? 1 : 0;
     aOutput.SendToNode(aFrom, {HopKind::DeliverIfHeld, ReturnReason::None},
                        flow.mSearch->mPackets.back());
   } else if (aKind == HopKind::Held) {
@@ -105,9 +125,9 @@
 {
   const bool denied =
     std::find(aFlow.mTried.begin(), aFlow.mTried.end(), aHolder) != aFlow.mTried.end();
-  if (denied && !aFlow.mSearch->mEverywhere) {
+  if (denied && aFlow.mSearch->mStage == SearchStage::Homes) {
     // The registration is out of date.
-    AskEveryone(aKey, *aFlow.mSearch, aOutput);
+    AskNext(aKey, *aFlow.mSearch, aOutput);
     return;
   }
   const auto search = std::move(aFlow.mSearch);
@@ -116,7 +136,9 @@
   LogEvent(LogLevel::Info, "flow_found")
     .With("flow", ToString(aKey))
     .With("agent", aHolder.ToString())
-    .With("asked", search->mEverywhere ? "all" : "homes")
+    .With("asked", search->mStage == SearchStage::Homes     ? "homes"
+                   : search->mStage == SearchStage::Choices ? "choices"
+                                                            : "all")
     .With("view", mViewRevision);
   for (const auto& packet : search->mPackets) {
     mForwarded.Add();
@@ -133,8 +155,8 @@
   if (std::erase(search.mAsked, aFrom) == 0 || !search.mAsked.empty()) {
     return;
   }
-  if (!search.mEverywhere) {
-    AskEveryone(aKey, search, aOutput);
+  if (search.mStage != SearchStage::Everywhere) {
+    AskNext(aKey, search, aOutput);
     return;
   }
   const auto segment = mCodec.DecodeFromCaller(search.mPackets.back());
--- a/unittests/Packet/PacketBalancerTest.cpp
+++ b/unittests/Packet/PacketBalancerTest.cpp
@@ -24,6 +24,7 @@
   CPPUNIT_TEST(LostAgentsPreventAReset);
   CPPUNIT_TEST(UnsureAgentsGetThePacket);
   CPPUNIT_TEST(StaleRegistrationsAreNotFollowedTwice);
+  CPPUNIT_TEST(SearchesStaySmallAfterARestartOfEverything);
   CPPUNIT_TEST(RefusedOpeningsTryAnotherUpstream);
   CPPUNIT_TEST(UnroutableOpeningsAreResetAtOnce);
   CPPUNIT_TEST(OpeningsWaitForRoutes);
@@ -217,6 +218,46 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, Sent(HopKind::Deliver));
   }
 
+  // Guards against a flood of probes when all processes restart at once and no agent knows its
+  // flows: 60 agents answer that they are unsure, for 200 flows a second at one balancer.
+  void SearchesStaySmallAfterARestartOfEverything()
+  {
+    std::vector<Member> members;
+    for (unsigned node = 1; node <= 60; ++node) {
+      members.push_back(TestAgent(node, "web"));
+    }
+    mBalancer.OnState(TestRoutes(1, {"web"}), TestView(1, members), mOutput, mNow);
+    mNow += kSettled;
+    mBalancer.OnTick(mNow);
+    constexpr std::uint16_t kFlows = 200;
+    std::size_t foundAmongChoices = 0;
+    for (std::uint16_t i = 0; i < kFlows; ++i) {
+      // The flow was placed before the restart, by a balancer like this one.
+      mOutput.Clear();
+      Send(CallerPacket(TestFlow(i), FlagSyn));
+      const Endpoint holder = mOutput.mToNodes.at(0).mNode;
+      PacketBalancer restarted({}, mCodec, mRegistry, Random(2));
+      restarted.OnState(TestRoutes(1, {"web"}), TestView(1, members), mOutput, mNow);
+      mOutput.Clear();
+      PacketBytes packet = CallerPacket(TestFlow(i), FlagAck, 7, 9, 1'000);
+      restarted.OnCallerPacket(packet, mOutput, mNow);
+      for (std::size_t at = 0; at < mOutput.mToNodes.size(); ++at) {
+        const auto sent = mOutput.mToNodes[at];
+        const bool probe = sent.mHeader.mKind == HopKind::DeliverIfHeld;
+        const bool holds = probe && sent.mNode == holder;
+        foundAmongChoices += holds ? 1 : 0;
+        if (!holds && sent.mHeader.mKind != HopKind::Deliver) {
+          auto bytes = FlowMessage{{}, {TestFlow(i)}}.Encode();
+          restarted.OnNodePacket(sent.mNode,
+                                 {probe ? HopKind::NotFound : HopKind::Unsure, ReturnReason::None},
+                                 bytes, mOutput, mNow);
+        }
+      }
+      CPPUNIT_ASSERT(Sent(HopKind::DeliverIfHeld) <= FlowHomes::kHomes + kPlacementChoices);
+    }
+    CPPUNIT_ASSERT_EQUAL(std::size_t{kFlows}, foundAmongChoices);
+  }
+
   // Guards against a refusal while another upstream has room, and against an endless loop.
   void RefusedOpeningsTryAnotherUpstream()
   {
