Tell the balancer at once when a probe has found its flow

A probe reached the upstream that holds the flow, but the balancer learned that only when it searched again 180 ms later, and kept the packets in between.

Change: an agent answers a probe when the upstream sends a packet of the flow. The test failed before.

--- a/include/dandelionslip/Packet/PacketAgent.h
+++ b/include/dandelionslip/Packet/PacketAgent.h
@@ -103,6 +103,13 @@
     HopKind mKind = HopKind::Deliver;
   };
 
+  /// A packet that was delivered to see whether the upstream holds its flow.
+  struct Probe
+  {
+    Endpoint mBalancer;
+    TimePoint mAt;
+  };
+
   /// Deliveries remembered; at 20,000 packets a second they cover the time to a bounce, 1 ms,
   /// two hundred times.
   static constexpr std::size_t kDeliveries = 4096;
@@ -130,6 +137,7 @@
                 const Endpoint& aHolder, PacketOutput& aOutput);
   void DenyFlow(const Delivery& aDelivery, const Segment& aSegment,
                 std::span<const std::uint8_t> aPacket, PacketOutput& aOutput);
+  void AnswerProbe(const FlowKey& aFlow, PacketOutput& aOutput);
   void OnBounced(std::span<std::uint8_t> aPacket, PacketOutput& aOutput, TimePoint aNow);
   Flow& FlowOf(const FlowKey& aFlow, TimePoint aNow);
   void NoteRequest(Flow& aFlow, const Segment& aSegment, TimePoint aNow);
@@ -148,6 +156,7 @@
   RouteTable mRoutes;
   std::unordered_map<std::uint64_t, bool> mLeadsHere; ///< Routes by address and port.
   std::unordered_map<FlowKey, Flow, FlowKeyHash> mFlows;
+  std::unordered_map<FlowKey, Probe, FlowKeyHash> mProbes; ///< Of flows not known to be held.
   FlowHomes mHomes;
   bool mHomesChanged = false; ///< Since the last registration.
   FlowDirectory mDirectory;
--- a/lib/Packet/PacketAgent.cpp
+++ b/lib/Packet/PacketAgent.cpp
@@ -25,6 +25,9 @@
 // deadline of a request.
 constexpr Milliseconds kMaxRequestTime{8'000};
 
+// An upstream reacts to a probe within milliseconds, or when its request is done.
+constexpr Milliseconds kProbeTime{3'000};
+
 // How long a closed flow is remembered for late packets; retransmissions come up to 1.6 s apart.
 constexpr Milliseconds kClosedMemory{4'000};
 
@@ -232,6 +235,7 @@
 void PacketAgent::OnTick(TimePoint aNow)
 {
   mDirectory.Expire(aNow);
+  std::erase_if(mProbes, [&](const auto& aItem) { return aNow - aItem.second.mAt > kProbeTime; });
   const Milliseconds idleTimeout =
     (mRoutes.mFlowIdleTimeout.count() > 0 ? mRoutes.mFlowIdleTimeout : kDefaultIdleTimeout) +
     kIdleMargin;
--- a/lib/Packet/PacketAgentDirectory.cpp
+++ b/lib/Packet/PacketAgentDirectory.cpp
@@ -19,6 +19,15 @@
   aOutput.SendToNode(aBalancer, {aKind, ReturnReason::None}, message.Encode());
 }
 
+// The upstream has reacted to a probe with a packet of the flow, so it holds it.
+void PacketAgent::AnswerProbe(const FlowKey& aFlow, PacketOutput& aOutput)
+{
+  if (const auto probe = mProbes.find(aFlow); probe != mProbes.end()) {
+    SayWhere(probe->second.mBalancer, HopKind::Held, aFlow, mSettings.mEndpoint, aOutput);
+    mProbes.erase(probe);
+  }
+}
+
 void PacketAgent::OnQuery(const Endpoint& aFrom, HopKind aKind,
                           std::span<const std::uint8_t> aBytes, PacketOutput& aOutput,
                           TimePoint aNow)
--- a/lib/Packet/PacketAgentFlows.cpp
+++ b/lib/Packet/PacketAgentFlows.cpp
@@ -19,6 +19,9 @@
 // flows that used the same port one after the other.
 constexpr std::uint32_t kSequenceWindow = 76'800;
 
+// Probes that await the upstream's reaction at once; each lasts for one exchange with it.
+constexpr std::size_t kMaxProbes = 10'000;
+
 bool IsNear(std::uint32_t aFirst, std::uint32_t aSecond)
 {
   const std::uint32_t ahead = aFirst - aSecond;
@@ -106,6 +109,9 @@
   }
   if (found == mFlows.end()) {
     if (!TableIsComplete(aNow)) {
+      if (aKind == HopKind::DeliverIfHeld && mProbes.size() < kMaxProbes) {
+        mProbes[aSegment.mFlow] = {aFrom, aNow};
+      }
       Deliver(aFrom, aKind, aPacket, aOutput);
     } else {
       DenyFlow({0, aFrom, aKind}, aSegment, aPacket, aOutput);
@@ -155,6 +161,7 @@
     return;
   }
   Flow& flow = FlowOf(segment->mFlow, aNow);
+  AnswerProbe(segment->mFlow, aOutput);
   flow.mAccepted = true;
   flow.mEstablished = flow.mEstablished || !segment->mAccepts;
   if (segment->mDataBytes > 0 && flow.mBusy) {
@@ -180,6 +187,7 @@
     return;
   }
   mCodec.ClearBounce(aPacket);
+  mProbes.erase(segment->mFlow);
   if (segment->mOpens) {
     Forget(segment->mFlow, aNow);
     Return(delivery.mBalancer, ReturnReason::Refused, aPacket, aOutput);
--- a/unittests/Packet/PacketAgentTest.cpp
+++ b/unittests/Packet/PacketAgentTest.cpp
@@ -256,6 +256,11 @@
     FromBalancer(CallerPacket(TestFlow(2), FlagAck, 5, 5, 10), HopKind::DeliverIfHeld);
     CPPUNIT_ASSERT_EQUAL(std::size_t{2}, mOutput.mToUpstream.size());
     FromUpstream(UpstreamPacket(TestFlow(2), FlagAck));
+    // The balancer learns at once that the probe has found the flow.
+    CPPUNIT_ASSERT(mOutput.mToNodes.back().mHeader.mKind == HopKind::Held);
+    mOutput.mToNodes.clear();
+    FromUpstream(UpstreamPacket(TestFlow(2), FlagAck, 2, 100));
+    CPPUNIT_ASSERT(mOutput.mToNodes.empty());
     FromBalancer(CallerPacket(TestFlow(2), FlagAck, 15, 5, 10), HopKind::DeliverIfHeld);
     CPPUNIT_ASSERT(mOutput.mToNodes.back().mHeader.mKind == HopKind::Held);
   }
