--- a/include/dandelionslip/Config/ControlSettings.h
+++ b/include/dandelionslip/Config/ControlSettings.h
@@ -39,7 +39,7 @@
   std::uint32_t mSnapshotEntries = 4'096; ///< Log entries between two snapshots.
   Milliseconds mLease{2'000};
   Milliseconds mSummaryInterval{250}; ///< Between two reports of a replica on its nodes.
-  bool mJoin = false; ///< Start as a learner of an existing group.
+  bool mJoin = false;                 ///< Start as a learner of an existing group.
   /// Endpoints of the replicas that found the group together, this one possibly among them. Used in
   /// place of mPeers where the replicas of the group are not known beforehand: all others join.
   std::vector<std::string> mFounders;
