Decode hop headers in one place

The agent and the balancer of the packet plane opened the socket towards other nodes and decoded hop headers each for itself; PacketNode does it for both.

--- a/lib/Daemon/PacketAgentDaemon.cpp
+++ b/lib/Daemon/PacketAgentDaemon.cpp
@@ -97,9 +97,8 @@
 private:
   Result<void> Open()
   {
-    auto nodes =
-      UdpSocket::Bind(mNode.Loop(), Endpoint::Parse(mSettings.mDatagramEndpoint).value(),
-                      [this](auto aBytes, const Endpoint& aFrom) { OnNode(aBytes, aFrom); });
+    auto nodes = mNode.BindNodes([this](const Endpoint& aFrom, const HopHeader& aHeader,
+                                        auto aPacket) { OnNode(aFrom, aHeader, aPacket); });
     if (!nodes) {
       return nodes.as_failure();
     }
@@ -123,21 +122,13 @@
     return Ok();
   }
 
-  void OnNode(std::span<std::uint8_t> aBytes, const Endpoint& aFrom)
+  void OnNode(const Endpoint& aFrom, const HopHeader& aHeader, std::span<std::uint8_t> aPacket)
   {
-    const auto header = HopHeader::Decode(aBytes);
-    if (!header) {
-      mNode.Registry()
-        .CounterFor("dandelionslip_packets_dropped_total", "reason=\"malformed\"")
-        .Add();
-      return;
-    }
     // Only other agents register flows.
-    if (header.value().mKind != HopKind::Register) {
+    if (aHeader.mKind != HopKind::Register) {
       NoteBalancer(aFrom);
     }
-    mCore.OnNodePacket(aFrom, header.value(), aBytes.subspan(HopHeader::kBytes), mOutput,
-                       RuntimeClock::now());
+    mCore.OnNodePacket(aFrom, aHeader, aPacket, mOutput, RuntimeClock::now());
   }
 
   void Describe(Member& aMember) const
--- a/lib/Daemon/PacketBalancerDaemon.cpp
+++ b/lib/Daemon/PacketBalancerDaemon.cpp
@@ -62,8 +62,9 @@
     }
     mCallers = std::move(callers.value());
     auto nodes =
-      UdpSocket::Bind(mNode.Loop(), Endpoint::Parse(mSettings.mDatagramEndpoint).value(),
-                      [this](auto aBytes, const Endpoint& aFrom) { OnNode(aBytes, aFrom); });
+      mNode.BindNodes([this](const Endpoint& aFrom, const HopHeader& aHeader, auto aPacket) {
+        mCore.OnNodePacket(aFrom, aHeader, aPacket, mOutput, RuntimeClock::now());
+      });
     if (!nodes) {
       return nodes.as_failure();
     }
@@ -77,19 +78,6 @@
     return Ok();
   }
 
-  void OnNode(std::span<std::uint8_t> aBytes, const Endpoint& aFrom)
-  {
-    const auto header = HopHeader::Decode(aBytes);
-    if (!header) {
-      mNode.Registry()
-        .CounterFor("dandelionslip_packets_dropped_total", "reason=\"malformed\"")
-        .Add();
-      return;
-    }
-    mCore.OnNodePacket(aFrom, header.value(), aBytes.subspan(HopHeader::kBytes), mOutput,
-                       RuntimeClock::now());
-  }
-
   void Describe(Member& aMember) const
   {
     aMember.mKind = MemberKind::Balancer;
--- a/lib/Daemon/PacketNode.cpp
+++ b/lib/Daemon/PacketNode.cpp
@@ -105,6 +105,20 @@
   }
 }
 
+Result<std::unique_ptr<UdpSocket>> PacketNode::BindNodes(NodeHandler aHandler)
+{
+  return UdpSocket::Bind(
+    mPool.Loop(), Endpoint::Parse(mSettings.mDatagramEndpoint).value(),
+    [this, handler = std::move(aHandler)](auto aBytes, const Endpoint& aFrom) {
+      const auto header = HopHeader::Decode(aBytes);
+      if (!header) {
+        mRegistry.CounterFor("dandelionslip_packets_dropped_total", "reason=\"malformed\"").Add();
+        return;
+      }
+      handler(aFrom, header.value(), aBytes.subspan(HopHeader::kBytes));
+    });
+}
+
 void PacketNode::AnnounceAndExit(Milliseconds aDelay)
 {
   mLink.AnnounceNow([](bool) {});
--- a/lib/Daemon/PacketNode.h
+++ b/lib/Daemon/PacketNode.h
@@ -31,6 +31,11 @@
 
   /// Fetches the state from control and announces the node from then on.
   void Start();
+  /// Opens the socket towards other nodes; the handler gets the datagrams with a valid hop header.
+  using NodeHandler =
+    std::function<void(const Endpoint&, const HopHeader&, std::span<std::uint8_t>)>;
+  Result<std::unique_ptr<UdpSocket>> BindNodes(NodeHandler aHandler);
+
   /// Stops announcing after a last announcement.
   void AnnounceAndExit(Milliseconds aDelay);
 
