Convert IPv4 endpoints in one place and simplify the last search stage

The packet plane read and wrote the IPv4-mapped form in three files; Endpoint does it now. A search asks everyone where it has nobody else to ask, in one condition less. Behaviour stays as it is.

--- a/include/dandelionslip/Model/Endpoint.h
+++ b/include/dandelionslip/Model/Endpoint.h
@@ -20,9 +20,15 @@
   /// Parses "192.0.2.1:80" or "[2001:db8::1]:80". Host names are refused.
   static Result<Endpoint> Parse(std::string_view aText);
 
+  /// An IPv4 address in host byte order with a port.
+  static Endpoint FromV4(std::uint32_t aAddress, std::uint16_t aPort);
+
   std::string ToString() const;
   bool IsV4() const;
 
+  /// The IPv4 address in host byte order; only for endpoints with IsV4.
+  std::uint32_t V4Address() const;
+
   /// The address without the port.
   std::string AddressText() const;
 
--- a/lib/Daemon/PacketNode.cpp
+++ b/lib/Daemon/PacketNode.cpp
@@ -22,22 +22,6 @@
 constexpr Milliseconds kEagerInterval{100};
 constexpr Milliseconds kEagerTime{3'000};
 
-Endpoint CallerEndpoint(const FlowKey& aFlow, std::uint16_t aPort)
-{
-  constexpr std::size_t kV4Marker = 10;
-  constexpr std::size_t kV4Offset = 12;
-  constexpr unsigned kByteBits = 8;
-  Endpoint endpoint;
-  endpoint.mAddress[kV4Marker] = 0xff;
-  endpoint.mAddress[kV4Marker + 1] = 0xff;
-  for (std::size_t i = 0; i < sizeof(aFlow.mCallerAddress); ++i) {
-    const unsigned shift = kByteBits * static_cast<unsigned>(sizeof(aFlow.mCallerAddress) - 1 - i);
-    endpoint.mAddress[kV4Offset + i] = static_cast<std::uint8_t>(aFlow.mCallerAddress >> shift);
-  }
-  endpoint.mPort = aPort;
-  return endpoint;
-}
-
 } // namespace
 
 PacketNode::PacketNode(const PacketNodeSettings& aSettings, Handlers aHandlers)
@@ -152,7 +136,7 @@
 
 void SocketOutput::SendToCaller(const FlowKey& aFlow, std::span<const std::uint8_t> aPacket)
 {
-  Count(mSockets.mCallers->Send(aPacket, CallerEndpoint(aFlow, mCallerPort)));
+  Count(mSockets.mCallers->Send(aPacket, Endpoint::FromV4(aFlow.mCallerAddress, mCallerPort)));
 }
 
 void SocketOutput::SendToUpstream(std::span<const std::uint8_t> aPacket)
--- a/lib/Model/Endpoint.cpp
+++ b/lib/Model/Endpoint.cpp
@@ -4,6 +4,7 @@
 #include "dandelionslip/Support/Hash.h"
 
 #include <arpa/inet.h>
+#include <boost/endian/conversion.hpp>
 
 #include <algorithm>
 #include <charconv>
@@ -49,6 +50,20 @@
   return endpoint;
 }
 
+Endpoint Endpoint::FromV4(std::uint32_t aAddress, std::uint16_t aPort)
+{
+  Endpoint endpoint;
+  std::copy(kV4Prefix.begin(), kV4Prefix.end(), endpoint.mAddress.begin());
+  boost::endian::store_big_u32(endpoint.mAddress.data() + kV4Prefix.size(), aAddress);
+  endpoint.mPort = aPort;
+  return endpoint;
+}
+
+std::uint32_t Endpoint::V4Address() const
+{
+  return boost::endian::load_big_u32(mAddress.data() + kV4Prefix.size());
+}
+
 bool Endpoint::IsV4() const
 {
   return std::equal(kV4Prefix.begin(), kV4Prefix.end(), mAddress.begin());
--- a/lib/Packet/FlowMessage.cpp
+++ b/lib/Packet/FlowMessage.cpp
@@ -3,13 +3,10 @@
 
 #include <boost/endian/conversion.hpp>
 
-#include <algorithm>
-
 namespace dandelionslip {
 
 namespace {
 
-constexpr std::size_t kV4Offset = 12;
 constexpr std::size_t kHolderBytes = 6;
 constexpr std::size_t kFlowBytes = 12;
 
@@ -36,7 +33,7 @@
 std::vector<std::uint8_t> FlowMessage::Encode() const
 {
   std::vector<std::uint8_t> bytes(kHolderBytes + mFlows.size() * kFlowBytes);
-  std::copy(mHolder.mAddress.begin() + kV4Offset, mHolder.mAddress.end(), bytes.begin());
+  store_big_u32(bytes.data(), mHolder.V4Address());
   store_big_u16(bytes.data() + 4, mHolder.mPort);
   std::uint8_t* out = bytes.data() + kHolderBytes;
   for (const FlowKey& flow : mFlows) {
@@ -54,10 +51,7 @@
                 "found " + std::to_string(aBytes.size()) + " bytes, expected 6 and 1 to 80 flows");
   }
   FlowMessage message;
-  message.mHolder.mAddress[kV4Offset - 2] = 0xff;
-  message.mHolder.mAddress[kV4Offset - 1] = 0xff;
-  std::copy_n(aBytes.begin(), 4, message.mHolder.mAddress.begin() + kV4Offset);
-  message.mHolder.mPort = load_big_u16(aBytes.data() + 4);
+  message.mHolder = Endpoint::FromV4(load_big_u32(aBytes.data()), load_big_u16(aBytes.data() + 4));
   for (std::size_t at = kHolderBytes; at < aBytes.size(); at += kFlowBytes) {
     message.mFlows.push_back(DecodeFlow(aBytes.data() + at));
   }
--- a/lib/Packet/PacketBalancerSearch.cpp
+++ b/lib/Packet/PacketBalancerSearch.cpp
@@ -17,18 +17,11 @@
 // again.
 constexpr std::size_t kKeptPackets = 4;
 
-FlowMessage MessageFor(const FlowKey& aKey)
-{
-  FlowMessage message;
-  message.mFlows.push_back(aKey);
-  return message;
-}
-
 } // namespace
 
 void PacketBalancer::Ask(const FlowKey& aKey, Search& aSearch, HopKind aKind, PacketOutput& aOutput)
 {
-  const auto message = MessageFor(aKey).Encode();
+  const auto message = FlowMessage{{}, {aKey}}.Encode();
   for (const Endpoint& agent : aSearch.mAsked) {
     aOutput.SendToNode(agent, {aKind, ReturnReason::None}, message);
   }
@@ -46,14 +39,14 @@
       aSearch.mAsked.insert(aSearch.mAsked.end(), choices.begin(), choices.end());
     }
   }
-  if (aSearch.mAsked.size() == mAgents.size()) {
-    aSearch.mStage = SearchStage::Everywhere;
-  } else if (aSearch.mAsked.empty()) {
-    aSearch.mStage = SearchStage::Everywhere;
+  if (aSearch.mAsked.empty()) {
     for (const auto& [endpoint, agent] : mAgents) {
       aSearch.mAsked.push_back(endpoint);
     }
   }
+  if (aSearch.mAsked.size() == mAgents.size()) {
+    aSearch.mStage = SearchStage::Everywhere;
+  }
   Ask(aKey, aSearch, HopKind::QueryHeld, aOutput);
 }
 
--- a/lib/Packet/RouteKey.h
+++ b/lib/Packet/RouteKey.h
@@ -13,12 +13,7 @@
 
 inline std::uint64_t RouteKeyOf(const Endpoint& aAddress)
 {
-  constexpr std::size_t kV4Offset = 12;
-  std::uint64_t address = 0;
-  for (std::size_t i = kV4Offset; i < aAddress.mAddress.size(); ++i) {
-    address = address << 8U | aAddress.mAddress[i];
-  }
-  return address << 16U | aAddress.mPort;
+  return std::uint64_t{aAddress.V4Address()} << 16U | aAddress.mPort;
 }
 
 } // namespace dandelionslip
