Bound a balancer's work for openings that wait

Each load report, 300 a second from 60 agents, tried every waiting opening again and logged it: 68,000 flow_waits lines a second over 24 balancers. Reports were then read late, agents counted as silent, and more openings waited.

Ruled out: upstreams that turn away flows (warm since second 37, few requests running).

Change: OpeningQueue keeps waiting openings by priority and arrival; a report takes out as many as its agent has room for. Agents offer each opening of a cold upstream to one balancer at a time (OpeningShares) instead of all of them to each. A caller that waited too long is reset. Agents whose upstream never sent a heartbeat deny flows after three intervals: the machines of removed upstreams start again after a loss of power, and searches never ended because of them.

PacketBalancer::OnTick takes the output now, because expired openings are reset; the tests follow.

Still open: searches for flows that nobody holds ask 88 agents each.

--- a/include/dandelionslip/Packet/PacketAgent.h
+++ b/include/dandelionslip/Packet/PacketAgent.h
@@ -121,6 +121,7 @@
   bool Gone() const;
   std::size_t ColdLimit() const;
   bool TableIsComplete(TimePoint aNow) const;
+  bool UpstreamIsAbsent(TimePoint aNow) const;
   void Deliver(const Endpoint& aBalancer, HopKind aKind, std::span<std::uint8_t> aPacket,
                PacketOutput& aOutput);
   void Return(const Endpoint& aBalancer, ReturnReason aReason,
@@ -149,7 +150,8 @@
   const SegmentCodec& mCodec;
   TimePoint mStartedAt;
   std::optional<Upstream> mUpstream;
-  bool mUpstreamStartSeen = false; ///< All flows of the upstream were opened by this process.
+  bool mUpstreamSentPackets = false; ///< Known to run, even before its first heartbeat.
+  bool mUpstreamStartSeen = false;   ///< All flows of the upstream were opened by this process.
   bool mStopping = false;
   bool mDataCentreOut = false;
   bool mReturnUnconfirmed = false; ///< The data centre came back; no heartbeat since then.
--- a/include/dandelionslip/Packet/PacketBalancer.h
+++ b/include/dandelionslip/Packet/PacketBalancer.h
@@ -6,6 +6,7 @@
 #include "dandelionslip/Packet/FlowHomes.h"
 #include "dandelionslip/Packet/FlowMessage.h"
 #include "dandelionslip/Packet/LoadReport.h"
+#include "dandelionslip/Packet/OpeningQueue.h"
 #include "dandelionslip/Packet/PacketActions.h"
 #include "dandelionslip/Packet/Placement.h"
 #include "dandelionslip/Support/Metrics.h"
@@ -52,8 +53,8 @@
   /// A datagram of an agent after its hop header.
   void OnNodePacket(const Endpoint& aFrom, const HopHeader& aHeader,
                     std::span<std::uint8_t> aPacket, PacketOutput& aOutput, TimePoint aNow);
-  /// Forgets idle flows; called every second.
-  void OnTick(TimePoint aNow);
+  /// Forgets idle flows and gives up openings that waited too long; called every second.
+  void OnTick(PacketOutput& aOutput, TimePoint aNow);
 
   /// Whether the balancer knows routes and agents, so that it can serve callers.
   bool Ready() const { return mRouteVersion != 0 && !mAgents.empty(); }
@@ -113,16 +114,6 @@
     std::unique_ptr<Search> mSearch;
   };
 
-  /// An opening packet that waits for an upstream.
-  struct WaitingOpening
-  {
-    FlowKey mFlow;
-    std::vector<std::uint8_t> mPacket;
-    std::uint32_t mPriority = 0;
-    TimePoint mSince;
-    Milliseconds mWait{0}; ///< Longest wait.
-  };
-
   using AgentMap = std::map<Endpoint, Agent>;
 
   const RouteEntry* FindRoute(const FlowKey& aFlow) const;
@@ -134,8 +125,10 @@
              std::span<const std::uint8_t> aPacket, PacketOutput& aOutput, TimePoint aNow);
   void Wait(const Segment& aSegment, std::uint32_t aPriority, Milliseconds aWait,
             std::span<const std::uint8_t> aPacket, TimePoint aNow);
-  void RetryWaiting(PacketOutput& aOutput, TimePoint aNow);
-  bool IsWaiting(const FlowKey& aFlow) const;
+  void PlaceWaiting(std::size_t aCount, const OpeningQueue::Condition& aCondition,
+                    PacketOutput& aOutput, TimePoint aNow);
+  void OfferToWaiting(const Agent& aAgent, PacketOutput& aOutput, TimePoint aNow);
+  void GiveUpExpired(PacketOutput& aOutput, TimePoint aNow);
   bool MayAcceptSoon(const RouteEntry& aRoute, const Flow& aFlow, TimePoint aNow) const;
   std::uint32_t OpensLeft(const Agent& aAgent) const;
   std::optional<Endpoint> ChooseAgent(const std::string& aService, const FlowKey& aKey,
@@ -178,8 +171,11 @@
   std::optional<TimePoint> mFirstAgentAt;
   std::uint32_t mProbesLeft = 0; ///< Probes of all agents that may be sent in this second.
   std::unordered_map<FlowKey, Flow, FlowKeyHash> mFlows;
-  std::vector<WaitingOpening> mWaiting; ///< In order of arrival.
-  std::size_t mBalancers = 1;           ///< In the view, this one included.
+  OpeningQueue mWaiting;
+  TimePoint mExpiryCheckedAt; ///< When openings that waited too long were last given up.
+  /// When the opening that is being placed again arrived; it keeps its place if it waits again.
+  std::optional<TimePoint> mPlacedSince;
+  std::size_t mBalancers = 1; ///< In the view, this one included.
   Counter& mForwarded;
   Counter& mSearched;
   Counter& mMalformed;
--- a/lib/Daemon/PacketAgentDaemon.cpp
+++ b/lib/Daemon/PacketAgentDaemon.cpp
@@ -3,6 +3,7 @@
 
 #include "dandelionslip/Daemon/PacketDaemons.h"
 #include "dandelionslip/Net/MetricsEndpoint.h"
+#include "dandelionslip/Packet/OpeningShares.h"
 #include "dandelionslip/Packet/PacketAgent.h"
 #include "dandelionslip/Support/Log.h"
 
@@ -157,12 +158,12 @@
     const auto [item, isNew] = mBalancers.try_emplace(aBalancer);
     item->second = RuntimeClock::now();
     if (isNew) {
-      SendReport(aBalancer, EncodedReport());
+      LoadReport report = mCore.Report(RuntimeClock::now());
+      report.mOpensAllowed = mShares.ForNewcomer();
+      SendReport(aBalancer, report.Encode());
     }
   }
 
-  Bytes EncodedReport() { return mCore.Report(RuntimeClock::now()).Encode(); }
-
   void SendReport(const Endpoint& aBalancer, const Bytes& aReport)
   {
     mOutput.SendToNode(aBalancer, {HopKind::Load, ReturnReason::None}, aReport);
@@ -173,9 +174,17 @@
     const TimePoint now = RuntimeClock::now();
     std::erase_if(mBalancers,
                   [&](const auto& aItem) { return now - aItem.second > kBalancerMemory; });
-    const Bytes report = EncodedReport();
+    LoadReport report = mCore.Report(now);
+    Bytes encoded = report.Encode();
+    const auto shares = mShares.Split(report.mOpensAllowed, mBalancers.size());
+    auto share = shares.begin();
     for (const auto& [balancer, heard] : mBalancers) {
-      SendReport(balancer, report);
+      if (*share != report.mOpensAllowed) {
+        report.mOpensAllowed = *share;
+        encoded = report.Encode();
+      }
+      SendReport(balancer, encoded);
+      ++share;
     }
   }
 
@@ -202,6 +211,7 @@
   SocketOutput mOutput;
   PacketAdapterFactory<PacketAgentCalls> mAdapterFactory;
   std::map<Endpoint, TimePoint> mBalancers; ///< When each was last in the view or heard from.
+  OpeningShares mShares;
   std::unique_ptr<UdpSocket> mNodes;
   std::unique_ptr<UdpSocket> mUpstream;
   std::unique_ptr<RepeatingTimer> mTimer;
--- a/lib/Daemon/PacketBalancerDaemon.cpp
+++ b/lib/Daemon/PacketBalancerDaemon.cpp
@@ -35,8 +35,8 @@
     if (const auto opened = Open(); !opened) {
       return opened.as_failure();
     }
-    mTimer = std::make_unique<RepeatingTimer>(mNode.Loop(), kTick,
-                                              [this] { mCore.OnTick(RuntimeClock::now()); });
+    mTimer = std::make_unique<RepeatingTimer>(
+      mNode.Loop(), kTick, [this] { mCore.OnTick(mOutput, RuntimeClock::now()); });
     mNode.Pool().OnStop([this] { Stop(); });
     mNode.Start();
     LogEvent(LogLevel::Info, "started")
--- /dev/null
+++ b/lib/Packet/OpeningQueue.cpp
@@ -0,0 +1,41 @@
+// Waiting openings, ordered by priority and arrival.
+#include "dandelionslip/Packet/OpeningQueue.h"
+
+#include <limits>
+#include <utility>
+
+namespace dandelionslip {
+
+bool OpeningQueue::Add(WaitingOpening aOpening)
+{
+  if (!mFlows.insert(aOpening.mFlow).second) {
+    return false;
+  }
+  const Place place{aOpening.mPriority, aOpening.mSince, mAdded++};
+  mOpenings.emplace(place, std::move(aOpening));
+  return true;
+}
+
+std::vector<WaitingOpening> OpeningQueue::Take(std::size_t aCount, const Condition& aCondition)
+{
+  std::vector<WaitingOpening> taken;
+  for (auto item = mOpenings.begin(); item != mOpenings.end() && taken.size() < aCount;) {
+    if (!aCondition(item->second)) {
+      ++item;
+      continue;
+    }
+    mFlows.erase(item->second.mFlow);
+    taken.push_back(std::move(item->second));
+    item = mOpenings.erase(item);
+  }
+  return taken;
+}
+
+std::vector<WaitingOpening> OpeningQueue::TakeExpired(TimePoint aNow)
+{
+  return Take(std::numeric_limits<std::size_t>::max(), [aNow](const WaitingOpening& aOpening) {
+    return aNow - aOpening.mSince > aOpening.mWait;
+  });
+}
+
+} // namespace dandelionslip
--- a/lib/Packet/PacketAgent.cpp
+++ b/lib/Packet/PacketAgent.cpp
@@ -191,6 +191,13 @@
   return mUpstreamStartSeen || aNow - mStartedAt > mSettings.mMaxFlowAge;
 }
 
+// The machine of a removed upstream may start again without it.
+bool PacketAgent::UpstreamIsAbsent(TimePoint aNow) const
+{
+  return !mUpstream && !mUpstreamSentPackets &&
+         aNow - mStartedAt > kMissedHeartbeats * mSettings.mHeartbeat;
+}
+
 LoadReport PacketAgent::Report(TimePoint aNow) const
 {
   LoadReport report;
--- a/lib/Packet/PacketAgentDirectory.cpp
+++ b/lib/Packet/PacketAgentDirectory.cpp
@@ -48,11 +48,13 @@
       return;
     }
   }
+  const bool absent = UpstreamIsAbsent(aNow);
   // Whether the upstream has started, and holds flows of before this agent's start, is not known.
-  if (!mUpstream) {
+  if (!mUpstream && !mUpstreamSentPackets && !absent) {
     return;
   }
-  SayWhere(aFrom, TableIsComplete(aNow) ? HopKind::NotFound : HopKind::Unsure, key, {}, aOutput);
+  const bool denied = absent || TableIsComplete(aNow);
+  SayWhere(aFrom, denied ? HopKind::NotFound : HopKind::Unsure, key, {}, aOutput);
 }
 
 void PacketAgent::OnRegister(const Endpoint& aFrom, std::span<const std::uint8_t> aBytes,
--- a/lib/Packet/PacketAgentFlows.cpp
+++ b/lib/Packet/PacketAgentFlows.cpp
@@ -139,6 +139,7 @@
                                    TimePoint aNow)
 {
   mUnansweredOpens = 0;
+  mUpstreamSentPackets = true;
   if (mCodec.IsBounced(aPacket)) {
     OnBounced(aPacket, aOutput, aNow);
     return;
--- a/lib/Packet/PacketBalancer.cpp
+++ b/lib/Packet/PacketBalancer.cpp
@@ -22,6 +22,9 @@
 // quarter of the smallest link, 1.9 Mbit/s.
 constexpr std::uint32_t kProbesPerSecond = 50;
 
+// How often openings that waited too long are looked for; a caller waits that much longer at most.
+constexpr Milliseconds kExpiryInterval{50};
+
 } // namespace
 
 PacketBalancer::PacketBalancer(const PacketBalancerSettings& aSettings, const SegmentCodec& aCodec,
@@ -54,7 +57,9 @@
     mRevision = aConfiguration.mRevision;
     mDataCentres = aConfiguration.mDataCentres;
   }
-  if (aConfiguration.mRoutes.mVersion > mRouteVersion) {
+  const bool newRoutes = aConfiguration.mRoutes.mVersion > mRouteVersion;
+  const bool hadAgents = !mAgents.empty();
+  if (newRoutes) {
     mRouteVersion = aConfiguration.mRoutes.mVersion;
     mRoutes.clear();
     for (const Route& route : aConfiguration.mRoutes.mRoutes) {
@@ -74,7 +79,10 @@
     mViewRevision = aView.mRevision;
     TakeView(aView, aNow);
   }
-  RetryWaiting(aOutput, aNow);
+  if (mRouteVersion != 0 && (newRoutes || !hadAgents)) {
+    PlaceWaiting(
+      mWaiting.Size(), [](const WaitingOpening&) { return true; }, aOutput, aNow);
+  }
 }
 
 void PacketBalancer::TakeView(const View& aView, TimePoint aNow)
@@ -191,7 +199,7 @@
     Reset(aSegment, aOutput, mNoRoute);
     return;
   }
-  if (IsWaiting(aSegment.mFlow)) {
+  if (mWaiting.Contains(aSegment.mFlow)) {
     return;
   }
   Flow& flow = FlowOf(aSegment.mFlow, aNow);
@@ -234,12 +242,6 @@
   aOutput.SendToNode(*holder, {HopKind::Deliver, ReturnReason::None}, aPacket);
 }
 
-bool PacketBalancer::IsWaiting(const FlowKey& aFlow) const
-{
-  return std::any_of(mWaiting.begin(), mWaiting.end(),
-                     [&](const WaitingOpening& aOpening) { return aOpening.mFlow == aFlow; });
-}
-
 void PacketBalancer::LogPlacement(const Segment& aSegment, const Endpoint& aHolder, TimePoint aNow)
 {
   const Agent& agent = mAgents[aHolder];
@@ -262,47 +264,68 @@
 void PacketBalancer::Wait(const Segment& aSegment, std::uint32_t aPriority, Milliseconds aWait,
                           std::span<const std::uint8_t> aPacket, TimePoint aNow)
 {
-  if (mWaiting.size() >= mSettings.mMaxWaiting) {
+  if (mWaiting.Size() >= mSettings.mMaxWaiting) {
     mFlowsFull.Add();
     return;
   }
-  if (!IsWaiting(aSegment.mFlow)) {
-    mWaiting.push_back({aSegment.mFlow, {aPacket.begin(), aPacket.end()}, aPriority, aNow, aWait});
-    mWaited.Add();
-    LogEvent(LogLevel::Info, "flow_waits")
-      .With("flow", ToString(aSegment.mFlow))
-      .With("wait_ms", aWait.count())
-      .With("waiting", mWaiting.size())
-      .With("routes", mRouteVersion)
-      .With("view", mViewRevision);
+  const bool isNew = mWaiting.Add({aSegment.mFlow,
+                                   {aPacket.begin(), aPacket.end()},
+                                   aPriority,
+                                   mPlacedSince.value_or(aNow),
+                                   aWait});
+  if (!isNew || mPlacedSince) {
+    return;
+  }
+  mWaited.Add();
+  LogEvent(LogLevel::Info, "flow_waits")
+    .With("flow", ToString(aSegment.mFlow))
+    .With("wait_ms", aWait.count())
+    .With("waiting", mWaiting.Size())
+    .With("routes", mRouteVersion)
+    .With("view", mViewRevision);
+}
+
+// Tries openings that wait again. One that must wait on keeps its place.
+void PacketBalancer::PlaceWaiting(std::size_t aCount, const OpeningQueue::Condition& aCondition,
+                                  PacketOutput& aOutput, TimePoint aNow)
+{
+  for (const WaitingOpening& opening : mWaiting.Take(aCount, aCondition)) {
+    if (const auto segment = mCodec.DecodeFromCaller(opening.mPacket)) {
+      mPlacedSince = opening.mSince;
+      Open(*segment, opening.mPacket, aOutput, aNow);
+      mPlacedSince.reset();
+    }
   }
 }
 
-// Tries the waiting packets again, the most important routes first and in order of arrival.
-void PacketBalancer::RetryWaiting(PacketOutput& aOutput, TimePoint aNow)
+// An agent that takes flows is offered the openings of its service that wait: as many as it has
+// allowed while its upstream is cold, and all afterwards.
+void PacketBalancer::OfferToWaiting(const Agent& aAgent, PacketOutput& aOutput, TimePoint aNow)
 {
-  if (mWaiting.empty() || mRouteVersion == 0) {
+  const std::size_t room = !aAgent.mReport.mAccepts ? 0
+                           : aAgent.mReport.mCold   ? OpensLeft(aAgent)
+                                                    : mWaiting.Size();
+  if (room == 0 || mRouteVersion == 0) {
     return;
   }
-  auto waiting = std::exchange(mWaiting, {});
-  std::stable_sort(waiting.begin(), waiting.end(), [](const auto& aFirst, const auto& aSecond) {
-    return aFirst.mPriority < aSecond.mPriority;
-  });
-  for (auto& opening : waiting) {
-    const auto segment = mCodec.DecodeFromCaller(opening.mPacket);
-    if (!segment || aNow - opening.mSince > opening.mWait) {
-      mWaitedInVain.Add();
-      LogEvent(LogLevel::Info, "flow_given_up")
-        .With("flow", ToString(opening.mFlow))
-        .With("reason", "waited_too_long")
-        .With("wait_ms", opening.mWait.count());
-      continue;
-    }
-    const std::size_t before = mWaiting.size();
-    Open(*segment, opening.mPacket, aOutput, aNow);
-    // One that waits again keeps its first time.
-    if (mWaiting.size() > before) {
-      mWaiting.back().mSince = opening.mSince;
+  const std::string service = aAgent.mService;
+  PlaceWaiting(
+    room,
+    [&](const WaitingOpening& aOpening) {
+      const RouteEntry* route = FindRoute(aOpening.mFlow);
+      return route == nullptr || route->LeadsTo(service);
+    },
+    aOutput, aNow);
+}
+
+// A caller whose opening has waited too long learns it at once, so that it need not wait for the
+// end of its own patience.
+void PacketBalancer::GiveUpExpired(PacketOutput& aOutput, TimePoint aNow)
+{
+  mExpiryCheckedAt = aNow;
+  for (const WaitingOpening& opening : mWaiting.TakeExpired(aNow)) {
+    if (const auto segment = mCodec.DecodeFromCaller(opening.mPacket)) {
+      Reset(*segment, aOutput, mWaitedInVain);
     }
   }
 }
@@ -345,7 +368,7 @@
   }
   const double share = coldOpens / static_cast<double>(std::max<std::size_t>(mBalancers, 1));
   const double seconds = std::chrono::duration<double>(aRoute.mWait).count();
-  return !IsSettled(aNow) || static_cast<double>(mWaiting.size()) < share * seconds;
+  return !IsSettled(aNow) || static_cast<double>(mWaiting.Size()) < share * seconds;
 }
 
 bool PacketBalancer::MayPlace(const Endpoint& aEndpoint, const Agent& aAgent,
@@ -503,8 +526,9 @@
   agent.mReport = std::move(report.value());
   agent.mReportedAt = aNow;
   agent.mPlaced = 0;
-  if (agent.mReport.mAccepts) {
-    RetryWaiting(aOutput, aNow);
+  OfferToWaiting(agent, aOutput, aNow);
+  if (aNow - mExpiryCheckedAt >= kExpiryInterval) {
+    GiveUpExpired(aOutput, aNow);
   }
 }
 
@@ -514,21 +538,21 @@
   LogEvent(LogLevel::Info, "flow_refused")
     .With("flow", ToString(aSegment.mFlow))
     .With("copy", aSegment.mCopyNumber)
-    .With("reason", &aCounter == &mNoRoute    ? "no_route"
-                    : &aCounter == &mNotFound ? "not_found"
-                                              : "no_upstream")
+    .With("reason", &aCounter == &mNoRoute        ? "no_route"
+                    : &aCounter == &mNotFound     ? "not_found"
+                    : &aCounter == &mWaitedInVain ? "waited_too_long"
+                                                  : "no_upstream")
     .With("routes", mRouteVersion)
     .With("view", mViewRevision)
     .With("agents", mAgents.size())
-    .With("waiting", mWaiting.size());
+    .With("waiting", mWaiting.Size());
   aOutput.SendToCaller(aSegment.mFlow, mCodec.EncodeReset(aSegment.mFlow, aSegment.mAcknowledged));
 }
 
-void PacketBalancer::OnTick(TimePoint aNow)
+void PacketBalancer::OnTick(PacketOutput& aOutput, TimePoint aNow)
 {
   mProbesLeft = kProbesPerSecond;
-  mWaitedInVain.Add(
-    std::erase_if(mWaiting, [&](const auto& aItem) { return aNow - aItem.mSince > aItem.mWait; }));
+  GiveUpExpired(aOutput, aNow);
   std::erase_if(
     mFlows, [&](const auto& aItem) { return aNow - aItem.second.mUsedAt > mSettings.mFlowMemory; });
   std::erase_if(mAgents, [&](const auto& aItem) {
--- a/unittests/Packet/PacketAgentTest.cpp
+++ b/unittests/Packet/PacketAgentTest.cpp
@@ -32,6 +32,7 @@
   CPPUNIT_TEST(LostEstablishedFlowsAreReset);
   CPPUNIT_TEST(ReusedPortsAreNotTakenForTheOldFlow);
   CPPUNIT_TEST(AgentsWithoutAnUpstreamAnswerNoQuery);
+  CPPUNIT_TEST(AgentsWhoseUpstreamNeverCameDenyFlows);
   CPPUNIT_TEST(ResetsOfUnknownFlowsStayHere);
   CPPUNIT_TEST(BouncedProbesAreDenied);
   CPPUNIT_TEST(LateHeartbeatsChangeNothing);
@@ -321,6 +322,18 @@
     AssertAnswer(HopKind::Unsure, HopKind::Query, TestFlow(1));
   }
 
+  // Guards against searches that never end: the machine of a removed upstream lost power and
+  // started again, and its agent waits for heartbeats that never come.
+  void AgentsWhoseUpstreamNeverCameDenyFlows()
+  {
+    mNow += std::chrono::seconds(4);
+    AssertAnswer(HopKind::NotFound, HopKind::Query, TestFlow(1));
+    AssertAnswer(HopKind::NotFound, HopKind::QueryHeld, TestFlow(1));
+    // A sign of life: the upstream may hold flows of before the agent's start.
+    FromUpstream(UpstreamPacket(TestFlow(2), FlagAck));
+    AssertAnswer(HopKind::Unsure, HopKind::QueryHeld, TestFlow(1));
+  }
+
   // Guards against the reset of a flow by an upstream that only saw a probe of it.
   void ResetsOfUnknownFlowsStayHere()
   {
--- a/unittests/Packet/PacketBalancerTest.cpp
+++ b/unittests/Packet/PacketBalancerTest.cpp
@@ -188,7 +188,7 @@
     // By now every flow of the lost agent is older than flows may become.
     mNow += std::chrono::seconds(61);
     Report(1, Accepting());
-    mBalancer.OnTick(mNow);
+    mBalancer.OnTick(mOutput, mNow);
     Send(packet);
     Answer(1, HopKind::NotFound, TestFlow(1));
     Answer(1, HopKind::NotFound, TestFlow(1));
@@ -228,7 +228,7 @@
     }
     mBalancer.OnState(TestRoutes(1, {"web"}), TestView(1, members), mOutput, mNow);
     mNow += kSettled;
-    mBalancer.OnTick(mNow);
+    mBalancer.OnTick(mOutput, mNow);
     constexpr std::uint16_t kFlows = 200;
     std::size_t foundAmongChoices = 0;
     for (std::uint16_t i = 0; i < kFlows; ++i) {
