Let homes speak for agents whose flows they have confirmed

Callers send on flows that nobody holds; each such flow made its balancer ask 62 to 88 agents, again with every retransmission. With the link full, answers and opening packets were lost, and the searches never ended. Packets of one caller showed opening packets that left a balancer and reached no agent.

Change: agents register a flow when the upstream accepts it, homes confirm, and the load report names the homes (digest of the agents and incarnations) that have confirmed all flows. When both homes deny a flow and have the balancer's view, only agents are asked for which they do not speak. Denials stay valid within a search; agents that have not answered are asked again. The last stage is rationed by the VM's processor share and link (SearchBudget), two new settings.

--- a/include/dandelionslip/Config/PacketSettings.h
+++ b/include/dandelionslip/Config/PacketSettings.h
@@ -20,7 +20,9 @@
 /// Settings of a balancer of the packet plane.
 struct PacketBalancerNodeSettings : PacketNodeSettings
 {
-  std::string mCallerEndpoint; ///< UDP "address:port" that receives the callers' packets.
+  std::string mCallerEndpoint;  ///< UDP "address:port" that receives the callers' packets.
+  double mProcessorShare = 1.0; ///< Of a core that the balancer may use.
+  double mLinkMbps = 1'000.0;   ///< Of the VM's own link.
 
   bool operator==(const PacketBalancerNodeSettings&) const = default;
 };
--- a/include/dandelionslip/Packet/FlowDirectory.h
+++ b/include/dandelionslip/Packet/FlowDirectory.h
@@ -23,7 +23,8 @@
   /// 200,000 entries take about 20 MB; the target size needs 7,300 a home agent.
   static constexpr std::size_t kMaxEntries = 200'000;
 
-  void Register(const FlowKey& aFlow, const Endpoint& aHolder, TimePoint aNow);
+  /// Returns whether the flow is stored now; false when the directory is full.
+  bool Register(const FlowKey& aFlow, const Endpoint& aHolder, TimePoint aNow);
   std::optional<Endpoint> Find(const FlowKey& aFlow) const;
   void Expire(TimePoint aNow);
   std::size_t Size() const { return mEntries.size(); }
--- a/include/dandelionslip/Packet/FlowHomes.h
+++ b/include/dandelionslip/Packet/FlowHomes.h
@@ -22,6 +22,10 @@
   /// Takes the agents of a view; returns whether they differ from those before.
   bool Update(const View& aView);
 
+  /// Identifies the agents that homes are chosen among, with their incarnations: equal on all nodes
+  /// that know the same agents. 0 without agents.
+  std::uint64_t Digest() const { return mDigest; }
+
   /// The homes of a flow, at most kHomes, the first one first.
   std::vector<Endpoint> Of(const FlowKey& aFlow) const;
 
@@ -36,6 +40,7 @@
   };
 
   std::vector<Agent> mAgents; ///< Ordered by member name.
+  std::uint64_t mDigest = 0;
 };
 
 } // namespace dandelionslip
--- a/include/dandelionslip/Packet/HopHeader.h
+++ b/include/dandelionslip/Packet/HopHeader.h
@@ -16,12 +16,14 @@
   Returned,      ///< To a balancer: the agent does not take the packet; mReason says why.
   Load,          ///< To a balancer: a LoadReport follows.
   // A FlowMessage follows the kinds below.
-  Query,     ///< To an agent: does the upstream hold the flow, or is it registered here?
-  QueryHeld, ///< To an agent: does the upstream hold the flow?
-  Held,      ///< To a balancer: the agent that holds the flow.
-  NotFound,  ///< To a balancer: the flow is not held here, or not known either.
-  Unsure,    ///< To a balancer: only the upstream knows; it needs a packet of the flow.
-  Register,  ///< To a home agent: flows that the sender holds.
+  Query,        ///< To an agent: does the upstream hold the flow, or is it registered here?
+  QueryHeld,    ///< To an agent: does the upstream hold the flow?
+  Held,         ///< To a balancer: the agent that holds the flow.
+  NotFound,     ///< To a balancer: the flow is not held here, or not known either.
+  Unsure,       ///< To a balancer: only the upstream knows; it needs a packet of the flow.
+  Register,     ///< To a home agent: flows that the sender holds.
+  Registered,   ///< To an agent: its flows are registered here.
+  Unregistered, ///< To a balancer: like NotFound, from a home whose directory is complete.
 };
 
 /// Why an agent returned a packet.
--- a/include/dandelionslip/Packet/LoadReport.h
+++ b/include/dandelionslip/Packet/LoadReport.h
@@ -26,6 +26,9 @@
   std::uint32_t mOpensAllowed = 0;   ///< While cold: new flows that it takes at once.
   std::uint32_t mOpensPerSecond = 0; ///< While cold: new flows that it takes over time.
   Milliseconds mColdLeft{0};         ///< How much longer the upstream stays cold.
+  /// FlowHomes::Digest() of the homes with which all flows of the upstream are registered; 0 while
+  /// that is not certain.
+  std::uint64_t mRegisteredWith = 0;
 
   bool operator==(const LoadReport&) const = default;
 
--- a/include/dandelionslip/Packet/PacketAgent.h
+++ b/include/dandelionslip/Packet/PacketAgent.h
@@ -6,6 +6,7 @@
 #include "dandelionslip/Model/View.h"
 #include "dandelionslip/Packet/FlowDirectory.h"
 #include "dandelionslip/Packet/FlowHomes.h"
+#include "dandelionslip/Packet/FlowMessage.h"
 #include "dandelionslip/Packet/LoadReport.h"
 #include "dandelionslip/Packet/OpeningLimiter.h"
 #include "dandelionslip/Packet/PacketActions.h"
@@ -14,6 +15,7 @@
 #include "dandelionslip/Support/Metrics.h"
 
 #include <array>
+#include <map>
 #include <optional>
 #include <unordered_map>
 
@@ -52,7 +54,8 @@
               MetricsRegistry& aRegistry, TimePoint aNow);
 
   void OnConfiguration(const Configuration& aConfiguration);
-  void OnView(const View& aView);
+  /// aOwnIncarnation is the incarnation that this process announces.
+  void OnView(const View& aView, std::uint64_t aOwnIncarnation);
   ReportOutcome OnUpstreamReport(const UpstreamReport& aReport, TimePoint aNow);
   /// The upstream says that it exits.
   void OnUpstreamLeft(const std::string& aId);
@@ -61,7 +64,7 @@
                     std::span<std::uint8_t> aPacket, PacketOutput& aOutput, TimePoint aNow);
   /// A packet that the upstream sent or gave back.
   void OnUpstreamPacket(std::span<std::uint8_t> aPacket, PacketOutput& aOutput, TimePoint aNow);
-  /// Registers flows with their home agents; called every 250 ms.
+  /// Registers flows again where that is due; called every 250 ms.
   void RegisterFlows(PacketOutput& aOutput, TimePoint aNow);
   /// Forgets idle flows; called every second.
   void OnTick(TimePoint aNow);
@@ -85,8 +88,11 @@
   {
     TimePoint mUsedAt;
     std::optional<TimePoint> mRegisteredAt; ///< With its home agents.
-    bool mAccepted = false;                 ///< The upstream answered the opening packet.
-    bool mEstablished = false;              ///< The upstream sent more than that answer.
+    /// Homes that have not confirmed the registration, by the hash of their endpoints; 0 for none.
+    std::array<std::uint64_t, FlowHomes::kHomes> mAwaited{};
+    TimePoint mAwaitedSince;   ///< Time of the first registration that a home has not confirmed.
+    bool mAccepted = false;    ///< The upstream answered the opening packet.
+    bool mEstablished = false; ///< The upstream sent more than that answer.
     bool mCallerEnded = false;
     bool mUpstreamEnded = false;
     bool mClosed = false; ///< Both sides have ended it; kept for late packets.
@@ -110,6 +116,9 @@
     TimePoint mAt;
   };
 
+  /// Registrations by home, to be sent together.
+  using Registrations = std::map<Endpoint, FlowMessage>;
+
   /// Deliveries remembered; at 20,000 packets a second they cover the time to a bounce, 1 ms,
   /// two hundred times.
   static constexpr std::size_t kDeliveries = 4096;
@@ -133,7 +142,14 @@
                  std::span<std::uint8_t> aPacket, PacketOutput& aOutput, TimePoint aNow);
   void OnQuery(const Endpoint& aFrom, HopKind aKind, std::span<const std::uint8_t> aBytes,
                PacketOutput& aOutput, TimePoint aNow);
-  void OnRegister(const Endpoint& aFrom, std::span<const std::uint8_t> aBytes, TimePoint aNow);
+  void OnRegister(const Endpoint& aFrom, std::span<const std::uint8_t> aBytes,
+                  PacketOutput& aOutput, TimePoint aNow);
+  void OnRegistered(const Endpoint& aFrom, std::span<const std::uint8_t> aBytes);
+  void Register(const FlowKey& aKey, Flow& aFlow, Registrations& aRegistrations,
+                PacketOutput& aOutput, TimePoint aNow);
+  static void SendRegistrations(const Registrations& aRegistrations, PacketOutput& aOutput);
+  static bool AwaitsHomes(const Flow& aFlow);
+  HopKind Denial(HopKind aQuery, TimePoint aNow) const;
   void SayWhere(const Endpoint& aBalancer, HopKind aKind, const FlowKey& aFlow,
                 const Endpoint& aHolder, PacketOutput& aOutput);
   void DenyFlow(const Delivery& aDelivery, const Segment& aSegment,
@@ -161,6 +177,9 @@
   std::unordered_map<FlowKey, Probe, FlowKeyHash> mProbes; ///< Of flows not known to be held.
   FlowHomes mHomes;
   bool mHomesChanged = false; ///< Since the last registration.
+  bool mIsHome = false; ///< The view shows this process, so that flows are registered with it.
+  /// Digest of the homes that have confirmed all flows; 0 while some have not.
+  std::uint64_t mRegisteredWith = 0;
   FlowDirectory mDirectory;
   std::array<Delivery, kDeliveries> mDeliveries{};
   std::uint32_t mNextTag = 1;
--- a/include/dandelionslip/Packet/PacketBalancer.h
+++ b/include/dandelionslip/Packet/PacketBalancer.h
@@ -9,6 +9,7 @@
 #include "dandelionslip/Packet/OpeningQueue.h"
 #include "dandelionslip/Packet/PacketActions.h"
 #include "dandelionslip/Packet/Placement.h"
+#include "dandelionslip/Packet/SearchBudget.h"
 #include "dandelionslip/Support/Metrics.h"
 
 #include <array>
@@ -34,6 +35,7 @@
   /// agents announce themselves every 100 ms after their start.
   Milliseconds mSettleTime{1'000};
   std::size_t mMaxWaiting = 10'000; ///< Opening packets that wait at once; 32 bytes each.
+  NodeCapacity mCapacity;           ///< Of the balancer's VM.
 };
 
 /// Sends each packet of a caller to the agent whose upstream holds the flow, and places new flows.
@@ -43,7 +45,7 @@
 {
 public:
   PacketBalancer(const PacketBalancerSettings& aSettings, const SegmentCodec& aCodec,
-                 MetricsRegistry& aRegistry, Random aRandom);
+                 MetricsRegistry& aRegistry, Random aRandom, TimePoint aNow = RuntimeClock::now());
 
   /// Takes a configuration and view; neither ever has a lower revision than the one before.
   void OnState(const Configuration& aConfiguration, const View& aView, PacketOutput& aOutput,
@@ -91,17 +93,20 @@
   /// Whom a search asks, one stage after the other.
   enum class SearchStage
   {
-    Homes,   ///< The agents with which the flow would be registered.
-    Choices, ///< The agents among which the flow was placed.
-    Everywhere,
+    Homes,      ///< The agents with which the flow would be registered.
+    Choices,    ///< The agents among which the flow was placed.
+    Everywhere, ///< All agents but those for which the homes speak.
   };
 
   /// A flow whose holder is being looked for.
   struct Search
   {
-    TimePoint mSince;
+    TimePoint mBegan;
+    TimePoint mSince; ///< When agents were last asked.
     SearchStage mStage = SearchStage::Homes;
     std::vector<Endpoint> mAsked;                    ///< Agents that have not answered yet.
+    std::vector<Endpoint> mDenied;                   ///< Agents that do not hold the flow.
+    std::vector<Endpoint> mUnregistered;             ///< Homes that have no registration of it.
     std::vector<std::vector<std::uint8_t>> mPackets; ///< Delivered once the holder is found.
   };
 
@@ -140,15 +145,24 @@
   bool MayPlace(const Endpoint& aEndpoint, const Agent& aAgent, const Flow& aFlow) const;
   void LookFor(const Segment& aSegment, Flow& aFlow, std::span<const std::uint8_t> aPacket,
                PacketOutput& aOutput, TimePoint aNow);
-  void Ask(const FlowKey& aKey, Search& aSearch, HopKind aKind, PacketOutput& aOutput);
-  void AskNext(const FlowKey& aKey, Search& aSearch, PacketOutput& aOutput);
+  void Continue(const Segment& aSegment, Flow& aFlow, std::span<const std::uint8_t> aPacket,
+                PacketOutput& aOutput, TimePoint aNow);
+  void Ask(const FlowKey& aKey, Search& aSearch, HopKind aKind, PacketOutput& aOutput,
+           TimePoint aNow);
+  void AskNext(const FlowKey& aKey, Search& aSearch, PacketOutput& aOutput, TimePoint aNow);
+  void Probe(const Endpoint& aAgent, const Search& aSearch, PacketOutput& aOutput);
+  void EndFruitless(const FlowKey& aKey, const Search& aSearch, PacketOutput& aOutput,
+                    TimePoint aNow);
+  bool IsCovered(const Agent& aAgent, TimePoint aNow) const;
+  bool HomesDeny(const FlowKey& aKey, const Search& aSearch, TimePoint aNow) const;
   std::vector<Endpoint> ChoicesFor(const std::string& aService, const FlowKey& aKey) const;
   bool IsSettled(TimePoint aNow) const;
   void OnFlowMessage(const Endpoint& aFrom, HopKind aKind, std::span<const std::uint8_t> aBytes,
                      PacketOutput& aOutput, TimePoint aNow);
-  void OnHeld(const FlowKey& aKey, Flow& aFlow, const Endpoint& aHolder, PacketOutput& aOutput);
-  void OnNotFound(const FlowKey& aKey, Flow& aFlow, const Endpoint& aFrom, PacketOutput& aOutput,
-                  TimePoint aNow);
+  void OnHeld(const FlowKey& aKey, Flow& aFlow, const Endpoint& aHolder, PacketOutput& aOutput,
+              TimePoint aNow);
+  void OnDenied(const FlowKey& aKey, Search& aSearch, const Endpoint& aFrom, PacketOutput& aOutput,
+                TimePoint aNow);
   void OnReturned(const Endpoint& aFrom, ReturnReason aReason, std::span<std::uint8_t> aPacket,
                   PacketOutput& aOutput, TimePoint aNow);
   void OnLoad(const Endpoint& aFrom, std::span<const std::uint8_t> aBytes, PacketOutput& aOutput,
@@ -169,6 +183,7 @@
   AgentMap mAgents; ///< By datagram endpoint.
   FlowHomes mHomes;
   std::optional<TimePoint> mFirstAgentAt;
+  SearchBudget mSearchBudget;
   std::uint32_t mProbesLeft = 0; ///< Probes of all agents that may be sent in this second.
   std::unordered_map<FlowKey, Flow, FlowKeyHash> mFlows;
   OpeningQueue mWaiting;
--- a/lib/Daemon/PacketAgentDaemon.cpp
+++ b/lib/Daemon/PacketAgentDaemon.cpp
@@ -125,8 +125,8 @@
 
   void OnNode(const Endpoint& aFrom, const HopHeader& aHeader, std::span<std::uint8_t> aPacket)
   {
-    // Only other agents register flows.
-    if (aHeader.mKind != HopKind::Register) {
+    // Only other agents register flows and confirm registrations.
+    if (aHeader.mKind != HopKind::Register && aHeader.mKind != HopKind::Registered) {
       NoteBalancer(aFrom);
     }
     mCore.OnNodePacket(aFrom, aHeader, aPacket, mOutput, RuntimeClock::now());
@@ -142,7 +142,7 @@
   void OnState(const NodeState& aState)
   {
     mCore.OnConfiguration(aState.CurrentConfiguration());
-    mCore.OnView(aState.CurrentView());
+    mCore.OnView(aState.CurrentView(), mNode.Incarnation());
     for (const auto& [name, member] : aState.CurrentView().mMembers) {
       const auto endpoint = Endpoint::Parse(member.mDatagramEndpoint);
       if (member.mKind == MemberKind::Balancer && HoldsFlows(member.mState) && endpoint) {
--- a/lib/Daemon/PacketBalancerDaemon.cpp
+++ b/lib/Daemon/PacketBalancerDaemon.cpp
@@ -16,6 +16,13 @@
 // that: two checks half a second apart, and the last packets on their way.
 constexpr Milliseconds kStopDelay{2'000};
 
+PacketBalancerSettings CoreSettings(const PacketBalancerNodeSettings& aSettings)
+{
+  PacketBalancerSettings settings;
+  settings.mCapacity = {aSettings.mProcessorShare, aSettings.mLinkMbps};
+  return settings;
+}
+
 class PacketBalancerDaemon : public PacketNodeCalls
 {
 public:
@@ -24,7 +31,7 @@
     : mSettings(aSettings)
     , mNode(aSettings, {[this](Member& aMember) { Describe(aMember); },
                         [this](const NodeState& aState) { OnState(aState); }, aPlatform.mReadSeeds})
-    , mCore({}, aPlatform.mCodec, mNode.Registry(), Random(SystemSeed()))
+    , mCore(CoreSettings(aSettings), aPlatform.mCodec, mNode.Registry(), Random(SystemSeed()))
     , mOutput(aSettings.mCallerPort, mNode.Registry())
     , mAdapterFactory(aPlatform.mAdapter)
   {
--- a/lib/Daemon/PacketNode.h
+++ b/lib/Daemon/PacketNode.h
@@ -42,6 +42,7 @@
   WorkerPool& Pool() { return mPool; }
   boost::asio::io_context& Loop() { return mPool.Loop(); }
   ControlLink& Link() { return mLink; }
+  std::uint64_t Incarnation() const { return mIncarnation; }
   MetricsRegistry& Registry() { return mRegistry; }
 
 private:
--- a/lib/Packet/FlowDirectory.cpp
+++ b/lib/Packet/FlowDirectory.cpp
@@ -3,12 +3,13 @@
 
 namespace dandelionslip {
 
-void FlowDirectory::Register(const FlowKey& aFlow, const Endpoint& aHolder, TimePoint aNow)
+bool FlowDirectory::Register(const FlowKey& aFlow, const Endpoint& aHolder, TimePoint aNow)
 {
   if (mEntries.size() >= kMaxEntries && !mEntries.contains(aFlow)) {
-    return;
+    return false;
   }
   mEntries[aFlow] = {aHolder, aNow};
+  return true;
 }
 
 std::optional<Endpoint> FlowDirectory::Find(const FlowKey& aFlow) const
--- a/lib/Packet/FlowHomes.cpp
+++ b/lib/Packet/FlowHomes.cpp
@@ -20,6 +20,11 @@
     return false;
   }
   mAgents = std::move(agents);
+  mDigest = 0;
+  for (const Agent& agent : mAgents) {
+    mDigest = CombineHash(CombineHash(CombineHash(mDigest, agent.mSeed), agent.mIncarnation),
+                          HashOf(agent.mEndpoint));
+  }
   return true;
 }
 
--- a/lib/Packet/LoadReport.cpp
+++ b/lib/Packet/LoadReport.cpp
@@ -18,13 +18,13 @@
   &LoadReport::mSlots,        &LoadReport::mMilliRequestsPerSlot,
   &LoadReport::mOpensAllowed, &LoadReport::mOpensPerSecond};
 
-// The texts, one number with the flags as bits, the numbers, and the time the upstream stays cold.
-constexpr std::size_t kFields = kTexts + 1 + kNumbers.size() + 1;
+// The texts, one number with the flags as bits, the numbers, the time the upstream stays cold, and
+// the homes' digest, the only field of 64 bits.
+constexpr std::size_t kFields = kTexts + 1 + kNumbers.size() + 2;
 
-bool IsNumber(const Json& aValue)
+bool IsNumber(const Json& aValue, std::uint64_t aLimit)
 {
-  return aValue.is_number_unsigned() &&
-         aValue.get<std::uint64_t>() <= std::numeric_limits<std::uint32_t>::max();
+  return aValue.is_number_unsigned() && aValue.get<std::uint64_t>() <= aLimit;
 }
 
 } // namespace
@@ -40,6 +40,7 @@
     fields.push_back(this->*member);
   }
   fields.push_back(static_cast<std::uint32_t>(mColdLeft.count()));
+  fields.push_back(mRegisteredWith);
   return EncodeCbor(fields);
 }
 
@@ -53,7 +54,8 @@
   bool valid =
     json.is_array() && json.size() == kFields && json[0].is_string() && json[1].is_string();
   for (std::size_t i = kTexts; valid && i < kFields; ++i) {
-    valid = IsNumber(json[i]);
+    valid = IsNumber(json[i], i + 1 == kFields ? std::numeric_limits<std::uint64_t>::max()
+                                               : std::numeric_limits<std::uint32_t>::max());
   }
   if (!valid) {
     return Fail(ErrorCode::InvalidInput, "load_report.decode", "",
@@ -69,7 +71,8 @@
   for (std::size_t i = 0; i < kNumbers.size(); ++i) {
     report.*kNumbers[i] = json[kTexts + 1 + i].get<std::uint32_t>();
   }
-  report.mColdLeft = Milliseconds(json[kFields - 1].get<std::uint32_t>());
+  report.mColdLeft = Milliseconds(json[kFields - 2].get<std::uint32_t>());
+  report.mRegisteredWith = json[kFields - 1].get<std::uint64_t>();
   return report;
 }
 
--- a/lib/Packet/PacketAgent.cpp
+++ b/lib/Packet/PacketAgent.cpp
@@ -212,6 +212,7 @@
                          : std::chrono::duration_cast<Milliseconds>(mUpstream->mColdUntil - aNow);
     report.mOpensPerSecond = static_cast<std::uint32_t>(ColdLimit());
   }
+  report.mRegisteredWith = TableIsComplete(aNow) || UpstreamIsAbsent(aNow) ? mRegisteredWith : 0;
   report.mGone = Gone();
   report.mStarting = !mUpstream && aNow - mStartedAt < kMissedHeartbeats * mSettings.mHeartbeat;
   report.mFlows = mOpenFlows;
--- a/lib/Packet/PacketAgentFlows.cpp
+++ b/lib/Packet/PacketAgentFlows.cpp
@@ -4,6 +4,7 @@
 #include "dandelionslip/Support/Log.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace dandelionslip {
 
@@ -40,7 +41,11 @@
     return;
   }
   if (aHeader.mKind == HopKind::Register) {
-    OnRegister(aFrom, aPacket, aNow);
+    OnRegister(aFrom, aPacket, aOutput, aNow);
+    return;
+  }
+  if (aHeader.mKind == HopKind::Registered) {
+    OnRegistered(aFrom, aPacket);
     return;
   }
   const auto segment = mCodec.DecodeFromCaller(aPacket);
@@ -163,7 +168,11 @@
   }
   Flow& flow = FlowOf(segment->mFlow, aNow);
   AnswerProbe(segment->mFlow, aOutput);
-  flow.mAccepted = true;
+  if (!std::exchange(flow.mAccepted, true)) {
+    Registrations registrations;
+    Register(segment->mFlow, flow, registrations, aOutput, aNow);
+    SendRegistrations(registrations, aOutput);
+  }
   flow.mEstablished = flow.mEstablished || !segment->mAccepts;
   if (segment->mDataBytes > 0 && flow.mBusy) {
     mSpeed.OnCompleted();
--- a/lib/Packet/PacketBalancer.cpp
+++ b/lib/Packet/PacketBalancer.cpp
@@ -28,10 +28,11 @@
 } // namespace
 
 PacketBalancer::PacketBalancer(const PacketBalancerSettings& aSettings, const SegmentCodec& aCodec,
-                               MetricsRegistry& aRegistry, Random aRandom)
+                               MetricsRegistry& aRegistry, Random aRandom, TimePoint aNow)
   : mSettings(aSettings)
   , mCodec(aCodec)
   , mRandom(aRandom)
+  , mSearchBudget(aSettings.mCapacity, aNow)
   , mForwarded(aRegistry.CounterFor("dandelionslip_packets_forwarded_total"))
   , mSearched(aRegistry.CounterFor("dandelionslip_flow_searches_total"))
   , mMalformed(aRegistry.CounterFor("dandelionslip_packets_dropped_total", "reason=\"malformed\""))
@@ -459,6 +460,7 @@
       return;
     case HopKind::Held:
     case HopKind::NotFound:
+    case HopKind::Unregistered:
     case HopKind::Unsure:
       OnFlowMessage(aFrom, aHeader.mKind, aPacket, aOutput, aNow);
       return;
--- a/lib/Packet/PacketBalancerSearch.cpp
+++ b/lib/Packet/PacketBalancerSearch.cpp
@@ -9,45 +9,87 @@
 
 namespace {
 
-// A search without an answer is begun anew when this has passed: the first retransmission interval
-// of callers.
+// Agents that have not answered a search are asked again when this has passed: the first
+// retransmission interval of callers.
 constexpr Milliseconds kSearchPause{180};
 
+// A search that has not ended asks the homes again after this time; a registration may have come
+// since.
+constexpr Milliseconds kSearchLifetime{2'000};
+
 // Packets kept until the holder is found; a caller has up to 16 in flight, and sends the others
 // again.
 constexpr std::size_t kKeptPackets = 4;
 
+bool Contains(std::span<const Endpoint> aEndpoints, const Endpoint& aEndpoint)
+{
+  return std::find(aEndpoints.begin(), aEndpoints.end(), aEndpoint) != aEndpoints.end();
+}
+
 } // namespace
 
-void PacketBalancer::Ask(const FlowKey& aKey, Search& aSearch, HopKind aKind, PacketOutput& aOutput)
+void PacketBalancer::Ask(const FlowKey& aKey, Search& aSearch, HopKind aKind, PacketOutput& aOutput,
+                         TimePoint aNow)
 {
+  const bool rationed = aSearch.mStage == SearchStage::Everywhere;
   const auto message = FlowMessage{{}, {aKey}}.Encode();
   for (const Endpoint& agent : aSearch.mAsked) {
+    if (rationed && !mSearchBudget.TryTake(aNow)) {
+      return;
+    }
     aOutput.SendToNode(agent, {aKind, ReturnReason::None}, message);
   }
 }
 
-// The next stage of a search that has someone to ask; the last one asks every agent.
-void PacketBalancer::AskNext(const FlowKey& aKey, Search& aSearch, PacketOutput& aOutput)
+// Whether the homes know all flows of the agent, so that it need not be asked itself.
+bool PacketBalancer::IsCovered(const Agent& aAgent, TimePoint aNow) const
+{
+  return aAgent.mReportedAt && aNow - *aAgent.mReportedAt <= mSettings.mReportLifetime &&
+         mHomes.Digest() != 0 && aAgent.mReport.mRegisteredWith == mHomes.Digest();
+}
+
+// Whether both homes deny a flow that they would know if a covered agent held it. The homes must
+// have seen the view that this balancer has, with their present process in it.
+bool PacketBalancer::HomesDeny(const FlowKey& aKey, const Search& aSearch, TimePoint aNow) const
+{
+  const auto homes = mHomes.Of(aKey);
+  return aSearch.mStage == SearchStage::Homes && !homes.empty() &&
+         std::all_of(homes.begin(), homes.end(), [&](const Endpoint& aHome) {
+           const auto agent = mAgents.find(aHome);
+           return Contains(aSearch.mUnregistered, aHome) && agent != mAgents.end() &&
+                  IsCovered(agent->second, aNow);
+         });
+}
+
+// The agents of the next stage that have not denied the flow. The last stage asks every agent, or
+// those that the homes do not speak for.
+void PacketBalancer::AskNext(const FlowKey& aKey, Search& aSearch, PacketOutput& aOutput,
+                             TimePoint aNow)
 {
+  const bool denied = HomesDeny(aKey, aSearch, aNow);
   aSearch.mAsked.clear();
-  if (aSearch.mStage == SearchStage::Homes) {
+  const auto add = [&](const Endpoint& aAgent) {
+    if (!Contains(aSearch.mDenied, aAgent)) {
+      aSearch.mAsked.push_back(aAgent);
+    }
+  };
+  if (aSearch.mStage == SearchStage::Homes && !denied) {
     aSearch.mStage = SearchStage::Choices;
     const RouteEntry* route = FindRoute(aKey);
     for (std::size_t i = 0; route != nullptr && i < route->mTargets.size(); ++i) {
       const auto choices = ChoicesFor(route->mTargets[i].mService, aKey);
-      aSearch.mAsked.insert(aSearch.mAsked.end(), choices.begin(), choices.end());
+      std::for_each(choices.begin(), choices.end(), add);
     }
   }
   if (aSearch.mAsked.empty()) {
+    aSearch.mStage = SearchStage::Everywhere;
     for (const auto& [endpoint, agent] : mAgents) {
-      aSearch.mAsked.push_back(endpoint);
+      if (!denied || !IsCovered(agent, aNow)) {
+        add(endpoint);
+      }
     }
   }
-  if (aSearch.mAsked.size() == mAgents.size()) {
-    aSearch.mStage = SearchStage::Everywhere;
-  }
-  Ask(aKey, aSearch, HopKind::QueryHeld, aOutput);
+  Ask(aKey, aSearch, HopKind::QueryHeld, aOutput, aNow);
 }
 
 // The homes of the flow are asked first. When they do not answer, or named an agent that does not
@@ -56,27 +98,49 @@
                              std::span<const std::uint8_t> aPacket, PacketOutput& aOutput,
                              TimePoint aNow)
 {
-  const bool again = aFlow.mSearch && aNow - aFlow.mSearch->mSince > kSearchPause;
-  const SearchStage before = aFlow.mSearch ? aFlow.mSearch->mStage : SearchStage::Homes;
-  if (aFlow.mSearch && !again) {
-    if (aFlow.mSearch->mPackets.size() < kKeptPackets) {
-      aFlow.mSearch->mPackets.emplace_back(aPacket.begin(), aPacket.end());
-    }
+  if (aFlow.mSearch && aNow - aFlow.mSearch->mBegan <= kSearchLifetime) {
+    Continue(aSegment, aFlow, aPacket, aOutput, aNow);
     return;
   }
   aFlow.mSearch = std::make_unique<Search>();
   Search& search = *aFlow.mSearch;
-  search.mSince = aNow;
+  search.mBegan = search.mSince = aNow;
+  search.mDenied = aFlow.mTried;
   search.mPackets.emplace_back(aPacket.begin(), aPacket.end());
   mSearched.Add();
   search.mAsked = mHomes.Of(aSegment.mFlow);
-  if (again || search.mAsked.empty() || !aFlow.mTried.empty()) {
-    // A search without an answer begins anew with the stage after the one that it reached.
-    search.mStage = before == SearchStage::Everywhere ? SearchStage::Homes : before;
-    AskNext(aSegment.mFlow, search, aOutput);
+  if (search.mAsked.empty() || !aFlow.mTried.empty()) {
+    AskNext(aSegment.mFlow, search, aOutput, aNow);
+  } else {
+    Ask(aSegment.mFlow, search, HopKind::Query, aOutput, aNow);
+  }
+  EndFruitless(aSegment.mFlow, search, aOutput, aNow);
+}
+
+// A packet of a flow that is being looked for. Agents that have not answered are asked again; what
+// others have denied stays denied.
+void PacketBalancer::Continue(const Segment& aSegment, Flow& aFlow,
+                              std::span<const std::uint8_t> aPacket, PacketOutput& aOutput,
+                              TimePoint aNow)
+{
+  Search& search = *aFlow.mSearch;
+  const bool pause = aNow - search.mSince > kSearchPause;
+  if (pause) {
+    search.mPackets.clear();
+  }
+  if (search.mPackets.size() < kKeptPackets) {
+    search.mPackets.emplace_back(aPacket.begin(), aPacket.end());
+  }
+  if (!pause) {
     return;
   }
-  Ask(aSegment.mFlow, search, HopKind::Query, aOutput);
+  search.mSince = aNow;
+  if (search.mStage == SearchStage::Everywhere) {
+    Ask(aSegment.mFlow, search, HopKind::QueryHeld, aOutput, aNow);
+  } else {
+    AskNext(aSegment.mFlow, search, aOutput, aNow);
+  }
+  EndFruitless(aSegment.mFlow, search, aOutput, aNow);
 }
 
 bool PacketBalancer::IsSettled(TimePoint aNow) const
@@ -100,27 +164,34 @@
   }
   Flow& flow = found->second;
   if (aKind == HopKind::Unsure) {
-    if (flow.mSearch->mStage == SearchStage::Everywhere && mProbesLeft == 0) {
-      return;
-    }
-    mProbesLeft -= flow.mSearch->mStage == SearchStage::Everywhere ? 1 : 0;
-    aOutput.SendToNode(aFrom, {HopKind::DeliverIfHeld, ReturnReason::None},
-                       flow.mSearch->mPackets.back());
+    Probe(aFrom, *flow.mSearch, aOutput);
   } else if (aKind == HopKind::Held) {
-    OnHeld(key, flow, message.value().mHolder, aOutput);
+    OnHeld(key, flow, message.value().mHolder, aOutput, aNow);
   } else {
-    OnNotFound(key, flow, aFrom, aOutput, aNow);
+    if (aKind == HopKind::Unregistered) {
+      flow.mSearch->mUnregistered.push_back(aFrom);
+    }
+    OnDenied(key, *flow.mSearch, aFrom, aOutput, aNow);
+  }
+}
+
+// Only the agent's upstream knows: it gets a packet of the flow.
+void PacketBalancer::Probe(const Endpoint& aAgent, const Search& aSearch, PacketOutput& aOutput)
+{
+  const bool rationed = aSearch.mStage == SearchStage::Everywhere;
+  if (rationed && mProbesLeft == 0) {
+    return;
   }
+  mProbesLeft -= rationed ? 1 : 0;
+  aOutput.SendToNode(aAgent, {HopKind::DeliverIfHeld, ReturnReason::None}, aSearch.mPackets.back());
 }
 
 void PacketBalancer::OnHeld(const FlowKey& aKey, Flow& aFlow, const Endpoint& aHolder,
-                            PacketOutput& aOutput)
+                            PacketOutput& aOutput, TimePoint aNow)
 {
-  const bool denied =
-    std::find(aFlow.mTried.begin(), aFlow.mTried.end(), aHolder) != aFlow.mTried.end();
-  if (denied && aFlow.mSearch->mStage == SearchStage::Homes) {
+  if (Contains(aFlow.mTried, aHolder) && aFlow.mSearch->mStage == SearchStage::Homes) {
     // The registration is out of date.
-    AskNext(aKey, *aFlow.mSearch, aOutput);
+    AskNext(aKey, *aFlow.mSearch, aOutput, aNow);
     return;
   }
   const auto search = std::move(aFlow.mSearch);
@@ -139,22 +210,32 @@
   }
 }
 
-// A flow that no upstream holds is reset, so that its caller does not wait for an answer until its
-// deadline.
-void PacketBalancer::OnNotFound(const FlowKey& aKey, Flow& aFlow, const Endpoint& aFrom,
-                                PacketOutput& aOutput, TimePoint aNow)
+void PacketBalancer::OnDenied(const FlowKey& aKey, Search& aSearch, const Endpoint& aFrom,
+                              PacketOutput& aOutput, TimePoint aNow)
 {
-  Search& search = *aFlow.mSearch;
-  if (std::erase(search.mAsked, aFrom) == 0 || !search.mAsked.empty()) {
+  if (!Contains(aSearch.mDenied, aFrom)) {
+    aSearch.mDenied.push_back(aFrom);
+  }
+  if (std::erase(aSearch.mAsked, aFrom) == 0 || !aSearch.mAsked.empty()) {
     return;
   }
-  if (search.mStage != SearchStage::Everywhere) {
-    AskNext(aKey, search, aOutput);
+  if (aSearch.mStage != SearchStage::Everywhere) {
+    AskNext(aKey, aSearch, aOutput, aNow);
+  }
+  EndFruitless(aKey, aSearch, aOutput, aNow);
+}
+
+// A flow that no upstream holds is reset, so that its caller does not wait for an answer until its
+// deadline.
+void PacketBalancer::EndFruitless(const FlowKey& aKey, const Search& aSearch, PacketOutput& aOutput,
+                                  TimePoint aNow)
+{
+  if (aSearch.mStage != SearchStage::Everywhere || !aSearch.mAsked.empty() || !IsSettled(aNow)) {
     return;
   }
-  const auto segment = mCodec.DecodeFromCaller(search.mPackets.back());
-  if (IsSettled(aNow) && segment && !segment->mResets) {
-    mFlows.erase(aKey);
+  const auto segment = mCodec.DecodeFromCaller(aSearch.mPackets.back());
+  mFlows.erase(aKey);
+  if (segment && !segment->mResets) {
     Reset(*segment, aOutput, mNotFound);
   }
 }
--- /dev/null
+++ b/lib/Packet/SearchBudget.cpp
@@ -0,0 +1,37 @@
+// Search budget from processor and link.
+#include "dandelionslip/Packet/SearchBudget.h"
+
+#include <algorithm>
+
+namespace dandelionslip {
+
+namespace {
+
+// Shares of the processor and of the link that searches may take; callers' packets need the rest.
+constexpr double kProcessorPart = 0.5;
+constexpr double kLinkPart = 0.25;
+
+// Processor time of a query and its answer: docs/CAPACITY.md gives 28.9 us a datagram at a
+// balancer.
+constexpr double kSecondsPerQuery = 60e-6;
+
+// A query: 28 bytes of IP and UDP, the hop header and one flow.
+constexpr double kBitsPerQuery = 50 * 8.0;
+
+constexpr double kMega = 1e6;
+
+} // namespace
+
+double SearchBudget::QueriesPerSecond(const NodeCapacity& aCapacity)
+{
+  const double processor = kProcessorPart * aCapacity.mProcessorShare / kSecondsPerQuery;
+  const double link = kLinkPart * aCapacity.mLinkMbps * kMega / kBitsPerQuery;
+  return std::max(1.0, std::min(processor, link));
+}
+
+SearchBudget::SearchBudget(const NodeCapacity& aCapacity, TimePoint aNow)
+  : mBucket(QueriesPerSecond(aCapacity), aNow)
+{
+}
+
+} // namespace dandelionslip
