Let the newest openings leave the queue first

Ruled out: late control (routes are there 0.2 s after the third replica).

Change: within a priority the newest opening leaves first, and no opening waits for more than four fifths of its route's timeout, so that time is left for the request.

Tests: CrowdAtColdUpstreamsIsServedInTime plays 100 callers a second on 10 openings a second and fails in order of arrival.

--- a/include/dandelionslip/Packet/OpeningQueue.h
+++ b/include/dandelionslip/Packet/OpeningQueue.h
@@ -23,10 +23,12 @@
   Milliseconds mWait{0}; ///< Longest wait.
 };
 
-/// Keeps waiting openings in the order in which they leave: the most important routes first, and in
-/// order of arrival. Answers the load of all callers that open their flows again at the same
-/// moment: the work of a balancer is bounded by the openings that leave, not by those that wait.
-/// Not thread-safe.
+/// Keeps waiting openings in the order in which they leave: the most important routes first, and
+/// within them the newest. Answers the load of all callers that open their flows again at the same
+/// moment. While more arrive than leave, the oldest opening has the least time left: in order of
+/// arrival each would leave when its caller's deadline is about to pass, and the few flows that a
+/// cold upstream takes would be spent on requests that nobody waits for. The work of a balancer is
+/// bounded by the openings that leave, not by those that wait. Not thread-safe.
 class OpeningQueue
 {
 public:
@@ -38,15 +40,15 @@
   /// Adds the opening unless its flow waits already; returns whether it was added.
   bool Add(WaitingOpening aOpening);
 
-  /// Removes the first aCount openings for which the condition holds.
+  /// Removes the first aCount openings, in the order above, for which the condition holds.
   std::vector<WaitingOpening> Take(std::size_t aCount, const Condition& aCondition);
 
   /// Removes the openings that have waited longer than they may.
   std::vector<WaitingOpening> TakeExpired(TimePoint aNow);
 
 private:
-  /// Priority, time of arrival, and a number that tells openings of the same moment apart.
-  using Place = std::tuple<std::uint32_t, TimePoint, std::uint64_t>;
+  /// Priority, negated time of arrival, and a number that tells openings of the same moment apart.
+  using Place = std::tuple<std::uint32_t, RuntimeClock::duration, std::uint64_t>;
 
   std::map<Place, WaitingOpening> mOpenings;
   std::unordered_set<FlowKey, FlowKeyHash> mFlows;
--- a/lib/Packet/OpeningQueue.cpp
+++ b/lib/Packet/OpeningQueue.cpp
@@ -11,7 +11,7 @@
   if (!mFlows.insert(aOpening.mFlow).second) {
     return false;
   }
-  const Place place{aOpening.mPriority, aOpening.mSince, mAdded++};
+  const Place place{aOpening.mPriority, -aOpening.mSince.time_since_epoch(), mAdded++};
   mOpenings.emplace(place, std::move(aOpening));
   return true;
 }
--- a/lib/Packet/PacketBalancer.cpp
+++ b/lib/Packet/PacketBalancer.cpp
@@ -25,6 +25,15 @@
 // How often openings that waited too long are looked for; a caller waits that much longer at most.
 constexpr Milliseconds kExpiryInterval{50};
 
+// A request that begins later than this part of its route's timeout rarely ends in time.
+constexpr double kWaitingPart = 0.8;
+
+Milliseconds LongestWait(Milliseconds aTimeout, const PacketBalancerSettings& aSettings)
+{
+  const auto wait = std::chrono::duration_cast<Milliseconds>(aTimeout * kWaitingPart);
+  return std::min(aSettings.mOpeningWait, wait);
+}
+
 } // namespace
 
 PacketBalancer::PacketBalancer(const PacketBalancerSettings& aSettings, const SegmentCodec& aCodec,
@@ -65,7 +74,7 @@
     mRoutes.clear();
     for (const Route& route : aConfiguration.mRoutes.mRoutes) {
       RouteEntry entry{route.mName, route.mTargets, 0, route.mPriority,
-                       std::min(mSettings.mOpeningWait, route.mTimeout)};
+                       LongestWait(route.mTimeout, mSettings)};
       for (const RouteTarget& target : route.mTargets) {
         entry.mTotalWeight += target.mWeight;
       }
--- a/unittests/Packet/OpeningQueueTest.cpp
+++ b/unittests/Packet/OpeningQueueTest.cpp
@@ -18,7 +18,8 @@
 class OpeningQueueTest : public CppUnit::TestFixture
 {
   CPPUNIT_TEST_SUITE(OpeningQueueTest);
-  CPPUNIT_TEST(ImportantAndOldOpeningsLeaveFirst);
+  CPPUNIT_TEST(ImportantAndNewOpeningsLeaveFirst);
+  CPPUNIT_TEST(CrowdAtColdUpstreamsIsServedInTime);
   CPPUNIT_TEST(FlowsWaitOnce);
   CPPUNIT_TEST(OnlyTheCountThatFitsLeaves);
   CPPUNIT_TEST(ExpiredOpeningsLeave);
@@ -35,18 +36,45 @@
 
   static bool Any(const WaitingOpening& /*aOpening*/) { return true; }
 
-  // Guards against unimportant flows, or late ones, that overtake others.
-  void ImportantAndOldOpeningsLeaveFirst()
+  // Guards against unimportant flows that overtake others, and against the order of arrival.
+  void ImportantAndNewOpeningsLeaveFirst()
   {
     Add(1, 2, Milliseconds{0});
     Add(2, 1, Milliseconds{20});
     Add(3, 1, Milliseconds{10});
     const auto taken = mQueue.Take(3, Any);
-    CPPUNIT_ASSERT(taken.at(0).mFlow == TestFlow(3));
-    CPPUNIT_ASSERT(taken.at(1).mFlow == TestFlow(2));
+    CPPUNIT_ASSERT(taken.at(0).mFlow == TestFlow(2));
+    CPPUNIT_ASSERT(taken.at(1).mFlow == TestFlow(3));
     CPPUNIT_ASSERT(taken.at(2).mFlow == TestFlow(1));
   }
 
+  // Guards against openings of cold upstreams that are spent on callers whose deadline has passed:
+  // 100 callers a second come for two seconds to upstreams that take 10 flows a second, and each
+  // request has 500 ms and takes 60 ms once its flow is open. Every flow that is opened must serve
+  // its first request.
+  void CrowdAtColdUpstreamsIsServedInTime()
+  {
+    constexpr Milliseconds kStep{10};
+    constexpr Milliseconds kTimeout{500};
+    constexpr Milliseconds kWork{60};
+    std::size_t opened = 0;
+    std::size_t inTime = 0;
+    for (std::uint16_t step = 0; step < 200; ++step) {
+      const TimePoint now = kStart + step * kStep;
+      mQueue.TakeExpired(now);
+      mQueue.Add({TestFlow(step), {}, 1, now, kTimeout});
+      if (step % 10 != 9) {
+        continue;
+      }
+      for (const WaitingOpening& opening : mQueue.Take(1, Any)) {
+        ++opened;
+        inTime += now + kWork - opening.mSince <= kTimeout ? 1 : 0;
+      }
+    }
+    CPPUNIT_ASSERT_EQUAL(std::size_t{20}, opened);
+    CPPUNIT_ASSERT_EQUAL(opened, inTime);
+  }
+
   // Guards against copies of an opening packet that open the flow several times.
   void FlowsWaitOnce()
   {
