--- a/include/dandelionslip/Packet/PacketAgent.h
+++ b/include/dandelionslip/Packet/PacketAgent.h
@@ -87,6 +87,7 @@
   struct Flow
   {
     TimePoint mUsedAt;
+    std::optional<TimePoint> mOpenedAt; ///< Delivery of the opening packet, until it is answered.
     std::optional<TimePoint> mRegisteredAt; ///< With its home agents.
     /// Homes that have not confirmed the registration, by the hash of their endpoints; 0 for none.
     std::array<std::uint64_t, FlowHomes::kHomes> mAwaited{};
@@ -189,6 +190,8 @@
   std::uint32_t mActive = 0;          ///< Requests delivered and not answered yet.
   std::uint32_t mUnansweredOpens = 0; ///< Since the upstream last sent anything.
   TimePoint mUnansweredSince;
+  Summary& mRequestSeconds; ///< From a request's first packet to the upstream's first answer.
+  Summary& mOpeningSeconds; ///< From an opening packet to the upstream's answer.
   Counter& mDelivered;
   Counter& mReplies;
   Counter& mBounced;
--- a/include/dandelionslip/Packet/PacketBalancer.h
+++ b/include/dandelionslip/Packet/PacketBalancer.h
@@ -191,6 +191,7 @@
   /// When the opening that is being placed again arrived; it keeps its place if it waits again.
   std::optional<TimePoint> mPlacedSince;
   std::size_t mBalancers = 1; ///< In the view, this one included.
+  Summary& mWaitSeconds;      ///< Of openings that waited and were placed.
   Counter& mForwarded;
   Counter& mSearched;
   Counter& mMalformed;
--- a/lib/Agent/LatencyBaseline.cpp
+++ b/lib/Agent/LatencyBaseline.cpp
@@ -1,6 +1,8 @@
 // Learns the normal latency of an upstream and recognises steps away from it.
 #include "dandelionslip/Agent/LatencyBaseline.h"
 
+#include "dandelionslip/Support/Durations.h"
+
 #include <algorithm>
 
 namespace dandelionslip {
@@ -22,11 +24,6 @@
 
 constexpr double kLargestGain = 1.0 / kStepCompletions;
 
-double Seconds(Duration aDuration)
-{
-  return std::chrono::duration<double>(aDuration).count();
-}
-
 } // namespace
 
 void LatencyBaseline::Record(TimePoint aNow, Duration aLatency, bool aSucceeded)
--- a/lib/Agent/TokenBucket.cpp
+++ b/lib/Agent/TokenBucket.cpp
@@ -1,19 +1,12 @@
 // Bounds the rate of events.
 #include "dandelionslip/Agent/TokenBucket.h"
 
+#include "dandelionslip/Support/Durations.h"
+
 #include <algorithm>
 
 namespace dandelionslip {
 
-namespace {
-
-double Seconds(RuntimeClock::duration aDuration)
-{
-  return std::chrono::duration<double>(aDuration).count();
-}
-
-} // namespace
-
 TokenBucket::TokenBucket(double aPerSecond, TimePoint aNow)
   : mPerSecond(aPerSecond)
   , mTokens(Capacity())
--- a/lib/Agent/WeightEstimator.cpp
+++ b/lib/Agent/WeightEstimator.cpp
@@ -1,6 +1,8 @@
 // Estimates an upstream's capacity from its own completions and occupancy.
 #include "dandelionslip/Agent/WeightEstimator.h"
 
+#include "dandelionslip/Support/Durations.h"
+
 #include <algorithm>
 #include <cmath>
 
@@ -18,11 +20,6 @@
 constexpr double kSmallestWeight = 0.02 * kFullWeight;
 constexpr double kLargestWeight = 4.0 * kFullWeight;
 
-double Seconds(RuntimeClock::duration aDuration)
-{
-  return std::chrono::duration<double>(aDuration).count();
-}
-
 } // namespace
 
 WeightEstimator::WeightEstimator(TimePoint aNow)
--- a/lib/Daemon/PacketNode.cpp
+++ b/lib/Daemon/PacketNode.cpp
@@ -52,6 +52,7 @@
 
 void PacketNode::Start()
 {
+  OpenMetrics();
   mLink.FetchState([this](const NodeState& aState) {
     mHandlers.mOnState(aState);
     mLink.Start();
@@ -64,6 +65,21 @@
     std::make_unique<RepeatingTimer>(mPool.Loop(), kSeedInterval, [this] { CheckSeeds(); });
 }
 
+// A node without its metrics still serves callers.
+void PacketNode::OpenMetrics()
+{
+  if (mSettings.mMetricsEndpoint.empty()) {
+    return;
+  }
+  auto metrics = MetricsEndpoint::Listen(
+    mPool.Loop(), Endpoint::Parse(mSettings.mMetricsEndpoint).value(), mRegistry, [] {});
+  if (!metrics) {
+    LogEvent(LogLevel::Warning, "metrics_not_served").With(metrics.error());
+    return;
+  }
+  mMetrics = std::move(metrics.value());
+}
+
 void PacketNode::OnAnswer(const AnnouncementAnswer& aAnswer, const NodeState& aState)
 {
   if (aAnswer.mFenced) {
--- a/lib/Daemon/PacketNode.h
+++ b/lib/Daemon/PacketNode.h
@@ -6,6 +6,7 @@
 
 #include "dandelionslip/Config/PacketSettings.h"
 #include "dandelionslip/Daemon/WorkerPool.h"
+#include "dandelionslip/Net/MetricsEndpoint.h"
 #include "dandelionslip/Net/UdpSocket.h"
 #include "dandelionslip/Packet/PacketActions.h"
 
@@ -48,6 +49,7 @@
 private:
   Announcement Describe() const;
   void OnAnswer(const AnnouncementAnswer& aAnswer, const NodeState& aState);
+  void OpenMetrics();
   void CheckSeeds();
   void ReadSeeds();
 
@@ -56,6 +58,7 @@
   WorkerPool mPool;
   PeerClients mPeers;
   MetricsRegistry mRegistry;
+  std::unique_ptr<MetricsEndpoint> mMetrics;
   std::uint64_t mIncarnation;
   std::vector<std::string> mSeeds;
   ControlLink mLink;
--- a/lib/Packet/PacketAgent.cpp
+++ b/lib/Packet/PacketAgent.cpp
@@ -44,6 +44,8 @@
   : mSettings(aSettings)
   , mCodec(aCodec)
   , mStartedAt(aNow)
+  , mRequestSeconds(aRegistry.SummaryFor("dandelionslip_request_seconds"))
+  , mOpeningSeconds(aRegistry.SummaryFor("dandelionslip_opening_seconds"))
   , mDelivered(aRegistry.CounterFor("dandelionslip_packets_delivered_total"))
   , mReplies(aRegistry.CounterFor("dandelionslip_packets_replied_total"))
   , mBounced(aRegistry.CounterFor("dandelionslip_packets_bounced_total"))
--- a/lib/Packet/PacketAgentFlows.cpp
+++ b/lib/Packet/PacketAgentFlows.cpp
@@ -1,6 +1,7 @@
 // Packets of a packet agent.
 #include "dandelionslip/Packet/PacketAgent.h"
 
+#include "dandelionslip/Support/Durations.h"
 #include "dandelionslip/Support/Log.h"
 
 #include <algorithm>
@@ -81,6 +82,7 @@
   LogOpening(aSegment.mFlow, ReturnReason::None, aNow);
   Flow& flow = FlowOf(aSegment.mFlow, aNow);
   flow.mDelivered = aSegment.mSequence;
+  flow.mOpenedAt = flow.mOpenedAt.value_or(aNow);
   if (mUnansweredOpens++ == 0) {
     mUnansweredSince = aNow;
   }
@@ -168,6 +170,9 @@
   }
   Flow& flow = FlowOf(segment->mFlow, aNow);
   AnswerProbe(segment->mFlow, aOutput);
+  if (const auto opened = std::exchange(flow.mOpenedAt, std::nullopt)) {
+    mOpeningSeconds.Observe(Seconds(aNow - *opened));
+  }
   if (!std::exchange(flow.mAccepted, true)) {
     Registrations registrations;
     Register(segment->mFlow, flow, registrations, aOutput, aNow);
@@ -176,6 +181,7 @@
   flow.mEstablished = flow.mEstablished || !segment->mAccepts;
   if (segment->mDataBytes > 0 && flow.mBusy) {
     mSpeed.OnCompleted();
+    mRequestSeconds.Observe(Seconds(aNow - flow.mBusySince));
     SetBusy(flow, false, aNow);
   }
   flow.mUpstreamEnded = flow.mUpstreamEnded || segment->mEnds;
--- a/lib/Packet/PacketBalancer.cpp
+++ b/lib/Packet/PacketBalancer.cpp
@@ -3,6 +3,7 @@
 
 #include "RouteKey.h"
 
+#include "dandelionslip/Support/Durations.h"
 #include "dandelionslip/Support/Hash.h"
 #include "dandelionslip/Support/Log.h"
 
@@ -42,6 +43,7 @@
   , mCodec(aCodec)
   , mRandom(aRandom)
   , mSearchBudget(aSettings.mCapacity, aNow)
+  , mWaitSeconds(aRegistry.SummaryFor("dandelionslip_opening_wait_seconds"))
   , mForwarded(aRegistry.CounterFor("dandelionslip_packets_forwarded_total"))
   , mSearched(aRegistry.CounterFor("dandelionslip_flow_searches_total"))
   , mMalformed(aRegistry.CounterFor("dandelionslip_packets_dropped_total", "reason=\"malformed\""))
@@ -304,6 +306,9 @@
       mPlacedSince = opening.mSince;
       Open(*segment, opening.mPacket, aOutput, aNow);
       mPlacedSince.reset();
+      if (!mWaiting.Contains(opening.mFlow)) {
+        mWaitSeconds.Observe(Seconds(aNow - opening.mSince));
+      }
     }
   }
 }
--- a/unittests/Packet/PacketAgentTest.cpp
+++ b/unittests/Packet/PacketAgentTest.cpp
@@ -40,6 +40,7 @@
   CPPUNIT_TEST(BouncedProbesAreDenied);
   CPPUNIT_TEST(LateHeartbeatsChangeNothing);
   CPPUNIT_TEST(ReportsCountOpenFlowsAndRequests);
+  CPPUNIT_TEST(LatenciesAreMeasured);
   CPPUNIT_TEST(SilentUpstreamsTakeNoFlows);
   CPPUNIT_TEST(FlowsAreRegisteredWithTheirHomes);
   CPPUNIT_TEST(RegistrationsAreConfirmed);
@@ -476,6 +477,25 @@
     CPPUNIT_ASSERT_EQUAL(std::uint32_t{0}, mAgent.Report(mNow).mFlows);
   }
 
+  // Guards against metrics that do not show a slow upstream.
+  void LatenciesAreMeasured()
+  {
+    Prepare();
+    FromBalancer(CallerPacket(TestFlow(1), FlagSyn));
+    mNow += Milliseconds{20};
+    FromUpstream(UpstreamPacket(TestFlow(1), FlagSyn | FlagAck));
+    FromBalancer(CallerPacket(TestFlow(1), FlagAck, 2, 2, 100));
+    mNow += Milliseconds{300};
+    FromUpstream(UpstreamPacket(TestFlow(1), FlagAck, 2, 200));
+    FromUpstream(UpstreamPacket(TestFlow(1), FlagAck, 202, 200));
+    const Summary& opening = mRegistry.SummaryFor("dandelionslip_opening_seconds");
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, opening.Count());
+    CPPUNIT_ASSERT_DOUBLES_EQUAL(0.02, opening.Mean(), 1e-9);
+    const Summary& request = mRegistry.SummaryFor("dandelionslip_request_seconds");
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, request.Count());
+    CPPUNIT_ASSERT_DOUBLES_EQUAL(0.3, request.Mean(), 1e-9);
+  }
+
   // Guards against new flows for an upstream that crashed and says nothing any more.
   void SilentUpstreamsTakeNoFlows()
   {
