Keep packets that come before a balancer has routes

Cause: after a kill of all processes a flow was found late. A balancer that had no routes yet dropped packets of open flows, and an agent that had not heard a heartbeat did not answer at all; the caller's next retransmission was up to 1.6 s away.

Change: the balancer keeps up to 256 such packets and forwards them with its first routes; an agent answers "unsure" from its start, so that the packet is tried at its upstream. AgentsWithoutAnUpstreamAnswerNoQuery expected silence, to spare upstreams that have not started; AgentsBeforeTheFirstHeartbeatAreUnsure replaces it, because a live upstream is the usual case.

Tests: PacketsBeforeTheRoutesAreKept, AgentsBeforeTheFirstHeartbeatAreUnsure; the codec test sends the homes' digest.

--- a/include/dandelionslip/Packet/PacketBalancer.h
+++ b/include/dandelionslip/Packet/PacketBalancer.h
@@ -110,6 +110,13 @@
     std::vector<std::vector<std::uint8_t>> mPackets; ///< Delivered once the holder is found.
   };
 
+  /// A packet that came before the balancer knew routes and agents.
+  struct EarlyPacket
+  {
+    std::vector<std::uint8_t> mPacket;
+    TimePoint mAt;
+  };
+
   /// Where a flow is, as far as this balancer knows.
   struct Flow
   {
@@ -147,6 +154,7 @@
                PacketOutput& aOutput, TimePoint aNow);
   void Continue(const Segment& aSegment, Flow& aFlow, std::span<const std::uint8_t> aPacket,
                 PacketOutput& aOutput, TimePoint aNow);
+  void ForwardEarly(PacketOutput& aOutput, TimePoint aNow);
   void Ask(const FlowKey& aKey, Search& aSearch, HopKind aKind, PacketOutput& aOutput,
            TimePoint aNow);
   void AskNext(const FlowKey& aKey, Search& aSearch, PacketOutput& aOutput, TimePoint aNow);
@@ -186,6 +194,7 @@
   SearchBudget mSearchBudget;
   std::uint32_t mProbesLeft = 0; ///< Probes of all agents that may be sent in this second.
   std::unordered_map<FlowKey, Flow, FlowKeyHash> mFlows;
+  std::vector<EarlyPacket> mEarly; ///< In order of arrival.
   OpeningQueue mWaiting;
   TimePoint mExpiryCheckedAt; ///< When openings that waited too long were last given up.
   /// When the opening that is being placed again arrived; it keeps its place if it waits again.
--- a/lib/Packet/PacketAgentDirectory.cpp
+++ b/lib/Packet/PacketAgentDirectory.cpp
@@ -62,10 +62,6 @@
       return;
     }
   }
-  // Whether the upstream has started, and holds flows of before this agent's start, is not known.
-  if (!mUpstream && !mUpstreamSentPackets && !UpstreamIsAbsent(aNow)) {
-    return;
-  }
   SayWhere(aFrom, Denial(aKind, aNow), key, {}, aOutput);
 }
 
--- a/lib/Packet/PacketBalancer.cpp
+++ b/lib/Packet/PacketBalancer.cpp
@@ -23,6 +23,9 @@
 // quarter of the smallest link, 1.9 Mbit/s.
 constexpr std::uint32_t kProbesPerSecond = 50;
 
+// Packets of open flows kept until the balancer is ready; at 1,200 bytes they take 0.3 MB.
+constexpr std::size_t kMaxEarlyPackets = 256;
+
 // How often openings that waited too long are looked for; a caller waits that much longer at most.
 constexpr Milliseconds kExpiryInterval{50};
 
@@ -95,6 +98,9 @@
     PlaceWaiting(
       mWaiting.Size(), [](const WaitingOpening&) { return true; }, aOutput, aNow);
   }
+  if (Ready() && !mEarly.empty()) {
+    ForwardEarly(aOutput, aNow);
+  }
 }
 
 void PacketBalancer::TakeView(const View& aView, TimePoint aNow)
@@ -186,6 +192,12 @@
     Open(*segment, aPacket, aOutput, aNow);
     return;
   }
+  if (!Ready()) {
+    if (mEarly.size() < kMaxEarlyPackets) {
+      mEarly.push_back({{aPacket.begin(), aPacket.end()}, aNow});
+    }
+    return;
+  }
   if (FindRoute(segment->mFlow) == nullptr) {
     mNoRoute.Add();
     return;
@@ -199,6 +211,17 @@
   aOutput.SendToNode(*flow.mHolder, {HopKind::Deliver, ReturnReason::None}, aPacket);
 }
 
+// Packets of open flows that came before the balancer was ready: their callers send them again only
+// after up to 1.6 s.
+void PacketBalancer::ForwardEarly(PacketOutput& aOutput, TimePoint aNow)
+{
+  for (EarlyPacket& early : std::exchange(mEarly, {})) {
+    if (aNow - early.mAt <= mSettings.mOpeningWait) {
+      OnCallerPacket(early.mPacket, aOutput, aNow);
+    }
+  }
+}
+
 void PacketBalancer::Open(const Segment& aSegment, std::span<const std::uint8_t> aPacket,
                           PacketOutput& aOutput, TimePoint aNow)
 {
--- a/unittests/Packet/PacketAgentTest.cpp
+++ b/unittests/Packet/PacketAgentTest.cpp
@@ -34,7 +34,7 @@
   CPPUNIT_TEST(BouncedOpeningsAreReturned);
   CPPUNIT_TEST(LostEstablishedFlowsAreReset);
   CPPUNIT_TEST(ReusedPortsAreNotTakenForTheOldFlow);
-  CPPUNIT_TEST(AgentsWithoutAnUpstreamAnswerNoQuery);
+  CPPUNIT_TEST(AgentsBeforeTheFirstHeartbeatAreUnsure);
   CPPUNIT_TEST(AgentsWhoseUpstreamNeverCameDenyFlows);
   CPPUNIT_TEST(ResetsOfUnknownFlowsStayHere);
   CPPUNIT_TEST(BouncedProbesAreDenied);
@@ -397,12 +397,13 @@
     AssertReturned(ReturnReason::NotHeld);
   }
 
-  // Guards against probes of an upstream that has not started yet, and against a denial for one
-  // whose agent has just restarted.
-  void AgentsWithoutAnUpstreamAnswerNoQuery()
+  // Guards against a denial by an agent that has just restarted beside a live upstream, and against
+  // flows that are not found until the upstream's next heartbeat.
+  void AgentsBeforeTheFirstHeartbeatAreUnsure()
   {
-    FromBalancer(FlowMessage{{}, {TestFlow(1)}}.Encode(), HopKind::Query);
-    CPPUNIT_ASSERT(mOutput.mToNodes.empty());
+    AssertAnswer(HopKind::Unsure, HopKind::Query, TestFlow(1));
+    FromBalancer(CallerPacket(TestFlow(1), FlagAck, 5, 5, 10), HopKind::DeliverIfHeld);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, mOutput.mToUpstream.size());
     Heartbeat(7);
     AssertAnswer(HopKind::Unsure, HopKind::Query, TestFlow(1));
   }
--- a/unittests/Packet/PacketBalancerTest.cpp
+++ b/unittests/Packet/PacketBalancerTest.cpp
@@ -23,6 +23,7 @@
   CPPUNIT_TEST(HomesSpeakForAgentsWhoseFlowsTheyKnow);
   CPPUNIT_TEST(HomesOfAnotherViewDoNotEndASearch);
   CPPUNIT_TEST(DeniedFlowsAreNotAskedForAgain);
+  CPPUNIT_TEST(PacketsBeforeTheRoutesAreKept);
   CPPUNIT_TEST(SearchesStayWithinTheLinkAfterALossOfPower);
   CPPUNIT_TEST(SilentAgentsPreventAReset);
   CPPUNIT_TEST(LostAgentsPreventAReset);
@@ -265,6 +266,21 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, mOutput.Resets());
   }
 
+  // Guards against the loss of packets that come while a restarted balancer has no routes, and
+  // against packets that are forwarded long after their callers gave up.
+  void PacketsBeforeTheRoutesAreKept()
+  {
+    Send(CallerPacket(TestFlow(1), FlagAck, 7, 9, 50));
+    mNow += Milliseconds{1'200};
+    Send(CallerPacket(TestFlow(2), FlagAck, 7, 9, 50));
+    CPPUNIT_ASSERT(mOutput.mToNodes.empty());
+    mNow += Milliseconds{300};
+    mBalancer.OnState(TestRoutes(1, {"web"}), TestView(1, {TestAgent(1, "web")}), mOutput, mNow);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, Sent(HopKind::Query));
+    const auto asked = FlowMessage::Decode(mOutput.mToNodes.at(0).mPacket);
+    CPPUNIT_ASSERT(asked && asked.value().mFlows.front() == TestFlow(2));
+  }
+
   // Guards against queries that fill a small link: 60 agents are silent after a loss of power, and
   // callers send on 200 flows that nobody holds. A query takes 50 bytes on the wire.
   void SearchesStayWithinTheLinkAfterALossOfPower()
--- a/unittests/Packet/PacketCodecsTest.cpp
+++ b/unittests/Packet/PacketCodecsTest.cpp
@@ -27,8 +27,10 @@
 
   static LoadReport Report()
   {
-    return {"huvo11a", "fukuoka",          true, false, false, true, 120, 7, 4, 66'000, 3,
-            5,         Milliseconds{1'500}};
+    LoadReport report{"huvo11a", "fukuoka", true, false, false, true, 120, 7, 4, 66'000, 3, 5};
+    report.mColdLeft = Milliseconds{1'500};
+    report.mRegisteredWith = 0xfedcba9876543210;
+    return report;
   }
 
   // Guards against fields that are lost or change places.
