Add a failing test of a reset of an open flow (known failure)

A balancer keeps the agents that returned the opening packet of a flow and takes them as agents that do not hold it, for as long as it remembers the flow. The test has an agent return the first opening packet and hold the flow later, as it does when the repetition of the packet arrives through another balancer; 11 s later a packet of the flow arrives at the first balancer.

--- a/unittests/Packet/PacketBalancerTest.cpp
+++ b/unittests/Packet/PacketBalancerTest.cpp
@@ -27,6 +27,7 @@
   CPPUNIT_TEST(QueriesStayWithinTheLinkBudget);
   CPPUNIT_TEST(SilentAgentsPreventAReset);
   CPPUNIT_TEST(LostAgentsPreventAReset);
+  CPPUNIT_TEST(AgentsThatReturnedTheOpeningAreQueriedBeforeAReset);
   CPPUNIT_TEST(AgentsThatNeedAProbeGetThePacket);
   CPPUNIT_TEST(OutdatedRegistrationsAreNotFollowedTwice);
   CPPUNIT_TEST(ProbesStayFewWhenAllNodesRestart);
@@ -317,6 +318,30 @@
     CPPUNIT_ASSERT(allAgentQueries * 50 * 8 <= kSeconds * 2'500'000 / 4);
   }
 
+  // An agent may accept a repetition of an opening packet that it has returned to this balancer.
+  void AgentsThatReturnedTheOpeningAreQueriedBeforeAReset()
+  {
+    Settle();
+    const PacketBytes opening = CallerPacket(TestFlow(1), FlagSyn);
+    Send(opening);
+    const bool first = mOutput.mToNodes.back().mNode == NodeEndpoint(1);
+    const unsigned holder = first ? 1 : 2;
+    const unsigned other = first ? 2 : 1;
+    Return(holder, ReturnReason::Unresponsive, opening);
+    CPPUNIT_ASSERT(mOutput.mToNodes.back().mNode == NodeEndpoint(other));
+
+    mNow += Milliseconds{11'000};
+    Report(1, Accepting());
+    Report(2, Accepting());
+    const PacketBytes packet = CallerPacket(TestFlow(1), FlagAck, 7, 9, 50);
+    Send(packet);
+    Return(other, ReturnReason::NotHeld, packet);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, mOutput.Resets());
+    Answer(holder, NodeMessageType::HolderFound, TestFlow(1), NodeEndpoint(holder));
+    CPPUNIT_ASSERT(mOutput.mToNodes.back().mNode == NodeEndpoint(holder));
+    CPPUNIT_ASSERT(mOutput.mToNodes.back().mPacket == packet);
+  }
+
   // Guards against the reset of a flow whose agent is restarting while its upstream runs.
   void SilentAgentsPreventAReset()
   {
