Log what decided a balancer's reset

Resets of open flows now have a line of their own, flow_reset: since when the balancer knows the flow, the age of the search, each agent that was ruled out with its answer and the answer's age, the number of agents for which the directory agents spoke with the age of the oldest of their load reports, the digest of the agents, route version, view and its age. flow_refused is left for opening packets and says how long the packet waited, which agents returned it and why, and how many agents of the route are silent, decline or are cold.

No decision changes.

--- a/include/dandelionslip/Packet/PacketBalancer.h
+++ b/include/dandelionslip/Packet/PacketBalancer.h
@@ -4,6 +4,7 @@
 #include "dandelionslip/Model/Configuration.h"
 #include "dandelionslip/Model/View.h"
 #include "dandelionslip/Packet/DirectoryAgents.h"
+#include "dandelionslip/Packet/FlowDenial.h"
 #include "dandelionslip/Packet/FlowMessage.h"
 #include "dandelionslip/Packet/LoadReport.h"
 #include "dandelionslip/Packet/OpeningQueue.h"
@@ -114,7 +115,7 @@
     TimePoint mLastQueriedAt;
     SearchStage mStage = SearchStage::DirectoryAgents;
     std::vector<Endpoint> mUnanswered; ///< Agents of the stage that have not answered yet.
-    std::vector<Endpoint> mRuledOut;   ///< Agents that do not hold the flow.
+    std::vector<FlowDenial> mRuledOut; ///< By agents that do not hold the flow.
     /// Directory agents that answered NotRegistered.
     std::vector<Endpoint> mDirectoryAgentsWithoutEntry;
     std::vector<std::vector<std::uint8_t>> mPackets; ///< Forwarded when the holder is found.
@@ -131,7 +132,8 @@
   struct Flow
   {
     std::optional<Endpoint> mHolder;
-    std::vector<Endpoint> mReturnedBy; ///< Agents that returned a packet of the flow.
+    std::vector<FlowDenial> mReturnedBy; ///< By agents that returned a packet of the flow.
+    TimePoint mFirstUsedAt;
     TimePoint mUsedAt;
     std::unique_ptr<Search> mSearch;
   };
@@ -173,7 +175,7 @@
                    PacketOutput& aOutput, TimePoint aNow);
   void QueryNextStage(const FlowKey& aKey, Search& aSearch, PacketOutput& aOutput, TimePoint aNow);
   void SendProbe(const Endpoint& aAgent, const Search& aSearch, PacketOutput& aOutput);
-  void ResetIfNotFound(const FlowKey& aKey, const Search& aSearch, PacketOutput& aOutput,
+  void ResetIfNotFound(const FlowKey& aKey, const Flow& aFlow, PacketOutput& aOutput,
                        TimePoint aNow);
   bool IsCoveredByDirectory(const Agent& aAgent, TimePoint aNow) const;
   bool DirectoryRulesOut(const FlowKey& aKey, const Search& aSearch, TimePoint aNow) const;
@@ -183,8 +185,8 @@
                      std::span<const std::uint8_t> aBytes, PacketOutput& aOutput, TimePoint aNow);
   void OnHolderFound(const FlowKey& aKey, Flow& aFlow, const Endpoint& aHolder,
                      PacketOutput& aOutput, TimePoint aNow);
-  void OnNotFound(const FlowKey& aKey, Search& aSearch, const Endpoint& aFrom,
-                  PacketOutput& aOutput, TimePoint aNow);
+  void OnDenied(const FlowKey& aKey, Flow& aFlow, const FlowDenial& aDenial, PacketOutput& aOutput,
+                TimePoint aNow);
   void OnReturned(const Endpoint& aFrom, ReturnReason aReason, std::span<std::uint8_t> aPacket,
                   PacketOutput& aOutput, TimePoint aNow);
   void OnLoadReport(const Endpoint& aFrom, std::span<const std::uint8_t> aBytes,
@@ -192,7 +194,15 @@
   void ApplyView(const View& aView, TimePoint aNow);
   void ApplyAgent(const Member& aMember, TimePoint aNow);
   void LogPlacement(const PacketHeader& aPacketHeader, const Endpoint& aHolder, TimePoint aNow);
-  void ResetFlow(const PacketHeader& aPacketHeader, PacketOutput& aOutput, Counter& aCounter);
+  /// Resets an opening and logs what decided it: the agents that returned it and the state of the
+  /// agents of its route. aArrivedAt: when its packet came.
+  void RefuseOpening(const PacketHeader& aPacketHeader, std::span<const FlowDenial> aReturnedBy,
+                     Counter& aCounter, PacketOutput& aOutput, TimePoint aArrivedAt,
+                     TimePoint aNow);
+  /// Resets a flow that no agent holds and logs what decided it: which agents were ruled out, by
+  /// which answer of which age, and those for which the directory agents spoke.
+  void ResetFlow(const PacketHeader& aPacketHeader, const Flow& aFlow, PacketOutput& aOutput,
+                 TimePoint aNow);
 
   PacketBalancerSettings mSettings;
   const PacketCodec& mCodec;
@@ -201,6 +211,7 @@
   std::unordered_map<std::uint64_t, RouteEntry> mRoutes; ///< By address and port.
   std::map<std::string, DataCentreState> mDataCentres;
   std::uint64_t mViewRevision = 0;
+  TimePoint mViewAppliedAt;
   std::uint64_t mConfigurationRevision = 0;
   AgentMap mAgents; ///< By datagram endpoint.
   DirectoryAgents mDirectoryAgents;
--- a/lib/Packet/PacketBalancer.cpp
+++ b/lib/Packet/PacketBalancer.cpp
@@ -95,6 +95,7 @@
   }
   if (aView.mRevision > mViewRevision) {
     mViewRevision = aView.mRevision;
+    mViewAppliedAt = aNow;
     ApplyView(aView, aNow);
   }
   if (mRouteVersion != 0 && (newRoutes || !hadAgents)) {
@@ -175,7 +176,11 @@
 
 PacketBalancer::Flow& PacketBalancer::FindOrAddFlow(const FlowKey& aFlow, TimePoint aNow)
 {
-  Flow& flow = mFlows[aFlow];
+  const auto [item, isNew] = mFlows.try_emplace(aFlow);
+  Flow& flow = item->second;
+  if (isNew) {
+    flow.mFirstUsedAt = aNow;
+  }
   flow.mUsedAt = aNow;
   return flow;
 }
@@ -236,7 +241,7 @@
   }
   const RouteEntry* route = FindRoute(aPacketHeader.mFlow);
   if (route == nullptr) {
-    ResetFlow(aPacketHeader, aOutput, mNoRoute);
+    RefuseOpening(aPacketHeader, {}, mNoRoute, aOutput, mRetriedArrival.value_or(aNow), aNow);
     return;
   }
   if (mWaiting.Contains(aPacketHeader.mFlow)) {
@@ -249,7 +254,7 @@
     return;
   }
   flow = Flow{};
-  flow.mUsedAt = aNow;
+  flow.mFirstUsedAt = flow.mUsedAt = aNow;
   PlaceFlow(aPacketHeader, flow, *route, aPacket, aOutput, aNow);
 }
 
@@ -269,11 +274,13 @@
   aFlow.mHolder = holder;
   if (!holder) {
     const bool waits = MayAcceptSoon(aRoute, aFlow, aNow);
+    const auto returnedBy = std::move(aFlow.mReturnedBy);
+    const TimePoint arrivedAt = mRetriedArrival.value_or(aFlow.mFirstUsedAt);
     mFlows.erase(aPacketHeader.mFlow);
     if (waits) {
       EnqueueOpening(aPacketHeader, aRoute.mPriority, aRoute.mMaxWait, aPacket, aNow);
     } else {
-      ResetFlow(aPacketHeader, aOutput, mNoUpstream);
+      RefuseOpening(aPacketHeader, returnedBy, mNoUpstream, aOutput, arrivedAt, aNow);
     }
     return;
   }
@@ -317,8 +324,7 @@
   if (dataCentre != mDataCentres.end() && dataCentre->second.mOutOfService) {
     return false;
   }
-  return std::find(aFlow.mReturnedBy.begin(), aFlow.mReturnedBy.end(), aEndpoint) ==
-         aFlow.mReturnedBy.end();
+  return !IsDeniedBy(aFlow.mReturnedBy, aEndpoint);
 }
 
 bool PacketBalancer::AcceptsNow(const Endpoint& aEndpoint, const Agent& aAgent, const Flow& aFlow,
@@ -430,8 +436,9 @@
     return;
   }
   flow.mHolder.reset();
+  const FlowDenial denial{aFrom, NodeMessageType::Returned, aReason, packetHeader->mOpens, aNow};
   if (!packetHeader->mOpens) {
-    flow.mReturnedBy.push_back(aFrom);
+    flow.mReturnedBy.push_back(denial);
     SearchHolder(*packetHeader, flow, aPacket, aOutput, aNow);
     return;
   }
@@ -439,11 +446,11 @@
     // The upstream has reached its limit of new flows; the next report allows more.
     mAgents[aFrom].mReport.mOpeningsAllowed = 0;
   } else {
-    flow.mReturnedBy.push_back(aFrom);
+    flow.mReturnedBy.push_back(denial);
   }
   const RouteEntry* route = FindRoute(packetHeader->mFlow);
   if (route == nullptr) {
-    ResetFlow(*packetHeader, aOutput, mNoRoute);
+    RefuseOpening(*packetHeader, flow.mReturnedBy, mNoRoute, aOutput, flow.mFirstUsedAt, aNow);
     return;
   }
   PlaceFlow(*packetHeader, flow, *route, aPacket, aOutput, aNow);
@@ -474,25 +481,6 @@
   }
 }
 
-void PacketBalancer::ResetFlow(const PacketHeader& aPacketHeader, PacketOutput& aOutput,
-                               Counter& aCounter)
-{
-  aCounter.Add();
-  LogEvent(LogLevel::Info, "flow_refused")
-    .With("flow", ToString(aPacketHeader.mFlow))
-    .With("copy", aPacketHeader.mRetransmission)
-    .With("reason", &aCounter == &mNoRoute       ? "no_route"
-                    : &aCounter == &mNotFound    ? "not_found"
-                    : &aCounter == &mWaitExpired ? "waited_too_long"
-                                                 : "no_upstream")
-    .With("routes", mRouteVersion)
-    .With("view", mViewRevision)
-    .With("agents", mAgents.size())
-    .With("waiting", mWaiting.Size());
-  aOutput.SendToCaller(aPacketHeader.mFlow,
-                       mCodec.EncodeReset(aPacketHeader.mFlow, aPacketHeader.mAcknowledged));
-}
-
 void PacketBalancer::OnTick(PacketOutput& aOutput, TimePoint aNow)
 {
   mProbesLeft = kProbesPerSecond;
--- a/lib/Packet/PacketBalancerSearch.cpp
+++ b/lib/Packet/PacketBalancerSearch.cpp
@@ -74,7 +74,7 @@
   const bool directoryRulesOut = DirectoryRulesOut(aKey, aSearch, aNow);
   aSearch.mUnanswered.clear();
   const auto add = [&](const Endpoint& aAgent) {
-    if (!Contains(aSearch.mRuledOut, aAgent)) {
+    if (!IsDeniedBy(aSearch.mRuledOut, aAgent)) {
       aSearch.mUnanswered.push_back(aAgent);
     }
   };
@@ -121,7 +121,7 @@
   } else {
     SendQueries(aPacketHeader.mFlow, search, NodeMessageType::Query, aOutput, aNow);
   }
-  ResetIfNotFound(aPacketHeader.mFlow, search, aOutput, aNow);
+  ResetIfNotFound(aPacketHeader.mFlow, aFlow, aOutput, aNow);
 }
 
 // Handles a further packet of a flow during a search: keeps it and, after kRetryInterval, sends new
@@ -148,7 +148,7 @@
   } else {
     QueryNextStage(aPacketHeader.mFlow, search, aOutput, aNow);
   }
-  ResetIfNotFound(aPacketHeader.mFlow, search, aOutput, aNow);
+  ResetIfNotFound(aPacketHeader.mFlow, aFlow, aOutput, aNow);
 }
 
 // Whether the view has had time to become complete since the first agents were known.
@@ -180,7 +180,7 @@
     if (aType == NodeMessageType::NotRegistered) {
       flow.mSearch->mDirectoryAgentsWithoutEntry.push_back(aFrom);
     }
-    OnNotFound(key, *flow.mSearch, aFrom, aOutput, aNow);
+    OnDenied(key, flow, {aFrom, aType, ReturnReason::None, false, aNow}, aOutput, aNow);
   }
 }
 
@@ -199,7 +199,7 @@
 void PacketBalancer::OnHolderFound(const FlowKey& aKey, Flow& aFlow, const Endpoint& aHolder,
                                    PacketOutput& aOutput, TimePoint aNow)
 {
-  if (Contains(aFlow.mReturnedBy, aHolder) &&
+  if (IsDeniedBy(aFlow.mReturnedBy, aHolder) &&
       aFlow.mSearch->mStage == SearchStage::DirectoryAgents) {
     // The registration is out of date: this agent has returned a packet of the flow.
     QueryNextStage(aKey, *aFlow.mSearch, aOutput, aNow);
@@ -221,35 +221,37 @@
   }
 }
 
-void PacketBalancer::OnNotFound(const FlowKey& aKey, Search& aSearch, const Endpoint& aFrom,
-                                PacketOutput& aOutput, TimePoint aNow)
+void PacketBalancer::OnDenied(const FlowKey& aKey, Flow& aFlow, const FlowDenial& aDenial,
+                              PacketOutput& aOutput, TimePoint aNow)
 {
-  if (!Contains(aSearch.mRuledOut, aFrom)) {
-    aSearch.mRuledOut.push_back(aFrom);
+  Search& search = *aFlow.mSearch;
+  if (!IsDeniedBy(search.mRuledOut, aDenial.mAgent)) {
+    search.mRuledOut.push_back(aDenial);
   }
-  if (std::erase(aSearch.mUnanswered, aFrom) == 0 || !aSearch.mUnanswered.empty()) {
+  if (std::erase(search.mUnanswered, aDenial.mAgent) == 0 || !search.mUnanswered.empty()) {
     return;
   }
-  if (aSearch.mStage != SearchStage::AllAgents) {
-    QueryNextStage(aKey, aSearch, aOutput, aNow);
+  if (search.mStage != SearchStage::AllAgents) {
+    QueryNextStage(aKey, search, aOutput, aNow);
   }
-  ResetIfNotFound(aKey, aSearch, aOutput, aNow);
+  ResetIfNotFound(aKey, aFlow, aOutput, aNow);
 }
 
 // Resets the flow if all agents are ruled out, so that its caller does not wait until the deadline.
 // Before the view may be complete, an agent that is not in it yet may hold the flow.
-void PacketBalancer::ResetIfNotFound(const FlowKey& aKey, const Search& aSearch,
-                                     PacketOutput& aOutput, TimePoint aNow)
+void PacketBalancer::ResetIfNotFound(const FlowKey& aKey, const Flow& aFlow, PacketOutput& aOutput,
+                                     TimePoint aNow)
 {
-  if (aSearch.mStage != SearchStage::AllAgents || !aSearch.mUnanswered.empty() ||
+  const Search& search = *aFlow.mSearch;
+  if (search.mStage != SearchStage::AllAgents || !search.mUnanswered.empty() ||
       !ViewMayBeComplete(aNow)) {
     return;
   }
-  const auto packetHeader = mCodec.DecodeFromCaller(aSearch.mPackets.back());
-  mFlows.erase(aKey);
-  if (packetHeader && !packetHeader->mResets) {
-    ResetFlow(*packetHeader, aOutput, mNotFound);
+  if (const auto packetHeader = mCodec.DecodeFromCaller(search.mPackets.back());
+      packetHeader && !packetHeader->mResets) {
+    ResetFlow(*packetHeader, aFlow, aOutput, aNow);
   }
+  mFlows.erase(aKey);
 }
 
 } // namespace dandelionslip
--- a/lib/Packet/PacketBalancerWaiting.cpp
+++ b/lib/Packet/PacketBalancerWaiting.cpp
@@ -79,7 +79,7 @@
   mExpiryCheckedAt = aNow;
   for (const WaitingOpening& opening : mWaiting.TakeExpired(aNow)) {
     if (const auto packetHeader = mCodec.DecodeFromCaller(opening.mPacket)) {
-      ResetFlow(*packetHeader, aOutput, mWaitExpired);
+      RefuseOpening(*packetHeader, {}, mWaitExpired, aOutput, opening.mArrivedAt, aNow);
     }
   }
 }
