Search for a flow's holder without regard to who returned its opening

The record: the handshake took 206 ms, so a copy of the opening packet opened the flow; the flow was idle for 6.7 s; the reset came from the balancer that took the first opening packet.

Cause: a balancer kept the agents that returned a packet of a flow, the opening packet included, with the flow for as long as it remembered it, 20 s after its last use. A search for the holder took all of them as agents that do not hold the flow. But an agent may accept a copy of an opening packet that it has returned before: it was unresponsive, had no heartbeat or its upstream was full for a moment, and the copy came through another balancer, because the fabric moves flows whenever a balancer joins or leaves. When the flow's packets came back to the first balancer, that one forwarded them to the agent of its own second choice, which returned them; the search then left out the holder, and the flow was reset.

Change: agents that returned the opening packet only get it no more. A search rules out agents by answers that arrived during the search, each about a packet of the open flow; agents that deny the flow while a search runs count for that search.

Measured: PacketBalancerTest::AgentsThatReturnedTheOpeningAreQueriedBeforeAReset failed before (1 reset, expected 0) and passes; all unit tests pass.

--- a/include/dandelionslip/Packet/PacketBalancer.h
+++ b/include/dandelionslip/Packet/PacketBalancer.h
@@ -115,7 +115,8 @@
     TimePoint mLastQueriedAt;
     SearchStage mStage = SearchStage::DirectoryAgents;
     std::vector<Endpoint> mUnanswered; ///< Agents of the stage that have not answered yet.
-    std::vector<FlowDenial> mRuledOut; ///< By agents that do not hold the flow.
+    /// By agents that do not hold the flow, received during this search.
+    std::vector<FlowDenial> mRuledOut;
     /// Directory agents that answered NotRegistered.
     std::vector<Endpoint> mDirectoryAgentsWithoutEntry;
     std::vector<std::vector<std::uint8_t>> mPackets; ///< Forwarded when the holder is found.
@@ -132,7 +133,9 @@
   struct Flow
   {
     std::optional<Endpoint> mHolder;
-    std::vector<FlowDenial> mReturnedBy; ///< By agents that returned a packet of the flow.
+    /// By agents that returned the opening packet; they get it no more. Says nothing about who
+    /// holds the flow once it is open: an agent may accept a later copy, from any balancer.
+    std::vector<FlowDenial> mOpeningReturnedBy;
     TimePoint mFirstUsedAt;
     TimePoint mUsedAt;
     std::unique_ptr<Search> mSearch;
@@ -168,6 +171,16 @@
   bool IsEligible(const Endpoint& aEndpoint, const Agent& aAgent, const Flow& aFlow) const;
   void SearchHolder(const PacketHeader& aPacketHeader, Flow& aFlow,
                     std::span<const std::uint8_t> aPacket, PacketOutput& aOutput, TimePoint aNow);
+  /// An agent has returned a packet of an open flow: continues or starts the search for its holder.
+  void SearchAfterReturn(const PacketHeader& aPacketHeader, Flow& aFlow, const FlowDenial& aDenial,
+                         std::span<const std::uint8_t> aPacket, PacketOutput& aOutput,
+                         TimePoint aNow);
+  void StartSearch(const PacketHeader& aPacketHeader, Flow& aFlow,
+                   std::vector<FlowDenial> aRuledOut, std::span<const std::uint8_t> aPacket,
+                   PacketOutput& aOutput, TimePoint aNow);
+  /// Keeps a packet for the holder, up to a limit.
+  static void KeepPacket(Search& aSearch, std::span<const std::uint8_t> aPacket);
+  static bool IsSearching(const Flow& aFlow, TimePoint aNow);
   void ContinueSearch(const PacketHeader& aPacketHeader, Flow& aFlow,
                       std::span<const std::uint8_t> aPacket, PacketOutput& aOutput, TimePoint aNow);
   void ForwardEarlyPackets(PacketOutput& aOutput, TimePoint aNow);
--- a/lib/Packet/PacketBalancer.cpp
+++ b/lib/Packet/PacketBalancer.cpp
@@ -274,7 +274,7 @@
   aFlow.mHolder = holder;
   if (!holder) {
     const bool waits = MayAcceptSoon(aRoute, aFlow, aNow);
-    const auto returnedBy = std::move(aFlow.mReturnedBy);
+    const auto returnedBy = std::move(aFlow.mOpeningReturnedBy);
     const TimePoint arrivedAt = mRetriedArrival.value_or(aFlow.mFirstUsedAt);
     mFlows.erase(aPacketHeader.mFlow);
     if (waits) {
@@ -324,7 +324,7 @@
   if (dataCentre != mDataCentres.end() && dataCentre->second.mOutOfService) {
     return false;
   }
-  return !IsDeniedBy(aFlow.mReturnedBy, aEndpoint);
+  return !IsDeniedBy(aFlow.mOpeningReturnedBy, aEndpoint);
 }
 
 bool PacketBalancer::AcceptsNow(const Endpoint& aEndpoint, const Agent& aAgent, const Flow& aFlow,
@@ -438,19 +438,19 @@
   flow.mHolder.reset();
   const FlowDenial denial{aFrom, NodeMessageType::Returned, aReason, packetHeader->mOpens, aNow};
   if (!packetHeader->mOpens) {
-    flow.mReturnedBy.push_back(denial);
-    SearchHolder(*packetHeader, flow, aPacket, aOutput, aNow);
+    SearchAfterReturn(*packetHeader, flow, denial, aPacket, aOutput, aNow);
     return;
   }
   if (aReason == ReturnReason::Cold) {
     // The upstream has reached its limit of new flows; the next report allows more.
     mAgents[aFrom].mReport.mOpeningsAllowed = 0;
   } else {
-    flow.mReturnedBy.push_back(denial);
+    flow.mOpeningReturnedBy.push_back(denial);
   }
   const RouteEntry* route = FindRoute(packetHeader->mFlow);
   if (route == nullptr) {
-    RefuseOpening(*packetHeader, flow.mReturnedBy, mNoRoute, aOutput, flow.mFirstUsedAt, aNow);
+    RefuseOpening(*packetHeader, flow.mOpeningReturnedBy, mNoRoute, aOutput, flow.mFirstUsedAt,
+                  aNow);
     return;
   }
   PlaceFlow(*packetHeader, flow, *route, aPacket, aOutput, aNow);
--- a/lib/Packet/PacketBalancerSearch.cpp
+++ b/lib/Packet/PacketBalancerSearch.cpp
@@ -97,26 +97,51 @@
   SendQueries(aKey, aSearch, NodeMessageType::QueryLocal, aOutput, aNow);
 }
 
-// Starts or continues the search for a flow's holder. The directory agents are queried first,
-// unless there are none or an agent has already returned a packet of the flow. The next stage
-// follows if they do not answer, do not know the holder, or name an agent that does not hold the
-// flow.
+bool PacketBalancer::IsSearching(const Flow& aFlow, TimePoint aNow)
+{
+  return aFlow.mSearch && aNow - aFlow.mSearch->mStartedAt <= kSearchLifetime;
+}
+
 void PacketBalancer::SearchHolder(const PacketHeader& aPacketHeader, Flow& aFlow,
                                   std::span<const std::uint8_t> aPacket, PacketOutput& aOutput,
                                   TimePoint aNow)
 {
-  if (aFlow.mSearch && aNow - aFlow.mSearch->mStartedAt <= kSearchLifetime) {
+  if (IsSearching(aFlow, aNow)) {
     ContinueSearch(aPacketHeader, aFlow, aPacket, aOutput, aNow);
+  } else {
+    StartSearch(aPacketHeader, aFlow, {}, aPacket, aOutput, aNow);
+  }
+}
+
+void PacketBalancer::SearchAfterReturn(const PacketHeader& aPacketHeader, Flow& aFlow,
+                                       const FlowDenial& aDenial,
+                                       std::span<const std::uint8_t> aPacket, PacketOutput& aOutput,
+                                       TimePoint aNow)
+{
+  if (!IsSearching(aFlow, aNow)) {
+    StartSearch(aPacketHeader, aFlow, {aDenial}, aPacket, aOutput, aNow);
     return;
   }
+  KeepPacket(*aFlow.mSearch, aPacket);
+  OnDenied(aPacketHeader.mFlow, aFlow, aDenial, aOutput, aNow);
+}
+
+// The directory agents are queried first, unless there are none or an agent has already returned a
+// packet of the flow, whose registration is then out of date. The next stage follows if they do not
+// answer, do not know the holder, or name an agent that does not hold the flow.
+void PacketBalancer::StartSearch(const PacketHeader& aPacketHeader, Flow& aFlow,
+                                 std::vector<FlowDenial> aRuledOut,
+                                 std::span<const std::uint8_t> aPacket, PacketOutput& aOutput,
+                                 TimePoint aNow)
+{
   aFlow.mSearch = std::make_unique<Search>();
   Search& search = *aFlow.mSearch;
   search.mStartedAt = search.mLastQueriedAt = aNow;
-  search.mRuledOut = aFlow.mReturnedBy;
-  search.mPackets.emplace_back(aPacket.begin(), aPacket.end());
+  search.mRuledOut = std::move(aRuledOut);
+  KeepPacket(search, aPacket);
   mSearched.Add();
   search.mUnanswered = mDirectoryAgents.AgentsFor(aPacketHeader.mFlow);
-  if (search.mUnanswered.empty() || !aFlow.mReturnedBy.empty()) {
+  if (search.mUnanswered.empty() || !search.mRuledOut.empty()) {
     QueryNextStage(aPacketHeader.mFlow, search, aOutput, aNow);
   } else {
     SendQueries(aPacketHeader.mFlow, search, NodeMessageType::Query, aOutput, aNow);
@@ -124,6 +149,13 @@
   ResetIfNotFound(aPacketHeader.mFlow, aFlow, aOutput, aNow);
 }
 
+void PacketBalancer::KeepPacket(Search& aSearch, std::span<const std::uint8_t> aPacket)
+{
+  if (aSearch.mPackets.size() < kMaxKeptPackets) {
+    aSearch.mPackets.emplace_back(aPacket.begin(), aPacket.end());
+  }
+}
+
 // Handles a further packet of a flow during a search: keeps it and, after kRetryInterval, sends new
 // queries. Agents that were ruled out are not queried again.
 void PacketBalancer::ContinueSearch(const PacketHeader& aPacketHeader, Flow& aFlow,
@@ -136,9 +168,7 @@
     // The caller retransmits: the kept packets are out of date.
     search.mPackets.clear();
   }
-  if (search.mPackets.size() < kMaxKeptPackets) {
-    search.mPackets.emplace_back(aPacket.begin(), aPacket.end());
-  }
+  KeepPacket(search, aPacket);
   if (!retry) {
     return;
   }
@@ -199,7 +229,7 @@
 void PacketBalancer::OnHolderFound(const FlowKey& aKey, Flow& aFlow, const Endpoint& aHolder,
                                    PacketOutput& aOutput, TimePoint aNow)
 {
-  if (IsDeniedBy(aFlow.mReturnedBy, aHolder) &&
+  if (IsDeniedBy(aFlow.mSearch->mRuledOut, aHolder) &&
       aFlow.mSearch->mStage == SearchStage::DirectoryAgents) {
     // The registration is out of date: this agent has returned a packet of the flow.
     QueryNextStage(aKey, *aFlow.mSearch, aOutput, aNow);
@@ -207,7 +237,6 @@
   }
   const auto search = std::move(aFlow.mSearch);
   aFlow.mHolder = aHolder;
-  aFlow.mReturnedBy.clear();
   LogEvent(LogLevel::Info, "flow_found")
     .With("flow", ToString(aKey))
     .With("agent", aHolder.ToString())
