Query agents that become known during a search before a reset

What callers would see: a reset of an open flow whose agent the balancer learned of while it searched for the holder, for example because its view lagged behind.

Cause: the last stage of a search queried the agents that were known when the stage began, and the flow was reset when these had answered.

Change: when all queried agents have answered, the balancer compares with the agents that it knows by then, and queries those that are not ruled out.

--- a/include/dandelionslip/Packet/PacketBalancer.h
+++ b/include/dandelionslip/Packet/PacketBalancer.h
@@ -119,6 +119,9 @@
     std::vector<FlowDenial> mRuledOut;
     /// Directory agents that answered NotRegistered.
     std::vector<Endpoint> mDirectoryAgentsWithoutEntry;
+    /// The directory agents showed, when the last stage began, that no agent that they cover holds
+    /// the flow.
+    bool mDirectoryRulesOut = false;
     std::vector<std::vector<std::uint8_t>> mPackets; ///< Forwarded when the holder is found.
   };
 
@@ -186,10 +189,10 @@
   void ForwardEarlyPackets(PacketOutput& aOutput, TimePoint aNow);
   void SendQueries(const FlowKey& aKey, Search& aSearch, NodeMessageType aType,
                    PacketOutput& aOutput, TimePoint aNow);
+  void AddAgentsNotRuledOut(Search& aSearch, TimePoint aNow);
   void QueryNextStage(const FlowKey& aKey, Search& aSearch, PacketOutput& aOutput, TimePoint aNow);
   void SendProbe(const Endpoint& aAgent, const Search& aSearch, PacketOutput& aOutput);
-  void ResetIfNotFound(const FlowKey& aKey, const Flow& aFlow, PacketOutput& aOutput,
-                       TimePoint aNow);
+  void ResetIfNotFound(const FlowKey& aKey, Flow& aFlow, PacketOutput& aOutput, TimePoint aNow);
   bool IsCoveredByDirectory(const Agent& aAgent, TimePoint aNow) const;
   bool DirectoryRulesOut(const FlowKey& aKey, const Search& aSearch, TimePoint aNow) const;
   std::vector<Endpoint> PreferredAgentsFor(const std::string& aService, const FlowKey& aKey) const;
--- a/lib/Packet/PacketBalancerSearch.cpp
+++ b/lib/Packet/PacketBalancerSearch.cpp
@@ -66,33 +66,40 @@
          });
 }
 
+// Adds the agents that may hold the flow: all that are not ruled out and, if the directory rules
+// out the agents that it covers, not covered.
+void PacketBalancer::AddAgentsNotRuledOut(Search& aSearch, TimePoint aNow)
+{
+  for (const auto& [endpoint, agent] : mAgents) {
+    const bool ruledOut = (aSearch.mDirectoryRulesOut && IsCoveredByDirectory(agent, aNow)) ||
+                          IsDeniedBy(aSearch.mRuledOut, endpoint);
+    if (!ruledOut) {
+      aSearch.mUnanswered.push_back(endpoint);
+    }
+  }
+}
+
 // Goes on to the next stage that has agents which are not ruled out, and queries them. The last
 // stage consists of all agents or, if the directory rules out the covered agents, of the others.
 void PacketBalancer::QueryNextStage(const FlowKey& aKey, Search& aSearch, PacketOutput& aOutput,
                                     TimePoint aNow)
 {
-  const bool directoryRulesOut = DirectoryRulesOut(aKey, aSearch, aNow);
+  aSearch.mDirectoryRulesOut = DirectoryRulesOut(aKey, aSearch, aNow);
   aSearch.mUnanswered.clear();
-  const auto add = [&](const Endpoint& aAgent) {
-    if (!IsDeniedBy(aSearch.mRuledOut, aAgent)) {
-      aSearch.mUnanswered.push_back(aAgent);
-    }
-  };
-  if (aSearch.mStage == SearchStage::DirectoryAgents && !directoryRulesOut) {
+  if (aSearch.mStage == SearchStage::DirectoryAgents && !aSearch.mDirectoryRulesOut) {
     aSearch.mStage = SearchStage::PreferredAgents;
     const RouteEntry* route = FindRoute(aKey);
     for (std::size_t i = 0; route != nullptr && i < route->mTargets.size(); ++i) {
-      const auto agents = PreferredAgentsFor(route->mTargets[i].mService, aKey);
-      std::for_each(agents.begin(), agents.end(), add);
+      for (const Endpoint& agent : PreferredAgentsFor(route->mTargets[i].mService, aKey)) {
+        if (!IsDeniedBy(aSearch.mRuledOut, agent)) {
+          aSearch.mUnanswered.push_back(agent);
+        }
+      }
     }
   }
   if (aSearch.mUnanswered.empty()) {
     aSearch.mStage = SearchStage::AllAgents;
-    for (const auto& [endpoint, agent] : mAgents) {
-      if (!directoryRulesOut || !IsCoveredByDirectory(agent, aNow)) {
-        add(endpoint);
-      }
-    }
+    AddAgentsNotRuledOut(aSearch, aNow);
   }
   SendQueries(aKey, aSearch, NodeMessageType::QueryLocal, aOutput, aNow);
 }
@@ -266,16 +273,22 @@
   ResetIfNotFound(aKey, aFlow, aOutput, aNow);
 }
 
-// Resets the flow if all agents are ruled out, so that its caller does not wait until the deadline.
-// Before the view may be complete, an agent that is not in it yet may hold the flow.
-void PacketBalancer::ResetIfNotFound(const FlowKey& aKey, const Flow& aFlow, PacketOutput& aOutput,
+// Resets the flow if all agents that are known by now are ruled out, so that its caller does not
+// wait until the deadline. Before the view may be complete, an agent that is not in it yet may hold
+// the flow.
+void PacketBalancer::ResetIfNotFound(const FlowKey& aKey, Flow& aFlow, PacketOutput& aOutput,
                                      TimePoint aNow)
 {
-  const Search& search = *aFlow.mSearch;
+  Search& search = *aFlow.mSearch;
   if (search.mStage != SearchStage::AllAgents || !search.mUnanswered.empty() ||
       !ViewMayBeComplete(aNow)) {
     return;
   }
+  AddAgentsNotRuledOut(search, aNow);
+  if (!search.mUnanswered.empty()) {
+    SendQueries(aKey, search, NodeMessageType::QueryLocal, aOutput, aNow);
+    return;
+  }
   if (const auto packetHeader = mCodec.DecodeFromCaller(search.mPackets.back());
       packetHeader && !packetHeader->mResets) {
     ResetFlow(*packetHeader, aFlow, aOutput, aNow);
--- a/unittests/Packet/PacketBalancerTest.cpp
+++ b/unittests/Packet/PacketBalancerTest.cpp
@@ -28,6 +28,7 @@
   CPPUNIT_TEST(SilentAgentsPreventAReset);
   CPPUNIT_TEST(LostAgentsPreventAReset);
   CPPUNIT_TEST(AgentsThatReturnedTheOpeningAreQueriedBeforeAReset);
+  CPPUNIT_TEST(AgentsThatBecomeKnownDuringASearchAreQueriedBeforeAReset);
   CPPUNIT_TEST(AgentsThatNeedAProbeGetThePacket);
   CPPUNIT_TEST(OutdatedRegistrationsAreNotFollowedTwice);
   CPPUNIT_TEST(ProbesStayFewWhenAllNodesRestart);
@@ -342,6 +343,26 @@
     CPPUNIT_ASSERT(mOutput.mToNodes.back().mPacket == packet);
   }
 
+  // The view of a balancer that lagged behind names the flow's holder while the search runs.
+  void AgentsThatBecomeKnownDuringASearchAreQueriedBeforeAReset()
+  {
+    Settle();
+    Report(3, Accepting());
+    Send(CallerPacket(TestFlow(1), FlagAck, 7, 9, 50));
+    Answer(1, NodeMessageType::NotFound, TestFlow(1));
+    Answer(2, NodeMessageType::NotFound, TestFlow(1));
+    for (unsigned node = 4; node <= 6; ++node) {
+      Report(node, Accepting());
+      mOutput.Clear();
+      Answer(node - 1, NodeMessageType::NotFound, TestFlow(1));
+      CPPUNIT_ASSERT_EQUAL(std::size_t{0}, mOutput.Resets());
+      CPPUNIT_ASSERT_EQUAL(std::size_t{1}, Sent(NodeMessageType::QueryLocal));
+      CPPUNIT_ASSERT(mOutput.mToNodes.back().mNode == NodeEndpoint(node));
+    }
+    Answer(6, NodeMessageType::NotFound, TestFlow(1));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, mOutput.Resets());
+  }
+
   // Guards against the reset of a flow whose agent is restarting while its upstream runs.
   void SilentAgentsPreventAReset()
   {
