Let only load reports from after a packet rule out its flow's holder

What callers would see: a reset of an open flow within the first second and a half of its life, if its second packet reaches another balancer than its first and the registration of the flow is late or lost, or the holder's view is newer than that balancer's.

Cause: a balancer did not query an agent whose last load report, up to 1 s old, said that the directory agents know all of its flows. A flow that was opened since is not part of that statement. The agent also made it while a new flow was unregistered for up to 400 ms, and under a new view a flow is registered with other directory agents than those that the balancer queries.

Change: an agent names the digest only while every open flow is confirmed. When both directory agents answer NotRegistered, the balancer waits for load reports that the covered agents sent after the search began, 50 ms at least, and queries the directory agents again. Agents that no longer name the digest are queried themselves. Flows that have ended are reset some 250 ms later than before.

Tests: LoadReportsFromBeforeTheFlowDoNotEndASearch failed before (1 reset, expected 0). RegistrationsAreConfirmed expected an agent to name the digest right after an opening; that tolerance was the fault, and it now expects 0 until the confirmation. AgentsWithConfirmedRegistrationsAreNotQueried expected the reset with the first answers; it now expects none before later reports and second answers, and still no query of a covered agent.

--- a/include/dandelionslip/Packet/LoadReport.h
+++ b/include/dandelionslip/Packet/LoadReport.h
@@ -31,7 +31,7 @@
   std::uint32_t mOpeningsPerSecond = 0;
   Milliseconds mColdLeft{0}; ///< How much longer the upstream stays cold.
   /// DirectoryAgents::Digest() of the view for which the directory agents have confirmed all flows
-  /// of the upstream; 0 if some are not confirmed.
+  /// that are open at the upstream when the report is sent; 0 if some are not confirmed.
   std::uint64_t mConfirmedAgentsDigest = 0;
 
   bool operator==(const LoadReport&) const = default;
--- a/include/dandelionslip/Packet/PacketAgent.h
+++ b/include/dandelionslip/Packet/PacketAgent.h
@@ -99,8 +99,7 @@
     /// Hashes of the endpoints of directory agents that have not confirmed the registration; 0 for
     /// a free slot.
     std::array<std::uint64_t, DirectoryAgents::kDirectoryAgentsPerFlow> mUnconfirmedAgents{};
-    TimePoint mUnconfirmedSince; ///< When the oldest unconfirmed registration was sent.
-    bool mAccepted = false;      ///< The upstream has sent a packet of the flow.
+    bool mAccepted = false; ///< The upstream has sent a packet of the flow.
     /// The upstream has sent a packet other than its answer to the opening packet.
     bool mEstablished = false;
     bool mCallerEnded = false;
@@ -163,6 +162,7 @@
                         PacketOutput& aOutput, TimePoint aNow);
   static void SendRegistrations(const Registrations& aRegistrations, PacketOutput& aOutput);
   static bool HasUnconfirmedAgents(const Flow& aFlow);
+  bool AllFlowsConfirmed() const;
   NodeMessageType NegativeAnswer(NodeMessageType aQuery, TimePoint aNow) const;
   void SendFlowAnswer(const Endpoint& aBalancer, NodeMessageType aType, const FlowKey& aFlow,
                       const Endpoint& aHolder, PacketOutput& aOutput);
@@ -197,8 +197,6 @@
   bool mDirectoryAgentsChanged = false; ///< Since RegisterFlows was last called.
   /// Whether the view contains this process, which other agents need to register flows with it.
   bool mInView = false;
-  /// DirectoryAgents::Digest() for which all flows are registered and confirmed; 0 if some are not.
-  std::uint64_t mConfirmedAgentsDigest = 0;
   FlowDirectory mDirectory;
   std::array<Delivery, kRememberedDeliveries> mDeliveries{};
   std::uint32_t mNextTag = 1;
--- a/include/dandelionslip/Packet/PacketBalancer.h
+++ b/include/dandelionslip/Packet/PacketBalancer.h
@@ -106,6 +106,8 @@
     /// All other agents; if the directory agents show that no agent that they cover holds the flow,
     /// only those that they do not cover.
     AllAgents,
+    /// The directory agents once more, if they rule out the agents that they cover.
+    DirectoryAgentsAgain,
   };
 
   /// A search for the holder of a flow.
@@ -122,6 +124,7 @@
     /// The directory agents showed, when the last stage began, that no agent that they cover holds
     /// the flow.
     bool mDirectoryRulesOut = false;
+    bool mAwaitsReports = false;                     ///< The flow is in mAwaitingReports.
     std::vector<std::vector<std::uint8_t>> mPackets; ///< Forwarded when the holder is found.
   };
 
@@ -195,6 +198,10 @@
   void ResetIfNotFound(const FlowKey& aKey, Flow& aFlow, PacketOutput& aOutput, TimePoint aNow);
   bool IsCoveredByDirectory(const Agent& aAgent, TimePoint aNow) const;
   bool DirectoryRulesOut(const FlowKey& aKey, const Search& aSearch, TimePoint aNow) const;
+  TimePoint OldestCoveringReport(TimePoint aNow) const;
+  void ConfirmWithDirectory(const FlowKey& aKey, Search& aSearch, PacketOutput& aOutput,
+                            TimePoint aNow);
+  void ContinueAwaitingSearches(PacketOutput& aOutput, TimePoint aNow);
   std::vector<Endpoint> PreferredAgentsFor(const std::string& aService, const FlowKey& aKey) const;
   bool ViewMayBeComplete(TimePoint aNow) const;
   void OnFlowMessage(const Endpoint& aFrom, NodeMessageType aType,
@@ -235,6 +242,8 @@
   SearchBudget mSearchBudget;
   std::uint32_t mProbesLeft = 0; ///< Flow probes still allowed this second in stage AllAgents.
   std::unordered_map<FlowKey, Flow, FlowKeyHash> mFlows;
+  std::vector<FlowKey> mAwaitingReports;  ///< Flows whose search waits for load reports.
+  TimePoint mReportsCheckedAt;            ///< When these searches were last continued.
   std::vector<EarlyPacket> mEarlyPackets; ///< In order of arrival.
   OpeningQueue mWaiting;
   TimePoint mExpiryCheckedAt; ///< When openings that waited too long were last reset.
--- a/lib/Packet/PacketAgent.cpp
+++ b/lib/Packet/PacketAgent.cpp
@@ -223,8 +223,8 @@
                          : std::chrono::duration_cast<Milliseconds>(mUpstream->mColdUntil - aNow);
     report.mOpeningsPerSecond = static_cast<std::uint32_t>(ColdLimit());
   }
-  report.mConfirmedAgentsDigest =
-    TableIsComplete(aNow) || UpstreamIsAbsent(aNow) ? mConfirmedAgentsDigest : 0;
+  const bool complete = TableIsComplete(aNow) || UpstreamIsAbsent(aNow);
+  report.mConfirmedAgentsDigest = complete && AllFlowsConfirmed() ? mDirectoryAgents.Digest() : 0;
   report.mFinished = IsFinished();
   report.mStarting = !mUpstream && aNow - mStartedAt < kMaxMissedHeartbeats * mSettings.mHeartbeat;
   report.mFlows = mOpenFlows;
--- a/lib/Packet/PacketAgentDirectory.cpp
+++ b/lib/Packet/PacketAgentDirectory.cpp
@@ -6,18 +6,9 @@
 
 namespace dandelionslip {
 
-namespace {
-
-// A registration that is not confirmed within this time, in which it is sent twice, may be lost:
-// balancers must then query this agent itself.
-constexpr Milliseconds kConfirmTimeout{400};
-
-} // namespace
-
 void PacketAgent::OnView(const View& aView, std::uint64_t aOwnIncarnation)
 {
   mDirectoryAgentsChanged = mDirectoryAgents.Update(aView) || mDirectoryAgentsChanged;
-  mConfirmedAgentsDigest = mDirectoryAgentsChanged ? 0 : mConfirmedAgentsDigest;
   const std::string own = mSettings.mEndpoint.ToString();
   mInView = std::any_of(aView.mMembers.begin(), aView.mMembers.end(), [&](const auto& aItem) {
     const Member& member = aItem.second;
@@ -119,9 +110,6 @@
 void PacketAgent::AddRegistrations(const FlowKey& aKey, Flow& aFlow, Registrations& aRegistrations,
                                    PacketOutput& aOutput, TimePoint aNow)
 {
-  if (!HasUnconfirmedAgents(aFlow)) {
-    aFlow.mUnconfirmedSince = aNow;
-  }
   aFlow.mRegisteredAt = aNow;
   aFlow.mUnconfirmedAgents = {};
   std::size_t count = 0;
@@ -153,29 +141,28 @@
 void PacketAgent::RegisterFlows(PacketOutput& aOutput, TimePoint aNow)
 {
   const bool registerAll = std::exchange(mDirectoryAgentsChanged, false);
-  bool noneOverdue = true;
   Registrations registrations;
   for (auto& [key, flow] : mFlows) {
     if (!flow.mAccepted || flow.mClosed) {
       continue;
     }
-    const bool overdue =
-      HasUnconfirmedAgents(flow) && aNow - flow.mUnconfirmedSince > kConfirmTimeout;
-    noneOverdue = noneOverdue && !registerAll && !overdue;
     if (registerAll || HasUnconfirmedAgents(flow) || !flow.mRegisteredAt ||
         aNow - *flow.mRegisteredAt >= FlowDirectory::kRefreshInterval) {
       AddRegistrations(key, flow, registrations, aOutput, aNow);
     }
   }
-  // Directory agents that have just changed may not know an unconfirmed flow at all, so all flows
-  // must be confirmed first. Later, a new flow may be unconfirmed for kConfirmTimeout.
-  const bool wasConfirmed = mConfirmedAgentsDigest == mDirectoryAgents.Digest();
-  const bool anyUnconfirmed =
-    !wasConfirmed && std::any_of(mFlows.begin(), mFlows.end(), [](const auto& aItem) {
-      return !aItem.second.mClosed && HasUnconfirmedAgents(aItem.second);
-    });
-  mConfirmedAgentsDigest = noneOverdue && !anyUnconfirmed ? mDirectoryAgents.Digest() : 0;
   SendRegistrations(registrations, aOutput);
 }
 
+// Whether the directory agents of the view know all flows that are open here.
+bool PacketAgent::AllFlowsConfirmed() const
+{
+  return !mDirectoryAgentsChanged &&
+         std::all_of(mFlows.begin(), mFlows.end(), [](const auto& aItem) {
+           const Flow& flow = aItem.second;
+           return !flow.mAccepted || flow.mClosed ||
+                  (flow.mRegisteredAt && !HasUnconfirmedAgents(flow));
+         });
+}
+
 } // namespace dandelionslip
--- a/lib/Packet/PacketBalancer.cpp
+++ b/lib/Packet/PacketBalancer.cpp
@@ -476,6 +476,7 @@
   agent.mReportedAt = aNow;
   agent.mPlacedSinceReport = 0;
   PlaceWaitingForServiceOf(agent, aOutput, aNow);
+  ContinueAwaitingSearches(aOutput, aNow);
   if (aNow - mExpiryCheckedAt >= kExpiryInterval) {
     ResetExpiredOpenings(aOutput, aNow);
   }
@@ -485,6 +486,7 @@
 {
   mProbesLeft = kProbesPerSecond;
   ResetExpiredOpenings(aOutput, aNow);
+  ContinueAwaitingSearches(aOutput, aNow);
   std::erase_if(mFlows, [&](const auto& aItem) {
     return aNow - aItem.second.mUsedAt > mSettings.mFlowRetention;
   });
--- a/lib/Packet/PacketBalancerSearch.cpp
+++ b/lib/Packet/PacketBalancerSearch.cpp
@@ -4,6 +4,7 @@
 #include "dandelionslip/Support/Log.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace dandelionslip {
 
@@ -21,6 +22,13 @@
 // retransmits the others.
 constexpr std::size_t kMaxKeptPackets = 4;
 
+// A load report that arrives this much after a packet was sent after it, unless the network delays
+// reports for longer than callers' packets.
+constexpr Milliseconds kMaxReportDelay{50};
+
+// Shortest interval between checks whether searches that wait for load reports may go on.
+constexpr Milliseconds kReportCheckInterval{20};
+
 bool Contains(std::span<const Endpoint> aEndpoints, const Endpoint& aEndpoint)
 {
   return std::find(aEndpoints.begin(), aEndpoints.end(), aEndpoint) != aEndpoints.end();
@@ -57,8 +65,10 @@
 bool PacketBalancer::DirectoryRulesOut(const FlowKey& aKey, const Search& aSearch,
                                        TimePoint aNow) const
 {
+  const bool queried = aSearch.mStage == SearchStage::DirectoryAgents ||
+                       aSearch.mStage == SearchStage::DirectoryAgentsAgain;
   const auto directoryAgents = mDirectoryAgents.AgentsFor(aKey);
-  return aSearch.mStage == SearchStage::DirectoryAgents && !directoryAgents.empty() &&
+  return queried && !directoryAgents.empty() &&
          std::all_of(directoryAgents.begin(), directoryAgents.end(), [&](const Endpoint& aAgent) {
            const auto agent = mAgents.find(aAgent);
            return Contains(aSearch.mDirectoryAgentsWithoutEntry, aAgent) &&
@@ -66,6 +76,59 @@
          });
 }
 
+// Time of the oldest load report among the covered agents. Each of them reports that all of its
+// flows were registered at that time.
+TimePoint PacketBalancer::OldestCoveringReport(TimePoint aNow) const
+{
+  TimePoint oldest = TimePoint::max();
+  for (const auto& [endpoint, agent] : mAgents) {
+    if (IsCoveredByDirectory(agent, aNow)) {
+      oldest = std::min(oldest, *agent.mReportedAt);
+    }
+  }
+  return oldest;
+}
+
+// Queries the directory agents a second time, once the covered agents have sent load reports after
+// the search began. Reports from before it say nothing about a flow that was opened since, and the
+// first answers may be older than its registration.
+void PacketBalancer::ConfirmWithDirectory(const FlowKey& aKey, Search& aSearch,
+                                          PacketOutput& aOutput, TimePoint aNow)
+{
+  if (OldestCoveringReport(aNow) < aSearch.mStartedAt + kMaxReportDelay) {
+    if (!std::exchange(aSearch.mAwaitsReports, true)) {
+      mAwaitingReports.push_back(aKey);
+    }
+    return;
+  }
+  aSearch.mStage = SearchStage::DirectoryAgentsAgain;
+  aSearch.mDirectoryAgentsWithoutEntry.clear();
+  aSearch.mUnanswered = mDirectoryAgents.AgentsFor(aKey);
+  SendQueries(aKey, aSearch, NodeMessageType::Query, aOutput, aNow);
+}
+
+// Continues the searches that waited for load reports and have them now.
+void PacketBalancer::ContinueAwaitingSearches(PacketOutput& aOutput, TimePoint aNow)
+{
+  if (mAwaitingReports.empty() || aNow - mReportsCheckedAt < kReportCheckInterval) {
+    return;
+  }
+  mReportsCheckedAt = aNow;
+  const TimePoint oldest = OldestCoveringReport(aNow);
+  for (const FlowKey& key : std::exchange(mAwaitingReports, {})) {
+    const auto found = mFlows.find(key);
+    if (found == mFlows.end() || !found->second.mSearch || !found->second.mSearch->mAwaitsReports) {
+      continue;
+    }
+    if (oldest < found->second.mSearch->mStartedAt + kMaxReportDelay) {
+      mAwaitingReports.push_back(key);
+      continue;
+    }
+    found->second.mSearch->mAwaitsReports = false;
+    ResetIfNotFound(key, found->second, aOutput, aNow);
+  }
+}
+
 // Adds the agents that may hold the flow: all that are not ruled out and, if the directory rules
 // out the agents that it covers, not covered.
 void PacketBalancer::AddAgentsNotRuledOut(Search& aSearch, TimePoint aNow)
@@ -182,6 +245,8 @@
   search.mLastQueriedAt = aNow;
   if (search.mStage == SearchStage::AllAgents) {
     SendQueries(aPacketHeader.mFlow, search, NodeMessageType::QueryLocal, aOutput, aNow);
+  } else if (search.mStage == SearchStage::DirectoryAgentsAgain) {
+    SendQueries(aPacketHeader.mFlow, search, NodeMessageType::Query, aOutput, aNow);
   } else {
     QueryNextStage(aPacketHeader.mFlow, search, aOutput, aNow);
   }
@@ -247,9 +312,9 @@
   LogEvent(LogLevel::Info, "flow_found")
     .With("flow", ToString(aKey))
     .With("agent", aHolder.ToString())
-    .With("asked", search->mStage == SearchStage::DirectoryAgents   ? "homes"
+    .With("asked", search->mStage == SearchStage::AllAgents         ? "all"
                    : search->mStage == SearchStage::PreferredAgents ? "choices"
-                                                                    : "all")
+                                                                    : "homes")
     .With("view", mViewRevision);
   for (const auto& packet : search->mPackets) {
     mForwarded.Add();
@@ -267,7 +332,7 @@
   if (std::erase(search.mUnanswered, aDenial.mAgent) == 0 || !search.mUnanswered.empty()) {
     return;
   }
-  if (search.mStage != SearchStage::AllAgents) {
+  if (search.mStage < SearchStage::AllAgents) {
     QueryNextStage(aKey, search, aOutput, aNow);
   }
   ResetIfNotFound(aKey, aFlow, aOutput, aNow);
@@ -280,15 +345,23 @@
                                      TimePoint aNow)
 {
   Search& search = *aFlow.mSearch;
-  if (search.mStage != SearchStage::AllAgents || !search.mUnanswered.empty() ||
+  if (search.mStage < SearchStage::AllAgents || !search.mUnanswered.empty() ||
       !ViewMayBeComplete(aNow)) {
     return;
   }
+  const bool again = search.mStage == SearchStage::DirectoryAgentsAgain;
+  search.mDirectoryRulesOut =
+    search.mDirectoryRulesOut && (!again || DirectoryRulesOut(aKey, search, aNow));
   AddAgentsNotRuledOut(search, aNow);
   if (!search.mUnanswered.empty()) {
+    search.mStage = SearchStage::AllAgents;
     SendQueries(aKey, search, NodeMessageType::QueryLocal, aOutput, aNow);
     return;
   }
+  if (search.mDirectoryRulesOut && !again) {
+    ConfirmWithDirectory(aKey, search, aOutput, aNow);
+    return;
+  }
   if (const auto packetHeader = mCodec.DecodeFromCaller(search.mPackets.back());
       packetHeader && !packetHeader->mResets) {
     ResetFlow(*packetHeader, aFlow, aOutput, aNow);
--- a/unittests/Packet/PacketAgentTest.cpp
+++ b/unittests/Packet/PacketAgentTest.cpp
@@ -195,12 +195,14 @@
     mAgent.RegisterFlows(mOutput, mNow);
     CPPUNIT_ASSERT_EQUAL(directoryAgents.Digest(), mAgent.CurrentLoad(mNow).mConfirmedAgentsDigest);
     Open(1);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, mAgent.CurrentLoad(mNow).mConfirmedAgentsDigest);
     mAgent.RegisterFlows(mOutput, mNow);
-    CPPUNIT_ASSERT_EQUAL(directoryAgents.Digest(), mAgent.CurrentLoad(mNow).mConfirmedAgentsDigest);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, mAgent.CurrentLoad(mNow).mConfirmedAgentsDigest);
     mNow += Milliseconds{500};
     mAgent.RegisterFlows(mOutput, mNow);
     CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, mAgent.CurrentLoad(mNow).mConfirmedAgentsDigest);
     ConfirmRegistrations();
+    CPPUNIT_ASSERT_EQUAL(directoryAgents.Digest(), mAgent.CurrentLoad(mNow).mConfirmedAgentsDigest);
     mAgent.RegisterFlows(mOutput, mNow);
     CPPUNIT_ASSERT_EQUAL(directoryAgents.Digest(), mAgent.CurrentLoad(mNow).mConfirmedAgentsDigest);
     // The directory agents restart: they must confirm the flow again.
--- a/unittests/Packet/PacketBalancerTest.cpp
+++ b/unittests/Packet/PacketBalancerTest.cpp
@@ -21,6 +21,7 @@
   CPPUNIT_TEST(UnknownFlowsAreSearched);
   CPPUNIT_TEST(FlowsThatNobodyHoldsAreReset);
   CPPUNIT_TEST(AgentsWithConfirmedRegistrationsAreNotQueried);
+  CPPUNIT_TEST(LoadReportsFromBeforeTheFlowDoNotEndASearch);
   CPPUNIT_TEST(OutdatedDirectoryAgentsDoNotEndASearch);
   CPPUNIT_TEST(OnlyAgentsThatDidNotAnswerAreQueriedAgain);
   CPPUNIT_TEST(PacketsAreKeptUntilRoutesAreKnown);
@@ -187,6 +188,15 @@
     }
   }
 
+  // Load reports of the next two intervals.
+  void ReportRegisteredLater(unsigned aAgents)
+  {
+    for (int i = 0; i < 2; ++i) {
+      mNow += Milliseconds{100};
+      ReportRegistered(aAgents, mDirectoryAgents.Digest());
+    }
+  }
+
   void DirectoryAgentsAnswer(NodeMessageType aType, const FlowKey& aFlow)
   {
     for (const Endpoint& agent : mDirectoryAgents.AgentsFor(aFlow)) {
@@ -202,7 +212,12 @@
     SettleMany(60);
     Send(CallerPacket(TestFlow(1), FlagAck, 7, 9, 50));
     DirectoryAgentsAnswer(NodeMessageType::NotRegistered, TestFlow(1));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, mOutput.Resets());
+    // Load reports from after the packet show that nothing that is open is unregistered.
+    ReportRegisteredLater(60);
+    DirectoryAgentsAnswer(NodeMessageType::NotRegistered, TestFlow(1));
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, mOutput.Resets());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{4}, Sent(NodeMessageType::Query));
     CPPUNIT_ASSERT_EQUAL(std::size_t{0}, Sent(NodeMessageType::QueryLocal));
 
     // An agent that has restarted does not know its flows: it is the only one that is queried.
@@ -221,7 +236,30 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, Sent(NodeMessageType::QueryLocal));
     CPPUNIT_ASSERT(mOutput.mToNodes.back().mNode == NodeEndpoint(restarted));
     Answer(restarted, NodeMessageType::NotFound, TestFlow(2));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, mOutput.Resets());
+    ReportRegisteredLater(60);
+    DirectoryAgentsAnswer(NodeMessageType::NotRegistered, TestFlow(2));
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, mOutput.Resets());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, Sent(NodeMessageType::QueryLocal));
+  }
+
+  // A registration is in flight: the directory agents do not know the flow yet, and its agent's
+  // last load report is older than the flow.
+  void LoadReportsFromBeforeTheFlowDoNotEndASearch()
+  {
+    SettleMany(60);
+    mNow += Milliseconds{100};
+    const PacketBytes packet = CallerPacket(TestFlow(1), FlagAck, 7, 9, 50);
+    Send(packet);
+    DirectoryAgentsAnswer(NodeMessageType::NotRegistered, TestFlow(1));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, mOutput.Resets());
+    ReportRegisteredLater(60);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{4}, Sent(NodeMessageType::Query));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, mOutput.Resets());
+    const unsigned holder = 33;
+    Answer(1, NodeMessageType::HolderFound, TestFlow(1), NodeEndpoint(holder));
+    CPPUNIT_ASSERT(mOutput.mToNodes.back().mNode == NodeEndpoint(holder));
+    CPPUNIT_ASSERT(mOutput.mToNodes.back().mPacket == packet);
   }
 
   // Guards against the reset of a flow that is registered with the directory agents of another view
