Log what decided an agent's resets and denials

Operators saw an agent's reset of an open flow with its upstream only, and no line at all for a reset of the upstream that the agent passed on, for one that it dropped as a reaction to a probe, and for an answer NotFound, NotRegistered or NotHeld, on which a balancer resets a flow.

Each of these has a line now: - flow_reset (agent): since when and by what the flow is known, ages of the last packet to and from the upstream, age of the bounced delivery, whether a request was pending, the upstream's start and heartbeat age, age of the agent, whether its table is complete, route and view version. - upstream_reset: the same for a reset that is passed on. - probe_reset: a reset that is dropped, with the age of the probe. - flow_denied: a flow that was in the table earlier is denied; why and when it was removed, when it was last used and whether it was open.

The agent remembers the last 256 flows that ended ordinarily (closed, reset by the caller) and the last 256 that were removed for another reason. Denials of other flows are only counted (dandelionslip_flows_denied_total{removed}); resets that are passed on are counted in dandelionslip_upstream_resets_total. No line is written for each packet, and no decision changes.

Tests capture lines with a log sink (CapturedLog). PacketAgentLogTest checks the content of the lines; FlowDenialTest checks the text of denials in a balancer's line, which had no test.

--- a/include/dandelionslip/Packet/PacketAgent.h
+++ b/include/dandelionslip/Packet/PacketAgent.h
@@ -10,6 +10,7 @@
 #include "dandelionslip/Packet/LoadReport.h"
 #include "dandelionslip/Packet/OpeningLimiter.h"
 #include "dandelionslip/Packet/PacketOutput.h"
+#include "dandelionslip/Packet/RemovedFlows.h"
 #include "dandelionslip/Packet/SpeedEstimator.h"
 #include "dandelionslip/Packet/UpstreamHeartbeat.h"
 #include "dandelionslip/Support/Metrics.h"
@@ -21,6 +22,8 @@
 
 namespace dandelionslip {
 
+class LogEvent;
+
 /// Settings, timeouts and limits of a packet agent.
 struct PacketAgentSettings
 {
@@ -92,7 +95,11 @@
 
   struct Flow
   {
+    TimePoint mFirstUsedAt;
     TimePoint mUsedAt;
+    std::optional<TimePoint> mDeliveredAt; ///< Last packet to the upstream.
+    std::optional<TimePoint> mAnsweredAt;  ///< Last packet of the upstream.
+    bool mKnownByOpening = false;          ///< Else by a packet of the upstream.
     /// When the opening packet was delivered; empty once it is answered.
     std::optional<TimePoint> mOpenedAt;
     std::optional<TimePoint> mRegisteredAt; ///< When registrations were last sent.
@@ -118,6 +125,7 @@
     std::uint32_t mTag = 0;
     Endpoint mBalancer;
     NodeMessageType mType = NodeMessageType::Deliver;
+    TimePoint mDeliveredAt;
   };
 
   /// A flow probe that the upstream has not reacted to yet.
@@ -144,7 +152,7 @@
   bool TableIsComplete(TimePoint aNow) const;
   bool UpstreamIsAbsent(TimePoint aNow) const;
   void Deliver(const Endpoint& aBalancer, NodeMessageType aType, std::span<std::uint8_t> aPacket,
-               PacketOutput& aOutput);
+               PacketOutput& aOutput, TimePoint aNow);
   void Return(const Endpoint& aBalancer, ReturnReason aReason,
               std::span<const std::uint8_t> aPacket, PacketOutput& aOutput);
   void OnOpening(const Endpoint& aFrom, const PacketHeader& aPacketHeader,
@@ -167,14 +175,24 @@
   void SendFlowAnswer(const Endpoint& aBalancer, NodeMessageType aType, const FlowKey& aFlow,
                       const Endpoint& aHolder, PacketOutput& aOutput);
   void ReportNotHeld(const Delivery& aDelivery, const PacketHeader& aPacketHeader,
-                     std::span<const std::uint8_t> aPacket, PacketOutput& aOutput);
+                     std::span<const std::uint8_t> aPacket, PacketOutput& aOutput, TimePoint aNow);
   void AnswerProbe(const FlowKey& aFlow, PacketOutput& aOutput);
   void OnBounced(std::span<std::uint8_t> aPacket, PacketOutput& aOutput, TimePoint aNow);
   Flow& FindOrAddFlow(const FlowKey& aFlow, TimePoint aNow);
   void TrackRequest(Flow& aFlow, const PacketHeader& aPacketHeader, TimePoint aNow);
   void SetRequestPending(Flow& aFlow, bool aPending, TimePoint aNow);
   void Close(Flow& aFlow, TimePoint aNow);
-  void RemoveFlow(const FlowKey& aFlow, TimePoint aNow);
+  void RemoveFlow(const FlowKey& aFlow, RemovalReason aReason, TimePoint aNow);
+  void AddUpstream(LogEvent& aEvent, TimePoint aNow) const;
+  static void AddFlow(LogEvent& aEvent, const Flow& aFlow, TimePoint aNow);
+  /// aDeliveredAt: when the bounced packet was delivered.
+  void LogLostFlow(const FlowKey& aKey, const Flow& aFlow, TimePoint aDeliveredAt,
+                   TimePoint aNow) const;
+  void LogUpstreamReset(const FlowKey& aKey, const Flow& aFlow, TimePoint aNow) const;
+  void LogProbeReset(const FlowKey& aKey, TimePoint aNow) const;
+  /// Counts a statement that the flow is not held here, and logs it if the flow was held earlier.
+  void OnDenial(const FlowKey& aKey, std::string_view aAnswer, const Endpoint& aBalancer,
+                TimePoint aNow);
 
   PacketAgentSettings mSettings;
   const PacketCodec& mCodec;
@@ -194,6 +212,8 @@
   std::unordered_map<FlowKey, PendingProbe, FlowKeyHash>
     mProbes; ///< For flows that are not in mFlows.
   DirectoryAgents mDirectoryAgents;
+  RemovedFlows mRemovedFlows;
+  std::uint64_t mViewRevision = 0;
   bool mDirectoryAgentsChanged = false; ///< Since RegisterFlows was last called.
   /// Whether the view contains this process, which other agents need to register flows with it.
   bool mInView = false;
@@ -217,6 +237,9 @@
   /// Resets that the upstream sent in reaction to flow probes.
   Counter& mProbeResetsDropped;
   Counter& mMalformed;
+  Counter& mResetsPassedOn; ///< Resets that the upstream sent for flows in the table.
+  /// By RemovalReason of the flow; the last one for flows of which no removal is remembered.
+  std::array<Counter*, kRemovalReasons + 1> mDenied{};
   std::array<Counter*, kReturnReasons> mReturned{};
 };
 
--- a/lib/Packet/PacketAgent.cpp
+++ b/lib/Packet/PacketAgent.cpp
@@ -55,12 +55,18 @@
   , mProbeResetsDropped(
       aRegistry.CounterFor("dandelionslip_packets_dropped_total", "reason=\"probe_reset\""))
   , mMalformed(aRegistry.CounterFor("dandelionslip_packets_dropped_total", "reason=\"malformed\""))
+  , mResetsPassedOn(aRegistry.CounterFor("dandelionslip_upstream_resets_total"))
 {
   for (std::size_t i = 0; i < kReturnReasons; ++i) {
     const auto reason = ToString(static_cast<ReturnReason>(i));
     mReturned[i] = &aRegistry.CounterFor("dandelionslip_packets_returned_total",
                                          "reason=\"" + std::string(reason) + "\"");
   }
+  for (std::size_t i = 0; i <= kRemovalReasons; ++i) {
+    const auto removed = i == kRemovalReasons ? "unknown" : ToString(static_cast<RemovalReason>(i));
+    mDenied[i] = &aRegistry.CounterFor("dandelionslip_flows_denied_total",
+                                       "removed=\"" + std::string(removed) + "\"");
+  }
   // Start at another tag in each process: a late bounce of a packet that an earlier process
   // delivered must not match a delivery of this one.
   mNextTag = static_cast<std::uint32_t>(aNow.time_since_epoch().count()) | 1U;
@@ -267,6 +273,8 @@
     }
     const Milliseconds kept = flow.mClosed ? kClosedFlowRetention : idleTimeout;
     if (aNow - flow.mUsedAt > kept) {
+      mRemovedFlows.Add({item->first, flow.mClosed ? RemovalReason::Closed : RemovalReason::Idle,
+                         flow.mEstablished, flow.mFirstUsedAt, flow.mUsedAt, aNow});
       Close(flow, aNow);
       item = mFlows.erase(item);
     } else {
--- a/lib/Packet/PacketAgentDirectory.cpp
+++ b/lib/Packet/PacketAgentDirectory.cpp
@@ -18,6 +18,7 @@
 {
   mDirectoryAgentsChanged = mDirectoryAgents.Update(aView) || mDirectoryAgentsChanged;
   mConfirmedAgentsDigest = mDirectoryAgentsChanged ? 0 : mConfirmedAgentsDigest;
+  mViewRevision = aView.mRevision;
   const std::string own = mSettings.mEndpoint.ToString();
   mInView = std::any_of(aView.mMembers.begin(), aView.mMembers.end(), [&](const auto& aItem) {
     const Member& member = aItem.second;
@@ -64,7 +65,12 @@
       return;
     }
   }
-  SendFlowAnswer(aFrom, NegativeAnswer(aType, aNow), key, {}, aOutput);
+  const NodeMessageType answer = NegativeAnswer(aType, aNow);
+  if (answer != NodeMessageType::ProbeNeeded) {
+    OnDenial(key, answer == NodeMessageType::NotFound ? "not_found" : "not_registered", aFrom,
+             aNow);
+  }
+  SendFlowAnswer(aFrom, answer, key, {}, aOutput);
 }
 
 // The answer to a query for a flow that is neither in the table nor in the directory.
--- a/lib/Packet/PacketAgentFlows.cpp
+++ b/lib/Packet/PacketAgentFlows.cpp
@@ -69,7 +69,7 @@
 {
   const auto found = mFlows.find(aPacketHeader.mFlow);
   if (found != mFlows.end() && aPacketHeader.mRetransmission > 0 && !found->second.mAccepted) {
-    RemoveFlow(aPacketHeader.mFlow, aNow);
+    RemoveFlow(aPacketHeader.mFlow, RemovalReason::Unanswered, aNow);
     Return(aFrom, ReturnReason::Unresponsive, aPacket, aOutput);
     return;
   }
@@ -79,16 +79,18 @@
     return;
   }
   if (aPacketHeader.mRetransmission == 0) {
-    RemoveFlow(aPacketHeader.mFlow, aNow);
+    RemoveFlow(aPacketHeader.mFlow, RemovalReason::Opening, aNow);
   }
   LogOpening(aPacketHeader.mFlow, ReturnReason::None, aNow);
   Flow& flow = FindOrAddFlow(aPacketHeader.mFlow, aNow);
+  flow.mKnownByOpening = flow.mKnownByOpening || !flow.mAnsweredAt;
+  flow.mDeliveredAt = aNow;
   flow.mDeliveredEnd = aPacketHeader.mSequence;
   flow.mOpenedAt = flow.mOpenedAt.value_or(aNow);
   if (mUnansweredOpenings++ == 0) {
     mUnansweredSince = aNow;
   }
-  Deliver(aFrom, NodeMessageType::Deliver, aPacket, aOutput);
+  Deliver(aFrom, NodeMessageType::Deliver, aPacket, aOutput, aNow);
 }
 
 void PacketAgent::LogOpening(const FlowKey& aFlow, ReturnReason aReason, TimePoint aNow) const
@@ -114,7 +116,7 @@
   auto found = mFlows.find(aPacketHeader.mFlow);
   if (found != mFlows.end() && found->second.mDeliveredEnd &&
       !IsNear(aPacketHeader.mSequence, *found->second.mDeliveredEnd)) {
-    RemoveFlow(aPacketHeader.mFlow, aNow);
+    RemoveFlow(aPacketHeader.mFlow, RemovalReason::Sequence, aNow);
     found = mFlows.end();
   }
   if (found == mFlows.end()) {
@@ -122,22 +124,23 @@
       if (aType == NodeMessageType::Probe && mProbes.size() < kMaxProbes) {
         mProbes[aPacketHeader.mFlow] = {aFrom, aNow};
       }
-      Deliver(aFrom, aType, aPacket, aOutput);
+      Deliver(aFrom, aType, aPacket, aOutput, aNow);
     } else {
-      ReportNotHeld({0, aFrom, aType}, aPacketHeader, aPacket, aOutput);
+      ReportNotHeld({0, aFrom, aType, aNow}, aPacketHeader, aPacket, aOutput, aNow);
     }
     return;
   }
   Flow& flow = found->second;
   flow.mUsedAt = aNow;
+  flow.mDeliveredAt = aNow;
   TrackRequest(flow, aPacketHeader, aNow);
   if (aType == NodeMessageType::Probe) {
     SendFlowAnswer(aFrom, NodeMessageType::HolderFound, aPacketHeader.mFlow, mSettings.mEndpoint,
                    aOutput);
   }
-  Deliver(aFrom, aType, aPacket, aOutput);
+  Deliver(aFrom, aType, aPacket, aOutput, aNow);
   if (aPacketHeader.mResets) {
-    RemoveFlow(aPacketHeader.mFlow, aNow);
+    RemoveFlow(aPacketHeader.mFlow, RemovalReason::CallerReset, aNow);
     return;
   }
   flow.mCallerEnded = flow.mCallerEnded || aPacketHeader.mEnds;
@@ -164,15 +167,19 @@
   // caller, because the flow may be open at another upstream.
   if (packetHeader->mResets && !mFlows.contains(packetHeader->mFlow)) {
     mProbeResetsDropped.Add();
+    LogProbeReset(packetHeader->mFlow, aNow);
     return;
   }
   mReplies.Add();
   aOutput.SendToCaller(packetHeader->mFlow, aPacket);
   if (packetHeader->mResets) {
-    RemoveFlow(packetHeader->mFlow, aNow);
+    mResetsPassedOn.Add();
+    LogUpstreamReset(packetHeader->mFlow, mFlows.at(packetHeader->mFlow), aNow);
+    RemoveFlow(packetHeader->mFlow, RemovalReason::UpstreamReset, aNow);
     return;
   }
   Flow& flow = FindOrAddFlow(packetHeader->mFlow, aNow);
+  flow.mAnsweredAt = aNow;
   AnswerProbe(packetHeader->mFlow, aOutput);
   if (const auto opened = std::exchange(flow.mOpenedAt, std::nullopt)) {
     mOpeningSeconds.Observe(Seconds(aNow - *opened));
@@ -209,7 +216,7 @@
   mCodec.ClearBounce(aPacket);
   mProbes.erase(packetHeader->mFlow);
   if (packetHeader->mOpens) {
-    RemoveFlow(packetHeader->mFlow, aNow);
+    RemoveFlow(packetHeader->mFlow, RemovalReason::Bounced, aNow);
     Return(delivery.mBalancer, ReturnReason::Refused, aPacket, aOutput);
     return;
   }
@@ -217,28 +224,25 @@
   if (found != mFlows.end() && found->second.mEstablished && found->second.mDeliveredEnd) {
     // The flow was open at this upstream, which no longer holds it, so no upstream does.
     const bool ended = found->second.mUpstreamEnded || found->second.mClosed;
-    RemoveFlow(packetHeader->mFlow, aNow);
     if (!ended) {
       mFlowsLost.Add();
-      LogEvent(LogLevel::Info, "flow_reset")
-        .With("flow", ToString(packetHeader->mFlow))
-        .With("reason", "upstream_lost_it")
-        .With("upstream", mUpstream ? mUpstream->mLastHeartbeat.mId : "");
+      LogLostFlow(packetHeader->mFlow, found->second, delivery.mDeliveredAt, aNow);
       aOutput.SendToCaller(packetHeader->mFlow,
                            mCodec.EncodeReset(packetHeader->mFlow, packetHeader->mAcknowledged));
     }
+    RemoveFlow(packetHeader->mFlow, RemovalReason::Bounced, aNow);
     return;
   }
-  RemoveFlow(packetHeader->mFlow, aNow);
-  ReportNotHeld(delivery, *packetHeader, aPacket, aOutput);
+  RemoveFlow(packetHeader->mFlow, RemovalReason::Bounced, aNow);
+  ReportNotHeld(delivery, *packetHeader, aPacket, aOutput, aNow);
 }
 
 void PacketAgent::Deliver(const Endpoint& aBalancer, NodeMessageType aType,
-                          std::span<std::uint8_t> aPacket, PacketOutput& aOutput)
+                          std::span<std::uint8_t> aPacket, PacketOutput& aOutput, TimePoint aNow)
 {
   mDelivered.Add();
   const std::uint32_t tag = mNextTag++;
-  mDeliveries[tag % kRememberedDeliveries] = {tag, aBalancer, aType};
+  mDeliveries[tag % kRememberedDeliveries] = {tag, aBalancer, aType, aNow};
   mCodec.SetTag(aPacket, tag);
   aOutput.SendToUpstream(aPacket);
 }
@@ -251,9 +255,12 @@
 }
 
 void PacketAgent::ReportNotHeld(const Delivery& aDelivery, const PacketHeader& aPacketHeader,
-                                std::span<const std::uint8_t> aPacket, PacketOutput& aOutput)
+                                std::span<const std::uint8_t> aPacket, PacketOutput& aOutput,
+                                TimePoint aNow)
 {
-  if (aDelivery.mType == NodeMessageType::Probe) {
+  const bool probe = aDelivery.mType == NodeMessageType::Probe;
+  OnDenial(aPacketHeader.mFlow, probe ? "not_found" : "not_held", aDelivery.mBalancer, aNow);
+  if (probe) {
     SendFlowAnswer(aDelivery.mBalancer, NodeMessageType::NotFound, aPacketHeader.mFlow, {},
                    aOutput);
   } else {
@@ -267,6 +274,7 @@
   Flow& flow = item->second;
   if (isNew) {
     ++mOpenFlows;
+    flow.mFirstUsedAt = aNow;
   }
   flow.mUsedAt = aNow;
   return flow;
@@ -308,9 +316,11 @@
   }
 }
 
-void PacketAgent::RemoveFlow(const FlowKey& aFlow, TimePoint aNow)
+void PacketAgent::RemoveFlow(const FlowKey& aFlow, RemovalReason aReason, TimePoint aNow)
 {
   if (const auto found = mFlows.find(aFlow); found != mFlows.end()) {
+    const Flow& flow = found->second;
+    mRemovedFlows.Add({aFlow, aReason, flow.mEstablished, flow.mFirstUsedAt, flow.mUsedAt, aNow});
     Close(found->second, aNow);
     mFlows.erase(found);
   }
