Drop lines of resets last and report dropped lines

Operators could miss the line of a reset: it shared the pipe with all other lines, so a slow reader lost it like any of them, and 25 lines a second had to do for a burst of resets. The number of lines that the writer dropped was counted but never reported.

LogEvent takes a LogPriority.

--- a/include/dandelionslip/Support/Log.h
+++ b/include/dandelionslip/Support/Log.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "dandelionslip/Support/Error.h"
+#include "dandelionslip/Support/LogPriority.h"
 
 #include <concepts>
 #include <string>
@@ -21,15 +22,17 @@
 Result<LogLevel> ParseLogLevel(std::string_view aName);
 
 /// Sets the lowest level that is written, and the program and node name on every line. Lines go to
-/// standard output, at most LogRateLimiter::kLinesPerSecond a second for each event. While nothing
-/// reads the output, lines are dropped and the process is not delayed.
+/// standard output, at most LogRateLimiter::kLinesPerSecond a second for each event, with an
+/// additional burst for lines of high priority. While nothing reads the output, lines are dropped,
+/// those of high priority last, and the process is not delayed. The numbers of omitted and dropped
+/// lines are logged.
 void InitialiseLog(std::string_view aProgram, std::string_view aNode, LogLevel aLevel);
 
 /// One log line, which the destructor writes.
 class LogEvent
 {
 public:
-  LogEvent(LogLevel aLevel, std::string_view aEvent);
+  LogEvent(LogLevel aLevel, std::string_view aEvent, LogPriority aPriority = LogPriority::Ordinary);
   ~LogEvent();
   LogEvent(const LogEvent&) = delete;
   LogEvent& operator=(const LogEvent&) = delete;
@@ -50,6 +53,7 @@
   void Begin(std::string_view aEvent);
 
   LogLevel mLevel;
+  LogPriority mPriority;
   bool mEnabled; ///< Whether the level is high enough and the event's rate limit allows the line.
   std::string mLine;
 };
--- a/lib/Packet/PacketAgentResets.cpp
+++ b/lib/Packet/PacketAgentResets.cpp
@@ -50,7 +50,7 @@
 void PacketAgent::LogLostFlow(const FlowKey& aKey, const Flow& aFlow, TimePoint aDeliveredAt,
                               TimePoint aNow) const
 {
-  LogEvent event(LogLevel::Info, "flow_reset");
+  LogEvent event(LogLevel::Info, "flow_reset", LogPriority::High);
   event.With("flow", ToString(aKey)).With("reason", "upstream_lost_it");
   event.With("bounce_ms", AgeMs(aDeliveredAt, aNow));
   AddFlow(event, aFlow, aNow);
@@ -59,7 +59,8 @@
 
 void PacketAgent::LogUpstreamReset(const FlowKey& aKey, const Flow& aFlow, TimePoint aNow) const
 {
-  LogEvent event(LogLevel::Info, "upstream_reset");
+  LogEvent event(LogLevel::Info, "upstream_reset",
+                 aFlow.mEstablished ? LogPriority::High : LogPriority::Ordinary);
   event.With("flow", ToString(aKey));
   AddFlow(event, aFlow, aNow);
   AddUpstream(event, aNow);
--- a/lib/Packet/PacketBalancerResets.cpp
+++ b/lib/Packet/PacketBalancerResets.cpp
@@ -71,7 +71,7 @@
         std::max(coveredAgeMs, agent.mReportedAt ? AgeMs(*agent.mReportedAt, aNow) : -1);
     }
   }
-  LogEvent(LogLevel::Info, "flow_reset")
+  LogEvent(LogLevel::Info, "flow_reset", LogPriority::High)
     .With("flow", ToString(aPacketHeader.mFlow))
     .With("reason", "not_found")
     .With("known_ms", AgeMs(aFlow.mFirstUsedAt, aNow))
--- a/lib/Support/Log.cpp
+++ b/lib/Support/Log.cpp
@@ -4,6 +4,8 @@
 #include "dandelionslip/Support/LineWriter.h"
 #include "dandelionslip/Support/LogRateLimiter.h"
 
+#include <boost/log/attributes/constant.hpp>
+#include <boost/log/attributes/value_extraction.hpp>
 #include <boost/log/core.hpp>
 #include <boost/log/sinks/basic_sink_backend.hpp>
 #include <boost/log/sinks/sync_frontend.hpp>
@@ -30,6 +32,9 @@
   {LogLevel::Error, "error"},
 }};
 
+constexpr std::chrono::seconds kDropReportInterval{1};
+constexpr const char* kPriorityAttribute = "Priority";
+
 std::string& Prefix()
 {
   static std::string prefix;
@@ -53,34 +58,56 @@
   : public logging::sinks::basic_formatted_sink_backend<char, logging::sinks::synchronized_feeding>
 {
 public:
-  void consume(const logging::record_view& /*aRecord*/, const std::string& aLine)
+  void consume(const logging::record_view& aRecord, const std::string& aLine)
   {
-    Output().Write(aLine);
+    const auto priority = logging::extract<LogPriority>(kPriorityAttribute, aRecord);
+    Output().Write(aLine, priority ? *priority : LogPriority::Ordinary);
   }
 };
 
-void WriteRecord(LogLevel aLevel, const std::string& aLine)
+void WriteRecord(LogLevel aLevel, const std::string& aLine,
+                 LogPriority aPriority = LogPriority::Ordinary)
 {
   logging::sources::severity_logger<int> logger(logging::keywords::severity =
                                                   static_cast<int>(aLevel));
+  if (aPriority != LogPriority::Ordinary) {
+    logger.add_attribute(kPriorityAttribute, logging::attributes::constant<LogPriority>(aPriority));
+  }
   BOOST_LOG(logger) << aLine;
 }
 
-// Whether the rate limit allows a line of this event. Also logs how many lines were omitted before.
-bool AllowLineAndReportOmitted(std::string_view aEvent)
+std::string TimeMs()
+{
+  const auto now = std::chrono::system_clock::now().time_since_epoch();
+  return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(now).count());
+}
+
+std::string WarningAbout(std::string_view aEvent)
+{
+  return "time_ms=" + TimeMs() + " level=warning " + Prefix() + "event=" + std::string(aEvent);
+}
+
+// Whether the rate limit allows a line of this event. Also logs how many lines were omitted or
+// dropped before.
+bool AllowLineAndReportOmitted(std::string_view aEvent, LogPriority aPriority)
 {
   static std::mutex mutex;
   static LogRateLimiter limiter;
+  static TimePoint dropsReportedAt;
   const TimePoint now = RuntimeClock::now();
   std::vector<OmittedLines> omitted;
   bool allowed = false;
   {
     const std::lock_guard lock(mutex);
     omitted = limiter.TakeOmitted(now);
-    allowed = limiter.AllowLine(aEvent, now);
+    allowed = limiter.AllowLine(aEvent, now, aPriority);
+    if (now - dropsReportedAt >= kDropReportInterval) {
+      dropsReportedAt = now;
+      Output().ReportDropped(WarningAbout("log_lines_dropped"));
+    }
   }
   for (const auto& [event, count] : omitted) {
-    WriteRecord(LogLevel::Warning, Prefix() + "event=log_lines_omitted of=" + event +
+    WriteRecord(LogLevel::Warning, WarningAbout("log_lines_omitted") + " of=" + event +
                                      " count=" + std::to_string(count));
   }
   return allowed;
@@ -137,9 +164,10 @@
   return quoted + "\"";
 }
 
-LogEvent::LogEvent(LogLevel aLevel, std::string_view aEvent)
+LogEvent::LogEvent(LogLevel aLevel, std::string_view aEvent, LogPriority aPriority)
   : mLevel(aLevel)
-  , mEnabled(aLevel >= Threshold() && AllowLineAndReportOmitted(aEvent))
+  , mPriority(aPriority)
+  , mEnabled(aLevel >= Threshold() && AllowLineAndReportOmitted(aEvent, aPriority))
 {
   if (mEnabled) {
     Begin(aEvent);
@@ -148,8 +176,7 @@
 
 void LogEvent::Begin(std::string_view aEvent)
 {
-  const auto now = std::chrono::system_clock::now().time_since_epoch();
-  With("time_ms", std::chrono::duration_cast<std::chrono::milliseconds>(now).count());
+  With("time_ms", TimeMs());
   With("level", kLevels[static_cast<std::size_t>(mLevel)].second);
   mLine += Prefix();
   With("event", aEvent);
@@ -159,7 +186,7 @@
 {
   if (mEnabled) {
     mLine.pop_back();
-    WriteRecord(mLevel, mLine);
+    WriteRecord(mLevel, mLine, mPriority);
   }
 }
 
