Count balancers' resets of open flows by what ruled out the agents

dandelionslip_flows_refused_total{reason="not_found"} counts resets of open flows but does not show on which statements they rest. dandelionslip_flows_reset_total{reason} divides the same resets by the weakest statement: opening_returned (an agent had returned the opening packet), not_registered (the directory agents spoke for an agent), denied (all agents denied the flow themselves). The existing counter stays. No decision changes.

--- a/lib/Packet/PacketBalancer.cpp
+++ b/lib/Packet/PacketBalancer.cpp
@@ -56,6 +56,11 @@
   , mNoRoute(aRegistry.CounterFor("dandelionslip_flows_refused_total", "reason=\"no_route\""))
   , mNoUpstream(aRegistry.CounterFor("dandelionslip_flows_refused_total", "reason=\"no_upstream\""))
   , mNotFound(aRegistry.CounterFor("dandelionslip_flows_refused_total", "reason=\"not_found\""))
+  , mResetByOpening(
+      aRegistry.CounterFor("dandelionslip_flows_reset_total", "reason=\"opening_returned\""))
+  , mResetByDirectory(
+      aRegistry.CounterFor("dandelionslip_flows_reset_total", "reason=\"not_registered\""))
+  , mResetByDenials(aRegistry.CounterFor("dandelionslip_flows_reset_total", "reason=\"denied\""))
   , mPlaced(aRegistry.CounterFor("dandelionslip_flows_placed_total"))
   , mFlowsFull(aRegistry.CounterFor("dandelionslip_packets_dropped_total", "reason=\"flows_full\""))
   , mWaited(aRegistry.CounterFor("dandelionslip_openings_waited_total"))
