--- a/lib/Packet/PacketBalancerSearch.cpp
+++ b/lib/Packet/PacketBalancerSearch.cpp
@@ -326,8 +326,13 @@
                               PacketOutput& aOutput, TimePoint aNow)
 {
   Search& search = *aFlow.mSearch;
-  if (!IsDeniedBy(search.mRuledOut, aDenial.mAgent)) {
+  const auto earlier =
+    std::find_if(search.mRuledOut.begin(), search.mRuledOut.end(),
+                 [&](const FlowDenial& aItem) { return aItem.mAgent == aDenial.mAgent; });
+  if (earlier == search.mRuledOut.end()) {
     search.mRuledOut.push_back(aDenial);
+  } else {
+    *earlier = aDenial;
   }
   if (std::erase(search.mUnanswered, aDenial.mAgent) == 0 || !search.mUnanswered.empty()) {
     return;
