Keep an open flow in its agent's table when other packets of its port arrive

What callers would see: a reset of an open flow, sent by any balancer, at the flow's next packet after a pause.

Cause: an agent removed a flow from its table because of a packet that says nothing about it: an opening packet without a retransmission number that comes late, for example one that a frozen VM had queued or that a balancer passed on after another agent had returned it; a copy of an accepted opening packet that the upstream bounced because it had no room; a packet with a sequence number out of the window. Until the upstream sends its next packet on the flow, the agent, whose table counts as complete, denies it to all balancers.

Change: opening packets of a flow that is established here are dropped and counted (dandelionslip_packets_dropped_total{reason="late_opening"}); the bounce of a copy of an accepted opening does not remove the flow; a packet with another sequence goes to the upstream, whose bounce is the denial. The removal reason "sequence" is gone, so the log test that expected it now expects that only the bounce denies.

--- a/include/dandelionslip/Packet/PacketAgent.h
+++ b/include/dandelionslip/Packet/PacketAgent.h
@@ -114,6 +114,8 @@
     bool mClosed = false;         ///< Both sides have ended the flow; kept for late packets.
     bool mRequestPending = false; ///< A request was delivered and is not answered yet.
     TimePoint mRequestSince;
+    /// Of the opening packet; empty if this process has not seen it.
+    std::optional<std::uint32_t> mOpeningSequence;
     /// Sequence number that follows the caller's last delivered byte.
     std::optional<std::uint32_t> mDeliveredEnd;
   };
@@ -156,6 +158,8 @@
               std::span<const std::uint8_t> aPacket, PacketOutput& aOutput);
   void OnOpening(const Endpoint& aFrom, const PacketHeader& aPacketHeader,
                  std::span<std::uint8_t> aPacket, PacketOutput& aOutput, TimePoint aNow);
+  static bool IsAcceptedOpening(const Flow& aFlow, const PacketHeader& aPacketHeader);
+  static bool IsOfOtherFlow(const Flow& aFlow, const PacketHeader& aPacketHeader);
   void LogOpening(const FlowKey& aFlow, ReturnReason aReason, TimePoint aNow) const;
   /// Handles a packet that is not an opening packet.
   void OnFlowPacket(const Endpoint& aFrom, NodeMessageType aType, const PacketHeader& aPacketHeader,
@@ -235,6 +239,7 @@
   /// Resets that the upstream sent in reaction to flow probes.
   Counter& mProbeResetsDropped;
   Counter& mMalformed;
+  Counter& mLateOpenings;   ///< Copies of opening packets that came after the flow was open.
   Counter& mResetsPassedOn; ///< Resets that the upstream sent for flows in the table.
   /// By RemovalReason of the flow; the last one for flows of which no removal is remembered.
   std::array<Counter*, kRemovalReasons + 1> mDenied{};
--- a/include/dandelionslip/Packet/RemovedFlows.h
+++ b/include/dandelionslip/Packet/RemovedFlows.h
@@ -17,12 +17,11 @@
   Closed,        ///< Both sides had ended it.
   CallerReset,   ///< The caller reset it.
   UpstreamReset, ///< The upstream reset it.
-  Sequence,      ///< A packet's sequence number was too far from the flow's.
   Opening,       ///< A new opening packet of the same caller address and port.
   Unanswered,    ///< The upstream did not answer the opening packet before its retransmission.
   Bounced,       ///< The upstream bounced a packet.
 };
-inline constexpr std::size_t kRemovalReasons = 8;
+inline constexpr std::size_t kRemovalReasons = 7;
 
 /// Name of the reason for log lines and metrics.
 std::string_view ToString(RemovalReason aReason);
--- a/lib/Packet/PacketAgent.cpp
+++ b/lib/Packet/PacketAgent.cpp
@@ -55,6 +55,8 @@
   , mProbeResetsDropped(
       aRegistry.CounterFor("dandelionslip_packets_dropped_total", "reason=\"probe_reset\""))
   , mMalformed(aRegistry.CounterFor("dandelionslip_packets_dropped_total", "reason=\"malformed\""))
+  , mLateOpenings(
+      aRegistry.CounterFor("dandelionslip_packets_dropped_total", "reason=\"late_opening\""))
   , mResetsPassedOn(aRegistry.CounterFor("dandelionslip_upstream_resets_total"))
 {
   for (std::size_t i = 0; i < kReturnReasons; ++i) {
--- a/lib/Packet/PacketAgentFlows.cpp
+++ b/lib/Packet/PacketAgentFlows.cpp
@@ -68,6 +68,12 @@
                             std::span<std::uint8_t> aPacket, PacketOutput& aOutput, TimePoint aNow)
 {
   const auto found = mFlows.find(aPacketHeader.mFlow);
+  const bool accepted = found != mFlows.end() && IsAcceptedOpening(found->second, aPacketHeader);
+  if (accepted && found->second.mEstablished) {
+    // The caller has the upstream's answer already.
+    mLateOpenings.Add();
+    return;
+  }
   if (found != mFlows.end() && aPacketHeader.mRetransmission > 0 && !found->second.mAccepted) {
     RemoveFlow(aPacketHeader.mFlow, RemovalReason::Unanswered, aNow);
     Return(aFrom, ReturnReason::Unresponsive, aPacket, aOutput);
@@ -78,14 +84,14 @@
     Return(aFrom, *reason, aPacket, aOutput);
     return;
   }
-  if (aPacketHeader.mRetransmission == 0) {
+  if (aPacketHeader.mRetransmission == 0 && !accepted) {
     RemoveFlow(aPacketHeader.mFlow, RemovalReason::Opening, aNow);
   }
   LogOpening(aPacketHeader.mFlow, ReturnReason::None, aNow);
   Flow& flow = FindOrAddFlow(aPacketHeader.mFlow, aNow);
   flow.mKnownByOpening = flow.mKnownByOpening || !flow.mAnsweredAt;
   flow.mDeliveredAt = aNow;
-  flow.mDeliveredEnd = aPacketHeader.mSequence;
+  flow.mOpeningSequence = flow.mDeliveredEnd = aPacketHeader.mSequence;
   flow.mOpenedAt = flow.mOpenedAt.value_or(aNow);
   if (mUnansweredOpenings++ == 0) {
     mUnansweredSince = aNow;
@@ -109,25 +115,33 @@
     .With("routes", mRoutes.mVersion);
 }
 
+// Whether the upstream has accepted this opening packet or a copy of it.
+bool PacketAgent::IsAcceptedOpening(const Flow& aFlow, const PacketHeader& aPacketHeader)
+{
+  return aFlow.mAccepted && aFlow.mOpeningSequence == aPacketHeader.mSequence;
+}
+
+// Whether the packet belongs to an earlier or later flow of the same caller port. Which of the two
+// the upstream holds, only the upstream knows.
+bool PacketAgent::IsOfOtherFlow(const Flow& aFlow, const PacketHeader& aPacketHeader)
+{
+  return aFlow.mDeliveredEnd && !IsNear(aPacketHeader.mSequence, *aFlow.mDeliveredEnd);
+}
+
 void PacketAgent::OnFlowPacket(const Endpoint& aFrom, NodeMessageType aType,
                                const PacketHeader& aPacketHeader, std::span<std::uint8_t> aPacket,
                                PacketOutput& aOutput, TimePoint aNow)
 {
-  auto found = mFlows.find(aPacketHeader.mFlow);
-  if (found != mFlows.end() && found->second.mDeliveredEnd &&
-      !IsNear(aPacketHeader.mSequence, *found->second.mDeliveredEnd)) {
-    RemoveFlow(aPacketHeader.mFlow, RemovalReason::Sequence, aNow);
-    found = mFlows.end();
-  }
-  if (found == mFlows.end()) {
-    if (!TableIsComplete(aNow)) {
-      if (aType == NodeMessageType::Probe && mProbes.size() < kMaxProbes) {
-        mProbes[aPacketHeader.mFlow] = {aFrom, aNow};
-      }
-      Deliver(aFrom, aType, aPacket, aOutput, aNow);
-    } else {
-      ReportNotHeld({0, aFrom, aType, aNow}, aPacketHeader, aPacket, aOutput, aNow);
+  const auto found = mFlows.find(aPacketHeader.mFlow);
+  if (found == mFlows.end() && TableIsComplete(aNow)) {
+    ReportNotHeld({0, aFrom, aType, aNow}, aPacketHeader, aPacket, aOutput, aNow);
+    return;
+  }
+  if (found == mFlows.end() || IsOfOtherFlow(found->second, aPacketHeader)) {
+    if (aType == NodeMessageType::Probe && mProbes.size() < kMaxProbes) {
+      mProbes[aPacketHeader.mFlow] = {aFrom, aNow};
     }
+    Deliver(aFrom, aType, aPacket, aOutput, aNow);
     return;
   }
   Flow& flow = found->second;
@@ -215,12 +229,18 @@
   }
   mCodec.ClearBounce(aPacket);
   mProbes.erase(packetHeader->mFlow);
+  const auto found = mFlows.find(packetHeader->mFlow);
   if (packetHeader->mOpens) {
-    RemoveFlow(packetHeader->mFlow, RemovalReason::Bounced, aNow);
+    if (found == mFlows.end() || !IsAcceptedOpening(found->second, *packetHeader)) {
+      RemoveFlow(packetHeader->mFlow, RemovalReason::Bounced, aNow);
+    }
     Return(delivery.mBalancer, ReturnReason::Refused, aPacket, aOutput);
     return;
   }
-  const auto found = mFlows.find(packetHeader->mFlow);
+  if (found != mFlows.end() && IsOfOtherFlow(found->second, *packetHeader)) {
+    ReportNotHeld(delivery, *packetHeader, aPacket, aOutput, aNow);
+    return;
+  }
   if (found != mFlows.end() && found->second.mEstablished && found->second.mDeliveredEnd) {
     // The flow was open at this upstream, which no longer holds it, so no upstream does.
     const bool ended = found->second.mUpstreamEnded || found->second.mClosed;
--- a/lib/Packet/RemovedFlows.cpp
+++ b/lib/Packet/RemovedFlows.cpp
@@ -9,8 +9,7 @@
 std::string_view ToString(RemovalReason aReason)
 {
   static constexpr std::array<std::string_view, kRemovalReasons> kNames{
-    "idle",     "closed",  "caller_reset", "upstream_reset",
-    "sequence", "opening", "unanswered",   "bounced"};
+    "idle", "closed", "caller_reset", "upstream_reset", "opening", "unanswered", "bounced"};
   return kNames[static_cast<std::size_t>(aReason)];
 }
 
--- a/unittests/Packet/PacketAgentLogTest.cpp
+++ b/unittests/Packet/PacketAgentLogTest.cpp
@@ -24,7 +24,7 @@
   CPPUNIT_TEST(ResetsPassedOnAreLogged);
   CPPUNIT_TEST(DroppedResetsAreLogged);
   CPPUNIT_TEST(DenialsOfIdleFlowsSayWhyTheyWereRemoved);
-  CPPUNIT_TEST(DenialsAfterAnUnexpectedSequenceSayWhy);
+  CPPUNIT_TEST(DenialsAfterAnUnexpectedSequenceAreTheUpstreams);
   CPPUNIT_TEST(DenialsOfUnknownFlowsAreOnlyCounted);
   CPPUNIT_TEST(ClosedFlowsDoNotDisplaceOtherRemovals);
   CPPUNIT_TEST_SUITE_END();
@@ -161,19 +161,23 @@
     CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, Denied("idle"));
   }
 
-  void DenialsAfterAnUnexpectedSequenceSayWhy()
+  // Only the upstream decides on a packet with an unexpected sequence number; its bounce is a
+  // denial.
+  void DenialsAfterAnUnexpectedSequenceAreTheUpstreams()
   {
     ApplyRoutesAndHeartbeat();
     Establish(1);
+    const std::size_t delivered = mOutput.mToUpstream.size();
     constexpr std::uint32_t kOtherSequence = 0x40000000;
     FromBalancer(CallerPacket(TestFlow(1), FlagAck, kOtherSequence, 7, 100));
+    CPPUNIT_ASSERT_EQUAL(delivered + 1, mOutput.mToUpstream.size());
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, Denied("unknown"));
+    PacketBytes bounced = mOutput.mToUpstream.back();
+    bounced[kFlagsOffset] |= FlagBounced;
+    FromUpstream(bounced);
     CPPUNIT_ASSERT(mOutput.mToNodes.back().mHeader.mReason == ReturnReason::NotHeld);
-    AssertLine("flow_denied",
-               "flow=" + ToString(TestFlow(1)) +
-                 " answer=not_held to=" + NodeEndpoint(9).ToString() +
-                 " removed=sequence removed_age_ms=0 used_age_ms=0 known_ms=0 established=true"
-                 " upstream=i-1 started_ms=1000 heartbeat_age_ms=0 agent_age_ms=0 complete=true"
-                 " routes=1 view=0");
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, Denied("unknown"));
+    CPPUNIT_ASSERT(mLog->Lines("flow_denied").empty());
   }
 
   // Guards against a line for each agent that a balancer asks in vain.
@@ -188,7 +192,7 @@
   void ClosedFlowsDoNotDisplaceOtherRemovals()
   {
     RemovedFlows removed;
-    removed.Add({TestFlow(1), RemovalReason::Sequence, true, kStart, kStart, kStart});
+    removed.Add({TestFlow(1), RemovalReason::Opening, true, kStart, kStart, kStart});
     for (std::uint16_t caller = 2; caller < 2'000; ++caller) {
       removed.Add({TestFlow(caller), RemovalReason::Closed, true, kStart, kStart, kStart});
     }
--- a/unittests/Packet/PacketAgentTest.cpp
+++ b/unittests/Packet/PacketAgentTest.cpp
@@ -34,6 +34,9 @@
   CPPUNIT_TEST(BouncedOpeningsAreReturned);
   CPPUNIT_TEST(FlowsThatTheUpstreamLostAreReset);
   CPPUNIT_TEST(ReusedPortsAreNotTakenForTheOldFlow);
+  CPPUNIT_TEST(LateOpeningsDoNotRemoveAnOpenFlow);
+  CPPUNIT_TEST(BouncedOpeningsDoNotRemoveAnAcceptedFlow);
+  CPPUNIT_TEST(PacketsWithAnotherSequenceDoNotRemoveAnOpenFlow);
   CPPUNIT_TEST(AgentsNeedAProbeBeforeTheFirstHeartbeat);
   CPPUNIT_TEST(AgentsWithoutAnUpstreamAnswerNotFound);
   CPPUNIT_TEST(ResetsOfUnknownFlowsAreDropped);
@@ -408,6 +411,43 @@
     AssertReturned(ReturnReason::NotHeld);
   }
 
+  // An opening packet that was queued at a frozen VM comes while its flow is open.
+  void LateOpeningsDoNotRemoveAnOpenFlow()
+  {
+    ApplyRoutesAndHeartbeat();
+    Establish(1);
+    mOutput.Clear();
+    FromBalancer(CallerPacket(TestFlow(1), FlagSyn));
+    FromBalancer(CallerPacket(TestFlow(1), FlagSyn, 1, 1));
+    CPPUNIT_ASSERT(mOutput.mToNodes.empty());
+    CPPUNIT_ASSERT(mOutput.mToUpstream.empty());
+    CPPUNIT_ASSERT(AssertAnswer(NodeMessageType::HolderFound, NodeMessageType::QueryLocal,
+                                TestFlow(1)) == NodeEndpoint(kSelf));
+  }
+
+  // The upstream has no room for a copy of an opening packet that it has accepted.
+  void BouncedOpeningsDoNotRemoveAnAcceptedFlow()
+  {
+    ApplyRoutesAndHeartbeat();
+    Open(1);
+    FromBalancer(CallerPacket(TestFlow(1), FlagSyn, 1, 1));
+    Bounce();
+    AssertReturned(ReturnReason::Refused);
+    AssertAnswer(NodeMessageType::HolderFound, NodeMessageType::QueryLocal, TestFlow(1));
+  }
+
+  // Only the upstream knows which of two flows of one caller port it holds.
+  void PacketsWithAnotherSequenceDoNotRemoveAnOpenFlow()
+  {
+    ApplyRoutesAndHeartbeat();
+    Establish(1);
+    FromBalancer(CallerPacket(TestFlow(1), FlagAck, 0x40000000, 7, 100));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{3}, mOutput.mToUpstream.size());
+    Bounce();
+    AssertReturned(ReturnReason::NotHeld);
+    AssertAnswer(NodeMessageType::HolderFound, NodeMessageType::QueryLocal, TestFlow(1));
+  }
+
   // Guards against a NotFound from an agent that has just restarted although its upstream runs, and
   // against flows that are not found until the upstream's next heartbeat.
   void AgentsNeedAProbeBeforeTheFirstHeartbeat()
