Simulate the packet plane under faults and planned work

PacketFlowSimulation runs real PacketBalancer and PacketAgent cores with a seeded network, router, control, upstreams and callers, and records every reset of a flow that an upstream holds, with the flow's history. Resets within the contact time of an unplanned fault of balancer, agent or holder are counted apart.

--- /dev/null
+++ b/unittests/Packet/PacketFlowSimulation.h
@@ -0,0 +1,184 @@
+// Packet balancers and packet agents in one process, with simulated callers, upstreams, network and
+// control.
+#pragma once
+
+#include "PacketFixtures.h"
+
+#include "dandelionslip/Packet/DirectoryAgents.h"
+#include "dandelionslip/Packet/OpeningShares.h"
+#include "dandelionslip/Packet/PacketAgent.h"
+#include "dandelionslip/Packet/PacketBalancer.h"
+#include "dandelionslip/Support/Random.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+
+namespace dandelionslip {
+
+/// What happened in a run; shows that the simulation exercises the code.
+struct PacketFlowCounts
+{
+  std::size_t mOpened = 0;         ///< Flows whose handshake reached its upstream.
+  std::size_t mMoved = 0;          ///< Times that a flow's packets changed the balancer.
+  std::size_t mQueries = 0;        ///< Query and QueryLocal messages.
+  std::size_t mOpeningReturns = 0; ///< Opening packets that agents returned.
+  std::size_t mAnswered = 0;       ///< Requests that were answered.
+  std::size_t mTimedOut = 0;       ///< Requests on an open flow without an answer in time.
+  std::size_t mDeadTimedOut = 0;   ///< Flows that died with their upstream; the caller timed out.
+  std::size_t mDeadReset = 0;      ///< Flows that died with their upstream; the caller got a reset.
+};
+
+/// A reset of a flow that an upstream held open.
+struct PacketFlowViolation
+{
+  std::string mText; ///< Circumstances and history of the flow.
+  /// Whether balancer, agent and holder had no unplanned fault within the contact time.
+  bool mInTouch = false;
+};
+
+/// The simulated system. Every run with the same seed is the same.
+class PacketFlowSimulation
+{
+public:
+  /// aPlannedOnly: no faults, only planned work.
+  PacketFlowSimulation(std::uint64_t aSeed, bool aPlannedOnly);
+  ~PacketFlowSimulation();
+
+  /// Lets aTime pass, with random faults and planned work.
+  void Run(Milliseconds aTime);
+
+  const PacketFlowCounts& Counts() const { return mCounts; }
+  const std::vector<PacketFlowViolation>& Violations() const { return mViolations; }
+
+private:
+  using Task = std::function<void()>;
+  using Duration = RuntimeClock::duration;
+
+  struct Node;
+  struct Upstream;
+  struct UpstreamFlow;
+  struct CallerFlow;
+
+  /// What is true of a flow, as the upstreams see it.
+  struct FlowTruth
+  {
+    struct Event
+    {
+      TimePoint mAt;
+      std::string mText;
+    };
+
+    unsigned mBalancer = 0; ///< That got the flow's last packet.
+    Upstream* mHolder = nullptr;
+    bool mOpen = false;
+    bool mDied = false; ///< Its upstream crashed or left.
+    bool mReported = false;
+    TimePoint mOpenedAt;
+    TimePoint mLastPacketAt; ///< At the upstream.
+    std::vector<Event> mEvents;
+  };
+
+  // Events and network (PacketFlowSimulation.cpp).
+  void After(Duration aDelay, Task aTask);
+  void AfterOn(Node& aNode, Duration aDelay, Task aTask);
+  void Every(Node& aNode, Milliseconds aInterval, const Task& aTask);
+  void RunOn(Node& aNode, std::uint64_t aProcess, const Task& aTask);
+  bool Chance(double aShare) { return mRandom.Unit() < aShare; }
+  Duration Between(Milliseconds aShortest, Milliseconds aLongest);
+  std::optional<Duration> Delay(const Node* aFrom, const Node* aTo);
+  void SendDatagram(Node& aFrom, const Endpoint& aTo, const NodeMessageHeader& aHeader,
+                    std::span<const std::uint8_t> aPacket);
+  void SendToCaller(Node& aFrom, const FlowKey& aFlow, std::span<const std::uint8_t> aPacket);
+  void SendToUpstream(Node& aFrom, std::span<const std::uint8_t> aPacket);
+  void SendFromCaller(const FlowKey& aFlow, const PacketBytes& aPacket);
+  void CheckReadiness(Node& aNode);
+  void NoteDatagram(const Node& aFrom, unsigned aTo, const NodeMessageHeader& aHeader,
+                    std::span<const std::uint8_t> aPacket, const char* aVerb);
+  void Note(const FlowKey& aFlow, std::string aText);
+  void CheckReset(Node& aSender, const FlowKey& aFlow, const char* aWhen);
+  std::string Describe(const Node& aSender, const FlowKey& aFlow, const FlowTruth& aTruth) const;
+  std::int64_t Ms(TimePoint aTime) const;
+
+  // Balancers and agents (PacketFlowSimulationNodes.cpp).
+  Node& AddNode(MemberKind aKind, const std::string& aService, const std::string& aDataCentre);
+  void StartProcess(Node& aNode);
+  void KillProcess(Node& aNode);
+  void StopProcess(Node& aNode);
+  void Freeze(Node& aNode, Duration aTime, bool aClockStands);
+  TimePoint NodeTime(const Node& aNode) const;
+  void OnDatagram(Node& aNode, const Node& aFrom, const NodeMessageHeader& aHeader,
+                  PacketBytes aPacket);
+  void OnBalancerSeen(Node& aAgent, const Endpoint& aBalancer);
+  void SendLoadReports(Node& aAgent);
+  void ReportIfChanged(Node& aAgent, MemberState aBefore);
+
+  // Control and faults (PacketFlowSimulationControl.cpp).
+  void PublishRoutes();
+  void Announce(Node& aNode);
+  void ScheduleAnnouncement(Node& aNode, TimePoint aStartedAt);
+  void OnAnnouncement(const Member& aMember);
+  void CheckLeases();
+  void PublishState();
+  void SendState(Node& aNode);
+  void ApplyState(Node& aNode, const View& aView, const Configuration& aConfiguration);
+  void ScheduleFault();
+  void InjectFault();
+  Node& RandomNode(MemberKind aKind);
+  void Disturb(Node& aNode, Duration aTime);
+
+  // Upstreams (PacketFlowSimulationUpstreams.cpp).
+  void AddUpstream(const std::string& aService, const std::string& aDataCentre);
+  void StartUpstream(Upstream& aUpstream);
+  void CrashUpstream(Upstream& aUpstream);
+  void DrainUpstream(Upstream& aUpstream);
+  void EndUpstream(Upstream& aUpstream);
+  void SendHeartbeats(Upstream& aUpstream, std::uint64_t aStart);
+  void OnCallerPacket(Upstream& aUpstream, PacketBytes aPacket);
+  void OnOpening(Upstream& aUpstream, const PacketHeader& aHeader, PacketBytes aPacket);
+  void Bounce(Upstream& aUpstream, PacketBytes aPacket);
+  void SendFromUpstream(Upstream& aUpstream, const PacketBytes& aPacket);
+  void AnswerOpening(Upstream& aUpstream, const FlowKey& aFlow, std::uint64_t aStart,
+                     unsigned aAttempt);
+  void Respond(Upstream& aUpstream, const FlowKey& aFlow, std::uint64_t aStart,
+               std::uint32_t aRequest, unsigned aAttempt);
+
+  // Callers (PacketFlowSimulationCallers.cpp).
+  void OpenFlow();
+  void SendOpening(const FlowKey& aFlow, unsigned aAttempt);
+  void OnUpstreamPacket(const FlowKey& aFlow, const PacketBytes& aPacket);
+  void SendRequest(const FlowKey& aFlow, std::uint32_t aRequest, unsigned aAttempt);
+  void ContinueFlow(const FlowKey& aFlow);
+  void CloseFlow(const FlowKey& aFlow, unsigned aAttempt);
+  void Abandon(const FlowKey& aFlow);
+
+  std::uint64_t mSeed;
+  bool mPlannedOnly;
+  Random mRandom;
+  TimePoint mNow;
+  std::uint64_t mNextTask = 0;
+  std::map<std::pair<TimePoint, std::uint64_t>, Task> mTasks;
+  platform::PlatformPacketCodec mCodec;
+
+  std::vector<std::unique_ptr<Node>> mNodes; ///< Node number n is at index n - 1.
+  std::vector<std::unique_ptr<Upstream>> mUpstreams;
+  std::set<std::pair<unsigned, unsigned>> mCuts; ///< Sender and receiver.
+
+  View mView;
+  Configuration mConfiguration;
+  bool mStateChanged = false;
+  std::map<std::string, TimePoint> mHeardAt; ///< By member name.
+  Duration mLease{};
+  std::uint32_t mPace = 0; ///< Longest time between two faults, in ms.
+
+  std::map<FlowKey, CallerFlow> mCallerFlows;
+  std::map<FlowKey, FlowTruth> mTruths;
+  std::uint32_t mNextFlow = 0;
+  std::vector<std::string> mFaults;
+
+  PacketFlowCounts mCounts;
+  std::vector<PacketFlowViolation> mViolations;
+};
+
+} // namespace dandelionslip
--- /dev/null
+++ b/unittests/Packet/PacketFlowSimulationParts.h
@@ -0,0 +1,131 @@
+// The parts of a PacketFlowSimulation.
+#pragma once
+
+#include "PacketFlowSimulation.h"
+
+namespace dandelionslip {
+
+/// A VM with a balancer or an agent.
+struct PacketFlowSimulation::Node : PacketOutput
+{
+  /// The last load report that a balancer got from an agent.
+  struct ReportSeen
+  {
+    TimePoint mAt;
+    std::uint64_t mConfirmedAgentsDigest = 0;
+    bool mAccepts = false;
+  };
+
+  Node(PacketFlowSimulation& aSimulation, unsigned aNumber)
+    : mSimulation(aSimulation)
+    , mNumber(aNumber)
+  {
+  }
+
+  void SendToNode(const Endpoint& aNode, const NodeMessageHeader& aHeader,
+                  std::span<const std::uint8_t> aPacket) override
+  {
+    mSimulation.SendDatagram(*this, aNode, aHeader, aPacket);
+  }
+  void SendToCaller(const FlowKey& aFlow, std::span<const std::uint8_t> aPacket) override
+  {
+    mSimulation.SendToCaller(*this, aFlow, aPacket);
+  }
+  void SendToUpstream(std::span<const std::uint8_t> aPacket) override
+  {
+    mSimulation.SendToUpstream(*this, aPacket);
+  }
+
+  PacketFlowSimulation& mSimulation;
+  unsigned mNumber;
+  std::string mName;
+  MemberKind mKind = MemberKind::Balancer;
+  std::string mService;
+  std::string mDataCentre;
+  Endpoint mEndpoint;
+
+  std::unique_ptr<MetricsRegistry> mRegistry;
+  std::unique_ptr<PacketBalancer> mBalancer;
+  std::unique_ptr<PacketAgent> mAgent;
+  std::uint64_t mProcess = 0; ///< Number of the process; tasks of earlier ones are dropped.
+  std::uint64_t mIncarnation = 0;
+  TimePoint mStartedAt;
+  bool mUp = false;
+  bool mStopping = false;
+  bool mGone = false; ///< The VM was removed.
+
+  bool mFrozen = false;
+  TimePoint mFrozenAt;
+  Duration mClockLag{}; ///< Time for which the node's clock stood still.
+  std::vector<Task> mDeferred;
+
+  double mLoss = 0;
+  double mTails = 0; ///< Share of datagrams that are delayed by up to 300 ms.
+  Milliseconds mStateDelay{0};
+  /// End of the last unplanned fault of the node or its links.
+  TimePoint mDisturbedUntil;
+
+  std::uint64_t mViewRevision = 0;
+  std::uint64_t mConfigurationRevision = 0;
+  DirectoryAgents mDirectoryAgents; ///< Of the last applied view.
+
+  unsigned mMisses = 2; ///< Readiness checks that failed in a row.
+  std::map<unsigned, ReportSeen> mReports;
+
+  std::map<Endpoint, TimePoint> mBalancers; ///< Known to an agent.
+  OpeningShares mShares;
+  Upstream* mUpstream = nullptr;
+};
+
+/// A flow at an upstream.
+struct PacketFlowSimulation::UpstreamFlow
+{
+  enum class State
+  {
+    Opening,
+    Open,
+    Ended,
+  };
+
+  State mState = State::Opening;
+  std::uint32_t mSequence = 0;
+  std::uint32_t mCallerSequence = 0;
+  std::uint32_t mNextRequest = 0;
+  std::uint32_t mResponses = 0;    ///< Requests whose response was sent.
+  std::uint32_t mAcknowledged = 0; ///< Responses that the caller acknowledged.
+};
+
+/// An upstream, which outlives the processes of its agent.
+struct PacketFlowSimulation::Upstream
+{
+  Node* mNode = nullptr;
+  unsigned mNumber = 0;
+  std::string mId;
+  bool mUp = false;
+  bool mDraining = false;
+  std::uint64_t mStart = 0; ///< Number of the start; tasks of earlier ones are dropped.
+  TimePoint mStartedAt;
+  std::uint64_t mHeartbeats = 0;
+  TimePoint mFullUntil;
+  TimePoint mSlowUntil;
+  TimePoint mSilentUntil;
+  std::map<FlowKey, UpstreamFlow> mFlows;
+};
+
+/// A flow at its caller.
+struct PacketFlowSimulation::CallerFlow
+{
+  std::uint32_t mSequence = 0;
+  std::optional<std::uint32_t> mUpstreamSequence;
+  std::uint32_t mRequest = 0; ///< Number of the current or next request.
+  bool mWaits = false;        ///< For the answer to mRequest.
+  bool mCloses = false;
+  TimePoint mDeadline;
+  TimePoint mEndsAt;
+  std::uint32_t mRequestsLeft = 0;
+};
+
+/// Bytes of every request and response.
+inline constexpr std::uint16_t kMessageBytes = 100;
+
+} // namespace dandelionslip
