Add seeds that reset open flows (known failures)

The seeds show three causes:

- Agents that returned the opening are not queried (planned 323, 352).
- An opening that waits at, or is kept by, one balancer is refused while the flow is open through another one (planned 126, 171, 305).
- An opening packet that comes late removes the open flow from its agent's table, which then denies it (faults 48, 441).

More callers, more frequent faults and power loss of an agent with its upstream were added.

--- a/unittests/Packet/PacketFlowSimulation.cpp
+++ b/unittests/Packet/PacketFlowSimulation.cpp
@@ -19,7 +19,7 @@
 
 constexpr std::size_t kBalancers = 5;
 constexpr std::size_t kAgents = 8;
-constexpr std::size_t kCallers = 50;
+constexpr std::size_t kCallers = 70;
 
 const char* TypeText(NodeMessageType aType)
 {
@@ -75,7 +75,7 @@
   , mNow(kStart)
 {
   mLease = Between(Milliseconds(1'000), Milliseconds(2'000));
-  mPace = static_cast<std::uint32_t>(1'000 + mRandom.Below(6'000));
+  mPace = static_cast<std::uint32_t>(600 + mRandom.Below(5'000));
   mView.mRevision = 1;
   PublishRoutes();
   for (std::size_t i = 0; i < kAgents; ++i) {
--- a/unittests/Packet/PacketFlowSimulationControl.cpp
+++ b/unittests/Packet/PacketFlowSimulationControl.cpp
@@ -103,8 +103,8 @@
 // Each node gets the state after its own delay, so nodes hold views of different age.
 void PacketFlowSimulation::SendState(Node& aNode)
 {
-  const Duration delay = Chance(0.03) ? Between(Milliseconds(50), Milliseconds(500))
-                                      : Between(Milliseconds(5), aNode.mStateDelay);
+  const Duration delay = Chance(0.1) ? Between(Milliseconds(50), Milliseconds(500))
+                                     : Between(Milliseconds(5), aNode.mStateDelay);
   AfterOn(aNode, delay,
           [this, &aNode, view = std::make_shared<const View>(mView),
            configuration = std::make_shared<const Configuration>(mConfiguration)] {
@@ -239,6 +239,10 @@
     if (upstream.mUp) {
       Disturb(*upstream.mNode, Milliseconds(2'000));
       CrashUpstream(upstream);
+      if (upstream.mNode->mUp && Chance(0.4)) {
+        log("kill of " + upstream.mNode->mName);
+        KillProcess(*upstream.mNode);
+      }
     }
   } else if (Chance(0.2)) {
     log("kill of all processes");
--- a/unittests/Packet/PacketFlowSimulationTest.cpp
+++ b/unittests/Packet/PacketFlowSimulationTest.cpp
@@ -12,23 +12,31 @@
 
 constexpr Milliseconds kRunTime{60'000};
 
-struct Seeds
+constexpr std::uint64_t kUsualSeeds = 6;
+
+// DANDELIONSLIP_SIMULATION_SEEDS=FIRST:COUNT selects seeds for a long run, which prints every reset
+// of an open flow.
+const char* SelectedSeeds()
 {
-  std::uint64_t mFirst = 1;
-  std::uint64_t mCount = 10;
-};
+  return std::getenv("DANDELIONSLIP_SIMULATION_SEEDS");
+}
 
-// DANDELIONSLIP_SIMULATION_SEEDS=FIRST:COUNT selects other seeds.
-Seeds SeedsToRun()
+// The selected seeds; by default those that failed before and the first ones.
+std::vector<std::uint64_t> SeedsToRun(std::vector<std::uint64_t> aFailedBefore)
 {
-  const char* text = std::getenv("DANDELIONSLIP_SIMULATION_SEEDS");
-  if (text == nullptr) {
-    return {};
+  std::uint64_t first = 1;
+  std::uint64_t count = kUsualSeeds;
+  if (SelectedSeeds() != nullptr) {
+    const std::string value(SelectedSeeds());
+    const auto colon = value.find(':');
+    first = std::stoull(value);
+    count = colon == std::string::npos ? 1 : std::stoull(value.substr(colon + 1));
+    aFailedBefore.clear();
   }
-  const std::string value(text);
-  const auto colon = value.find(':');
-  return {std::stoull(value),
-          colon == std::string::npos ? 1 : std::stoull(value.substr(colon + 1))};
+  for (std::uint64_t seed = first; seed < first + count; ++seed) {
+    aFailedBefore.push_back(seed);
+  }
+  return aFailedBefore;
 }
 
 class PacketFlowSimulationTest : public CppUnit::TestFixture
@@ -40,13 +48,12 @@
   CPPUNIT_TEST(RunsAreRepeatable);
   CPPUNIT_TEST_SUITE_END();
 
-  static void CheckSeeds(bool aPlannedOnly)
+  static void CheckSeeds(bool aPlannedOnly, const std::vector<std::uint64_t>& aSeeds)
   {
-    const auto [first, count] = SeedsToRun();
     std::size_t inTouch = 0;
     std::size_t outOfTouch = 0;
     std::string firstText;
-    for (std::uint64_t seed = first; seed < first + count; ++seed) {
+    for (const std::uint64_t seed : aSeeds) {
       PacketFlowSimulation simulation(seed, aPlannedOnly);
       simulation.Run(kRunTime);
       for (const PacketFlowViolation& violation : simulation.Violations()) {
@@ -54,20 +61,23 @@
         if (firstText.empty() && violation.mInTouch) {
           firstText = violation.mText;
         }
-        if (std::getenv("DANDELIONSLIP_SIMULATION_SEEDS") != nullptr) {
-          std::cout << (violation.mInTouch ? "VIOLATION " : "out of touch ") << violation.mText
-                    << std::endl;
+        if (SelectedSeeds() != nullptr) {
+          std::cout << (violation.mInTouch ? "VIOLATION " : "out of touch ")
+                    << (aPlannedOnly ? "planned only, " : "") << violation.mText << std::endl;
         }
       }
     }
-    if (outOfTouch > 0) {
+    if (outOfTouch > 0 && SelectedSeeds() != nullptr) {
       std::cout << outOfTouch << " resets of open flows within the contact time of a fault\n";
     }
     CPPUNIT_ASSERT_EQUAL_MESSAGE(firstText, std::size_t{0}, inTouch);
   }
 
-  void OpenFlowsAreNotResetByPlannedWork() { CheckSeeds(true); }
-  void OpenFlowsAreNotResetUnderFaults() { CheckSeeds(false); }
+  void OpenFlowsAreNotResetByPlannedWork()
+  {
+    CheckSeeds(true, SeedsToRun({126, 171, 305, 323, 352}));
+  }
+  void OpenFlowsAreNotResetUnderFaults() { CheckSeeds(false, SeedsToRun({43, 48, 441})); }
 
   // Guards against a simulation in which nothing happens.
   void RunsContainWhatTheyTest()
@@ -92,7 +102,7 @@
       std::to_string(sum.mOpeningReturns) + ", answered " + std::to_string(sum.mAnswered) +
       ", timed out " + std::to_string(sum.mTimedOut) + ", dead flows timed out " +
       std::to_string(sum.mDeadTimedOut) + ", dead flows reset " + std::to_string(sum.mDeadReset);
-    if (std::getenv("DANDELIONSLIP_SIMULATION_SEEDS") != nullptr) {
+    if (SelectedSeeds() != nullptr) {
       std::cout << text << std::endl;
     }
     CPPUNIT_ASSERT_MESSAGE(text, sum.mOpened > 1'000 && sum.mMoved > 1'000);
