--- /dev/null
+++ b/unittests/Packet/PacketFlowSimulationTest.cpp
@@ -0,0 +1,130 @@
+// Checks of flows under random faults and planned work, in the simulated packet plane.
+#include "PacketFlowSimulation.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <cstdlib>
+#include <iostream>
+
+namespace dandelionslip {
+
+namespace {
+
+constexpr Milliseconds kRunTime{60'000};
+
+constexpr std::uint64_t kUsualSeeds = 6;
+
+// DANDELIONSLIP_SIMULATION_SEEDS=FIRST:COUNT selects seeds for a long run, which prints every reset
+// of an open flow.
+const char* SelectedSeeds()
+{
+  return std::getenv("DANDELIONSLIP_SIMULATION_SEEDS");
+}
+
+// The selected seeds; by default those that failed before and the first ones.
+std::vector<std::uint64_t> SeedsToRun(std::vector<std::uint64_t> aFailedBefore)
+{
+  std::uint64_t first = 1;
+  std::uint64_t count = kUsualSeeds;
+  if (SelectedSeeds() != nullptr) {
+    const std::string value(SelectedSeeds());
+    const auto colon = value.find(':');
+    first = std::stoull(value);
+    count = colon == std::string::npos ? 1 : std::stoull(value.substr(colon + 1));
+    aFailedBefore.clear();
+  }
+  for (std::uint64_t seed = first; seed < first + count; ++seed) {
+    aFailedBefore.push_back(seed);
+  }
+  return aFailedBefore;
+}
+
+class PacketFlowSimulationTest : public CppUnit::TestFixture
+{
+  CPPUNIT_TEST_SUITE(PacketFlowSimulationTest);
+  CPPUNIT_TEST(OpenFlowsAreNotResetByPlannedWork);
+  CPPUNIT_TEST(OpenFlowsAreNotResetUnderFaults);
+  CPPUNIT_TEST(RunsContainWhatTheyTest);
+  CPPUNIT_TEST(RunsAreRepeatable);
+  CPPUNIT_TEST_SUITE_END();
+
+  static void CheckSeeds(bool aPlannedOnly, const std::vector<std::uint64_t>& aSeeds)
+  {
+    std::size_t inTouch = 0;
+    std::size_t outOfTouch = 0;
+    std::string firstText;
+    for (const std::uint64_t seed : aSeeds) {
+      PacketFlowSimulation simulation(seed, aPlannedOnly);
+      simulation.Run(kRunTime);
+      for (const PacketFlowViolation& violation : simulation.Violations()) {
+        ++(violation.mInTouch ? inTouch : outOfTouch);
+        if (firstText.empty() && violation.mInTouch) {
+          firstText = violation.mText;
+        }
+        if (SelectedSeeds() != nullptr) {
+          std::cout << (violation.mInTouch ? "VIOLATION " : "out of touch ")
+                    << (aPlannedOnly ? "planned only, " : "") << violation.mText << std::endl;
+        }
+      }
+    }
+    if (outOfTouch > 0 && SelectedSeeds() != nullptr) {
+      std::cout << outOfTouch << " resets of open flows within the contact time of a fault\n";
+    }
+    CPPUNIT_ASSERT_EQUAL_MESSAGE(firstText, std::size_t{0}, inTouch);
+  }
+
+  void OpenFlowsAreNotResetByPlannedWork()
+  {
+    CheckSeeds(true, SeedsToRun({126, 171, 305, 323, 352}));
+  }
+  void OpenFlowsAreNotResetUnderFaults() { CheckSeeds(false, SeedsToRun({43, 48, 441})); }
+
+  // Guards against a simulation in which nothing happens.
+  void RunsContainWhatTheyTest()
+  {
+    PacketFlowCounts sum;
+    for (std::uint64_t seed = 1; seed <= 4; ++seed) {
+      PacketFlowSimulation simulation(seed, false);
+      simulation.Run(kRunTime);
+      const PacketFlowCounts& counts = simulation.Counts();
+      sum.mOpened += counts.mOpened;
+      sum.mMoved += counts.mMoved;
+      sum.mQueries += counts.mQueries;
+      sum.mOpeningReturns += counts.mOpeningReturns;
+      sum.mAnswered += counts.mAnswered;
+      sum.mTimedOut += counts.mTimedOut;
+      sum.mDeadTimedOut += counts.mDeadTimedOut;
+      sum.mDeadReset += counts.mDeadReset;
+    }
+    const std::string text =
+      "opened " + std::to_string(sum.mOpened) + ", moved " + std::to_string(sum.mMoved) +
+      ", queries " + std::to_string(sum.mQueries) + ", returns " +
+      std::to_string(sum.mOpeningReturns) + ", answered " + std::to_string(sum.mAnswered) +
+      ", timed out " + std::to_string(sum.mTimedOut) + ", dead flows timed out " +
+      std::to_string(sum.mDeadTimedOut) + ", dead flows reset " + std::to_string(sum.mDeadReset);
+    if (SelectedSeeds() != nullptr) {
+      std::cout << text << std::endl;
+    }
+    CPPUNIT_ASSERT_MESSAGE(text, sum.mOpened > 1'000 && sum.mMoved > 1'000);
+    CPPUNIT_ASSERT_MESSAGE(text, sum.mQueries > 1'000 && sum.mOpeningReturns > 20);
+    CPPUNIT_ASSERT_MESSAGE(text, sum.mAnswered > 20 * sum.mTimedOut);
+    CPPUNIT_ASSERT_MESSAGE(text, sum.mDeadReset > 10 && sum.mDeadReset > sum.mDeadTimedOut);
+  }
+
+  void RunsAreRepeatable()
+  {
+    PacketFlowSimulation first(7, false);
+    PacketFlowSimulation second(7, false);
+    first.Run(kRunTime);
+    second.Run(kRunTime);
+    CPPUNIT_ASSERT_EQUAL(first.Counts().mAnswered, second.Counts().mAnswered);
+    CPPUNIT_ASSERT_EQUAL(first.Counts().mQueries, second.Counts().mQueries);
+    CPPUNIT_ASSERT_EQUAL(first.Violations().size(), second.Violations().size());
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(PacketFlowSimulationTest);
+
+} // namespace
+
+} // namespace dandelionslip
