Ask the directory before an opening that waited is reset

What callers would see: a reset sent by a balancer at which an opening packet waited, while a copy of the packet had opened the flow through another balancer.

Cause: a balancer judged an opening by the packet alone, however old the packet was: it reset an opening that had waited, placed one again that an agent returned seconds later, and forwarded a returned one to the holder of the open flow.

Change: an opening whose caller may have sent a copy is reset only after both directory agents have answered that they do not know the flow, or 100 ms. A further packet of the flow shows that it is open and drops the waiting opening. An opening that is returned while the flow is open or placed elsewhere, or after its caller has given up, is dropped.

Measured: WaitingOpeningsOfOpenFlowsAreDropped, OpeningsThatWaitedAreNotResetWhileTheFlowIsOpen and LateReturnedOpeningsAreNotPlacedAgain fail without the change.

--- a/include/dandelionslip/Packet/OpeningQueue.h
+++ b/include/dandelionslip/Packet/OpeningQueue.h
@@ -8,7 +8,7 @@
 #include <functional>
 #include <map>
 #include <tuple>
-#include <unordered_set>
+#include <unordered_map>
 #include <vector>
 
 namespace dandelionslip {
@@ -43,6 +43,9 @@
   /// Adds the opening packet unless its flow is in the queue already. Returns whether it was added.
   bool Add(WaitingOpening aOpening);
 
+  /// Removes the opening packet of the flow, if there is one.
+  void Remove(const FlowKey& aFlow);
+
   /// Removes and returns the first aCount opening packets for which the condition holds, in the
   /// order given above.
   std::vector<WaitingOpening> Take(std::size_t aCount, const Condition& aCondition);
@@ -55,7 +58,7 @@
   using SortKey = std::tuple<std::uint32_t, RuntimeClock::duration, std::uint64_t>;
 
   std::map<SortKey, WaitingOpening> mOpenings;
-  std::unordered_set<FlowKey, FlowKeyHash> mFlows;
+  std::unordered_map<FlowKey, SortKey, FlowKeyHash> mFlows;
   std::uint64_t mNextNumber = 0;
 };
 
--- a/include/dandelionslip/Packet/PacketBalancer.h
+++ b/include/dandelionslip/Packet/PacketBalancer.h
@@ -147,6 +147,17 @@
     std::unique_ptr<Search> mSearch;
   };
 
+  /// An opening that is reset unless a directory agent answers that the flow is open.
+  struct PendingRefusal
+  {
+    PacketHeader mPacketHeader;
+    std::vector<FlowDenial> mReturnedBy;
+    Counter* mCounter = nullptr;
+    TimePoint mArrivedAt;
+    TimePoint mQueriedAt;
+    std::vector<Endpoint> mUnanswered; ///< Directory agents that have not answered yet.
+  };
+
   using AgentMap = std::map<Endpoint, Agent>;
 
   const RouteEntry* FindRoute(const FlowKey& aFlow) const;
@@ -217,11 +228,19 @@
   void ApplyView(const View& aView, TimePoint aNow);
   void ApplyAgent(const Member& aMember, TimePoint aNow);
   void LogPlacement(const PacketHeader& aPacketHeader, const Endpoint& aHolder, TimePoint aNow);
-  /// Resets an opening and logs what decided it: the agents that returned it and the state of the
-  /// agents of its route. aArrivedAt: when its packet came.
+  /// Resets an opening that cannot be placed. If the caller may have sent a copy of the packet in
+  /// the meantime, queries the directory agents first: the copy may have opened the flow through
+  /// another balancer. aArrivedAt: when the packet came.
   void RefuseOpening(const PacketHeader& aPacketHeader, std::span<const FlowDenial> aReturnedBy,
                      Counter& aCounter, PacketOutput& aOutput, TimePoint aArrivedAt,
                      TimePoint aNow);
+  /// Resets an opening and logs what decided it: the agents that returned it and the state of the
+  /// agents of its route.
+  void ResetOpening(const PendingRefusal& aRefusal, PacketOutput& aOutput, TimePoint aNow);
+  /// Handles a directory agent's answer. Returns whether the flow has a pending refusal.
+  bool AnswerPendingRefusal(const FlowKey& aKey, const Endpoint& aFrom, NodeMessageType aType,
+                            PacketOutput& aOutput, TimePoint aNow);
+  void ResetUnansweredRefusals(PacketOutput& aOutput, TimePoint aNow);
   /// Resets a flow that no agent holds and logs what decided it: which agents were ruled out, by
   /// which answer of which age, and those for which the directory agents spoke.
   void ResetFlow(const PacketHeader& aPacketHeader, const Flow& aFlow, PacketOutput& aOutput,
@@ -246,6 +265,7 @@
   TimePoint mReportsCheckedAt;            ///< When these searches were last continued.
   std::vector<EarlyPacket> mEarlyPackets; ///< In order of arrival.
   OpeningQueue mWaiting;
+  std::unordered_map<FlowKey, PendingRefusal, FlowKeyHash> mPendingRefusals;
   TimePoint mExpiryCheckedAt; ///< When openings that waited too long were last reset.
   /// Set while a waiting opening is placed again: its time of arrival, which keeps its position in
   /// the queue if it has to wait again.
--- a/lib/Packet/OpeningQueue.cpp
+++ b/lib/Packet/OpeningQueue.cpp
@@ -8,14 +8,23 @@
 
 bool OpeningQueue::Add(WaitingOpening aOpening)
 {
-  if (!mFlows.insert(aOpening.mFlow).second) {
+  const SortKey key{aOpening.mPriority, -aOpening.mArrivedAt.time_since_epoch(), mNextNumber};
+  if (!mFlows.try_emplace(aOpening.mFlow, key).second) {
     return false;
   }
-  const SortKey key{aOpening.mPriority, -aOpening.mArrivedAt.time_since_epoch(), mNextNumber++};
+  ++mNextNumber;
   mOpenings.emplace(key, std::move(aOpening));
   return true;
 }
 
+void OpeningQueue::Remove(const FlowKey& aFlow)
+{
+  if (const auto found = mFlows.find(aFlow); found != mFlows.end()) {
+    mOpenings.erase(found->second);
+    mFlows.erase(found);
+  }
+}
+
 std::vector<WaitingOpening> OpeningQueue::Take(std::size_t aCount, const Condition& aCondition)
 {
   std::vector<WaitingOpening> taken;
--- a/lib/Packet/PacketBalancer.cpp
+++ b/lib/Packet/PacketBalancer.cpp
@@ -202,10 +202,13 @@
     mFlowsFull.Add();
     return;
   }
+  mPendingRefusals.erase(packetHeader->mFlow);
   if (packetHeader->mOpens) {
     OnOpening(*packetHeader, aPacket, aOutput, aNow);
     return;
   }
+  // The caller sends further packets only on a flow that an upstream has accepted.
+  mWaiting.Remove(packetHeader->mFlow);
   if (!Ready()) {
     if (mEarlyPackets.size() < kMaxEarlyPackets) {
       mEarlyPackets.push_back({{aPacket.begin(), aPacket.end()}, aNow});
@@ -435,8 +438,14 @@
     .With("agent", aFrom.ToString())
     .With("reason", ToString(aReason));
   Flow& flow = FindOrAddFlow(packetHeader->mFlow, aNow);
+  if (packetHeader->mOpens &&
+      (flow.mSearch || aNow - flow.mFirstUsedAt > mSettings.mMaxPacketWait ||
+       (flow.mHolder && *flow.mHolder != aFrom))) {
+    // The flow is open or placed elsewhere, or its caller has given up.
+    return;
+  }
   if (flow.mHolder && *flow.mHolder != aFrom) {
-    // The flow was found or placed at another agent in the meantime.
+    // The flow was found at another agent in the meantime.
     aOutput.SendToNode(*flow.mHolder, {NodeMessageType::Deliver, ReturnReason::None}, aPacket);
     return;
   }
--- a/lib/Packet/PacketBalancerResets.cpp
+++ b/lib/Packet/PacketBalancerResets.cpp
@@ -4,11 +4,19 @@
 #include "dandelionslip/Support/Log.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace dandelionslip {
 
 namespace {
 
+// Callers send the first copy of an opening packet after 200 ms. Somewhat less, because the packet
+// may have been delayed on its way.
+constexpr Milliseconds kFirstCopyAfter{150};
+
+// The directory agents' answers to a query before a refusal are awaited for this long.
+constexpr Milliseconds kRefusalTimeout{100};
+
 std::int64_t AgeMs(TimePoint aThen, TimePoint aNow)
 {
   return std::chrono::duration_cast<Milliseconds>(aNow - aThen).count();
@@ -20,8 +28,58 @@
                                    std::span<const FlowDenial> aReturnedBy, Counter& aCounter,
                                    PacketOutput& aOutput, TimePoint aArrivedAt, TimePoint aNow)
 {
-  aCounter.Add();
-  const RouteEntry* route = FindRoute(aPacketHeader.mFlow);
+  PendingRefusal refusal{
+    aPacketHeader, {aReturnedBy.begin(), aReturnedBy.end()}, &aCounter, aArrivedAt, aNow, {}};
+  const bool mayBeOpen = aPacketHeader.mRetransmission > 0 || aNow - aArrivedAt > kFirstCopyAfter;
+  if (mayBeOpen) {
+    refusal.mUnanswered = mDirectoryAgents.AgentsFor(aPacketHeader.mFlow);
+  }
+  if (refusal.mUnanswered.empty()) {
+    ResetOpening(refusal, aOutput, aNow);
+    return;
+  }
+  const auto message = FlowMessage{{}, {aPacketHeader.mFlow}}.Encode();
+  for (const Endpoint& agent : refusal.mUnanswered) {
+    aOutput.SendToNode(agent, {NodeMessageType::Query, ReturnReason::None}, message);
+  }
+  mPendingRefusals[aPacketHeader.mFlow] = std::move(refusal);
+}
+
+bool PacketBalancer::AnswerPendingRefusal(const FlowKey& aKey, const Endpoint& aFrom,
+                                          NodeMessageType aType, PacketOutput& aOutput,
+                                          TimePoint aNow)
+{
+  const auto found = mPendingRefusals.find(aKey);
+  if (found == mPendingRefusals.end()) {
+    return false;
+  }
+  auto& unanswered = found->second.mUnanswered;
+  if (aType == NodeMessageType::HolderFound) {
+    mPendingRefusals.erase(found);
+  } else if (std::erase(unanswered, aFrom) > 0 && unanswered.empty()) {
+    ResetOpening(found->second, aOutput, aNow);
+    mPendingRefusals.erase(found);
+  }
+  return true;
+}
+
+void PacketBalancer::ResetUnansweredRefusals(PacketOutput& aOutput, TimePoint aNow)
+{
+  std::erase_if(mPendingRefusals, [&](const auto& aItem) {
+    const bool overdue = aNow - aItem.second.mQueriedAt > kRefusalTimeout;
+    if (overdue) {
+      ResetOpening(aItem.second, aOutput, aNow);
+    }
+    return overdue;
+  });
+}
+
+void PacketBalancer::ResetOpening(const PendingRefusal& aRefusal, PacketOutput& aOutput,
+                                  TimePoint aNow)
+{
+  aRefusal.mCounter->Add();
+  const PacketHeader& header = aRefusal.mPacketHeader;
+  const RouteEntry* route = FindRoute(header.mFlow);
   std::size_t candidates = 0;
   std::size_t silent = 0;
   std::size_t declining = 0;
@@ -37,13 +95,13 @@
     }
   }
   LogEvent(LogLevel::Info, "flow_refused")
-    .With("flow", ToString(aPacketHeader.mFlow))
-    .With("copy", aPacketHeader.mRetransmission)
-    .With("reason", &aCounter == &mNoRoute       ? "no_route"
-                    : &aCounter == &mWaitExpired ? "waited_too_long"
-                                                 : "no_upstream")
-    .With("waited_ms", AgeMs(aArrivedAt, aNow))
-    .With("returned_by", ToText(aReturnedBy, aNow))
+    .With("flow", ToString(header.mFlow))
+    .With("copy", header.mRetransmission)
+    .With("reason", aRefusal.mCounter == &mNoRoute       ? "no_route"
+                    : aRefusal.mCounter == &mWaitExpired ? "waited_too_long"
+                                                         : "no_upstream")
+    .With("waited_ms", AgeMs(aRefusal.mArrivedAt, aNow))
+    .With("returned_by", ToText(aRefusal.mReturnedBy, aNow))
     .With("candidates", candidates)
     .With("silent", silent)
     .With("declining", declining)
@@ -53,8 +111,7 @@
     .With("view_age_ms", AgeMs(mViewAppliedAt, aNow))
     .With("agents", mAgents.size())
     .With("waiting", mWaiting.Size());
-  aOutput.SendToCaller(aPacketHeader.mFlow,
-                       mCodec.EncodeReset(aPacketHeader.mFlow, aPacketHeader.mAcknowledged));
+  aOutput.SendToCaller(header.mFlow, mCodec.EncodeReset(header.mFlow, header.mAcknowledged));
 }
 
 void PacketBalancer::ResetFlow(const PacketHeader& aPacketHeader, const Flow& aFlow,
--- a/lib/Packet/PacketBalancerSearch.cpp
+++ b/lib/Packet/PacketBalancerSearch.cpp
@@ -269,6 +269,9 @@
     return;
   }
   const FlowKey& key = message.value().mFlows.front();
+  if (AnswerPendingRefusal(key, aFrom, aType, aOutput, aNow)) {
+    return;
+  }
   const auto found = mFlows.find(key);
   if (found == mFlows.end() || !found->second.mSearch) {
     return;
--- a/unittests/Packet/PacketBalancerTest.cpp
+++ b/unittests/Packet/PacketBalancerTest.cpp
@@ -38,6 +38,9 @@
   CPPUNIT_TEST(OpeningsWaitForRoutes);
   CPPUNIT_TEST(OpeningsWaitForColdUpstreams);
   CPPUNIT_TEST(OpeningsThatCannotBeServedInTimeAreReset);
+  CPPUNIT_TEST(WaitingOpeningsOfOpenFlowsAreDropped);
+  CPPUNIT_TEST(OpeningsThatWaitedAreNotResetWhileTheFlowIsOpen);
+  CPPUNIT_TEST(LateReturnedOpeningsAreNotPlacedAgain);
   CPPUNIT_TEST(HighPriorityRoutesLeaveTheQueueFirst);
   CPPUNIT_TEST(DataCentresOutOfServiceGetNoOpenings);
   CPPUNIT_TEST(FlowsFollowTheSpeedOfUpstreams);
@@ -591,6 +594,68 @@
     CPPUNIT_ASSERT(mOutput.mToNodes.empty());
   }
 
+  // An opening of flow 1 that waits for cold upstreams.
+  void Wait()
+  {
+    Settle();
+    Report(1, Cold(0, Milliseconds{30'000}));
+    Report(2, Cold(0, Milliseconds{30'000}));
+    Send(CallerPacket(TestFlow(1), FlagSyn));
+    mNow += Milliseconds{700};
+    mOutput.Clear();
+  }
+
+  // A copy of the opening packet has opened the flow through another balancer.
+  void WaitingOpeningsOfOpenFlowsAreDropped()
+  {
+    Wait();
+    Send(CallerPacket(TestFlow(1), FlagAck, 7, 9, 50));
+    Answer(1, NodeMessageType::HolderFound, TestFlow(1), NodeEndpoint(2));
+    mNow += Milliseconds{1'000};
+    mBalancer.OnTick(mOutput, mNow);
+    mNow += Milliseconds{1'000};
+    mBalancer.OnTick(mOutput, mNow);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, mOutput.Resets());
+  }
+
+  // As above, and the flow's other packets go to that balancer too.
+  void OpeningsThatWaitedAreNotResetWhileTheFlowIsOpen()
+  {
+    for (const bool open : {true, false}) {
+      Wait();
+      mNow += Milliseconds{200};
+      mBalancer.OnTick(mOutput, mNow);
+      CPPUNIT_ASSERT_EQUAL(std::size_t{2}, Sent(NodeMessageType::Query));
+      CPPUNIT_ASSERT_EQUAL(std::size_t{0}, mOutput.Resets());
+      Answer(1, NodeMessageType::NotRegistered, TestFlow(1));
+      CPPUNIT_ASSERT_EQUAL(std::size_t{0}, mOutput.Resets());
+      Answer(2, open ? NodeMessageType::HolderFound : NodeMessageType::NotRegistered, TestFlow(1),
+             NodeEndpoint(2));
+      CPPUNIT_ASSERT_EQUAL(std::size_t{open ? 0U : 1U}, mOutput.Resets());
+    }
+    Wait();
+    mNow += Milliseconds{200};
+    mBalancer.OnTick(mOutput, mNow);
+    mNow += Milliseconds{150};
+    mBalancer.OnTick(mOutput, mNow);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, mOutput.Resets());
+  }
+
+  // A frozen agent returns the packet after its caller has given up or opened the flow elsewhere.
+  void LateReturnedOpeningsAreNotPlacedAgain()
+  {
+    Settle();
+    const PacketBytes opening = CallerPacket(TestFlow(1), FlagSyn);
+    Send(opening);
+    const unsigned first = mOutput.mToNodes[0].mNode == NodeEndpoint(1) ? 1 : 2;
+    mOutput.Clear();
+    mNow += Milliseconds{5'000};
+    Report(3 - first, Accepting());
+    Return(first, ReturnReason::Unresponsive, opening);
+    CPPUNIT_ASSERT(mOutput.mToNodes.empty());
+    CPPUNIT_ASSERT(mOutput.mToCallers.empty());
+  }
+
   // Guards against flows of low priority that take the openings of flows of high priority.
   void HighPriorityRoutesLeaveTheQueueFirst()
   {
