Check the simulated packet plane under planned work too

The check that the simulation exercises the code ran under faults only, and its share of dead flows that are reset depended on the faults. Both are now checked with planned work alone as well, and the share in a test of its own. Tables by flow are hashed, since flows are looked up only.

--- a/unittests/Packet/PacketFlowSimulation.h
+++ b/unittests/Packet/PacketFlowSimulation.h
@@ -14,6 +14,7 @@
 #include <map>
 #include <memory>
 #include <set>
+#include <unordered_map>
 
 namespace dandelionslip {
 
@@ -172,8 +173,8 @@
   Duration mLease{};
   std::uint32_t mPace = 0; ///< Longest time between two faults, in ms.
 
-  std::map<FlowKey, CallerFlow> mCallerFlows;
-  std::map<FlowKey, FlowTruth> mTruths;
+  std::unordered_map<FlowKey, CallerFlow, FlowKeyHash> mCallerFlows;
+  std::unordered_map<FlowKey, FlowTruth, FlowKeyHash> mTruths;
   std::uint32_t mNextFlow = 0;
   std::vector<std::string> mFaults;
 
--- a/unittests/Packet/PacketFlowSimulationParts.h
+++ b/unittests/Packet/PacketFlowSimulationParts.h
@@ -109,7 +109,7 @@
   TimePoint mFullUntil;
   TimePoint mSlowUntil;
   TimePoint mSilentUntil;
-  std::map<FlowKey, UpstreamFlow> mFlows;
+  std::unordered_map<FlowKey, UpstreamFlow, FlowKeyHash> mFlows;
 };
 
 /// A flow at its caller.
--- a/unittests/Packet/PacketFlowSimulationTest.cpp
+++ b/unittests/Packet/PacketFlowSimulationTest.cpp
@@ -45,6 +45,7 @@
   CPPUNIT_TEST(OpenFlowsAreNotResetByPlannedWork);
   CPPUNIT_TEST(OpenFlowsAreNotResetUnderFaults);
   CPPUNIT_TEST(RunsContainWhatTheyTest);
+  CPPUNIT_TEST(MostDeadFlowsAreReset);
   CPPUNIT_TEST(RunsAreRepeatable);
   CPPUNIT_TEST_SUITE_END();
 
@@ -79,12 +80,12 @@
   }
   void OpenFlowsAreNotResetUnderFaults() { CheckSeeds(false, SeedsToRun({43, 48, 441})); }
 
-  // Guards against a simulation in which nothing happens.
-  void RunsContainWhatTheyTest()
+  // The sum of the counts of four runs, and its text.
+  static std::pair<PacketFlowCounts, std::string> CountsOf(bool aPlannedOnly)
   {
     PacketFlowCounts sum;
     for (std::uint64_t seed = 1; seed <= 4; ++seed) {
-      PacketFlowSimulation simulation(seed, false);
+      PacketFlowSimulation simulation(seed, aPlannedOnly);
       simulation.Run(kRunTime);
       const PacketFlowCounts& counts = simulation.Counts();
       sum.mOpened += counts.mOpened;
@@ -105,10 +106,29 @@
     if (SelectedSeeds() != nullptr) {
       std::cout << text << std::endl;
     }
-    CPPUNIT_ASSERT_MESSAGE(text, sum.mOpened > 1'000 && sum.mMoved > 1'000);
-    CPPUNIT_ASSERT_MESSAGE(text, sum.mQueries > 1'000 && sum.mOpeningReturns > 20);
-    CPPUNIT_ASSERT_MESSAGE(text, sum.mAnswered > 20 * sum.mTimedOut);
-    CPPUNIT_ASSERT_MESSAGE(text, sum.mDeadReset > 10 && sum.mDeadReset > sum.mDeadTimedOut);
+    return {sum, text};
+  }
+
+  // Guards against a simulation in which nothing happens.
+  void RunsContainWhatTheyTest()
+  {
+    for (const bool plannedOnly : {true, false}) {
+      const auto [sum, text] = CountsOf(plannedOnly);
+      CPPUNIT_ASSERT_MESSAGE(text, sum.mOpened > 1'000 && sum.mMoved > 1'000);
+      CPPUNIT_ASSERT_MESSAGE(text, sum.mQueries > 1'000 && sum.mOpeningReturns > 20);
+      CPPUNIT_ASSERT_MESSAGE(text, sum.mAnswered > 20 * sum.mTimedOut);
+    }
+  }
+
+  // Guards against callers that wait for their deadline on flows that no upstream holds.
+  void MostDeadFlowsAreReset()
+  {
+    const auto [planned, plannedText] = CountsOf(true);
+    CPPUNIT_ASSERT_MESSAGE(plannedText,
+                           planned.mDeadReset > 10 && planned.mDeadReset > planned.mDeadTimedOut);
+    const auto [faults, faultsText] = CountsOf(false);
+    CPPUNIT_ASSERT_MESSAGE(faultsText,
+                           faults.mDeadReset > 10 && faults.mDeadReset > faults.mDeadTimedOut);
   }
 
   void RunsAreRepeatable()
