Reject CBOR strings of indefinite length

Operators of another system saw processes end again and again after one odd entry. The same happens here: one datagram to the node port of a balancer, or one request to the port of a control replica, ends the process.

Cause: nlohmann-json decodes the chunks of a byte or text string of indefinite length by recursion. It has no limit there and sends no event, so the depth limit of StrictBuilder does not see it.

Evidence: DecodeCbor ended with a segmentation fault (status 139, stack of 8 MiB) on 50,000, 100,000, 1,000,000 and 8,000,000 bytes of 0x7f and of 0x5f; on 10,000 bytes it returned an error. A datagram may hold 65,536 bytes, a message to control 8 MiB.

Change: DecodeCbor walks the heads of the items first and refuses such strings. Our encoder never writes them.

NestedIndefiniteCborStringsDoNotOverflowTheStack failed before (at 10 levels, a well-formed nested string was accepted) and passes now. The new tests of deep nesting and of declared lengths passed before too.

--- a/lib/Support/Json.cpp
+++ b/lib/Support/Json.cpp
@@ -105,6 +105,49 @@
   std::optional<std::size_t> mPosition;
 };
 
+constexpr unsigned kCborMajorShift = 5;
+constexpr std::uint8_t kCborInfoMask = 0x1f;
+constexpr std::uint8_t kCborByteString = 2;
+constexpr std::uint8_t kCborTextString = 3;
+constexpr std::uint8_t kCborFirstArgument = 24; // 24 to 27: an argument of 1, 2, 4 or 8 bytes.
+constexpr std::uint8_t kCborLastArgument = 27;
+constexpr std::uint8_t kCborIndefinite = 31;
+
+// Whether a byte or text string of indefinite length occurs. nlohmann-json decodes chunks of such a
+// string by recursion without a limit and without an event. Malformed heads are left to the
+// decoder, which stops at the same byte.
+bool HasIndefiniteString(std::span<const std::uint8_t> aBytes)
+{
+  while (!aBytes.empty()) {
+    const auto major = static_cast<std::uint8_t>(aBytes.front() >> kCborMajorShift);
+    const auto info = static_cast<std::uint8_t>(aBytes.front() & kCborInfoMask);
+    const bool isString = major == kCborByteString || major == kCborTextString;
+    aBytes = aBytes.subspan(1);
+    if (isString && info == kCborIndefinite) {
+      return true;
+    }
+    std::uint64_t argument = info;
+    if (info >= kCborFirstArgument && info <= kCborLastArgument) {
+      const std::size_t size = std::size_t{1} << (info - kCborFirstArgument);
+      if (aBytes.size() < size) {
+        return false;
+      }
+      argument = 0;
+      for (const std::uint8_t byte : aBytes.first(size)) {
+        argument = argument << 8U | byte;
+      }
+      aBytes = aBytes.subspan(size);
+    }
+    if (isString) {
+      if (argument > aBytes.size()) {
+        return false;
+      }
+      aBytes = aBytes.subspan(argument);
+    }
+  }
+  return false;
+}
+
 std::string LineAndColumn(std::string_view aText, std::size_t aPosition)
 {
   std::size_t line = 1;
@@ -160,6 +203,10 @@
 
 Result<Json> DecodeCbor(std::span<const std::uint8_t> aBytes, std::string_view aSource)
 {
+  if (HasIndefiniteString(aBytes)) {
+    return Fail(ErrorCode::InvalidInput, "decode", std::string(aSource),
+                "found a string of indefinite length, expected its length");
+  }
   StrictBuilder builder;
   try {
     if (Json::sax_parse(aBytes.begin(), aBytes.end(), &builder,
--- a/unittests/Support/JsonTest.cpp
+++ b/unittests/Support/JsonTest.cpp
@@ -30,6 +30,9 @@
   CPPUNIT_TEST(ViolationsNameTheKeyPath);
   CPPUNIT_TEST(DuplicateKeysAreRejected);
   CPPUNIT_TEST(DeepNestingIsRejected);
+  CPPUNIT_TEST(NestingOfAnyDepthIsRejected);
+  CPPUNIT_TEST(NestedIndefiniteCborStringsDoNotOverflowTheStack);
+  CPPUNIT_TEST(DeclaredCborLengthsAllocateNothing);
   CPPUNIT_TEST(CorruptedCborDoesNotCrash);
   CPPUNIT_TEST(LogValuesAreEscaped);
   CPPUNIT_TEST_SUITE_END();
@@ -77,6 +80,88 @@
     CPPUNIT_ASSERT(!DecodeCbor(nested, "test"));
   }
 
+  static std::string Repeated(std::string_view aText, std::size_t aCount)
+  {
+    std::string out;
+    for (std::size_t i = 0; i < aCount; ++i) {
+      out += aText;
+    }
+    return out;
+  }
+
+  static std::string Join(std::initializer_list<std::string_view> aParts)
+  {
+    std::string out;
+    for (const std::string_view part : aParts) {
+      out += part;
+    }
+    return out;
+  }
+
+  static Result<Json> DecodeText(std::string_view aBytes)
+  {
+    return DecodeCbor({reinterpret_cast<const std::uint8_t*>(aBytes.data()), aBytes.size()},
+                      "test");
+  }
+
+  // Guards against a depth, form or end of nesting that the limit misses.
+  void NestingOfAnyDepthIsRejected()
+  {
+    for (const std::size_t depth : {10U, 1'000U, 100'000U, 1'000'000U}) {
+      const bool tooDeep = depth > kMaxJsonDepth;
+      for (const std::string_view open : {"[", "{\"a\":", "[{\"a\":", "[1,"}) {
+        CPPUNIT_ASSERT(!ParseJson(Repeated(open, depth), "test"));
+      }
+      const auto objects = Join({Repeated("{\"a\":", depth), "1", Repeated("}", depth)});
+      CPPUNIT_ASSERT_EQUAL(tooDeep, !ParseJson(objects, "test"));
+      const auto arrays = Join({Repeated("[", depth), Repeated("]", depth)});
+      CPPUNIT_ASSERT_EQUAL(tooDeep, !ParseJson(arrays, "test"));
+      // Array, object, indefinite array, indefinite object, tag.
+      for (const std::string_view open : {"\x81", "\xa1\x61\x61", "\x9f", "\xbf\x61\x61", "\xc1"}) {
+        CPPUNIT_ASSERT(!DecodeText(Repeated(open, depth)));
+      }
+      CPPUNIT_ASSERT_EQUAL(tooDeep, !DecodeText(Join({Repeated("\xa1\x61\x61", depth), "\x01"})));
+    }
+  }
+
+  // Guards against a process that ends because of one message.
+  void NestedIndefiniteCborStringsDoNotOverflowTheStack()
+  {
+    for (const std::string_view open : {"\x7f", "\x5f"}) {
+      for (const std::size_t depth : {10U, 1'000U, 100'000U, 1'000'000U, 8'000'000U}) {
+        const std::string nested = Repeated(open, depth);
+        CPPUNIT_ASSERT(!DecodeText(nested));
+        CPPUNIT_ASSERT(!DecodeText(Join({"\x82\x61\x7f", nested})));
+        CPPUNIT_ASSERT(!DecodeText(Join({"\xa1", nested})));
+        CPPUNIT_ASSERT(!DecodeText(Join({"\xbf\x61\x61", nested})));
+        CPPUNIT_ASSERT(!DecodeText(Join({"\x82\x9f\xff", nested})));
+        CPPUNIT_ASSERT(!DecodeText(Join({nested, Repeated("\xff", depth)})));
+      }
+    }
+    // The first byte of such a string may occur inside other values.
+    for (const std::string_view value :
+         {"\x82\x61\x7f\x19\x7f\x5f", "\x78\x02\x7f\x7f", "\xfa\x7f\x5f\x5f\x5f",
+          "\xa1\x61\x5f\x18\x7f", "\x9f\x61\x7f\xff", "\xbf\x61\x7f\x3a\x7f\x7f\x7f\x7f\xff",
+          "\xf9\x5f\x5f", "\xfb\x5f\x5f\x5f\x5f\x5f\x5f\x5f\x5f", "\x43\x7f\x7f\x7f"}) {
+      CPPUNIT_ASSERT(DecodeText(value));
+    }
+  }
+
+  // Guards against an allocation of the size that a message declares.
+  void DeclaredCborLengthsAllocateNothing()
+  {
+    const std::string large = Repeated("\xff", 8);
+    const std::string half = Join({"\x7f", Repeated("\xff", 7)});
+    const std::string many = Join({std::string(3, '\0'), "\x7f\xff\xff\xff\xff"});
+    for (const std::string_view head : {"\x5b", "\x7b", "\x9b", "\xbb", "\xdb"}) {
+      for (const std::string& length : {large, half, many}) {
+        CPPUNIT_ASSERT(!DecodeText(Join({head, length})));
+        CPPUNIT_ASSERT(!DecodeText(Join({head, length, "\x61\x61\x01"})));
+        CPPUNIT_ASSERT(!DecodeText(Join({"\x81", head, length, "abc"})));
+      }
+    }
+  }
+
   // Guards against crashes on corrupt messages. A changed message may still be valid.
   void CorruptedCborDoesNotCrash()
   {
