Ignore the late exit of an earlier start of the upstream

An upstream may start again under its earlier id. The exit call of its earlier start can arrive after the first heartbeat of the new start. The agent then marked the new start as left, counted all its later heartbeats as stale, and gave it no flows for as long as it ran.

Cause: the exit call was matched by id alone, its born field was not read.

Change: an exit whose born differs from that of the known start is ignored. An exit without a body or without born is matched by id as before.

LateExitOfAnEarlierStartDoesNotEndTheUpstream fails when the start time is not compared and passes now.

--- a/include/dandelionslip/Daemon/PacketNodeInterface.h
+++ b/include/dandelionslip/Daemon/PacketNodeInterface.h
@@ -7,6 +7,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace boost::asio {
@@ -32,7 +33,8 @@
 {
 public:
   virtual HeartbeatOutcome OnUpstreamHeartbeat(const UpstreamHeartbeat& aHeartbeat) = 0;
-  virtual void OnUpstreamLeft(const std::string& aId) = 0;
+  /// aStartedMs: as in UpstreamHeartbeat; empty if the upstream did not state it.
+  virtual void OnUpstreamLeft(const std::string& aId, std::optional<std::int64_t> aStartedMs) = 0;
 };
 
 /// An adapter; it lives as long as its node.
--- a/include/dandelionslip/Packet/PacketAgent.h
+++ b/include/dandelionslip/Packet/PacketAgent.h
@@ -61,8 +61,9 @@
   /// aOwnIncarnation: the incarnation that this process announces.
   void OnView(const View& aView, std::uint64_t aOwnIncarnation);
   HeartbeatOutcome OnUpstreamHeartbeat(const UpstreamHeartbeat& aHeartbeat, TimePoint aNow);
-  /// The upstream has announced that it exits.
-  void OnUpstreamLeft(const std::string& aId);
+  /// The upstream has announced that it exits. An announcement of another start is ignored.
+  /// aStartedMs: as in UpstreamHeartbeat; empty if the upstream did not state it.
+  void OnUpstreamLeft(const std::string& aId, std::optional<std::int64_t> aStartedMs);
   /// Handles a message from a balancer or another agent; aPacket is what follows the header.
   void OnNodePacket(const Endpoint& aFrom, const NodeMessageHeader& aHeader,
                     std::span<std::uint8_t> aPacket, PacketOutput& aOutput, TimePoint aNow);
--- a/lib/Daemon/PacketAgentDaemon.cpp
+++ b/lib/Daemon/PacketAgentDaemon.cpp
@@ -89,10 +89,10 @@
     return outcome;
   }
 
-  void OnUpstreamLeft(const std::string& aId) override
+  void OnUpstreamLeft(const std::string& aId, std::optional<std::int64_t> aStartedMs) override
   {
     const MemberState before = mCore.State(RuntimeClock::now());
-    mCore.OnUpstreamLeft(aId);
+    mCore.OnUpstreamLeft(aId, aStartedMs);
     ReportStateChange(before);
   }
 
--- a/lib/Packet/PacketAgent.cpp
+++ b/lib/Packet/PacketAgent.cpp
@@ -134,9 +134,11 @@
   return HeartbeatOutcome::Accepted;
 }
 
-void PacketAgent::OnUpstreamLeft(const std::string& aId)
+void PacketAgent::OnUpstreamLeft(const std::string& aId, std::optional<std::int64_t> aStartedMs)
 {
-  if (mUpstream && mUpstream->mLastHeartbeat.mId == aId) {
+  if (mUpstream && mUpstream->mLastHeartbeat.mId == aId &&
+      aStartedMs.value_or(mUpstream->mLastHeartbeat.mStartedMs) ==
+        mUpstream->mLastHeartbeat.mStartedMs) {
     mUpstream->mLeft = true;
     LogEvent(LogLevel::Info, "upstream_left").With("upstream", aId);
   }
--- a/unittests/Packet/PacketAgentTest.cpp
+++ b/unittests/Packet/PacketAgentTest.cpp
@@ -39,6 +39,7 @@
   CPPUNIT_TEST(ResetsOfUnknownFlowsAreDropped);
   CPPUNIT_TEST(BouncedProbesAreAnsweredNotFound);
   CPPUNIT_TEST(StaleHeartbeatsAreIgnored);
+  CPPUNIT_TEST(LateExitOfAnEarlierStartDoesNotEndTheUpstream);
   CPPUNIT_TEST(ReportsCountOpenFlowsAndRequests);
   CPPUNIT_TEST(LatenciesAreMeasured);
   CPPUNIT_TEST(UpstreamsWithoutHeartbeatsTakeNoFlows);
@@ -465,6 +466,21 @@
                    HeartbeatOutcome::WrongService);
   }
 
+  // Guards against an upstream that takes no flows for as long as it runs.
+  void LateExitOfAnEarlierStartDoesNotEndTheUpstream()
+  {
+    ApplyRoutesAndHeartbeat(5);
+    CPPUNIT_ASSERT(Heartbeat(1, false, Milliseconds{0}, 2'000) == HeartbeatOutcome::Accepted);
+    mAgent.OnUpstreamLeft("i-1", 1'000);
+    CPPUNIT_ASSERT(mAgent.CurrentLoad(mNow).mAccepts);
+    CPPUNIT_ASSERT(Heartbeat(2, false, Milliseconds{0}, 2'000) == HeartbeatOutcome::Accepted);
+    mAgent.OnUpstreamLeft("i-1", 2'000);
+    CPPUNIT_ASSERT(!mAgent.CurrentLoad(mNow).mAccepts);
+    CPPUNIT_ASSERT(Heartbeat(1, false, Milliseconds{0}, 3'000) == HeartbeatOutcome::Accepted);
+    mAgent.OnUpstreamLeft("i-1", std::nullopt);
+    CPPUNIT_ASSERT(!mAgent.CurrentLoad(mNow).mAccepts);
+  }
+
   // Guards against load reports that count closed flows or answered requests.
   void ReportsCountOpenFlowsAndRequests()
   {
--- a/unittests/Platform/PlatformCodecTest.cpp
+++ b/unittests/Platform/PlatformCodecTest.cpp
@@ -40,6 +40,7 @@
   CPPUNIT_TEST(RouteDocumentsBecomeRouteTables);
   CPPUNIT_TEST(InvalidRouteDocumentsAreRejected);
   CPPUNIT_TEST(MalformedHeartbeatsAreRejected);
+  CPPUNIT_TEST(MalformedExitsAreRejected);
   CPPUNIT_TEST(NodeFilesBecomeSettings);
   CPPUNIT_TEST(IncompleteNodeFilesAreRejected);
   CPPUNIT_TEST_SUITE_END();
@@ -182,6 +183,22 @@
     }
   }
 
+  // Guards against an exit that ends another start of the upstream.
+  void MalformedExitsAreRejected()
+  {
+    for (const std::string_view text : {"", "{}", R"({"id":"i-1"})"}) {
+      const auto started = DecodeLeave("i-1", text);
+      CPPUNIT_ASSERT(started && !started.value());
+    }
+    const auto started = DecodeLeave("i-1", R"({"born":1700000000000})");
+    CPPUNIT_ASSERT(started && started.value() == std::int64_t{1'700'000'000'000});
+    for (const std::string_view text :
+         {"x", "[]", "7", "null", R"({"born":-1})", R"({"born":null})", R"({"born":"1"})",
+          R"({"born":1.5})", R"({"born":18446744073709551615})"}) {
+      CPPUNIT_ASSERT(!DecodeLeave("i-1", text));
+    }
+  }
+
   static NodeFile File()
   {
     NodeFile file;
