Shorten errors that quote long malformed input

A malformed heartbeat of up to 1 MiB was logged and answered with an error as long as the body: the parser's message quotes the last token, and the message on a duplicate key quotes the key.

Change: ParseJson and DecodeCbor quote at most 200 bytes of such a message.

ErrorsOfLongInputAreShort failed before and passes now.

--- a/lib/Support/Json.cpp
+++ b/lib/Support/Json.cpp
@@ -148,6 +148,17 @@
   return false;
 }
 
+// Shortens a text that quotes the input, which may be as long as the whole message.
+std::string Shortened(std::string aText)
+{
+  constexpr std::size_t kMost = 200;
+  if (aText.size() > kMost) {
+    aText.resize(kMost);
+    aText += "...";
+  }
+  return aText;
+}
+
 std::string LineAndColumn(std::string_view aText, std::size_t aPosition)
 {
   std::size_t line = 1;
@@ -173,9 +184,9 @@
       return builder.TakeRoot();
     }
   } catch (const std::exception& failure) {
-    return Fail(ErrorCode::InvalidInput, "parse", std::string(aSource), failure.what());
+    return Fail(ErrorCode::InvalidInput, "parse", std::string(aSource), Shortened(failure.what()));
   }
-  std::string detail = builder.Problem();
+  std::string detail = Shortened(builder.Problem());
   if (const auto position = builder.Position()) {
     detail = LineAndColumn(aText, *position) + detail;
   }
@@ -214,9 +225,10 @@
       return builder.TakeRoot();
     }
   } catch (const std::exception& failure) {
-    return Fail(ErrorCode::InvalidInput, "decode", std::string(aSource), failure.what());
+    return Fail(ErrorCode::InvalidInput, "decode", std::string(aSource), Shortened(failure.what()));
   }
-  return Fail(ErrorCode::InvalidInput, "decode", std::string(aSource), builder.Problem());
+  return Fail(ErrorCode::InvalidInput, "decode", std::string(aSource),
+              Shortened(builder.Problem()));
 }
 
 } // namespace dandelionslip
--- a/unittests/Support/JsonTest.cpp
+++ b/unittests/Support/JsonTest.cpp
@@ -33,6 +33,7 @@
   CPPUNIT_TEST(NestingOfAnyDepthIsRejected);
   CPPUNIT_TEST(NestedIndefiniteCborStringsDoNotOverflowTheStack);
   CPPUNIT_TEST(DeclaredCborLengthsAllocateNothing);
+  CPPUNIT_TEST(ErrorsOfLongInputAreShort);
   CPPUNIT_TEST(CorruptedCborDoesNotCrash);
   CPPUNIT_TEST(LogValuesAreEscaped);
   CPPUNIT_TEST_SUITE_END();
@@ -162,6 +163,23 @@
     }
   }
 
+  // Guards against log lines and answers that are as long as the input.
+  void ErrorsOfLongInputAreShort()
+  {
+    constexpr std::size_t kMost = 512;
+    const std::string text(1'000'000, 'x');
+    const auto key = Join({"\"", text, "\":1"});
+    for (const std::string& input :
+         {Join({"\"", text}), Join({"\"", text, "\xff\""}), Join({"{", key, ",", key, "}"}), text,
+          Join({std::string(1'000'000, '7'), "\""})}) {
+      const auto json = ParseJson(input, "test");
+      CPPUNIT_ASSERT(!json && json.error().mDetail.size() <= kMost);
+    }
+    const Bytes truncated(1'000'000, 0x61);
+    const auto cbor = DecodeCbor(truncated, "test");
+    CPPUNIT_ASSERT(!cbor && cbor.error().mDetail.size() <= kMost);
+  }
+
   // Guards against crashes on corrupt messages. A changed message may still be valid.
   void CorruptedCborDoesNotCrash()
   {
