Add a failing test of a start time in the future (known failure)

One heartbeat whose born is later than that of the running upstream, from another writer or from before the clock was set back, makes all heartbeats of the upstream stale: 20 of them, one interval apart, changed nothing, and the agent gives the upstream no flows. Cause: OnUpstreamHeartbeat drops each heartbeat with an earlier start time, however long the later start is silent.

--- a/unittests/Packet/PacketAgentTest.cpp
+++ b/unittests/Packet/PacketAgentTest.cpp
@@ -39,6 +39,7 @@
   CPPUNIT_TEST(ResetsOfUnknownFlowsAreDropped);
   CPPUNIT_TEST(BouncedProbesAreAnsweredNotFound);
   CPPUNIT_TEST(StaleHeartbeatsAreIgnored);
+  CPPUNIT_TEST(UpstreamIsFoundAgainAfterAStartTimeInTheFuture);
   CPPUNIT_TEST(LateExitOfAnEarlierStartDoesNotEndTheUpstream);
   CPPUNIT_TEST(ReportsCountOpenFlowsAndRequests);
   CPPUNIT_TEST(LatenciesAreMeasured);
@@ -466,6 +467,19 @@
                    HeartbeatOutcome::WrongService);
   }
 
+  // Guards against heartbeats that stay stale after a foreign one or after the clock was set back.
+  void UpstreamIsFoundAgainAfterAStartTimeInTheFuture()
+  {
+    ApplyRoutesAndHeartbeat(5);
+    CPPUNIT_ASSERT(Heartbeat(1, false, Milliseconds{0}, 9'000'000'000) ==
+                   HeartbeatOutcome::Accepted);
+    for (std::uint64_t sequence = 6; sequence < 26; ++sequence) {
+      mNow += Settings().mHeartbeat;
+      Heartbeat(sequence);
+    }
+    CPPUNIT_ASSERT(mAgent.CurrentLoad(mNow).mAccepts);
+  }
+
   // Guards against an upstream that takes no flows for as long as it runs.
   void LateExitOfAnEarlierStartDoesNotEndTheUpstream()
   {
