--- a/unittests/Platform/PlatformCodecTest.cpp
+++ b/unittests/Platform/PlatformCodecTest.cpp
@@ -40,6 +40,7 @@
   CPPUNIT_TEST(RouteDocumentsBecomeRouteTables);
   CPPUNIT_TEST(InvalidRouteDocumentsAreRejected);
   CPPUNIT_TEST(MalformedHeartbeatsAreRejected);
+  CPPUNIT_TEST(MalformedExitsAreRejected);
   CPPUNIT_TEST(NodeFilesBecomeSettings);
   CPPUNIT_TEST(IncompleteNodeFilesAreRejected);
   CPPUNIT_TEST_SUITE_END();
@@ -150,6 +151,31 @@
            {"\"concurrency\":2", "\"concurrency\":\"2\""},
            {"\"concurrency\":2", "\"concurrency\":0"},
            {"\"seq\":4", "\"seq\":null"},
+           {"\"seq\":4", "\"seq\":-1"},
+           {"\"seq\":4", "\"seq\":-0"},
+           {"\"seq\":4", "\"seq\":1.5"},
+           {"\"seq\":4", "\"seq\":1e400"},
+           {"\"seq\":4", "\"seq\":9223372036854775808"},
+           {"\"seq\":4", "\"seq\":18446744073709551615"},
+           {"\"seq\":4", "\"seq\":18446744073709551616"},
+           {"1700000000000", "-1"},
+           {"1700000000000", "9223372036854775807"},
+           {"1700000000000", "18446744073709551615"},
+           {"1700000000000", "1e30"},
+           {"\"concurrency\":2", "\"concurrency\":4294967296"},
+           {"\"concurrency\":2", "\"concurrency\":1e30"},
+           {"12.5", "1e400"},
+           {"12.5", "18446744073709551616"},
+           {"\"addr\":\"10.0.0.1:80\",", ""},
+           {"\"10.0.0.1:80\"", "7"},
+           {"10.0.0.1:80", ""},
+           {"10.0.0.1:80", "10.0.0.1"},
+           {"10.0.0.1:80", "10.0.0.1:0"},
+           {"10.0.0.1:80", "10.0.0.1:65536"},
+           {"10.0.0.1:80", "10.0.0.1:99999"},
+           {"10.0.0.1:80", "10.0.0.1:70000000000"},
+           {"10.0.0.1:80", " 10.0.0.1:80"},
+           {"10.0.0.1:80", "web.example:80"},
            {"12.5", "[]"},
            {"1700000000000", "1.5"},
            {"}", "]"}}) {
@@ -157,6 +183,22 @@
     }
   }
 
+  // Guards against an exit that ends another start of the upstream.
+  void MalformedExitsAreRejected()
+  {
+    for (const std::string_view text : {"", "{}", R"({"id":"i-1"})"}) {
+      const auto started = DecodeLeave("i-1", text);
+      CPPUNIT_ASSERT(started && !started.value());
+    }
+    const auto started = DecodeLeave("i-1", R"({"born":1700000000000})");
+    CPPUNIT_ASSERT(started && started.value() == std::int64_t{1'700'000'000'000});
+    for (const std::string_view text :
+         {"x", "[]", "7", "null", R"({"born":-1})", R"({"born":null})", R"({"born":"1"})",
+          R"({"born":1.5})", R"({"born":18446744073709551615})"}) {
+      CPPUNIT_ASSERT(!DecodeLeave("i-1", text));
+    }
+  }
+
   static NodeFile File()
   {
     NodeFile file;
