--- a/unittests/Packet/PacketFlowSimulationUpstreams.cpp
+++ b/unittests/Packet/PacketFlowSimulationUpstreams.cpp
@@ -86,7 +86,7 @@
           Node& node = *aUpstream.mNode;
           RunOn(node, node.mProcess, [this, &node, id = aUpstream.mId] {
             const MemberState before = node.mAgent->State(NodeTime(node));
-            node.mAgent->OnUpstreamLeft(id);
+            node.mAgent->OnUpstreamLeft(id, std::nullopt);
             ReportIfChanged(node, before);
           });
           After(Between(Milliseconds(300), Milliseconds(6'000)),
