Add tests of control with disks that are full in turn (known failure)

What operators saw: disks of control VMs were full for a few seconds each, never two at once. Long after the last had room again, changes were not acknowledged, while all processes ran.

SupervisedCluster drives the replicas as ControlDaemon and its supervisor do: a process whose write fails ends with its files kept and is started again after 500 ms, also while its disk is full; a refused identity is replaced; the leader's ReplicaRepairPlanner replaces silent voters; an operator sends changes to any replica. FakeFileSystem::Fill refuses new files and bytes after a partial write, or every change including syncs.

--- a/unittests/Control/FakeFileSystem.cpp
+++ b/unittests/Control/FakeFileSystem.cpp
@@ -1,4 +1,4 @@
-// FileSystem in memory that simulates crashes and failed syncs.
+// FileSystem in memory that simulates crashes, failed syncs and full disks.
 #include "Control/FakeFileSystem.h"
 
 #include <boost/outcome/try.hpp>
@@ -77,6 +77,44 @@
   return mNames.at(aPath)->mData;
 }
 
+void FakeFileSystem::Fill(FullDisk aMode, std::size_t aRoom)
+{
+  mFull = aMode;
+  mCapacity = UsedBytes() + aRoom;
+}
+
+std::size_t FakeFileSystem::UsedBytes() const
+{
+  std::size_t used = 0;
+  for (const auto& [name, file] : mNames) {
+    used += file->mData.size();
+  }
+  return used;
+}
+
+std::size_t FakeFileSystem::RoomForBytes() const
+{
+  if (!mFull) {
+    return std::numeric_limits<std::size_t>::max();
+  }
+  const std::size_t used = UsedBytes();
+  return used < mCapacity ? mCapacity - used : 0;
+}
+
+Status FakeFileSystem::Refuse(const std::string& aPath)
+{
+  ++mRefusals;
+  return Fail(ErrorCode::Io, "fake", aPath, "simulated full disk");
+}
+
+Status FakeFileSystem::CheckChangeAllowed(const std::string& aPath)
+{
+  if (mFull == FullDisk::Changes) {
+    return Refuse(aPath);
+  }
+  return Ok();
+}
+
 Status FakeFileSystem::CountOperation(const std::string& aPath)
 {
   mCrashed = mCrashed || mOperations >= mCrashAt;
@@ -90,6 +128,7 @@
 Status FakeFileSystem::CountSync(const std::string& aPath)
 {
   BOOST_OUTCOME_TRY(CountOperation(aPath));
+  BOOST_OUTCOME_TRY(CheckChangeAllowed(aPath));
   if (mSyncs++ == mFailSyncAt) {
     return Fail(ErrorCode::Io, "fake", aPath, "simulated sync failure");
   }
@@ -99,6 +138,9 @@
 Result<FileHandle> FakeFileSystem::Open(const std::string& aPath, OpenMode aMode)
 {
   BOOST_OUTCOME_TRY(CountOperation(aPath));
+  if (aMode == OpenMode::Create && RoomForBytes() == 0) {
+    BOOST_OUTCOME_TRY(Refuse(aPath));
+  }
   if (aMode == OpenMode::Create) {
     mNames[aPath] = std::make_shared<File>();
   }
@@ -114,8 +156,9 @@
 {
   BOOST_OUTCOME_TRY(CountOperation("append"));
   Bytes& data = mOpen.at(aFile)->mData;
-  data.insert(data.end(), aBytes.begin(), aBytes.end());
-  return Ok();
+  const auto fitting = aBytes.first(std::min(aBytes.size(), RoomForBytes()));
+  data.insert(data.end(), fitting.begin(), fitting.end());
+  return fitting.size() == aBytes.size() ? Status(Ok()) : Refuse("append");
 }
 
 Status FakeFileSystem::Sync(FileHandle aFile)
@@ -129,6 +172,7 @@
 Status FakeFileSystem::Truncate(FileHandle aFile, std::uint64_t aSize)
 {
   BOOST_OUTCOME_TRY(CountOperation("truncate"));
+  BOOST_OUTCOME_TRY(CheckChangeAllowed("truncate"));
   mOpen.at(aFile)->mData.resize(aSize);
   return Ok();
 }
@@ -150,6 +194,7 @@
 Status FakeFileSystem::Rename(const std::string& aFrom, const std::string& aTo)
 {
   BOOST_OUTCOME_TRY(CountOperation(aFrom));
+  BOOST_OUTCOME_TRY(CheckChangeAllowed(aFrom));
   mNames[aTo] = mNames.at(aFrom);
   mNames.erase(aFrom);
   return Ok();
@@ -158,6 +203,7 @@
 Status FakeFileSystem::Remove(const std::string& aPath)
 {
   BOOST_OUTCOME_TRY(CountOperation(aPath));
+  BOOST_OUTCOME_TRY(CheckChangeAllowed(aPath));
   if (mNames.erase(aPath) == 0) {
     return Fail(ErrorCode::Io, "fake", aPath, "no such file");
   }
--- a/unittests/Control/FakeFileSystem.h
+++ b/unittests/Control/FakeFileSystem.h
@@ -1,4 +1,4 @@
-// FileSystem in memory that simulates crashes and failed syncs.
+// FileSystem in memory that simulates crashes, failed syncs and full disks.
 #pragma once
 
 #include "dandelionslip/Control/FileSystem.h"
@@ -7,6 +7,7 @@
 #include <limits>
 #include <map>
 #include <memory>
+#include <optional>
 
 namespace dandelionslip {
 
@@ -17,6 +18,13 @@
   Random,  ///< Any subset of the name changes and any prefix of the appended bytes.
 };
 
+/// What a full disk refuses.
+enum class FullDisk
+{
+  Bytes,   ///< New files, and bytes beyond its capacity; shorter files make room.
+  Changes, ///< Every change, also syncs.
+};
+
 /// FileSystem in memory for one directory. Counts the operations that change something, and can
 /// crash before any of them or fail any sync.
 class FakeFileSystem : public FileSystem
@@ -26,6 +34,14 @@
   void CrashBefore(std::size_t aOperation) { mCrashAt = mOperations + aOperation; }
   /// Fails the sync with this number, counted from this call on, starting with 0.
   void FailSync(std::size_t aSync) { mFailSyncAt = mSyncs + aSync; }
+  /// Fills the disk. aRoom bytes can still be appended, so that a write can fail after a part of
+  /// it.
+  void Fill(FullDisk aMode, std::size_t aRoom);
+  /// Ends the effect of Fill.
+  void Free() { mFull.reset(); }
+  bool Full() const { return mFull.has_value(); }
+  /// Changes that the full disk has refused so far.
+  std::size_t Refusals() const { return mRefusals; }
   /// Cancels crashes and failures that have not happened yet.
   void CancelFaults();
   bool Crashed() const { return mCrashed; }
@@ -57,6 +73,10 @@
   };
   using Names = std::map<std::string, std::shared_ptr<File>>;
 
+  std::size_t UsedBytes() const;
+  std::size_t RoomForBytes() const;
+  Status Refuse(const std::string& aPath);
+  Status CheckChangeAllowed(const std::string& aPath);
   Status CountOperation(const std::string& aPath);
   Status CountSync(const std::string& aPath);
   Names NamesAfterCrash(CrashMode aMode, Random& aRandom) const;
@@ -70,6 +90,9 @@
   std::size_t mCrashAt = std::numeric_limits<std::size_t>::max();
   std::size_t mFailSyncAt = std::numeric_limits<std::size_t>::max();
   bool mCrashed = false;
+  std::optional<FullDisk> mFull;
+  std::size_t mCapacity = 0; ///< In bytes, while mFull.
+  std::size_t mRefusals = 0;
 };
 
 } // namespace dandelionslip
--- a/unittests/Control/HistoryChecker.cpp
+++ b/unittests/Control/HistoryChecker.cpp
@@ -3,6 +3,8 @@
 
 #include "dandelionslip/Support/Hash.h"
 
+#include <algorithm>
+
 namespace dandelionslip {
 
 namespace {
@@ -118,6 +120,12 @@
   return found == mPositions.end() ? 0 : found->second.mDigest;
 }
 
+bool HistoryChecker::WasReportedApplied(EntryId aId) const
+{
+  return std::any_of(mReportedApplied.rbegin(), mReportedApplied.rend(),
+                     [aId](const ReportedEntry& aEntry) { return aEntry.mId == aId; });
+}
+
 void HistoryChecker::Violate(const ReplicaId& aReplica, const std::string& aWhat)
 {
   mViolations.push_back(aReplica + ": " + aWhat);
--- a/unittests/Control/HistoryChecker.h
+++ b/unittests/Control/HistoryChecker.h
@@ -38,6 +38,8 @@
   /// Digest of all entries that a replica has applied.
   std::uint64_t DigestOf(const ReplicaId& aReplica) const;
   std::size_t ReportedAppliedCount() const { return mReportedApplied.size(); }
+  /// Whether a proposer was told that this entry is applied.
+  bool WasReportedApplied(EntryId aId) const;
   /// The first violation, or an empty text.
   std::string FirstViolation() const { return mViolations.empty() ? "" : mViolations.front(); }
 
--- a/unittests/Control/SimulatedCluster.cpp
+++ b/unittests/Control/SimulatedCluster.cpp
@@ -166,6 +166,9 @@
     if (to == nullptr || !to->Running() || cut) {
       continue;
     }
+    if (mObserver) {
+      mObserver(*to, message);
+    }
     to->Receive(mNow, message);
     for (const RaftMessage& answer : to->TakeSent()) {
       Post(answer);
--- a/unittests/Control/SimulatedCluster.h
+++ b/unittests/Control/SimulatedCluster.h
@@ -54,6 +54,13 @@
   void Heal() { mIsolated.clear(); }
   void SetFaults(NetworkFaults aFaults) { mFaults = aFaults; }
 
+  /// Calls aObserver with each message that a replica has received.
+  void ObserveMessages(
+    std::function<void(const SimulatedReplica& aTo, const RaftMessage& aMessage)> aObserver)
+  {
+    mObserver = std::move(aObserver);
+  }
+
   HistoryChecker& Checker() { return mChecker; }
   Random& RandomSource() { return mRandom; }
   TimePoint Now() const { return mNow; }
@@ -71,6 +78,7 @@
   std::multimap<TimePoint, RaftMessage> mNetwork;
   std::set<ReplicaId> mIsolated;
   NetworkFaults mFaults;
+  std::function<void(const SimulatedReplica&, const RaftMessage&)> mObserver;
   TimePoint mNow{std::chrono::hours(1)};
   std::uint64_t mNextPayload = 1;
 };
--- a/unittests/Control/SimulatedReplica.cpp
+++ b/unittests/Control/SimulatedReplica.cpp
@@ -43,9 +43,10 @@
 
 bool SimulatedReplica::Start(TimePoint aNow)
 {
+  mStopReason.clear();
   auto store = LogStore::Open(mFiles, {"data", kSegmentBytes, mId}, mRandom);
   if (!store && store.error().mCode == ErrorCode::Io) {
-    Crash();
+    StopAfterFailedWrite();
     return false;
   }
   if (!store) {
@@ -56,18 +57,43 @@
   RecoveredState state = mStore->TakeRecovered();
   const auto& snapshot = state.mSnapshot;
   mChecker.Started(mId, snapshot ? snapshot->mIndex : 0, snapshot ? DigestIn(*snapshot) : 0);
-  mStopReason.clear();
+  mSnapshotIndex = snapshot ? snapshot->mIndex : 0;
   mCore = std::make_unique<RaftCore>(mSettings, std::move(state), Random(mRandom.Next()), aNow);
   return true;
 }
 
-void SimulatedReplica::Crash()
+void SimulatedReplica::End()
 {
   mCore.reset();
   mStore.reset();
   mActions.clear();
   mProposals.AbandonAll();
   mPayloads.clear();
+}
+
+Status SimulatedReplica::TakeNewIdentity()
+{
+  BOOST_OUTCOME_TRY(const auto names, mFiles.List("data"));
+  for (const std::string& name : names) {
+    BOOST_OUTCOME_TRY(mFiles.Remove("data/" + name));
+  }
+  mId = NewReplicaId(mRandom);
+  mStopReason.clear();
+  return Ok();
+}
+
+void SimulatedReplica::StopAfterFailedWrite()
+{
+  if (mAfterFailedWrite == AfterFailedWrite::KeepFiles) {
+    End();
+  } else {
+    Crash();
+  }
+}
+
+void SimulatedReplica::Crash()
+{
+  End();
   mFiles.Restart(mRandom.Below(2) == 0 ? CrashMode::DropAll : CrashMode::Random, mRandom);
 }
 
@@ -119,9 +145,10 @@
   auto snapshot =
     std::make_shared<const Snapshot>(mCore->MakeSnapshot(StateOf(mChecker.DigestOf(mId))));
   if (mStore->SaveSnapshot(*snapshot)) {
+    mSnapshotIndex = snapshot->mIndex;
     mCore->Compact(std::move(snapshot));
   } else if (mStore->Failure()) {
-    Crash();
+    StopAfterFailedWrite();
   }
 }
 
@@ -138,7 +165,7 @@
     RaftAction action = std::move(mActions.front());
     mActions.pop_front();
     if (!std::visit([&](auto& aAction) { return Execute(aNow, aAction); }, action)) {
-      Crash();
+      StopAfterFailedWrite();
     }
   }
 }
@@ -170,6 +197,7 @@
 Status SimulatedReplica::Execute(TimePoint aNow, InstallSnapshotAction& aAction)
 {
   BOOST_OUTCOME_TRY(mStore->InstallSnapshot(*aAction.mSnapshot, aAction.mKeepSuffix));
+  mSnapshotIndex = aAction.mSnapshot->mIndex;
   mChecker.Installed(mId, aAction.mSnapshot->mIndex, DigestIn(*aAction.mSnapshot));
   ++mSnapshotsInstalled;
   Report(aNow, mProposals.OnSnapshotInstalled(aAction.mSnapshot->mIndex), nullptr);
--- a/unittests/Control/SimulatedReplica.h
+++ b/unittests/Control/SimulatedReplica.h
@@ -14,6 +14,13 @@
 
 namespace dandelionslip {
 
+/// What happens to the files of a simulated replica whose write fails.
+enum class AfterFailedWrite
+{
+  LosePower, ///< Changes that were not synced may be lost.
+  KeepFiles, ///< Only the process ends, as the daemon does.
+};
+
 /// One control replica with a simulated disk.
 class SimulatedReplica
 {
@@ -25,8 +32,15 @@
   bool Start(TimePoint aNow);
   /// Writes the first membership to the empty disk of a process that is not started.
   void Bootstrap(const RaftMembership& aMembers);
-  /// Ends the process without notice.
+  /// Ends the process without notice, by a loss of power.
   void Crash();
+  /// Ends the process without notice; the files stay as they are.
+  void End();
+  /// Applies from the next failed write on; LosePower at first.
+  void SetAfterFailedWrite(AfterFailedWrite aEffect) { mAfterFailedWrite = aEffect; }
+  /// Removes the files of a process that is not started and takes a new identity, as the daemon
+  /// does when the group refuses its identity.
+  Status TakeNewIdentity();
   bool Running() const { return mCore != nullptr; }
   /// Why the process ended, if it did because its identity was refused or its store is unusable.
   const std::string& StopReason() const { return mStopReason; }
@@ -39,6 +53,8 @@
   Status Transfer(TimePoint aNow, const ReplicaId& aTarget = {});
   /// Stores a snapshot of the applied entries and compacts the log.
   void TakeSnapshot();
+  /// Index of the last entry that the newest snapshot covers.
+  LogIndex SnapshotIndex() const { return mSnapshotIndex; }
   /// Messages sent since the last call.
   std::vector<RaftMessage> TakeSent();
 
@@ -50,6 +66,7 @@
   std::size_t SnapshotsInstalled() const { return mSnapshotsInstalled; }
 
 private:
+  void StopAfterFailedWrite();
   void Run(TimePoint aNow, RaftActions aActions);
   Status Execute(TimePoint aNow, PersistAction& aAction);
   Status Execute(TimePoint aNow, InstallSnapshotAction& aAction);
@@ -71,7 +88,9 @@
   ProposalTracker mProposals;
   std::map<EntryId, Bytes> mPayloads;
   std::vector<RaftMessage> mSent;
+  LogIndex mSnapshotIndex = 0;
   std::string mStopReason;
+  AfterFailedWrite mAfterFailedWrite = AfterFailedWrite::LosePower;
   std::size_t mPeersRefused = 0;
   std::size_t mSnapshotsInstalled = 0;
 };
--- /dev/null
+++ b/unittests/Control/SupervisedCluster.h
@@ -0,0 +1,125 @@
+// Control replicas with everything that acts on them in a deployment: restarts, repair, an
+// operator.
+#pragma once
+
+#include "Control/SimulatedCluster.h"
+
+#include "dandelionslip/Control/ReplicaRepairPlanner.h"
+
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace dandelionslip {
+
+/// When an ended process is started again.
+enum class RestartRule
+{
+  AfterDelay, ///< 500 ms after its end, also while its disk is still full.
+  AfterRoom,  ///< 500 ms after its end, but not while its disk is full.
+};
+
+/// A process that ended by itself because of a failed write.
+struct ProcessEnd
+{
+  std::size_t mReplica = 0;
+  TimePoint mTime;
+};
+
+/// A change that the operator wants to have acknowledged.
+struct OperatorChange
+{
+  TimePoint mSent;
+  std::optional<TimePoint> mAcknowledged;
+  EntryId mEntry;
+};
+
+/// A SimulatedCluster that is driven as ControlDaemon drives it. A process whose write fails ends
+/// and is restarted with its files; a refused identity is replaced by a new one; leaders replace
+/// silent voters; an operator sends changes to any replica, which passes them to the leader.
+class SupervisedCluster
+{
+public:
+  /// aVoters replicas start as voters; aLearners more join. Equal seeds give equal runs.
+  SupervisedCluster(std::size_t aVoters, std::size_t aLearners, RestartRule aRestart,
+                    std::uint64_t aSeed);
+
+  void RunFor(Milliseconds aTime);
+  /// Lets the operator send a change at each interval; std::nullopt ends this.
+  void SendChangesEvery(std::optional<Milliseconds> aInterval);
+  /// Whether every replica runs, is a member, has applied all of the leader's log, is confirmed,
+  /// and the voters are as many as at first, or one more, because a voter came back after its
+  /// replacement was promoted.
+  bool Settled();
+  /// Cuts the power of all replicas at the same time and starts them again.
+  void LosePower();
+
+  SimulatedReplica& At(std::size_t aIndex) { return mCluster.At(aIndex); }
+  std::size_t Size() const { return mCluster.Size(); }
+  /// Position of the leader, if there is one.
+  std::optional<std::size_t> Leader();
+  TimePoint Now() const { return mCluster.Now(); }
+  const std::vector<ProcessEnd>& Ends() const { return mEnds; }
+  const std::vector<OperatorChange>& Changes() const { return mChanges; }
+  std::size_t NewIdentities() const { return mNewIdentities; }
+  /// The first violated invariant, or an empty text.
+  std::string FirstViolation();
+  /// The state of each replica, for failure texts.
+  std::string Describe();
+
+private:
+  struct Process
+  {
+    bool mRunning = true;
+    std::size_t mStarts = 1;
+    TimePoint mRestartAt;
+    TimePoint mJoinAt;
+    Term mLedTerm = 0;
+    std::optional<ReplicaRepairPlanner> mPlanner;
+  };
+
+  /// One attempt of the operator to have a change acknowledged by one replica.
+  struct Attempt
+  {
+    std::size_t mChange = 0;
+    std::size_t mReplica = 0;
+    std::size_t mReplicaStarts = 0;
+    TimePoint mDeadline;
+    TimePoint mNextTry;
+    std::optional<EntryId> mEntry;
+    std::size_t mProposer = 0;
+    std::size_t mProposerStarts = 0;
+  };
+
+  void Step();
+  void Supervise(std::size_t aIndex);
+  void OnEnded(std::size_t aIndex);
+  void StartProcess(std::size_t aIndex);
+  void Maintain(std::size_t aIndex);
+  void SendJoin(std::size_t aIndex);
+  void ReceiveJoin(std::size_t aIndex, const ReplicaId& aFrom, bool aMayForward);
+  void MaybeSnapshot(std::size_t aIndex);
+  void SendChanges();
+  void Continue(Attempt& aAttempt);
+  void StartAttempt(Attempt& aAttempt);
+  bool Runs(std::size_t aIndex, std::size_t aStarts);
+  std::string AddressOf(const ReplicaId& aId);
+  std::optional<std::size_t> IndexOf(const ReplicaId& aId);
+
+  RestartRule mRestart;
+  std::size_t mVoters;
+  Random mRandom;
+  SimulatedCluster mCluster;
+  std::vector<Process> mProcesses;
+  std::map<ReplicaId, std::size_t> mIndexes; ///< Of all identities that were ever used.
+  std::vector<ProcessEnd> mEnds;
+  std::vector<OperatorChange> mChanges;
+  std::vector<Attempt> mAttempts; ///< Of the changes that are not acknowledged yet.
+  std::optional<Milliseconds> mInterval;
+  TimePoint mNextChange;
+  std::uint64_t mNextPayload = 1;
+  std::size_t mNewIdentities = 0;
+  std::string mUnusableStore;
+};
+
+} // namespace dandelionslip
