Let replicas without a vote forget a silent leader

A removed replica without a vote that keeps running while it is cut off could still stay outside the group: it sends its join requests to the last leader only, and nobody answers if that VM is gone. Changes that it gets are passed to that leader too.

Cause: a voter forgets the leader when its election is due; a replica without a vote only set the next deadline.

Change: RaftCore::Impl::ForgetLeader. Join requests then go to all replicas that are known.

Result: RaftCoreTest::LearnerForgetsASilentLeader failed before and passes now.

--- a/lib/Control/RaftCoreImpl.cpp
+++ b/lib/Control/RaftCoreImpl.cpp
@@ -54,11 +54,18 @@
   if (Role() == RaftRole::Leader) {
     TickLeader();
   } else if (Role() != RaftRole::Stopped && mNow >= mElectionDeadline) {
-    MayStartElection() ? StartPreVote() : ResetElectionDeadline();
+    MayStartElection() ? StartPreVote() : ForgetLeader();
   }
   return CollectActions();
 }
 
+// A replica without a vote then asks all replicas that it knows to join, not only the lost leader.
+void RaftCore::Impl::ForgetLeader()
+{
+  mLeader.reset();
+  ResetElectionDeadline();
+}
+
 RaftActions RaftCore::Impl::Receive(TimePoint aNow, const RaftMessage& aMessage)
 {
   SetNow(aNow);
--- a/lib/Control/RaftCoreImpl.h
+++ b/lib/Control/RaftCoreImpl.h
@@ -55,6 +55,7 @@
   void SetHardState(Term aTerm, ReplicaId aVotedFor);
   void AdvanceCommit(LogIndex aCommit);
   void ResetElectionDeadline();
+  void ForgetLeader();
   void BecomeFollower(Term aTerm, std::optional<ReplicaId> aLeader);
   void Stop(std::string aReason);
   void CheckOwnIdentity();
--- a/unittests/Control/RaftCoreTest.cpp
+++ b/unittests/Control/RaftCoreTest.cpp
@@ -21,6 +21,7 @@
   CPPUNIT_TEST(LearnerIsPromotedOnlyWhenDurable);
   CPPUNIT_TEST(OneMembershipChangeAtATime);
   CPPUNIT_TEST(RemovedIdentityIsRefusedForGood);
+  CPPUNIT_TEST(LearnerForgetsASilentLeader);
   CPPUNIT_TEST(WipedVoterIsRefused);
   CPPUNIT_TEST(WipedPromotedReplicaIsRefused);
   CPPUNIT_TEST(WipedLearnerStartsAgain);
@@ -252,6 +253,22 @@
     CheckHistory(cluster);
   }
 
+  // Guards against a learner that sends its join requests to a lost leader only.
+  void LearnerForgetsASilentLeader()
+  {
+    SimulatedCluster cluster(4, 3, 11);
+    CPPUNIT_ASSERT(Change(cluster, RaftMembershipChangeKind::AddLearner, cluster.At(3).Id()));
+    AwaitConverged(cluster);
+    CPPUNIT_ASSERT(cluster.At(3).Core().Leader());
+    cluster.Isolate(3);
+    cluster.RunFor(Milliseconds(1'100));
+    CPPUNIT_ASSERT(!cluster.At(3).Core().Leader());
+    cluster.Heal();
+    CPPUNIT_ASSERT(cluster.RunUntil([&] { return cluster.At(3).Core().Leader().has_value(); }));
+    CommitSome(cluster);
+    AwaitConverged(cluster);
+  }
+
   // Crashes a replica, empties its data directory and starts it under its old identity.
   static void Wipe(SimulatedCluster& aCluster, std::size_t aIndex)
   {
