--- a/lib/Control/RaftCoreImpl.cpp
+++ b/lib/Control/RaftCoreImpl.cpp
@@ -54,11 +54,18 @@
   if (Role() == RaftRole::Leader) {
     TickLeader();
   } else if (Role() != RaftRole::Stopped && mNow >= mElectionDeadline) {
-    MayStartElection() ? StartPreVote() : ResetElectionDeadline();
+    MayStartElection() ? StartPreVote() : ForgetLeader();
   }
   return CollectActions();
 }
 
+// A replica without a vote then asks all replicas that it knows to join, not only the lost leader.
+void RaftCore::Impl::ForgetLeader()
+{
+  mLeader.reset();
+  ResetElectionDeadline();
+}
+
 RaftActions RaftCore::Impl::Receive(TimePoint aNow, const RaftMessage& aMessage)
 {
   SetNow(aNow);
@@ -80,6 +87,16 @@
   return CollectActions();
 }
 
+RaftActions RaftCore::Impl::ReceiveJoin(TimePoint aNow, const ReplicaId& aReplica)
+{
+  SetNow(aNow);
+  if (Role() != RaftRole::Stopped && mLog.MembershipAt(mCommitIndex).IsRemoved(aReplica)) {
+    // Changes nothing at the receiver. Its answer is refused, whatever it says.
+    Send(aReplica, PreVoteRequest{mHardState.mTerm, mLog.LastIndex(), mLog.LastTerm()});
+  }
+  return CollectActions();
+}
+
 RaftActions RaftCore::Impl::OnPersisted(TimePoint aNow, EntryId aLast)
 {
   SetNow(aNow);
--- a/lib/Control/RaftCoreImpl.h
+++ b/lib/Control/RaftCoreImpl.h
@@ -20,6 +20,7 @@
 
   RaftActions Tick(TimePoint aNow);
   RaftActions Receive(TimePoint aNow, const RaftMessage& aMessage);
+  RaftActions ReceiveJoin(TimePoint aNow, const ReplicaId& aReplica);
   RaftActions OnPersisted(TimePoint aNow, EntryId aLast);
   Result<EntryId> Propose(TimePoint aNow, Bytes aPayload, RaftActions& aActions);
   Result<EntryId> ProposeChange(TimePoint aNow, const RaftMembershipChange& aChange,
@@ -54,6 +55,7 @@
   void SetHardState(Term aTerm, ReplicaId aVotedFor);
   void AdvanceCommit(LogIndex aCommit);
   void ResetElectionDeadline();
+  void ForgetLeader();
   void BecomeFollower(Term aTerm, std::optional<ReplicaId> aLeader);
   void Stop(std::string aReason);
   void CheckOwnIdentity();
