--- a/include/dandelionslip/Packet/PacketBalancer.h
+++ b/include/dandelionslip/Packet/PacketBalancer.h
@@ -280,7 +280,6 @@
   Counter& mNoUpstream;
   Counter& mNotFound;
   // The flows of mNotFound by the weakest statement that ruled out an agent.
-  Counter& mResetByOpening;   ///< An agent had returned the opening packet.
   Counter& mResetByDirectory; ///< The directory agents spoke for an agent.
   Counter& mResetByDenials;   ///< All agents denied the flow themselves.
   Counter& mPlaced;
--- a/lib/Packet/PacketBalancer.cpp
+++ b/lib/Packet/PacketBalancer.cpp
@@ -56,8 +56,6 @@
   , mNoRoute(aRegistry.CounterFor("dandelionslip_flows_refused_total", "reason=\"no_route\""))
   , mNoUpstream(aRegistry.CounterFor("dandelionslip_flows_refused_total", "reason=\"no_upstream\""))
   , mNotFound(aRegistry.CounterFor("dandelionslip_flows_refused_total", "reason=\"not_found\""))
-  , mResetByOpening(
-      aRegistry.CounterFor("dandelionslip_flows_reset_total", "reason=\"opening_returned\""))
   , mResetByDirectory(
       aRegistry.CounterFor("dandelionslip_flows_reset_total", "reason=\"not_registered\""))
   , mResetByDenials(aRegistry.CounterFor("dandelionslip_flows_reset_total", "reason=\"denied\""))
--- a/lib/Packet/PacketBalancerResets.cpp
+++ b/lib/Packet/PacketBalancerResets.cpp
@@ -128,12 +128,7 @@
         std::max(coveredAgeMs, agent.mReportedAt ? AgeMs(*agent.mReportedAt, aNow) : -1);
     }
   }
-  const bool openingReturned =
-    std::any_of(search.mRuledOut.begin(), search.mRuledOut.end(),
-                [](const FlowDenial& aDenial) { return aDenial.mOfOpening; });
-  Counter& counter = openingReturned ? mResetByOpening
-                     : covered > 0   ? mResetByDirectory
-                                     : mResetByDenials;
+  Counter& counter = covered > 0 ? mResetByDirectory : mResetByDenials;
   counter.Add();
   LogEvent(LogLevel::Info, "flow_reset", LogPriority::High)
     .With("flow", ToString(aPacketHeader.mFlow))
