Drop an upstream's reset of a flow that is only half open there

What callers would see: a reset of an open flow, sent by an upstream that is not the flow's.

Cause: two upstreams may answer copies of one opening packet. The caller takes one answer; the other upstream keeps a half-open flow, and its agent passed on whatever that upstream sent, a reset at its end included.

Change: an agent passes on a reset only if the caller or the upstream has sent more than what opens the flow. Others are dropped and logged as probe_reset.

--- a/include/dandelionslip/Packet/PacketAgent.h
+++ b/include/dandelionslip/Packet/PacketAgent.h
@@ -110,6 +110,7 @@
     bool mAccepted = false; ///< The upstream has sent a packet of the flow.
     /// The upstream has sent a packet other than its answer to the opening packet.
     bool mEstablished = false;
+    bool mCallerSent = false; ///< The caller has sent a packet after the opening packet.
     bool mCallerEnded = false;
     bool mUpstreamEnded = false;
     bool mClosed = false;         ///< Both sides have ended the flow; kept for late packets.
@@ -159,6 +160,7 @@
               std::span<const std::uint8_t> aPacket, PacketOutput& aOutput);
   void OnOpening(const Endpoint& aFrom, const PacketHeader& aPacketHeader,
                  std::span<std::uint8_t> aPacket, PacketOutput& aOutput, TimePoint aNow);
+  bool IsOpen(const FlowKey& aKey) const;
   static bool IsAcceptedOpening(const Flow& aFlow, const PacketHeader& aPacketHeader);
   static bool IsOfOtherFlow(const Flow& aFlow, const PacketHeader& aPacketHeader);
   void LogOpening(const FlowKey& aFlow, ReturnReason aReason, TimePoint aNow) const;
@@ -237,7 +239,7 @@
   Counter& mReplies;
   Counter& mBounced;
   Counter& mFlowsLost; ///< Flows that were reset because the upstream no longer holds them.
-  /// Resets that the upstream sent in reaction to flow probes.
+  /// Resets that the upstream sent for flows that are not open here.
   Counter& mProbeResetsDropped;
   Counter& mMalformed;
   Counter& mLateOpenings;   ///< Copies of opening packets that came after the flow was open.
--- a/lib/Packet/PacketAgentFlows.cpp
+++ b/lib/Packet/PacketAgentFlows.cpp
@@ -121,6 +121,13 @@
   return aFlow.mAccepted && aFlow.mOpeningSequence == aPacketHeader.mSequence;
 }
 
+// Whether the caller or the upstream has sent more than what opens the flow.
+bool PacketAgent::IsOpen(const FlowKey& aKey) const
+{
+  const auto found = mFlows.find(aKey);
+  return found != mFlows.end() && (found->second.mEstablished || found->second.mCallerSent);
+}
+
 // Whether the packet belongs to an earlier or later flow of the same caller port. Which of the two
 // the upstream holds, only the upstream knows.
 bool PacketAgent::IsOfOtherFlow(const Flow& aFlow, const PacketHeader& aPacketHeader)
@@ -146,6 +153,7 @@
   }
   Flow& flow = found->second;
   flow.mUsedAt = aNow;
+  flow.mCallerSent = true;
   flow.mDeliveredAt = aNow;
   TrackRequest(flow, aPacketHeader, aNow);
   if (aType == NodeMessageType::Probe) {
@@ -177,11 +185,13 @@
     mMalformed.Add();
     return;
   }
-  // A reset of a flow that is not held here is a reaction to a flow probe. It must not reach the
-  // caller, because the flow may be open at another upstream.
-  if (packetHeader->mResets && !mFlows.contains(packetHeader->mFlow)) {
+  // A reset of a flow that is not open here is a reaction to a flow probe, or ends an opening whose
+  // caller took another upstream's answer. It must not reach the caller, because the flow may be
+  // open at another upstream.
+  if (packetHeader->mResets && !IsOpen(packetHeader->mFlow)) {
     mProbeResetsDropped.Add();
     LogProbeReset(packetHeader->mFlow, aNow);
+    RemoveFlow(packetHeader->mFlow, RemovalReason::UpstreamReset, aNow);
     return;
   }
   mReplies.Add();
--- a/unittests/Packet/PacketAgentTest.cpp
+++ b/unittests/Packet/PacketAgentTest.cpp
@@ -34,6 +34,7 @@
   CPPUNIT_TEST(BouncedOpeningsAreReturned);
   CPPUNIT_TEST(FlowsThatTheUpstreamLostAreReset);
   CPPUNIT_TEST(ReusedPortsAreNotTakenForTheOldFlow);
+  CPPUNIT_TEST(ResetsOfHalfOpenFlowsAreDropped);
   CPPUNIT_TEST(LateOpeningsDoNotRemoveAnOpenFlow);
   CPPUNIT_TEST(BouncedOpeningsDoNotRemoveAnAcceptedFlow);
   CPPUNIT_TEST(PacketsWithAnotherSequenceDoNotRemoveAnOpenFlow);
@@ -413,6 +414,20 @@
     AssertReturned(ReturnReason::NotHeld);
   }
 
+  // Another upstream has accepted a copy of the opening packet, and the caller has taken its
+  // answer.
+  void ResetsOfHalfOpenFlowsAreDropped()
+  {
+    ApplyRoutesAndHeartbeat();
+    Open(1);
+    FromUpstream(UpstreamPacket(TestFlow(1), FlagRst));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, mOutput.Resets());
+    Open(2);
+    FromBalancer(CallerPacket(TestFlow(2), FlagAck, 2, 2, 100));
+    FromUpstream(UpstreamPacket(TestFlow(2), FlagRst));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, mOutput.Resets());
+  }
+
   // An opening packet that was queued at a frozen VM comes while its flow is open.
   void LateOpeningsDoNotRemoveAnOpenFlow()
   {
