Keep answers to the query of a refusal out of a search

What callers would see: a reset of an open flow, if a directory agent denied it in answer to the query before a refusal, then accepted a copy of the opening packet itself, and the answer arrived after the flow's next packet.

Cause: the query before a refusal asks about a flow that is not open; its answers were counted in the search that the flow's next packet starts, since answers do not name their query.

Change: a further packet of the flow cancels the refusal, and the negative answers that are still awaited are discarded.

--- a/include/dandelionslip/Packet/PacketBalancer.h
+++ b/include/dandelionslip/Packet/PacketBalancer.h
@@ -156,6 +156,9 @@
     TimePoint mArrivedAt;
     TimePoint mQueriedAt;
     std::vector<Endpoint> mUnanswered; ///< Directory agents that have not answered yet.
+    /// The caller has sent another packet of the flow. Negative answers that are still awaited may
+    /// be older than the flow and must not count in a search for its holder.
+    bool mCancelled = false;
   };
 
   using AgentMap = std::map<Endpoint, Agent>;
@@ -237,7 +240,9 @@
   /// Resets an opening and logs what decided it: the agents that returned it and the state of the
   /// agents of its route.
   void ResetOpening(const PendingRefusal& aRefusal, PacketOutput& aOutput, TimePoint aNow);
-  /// Handles a directory agent's answer. Returns whether the flow has a pending refusal.
+  void CancelRefusal(const FlowKey& aKey);
+  /// Handles a directory agent's answer. Returns whether it was the answer to the query of a
+  /// refusal, and so does not belong to a search.
   bool AnswerPendingRefusal(const FlowKey& aKey, const Endpoint& aFrom, NodeMessageType aType,
                             PacketOutput& aOutput, TimePoint aNow);
   void ResetUnansweredRefusals(PacketOutput& aOutput, TimePoint aNow);
--- a/lib/Packet/PacketBalancer.cpp
+++ b/lib/Packet/PacketBalancer.cpp
@@ -200,7 +200,7 @@
     mFlowsFull.Add();
     return;
   }
-  mPendingRefusals.erase(packetHeader->mFlow);
+  CancelRefusal(packetHeader->mFlow);
   if (packetHeader->mOpens) {
     OnOpening(*packetHeader, aPacket, aOutput, aNow);
     return;
--- a/lib/Packet/PacketBalancerResets.cpp
+++ b/lib/Packet/PacketBalancerResets.cpp
@@ -45,6 +45,13 @@
   mPendingRefusals[aPacketHeader.mFlow] = std::move(refusal);
 }
 
+void PacketBalancer::CancelRefusal(const FlowKey& aKey)
+{
+  if (const auto found = mPendingRefusals.find(aKey); found != mPendingRefusals.end()) {
+    found->second.mCancelled = true;
+  }
+}
+
 bool PacketBalancer::AnswerPendingRefusal(const FlowKey& aKey, const Endpoint& aFrom,
                                           NodeMessageType aType, PacketOutput& aOutput,
                                           TimePoint aNow)
@@ -53,11 +60,18 @@
   if (found == mPendingRefusals.end()) {
     return false;
   }
-  auto& unanswered = found->second.mUnanswered;
+  PendingRefusal& refusal = found->second;
   if (aType == NodeMessageType::HolderFound) {
+    const bool cancelled = refusal.mCancelled;
     mPendingRefusals.erase(found);
-  } else if (std::erase(unanswered, aFrom) > 0 && unanswered.empty()) {
-    ResetOpening(found->second, aOutput, aNow);
+    return !cancelled;
+  }
+  const bool awaited = std::erase(refusal.mUnanswered, aFrom) > 0;
+  if (refusal.mCancelled) {
+    return awaited;
+  }
+  if (awaited && refusal.mUnanswered.empty()) {
+    ResetOpening(refusal, aOutput, aNow);
     mPendingRefusals.erase(found);
   }
   return true;
@@ -67,7 +81,7 @@
 {
   std::erase_if(mPendingRefusals, [&](const auto& aItem) {
     const bool overdue = aNow - aItem.second.mQueriedAt > kRefusalTimeout;
-    if (overdue) {
+    if (overdue && !aItem.second.mCancelled) {
       ResetOpening(aItem.second, aOutput, aNow);
     }
     return overdue;
--- a/unittests/Packet/PacketBalancerTest.cpp
+++ b/unittests/Packet/PacketBalancerTest.cpp
@@ -40,6 +40,7 @@
   CPPUNIT_TEST(OpeningsThatCannotBeServedInTimeAreReset);
   CPPUNIT_TEST(WaitingOpeningsOfOpenFlowsAreDropped);
   CPPUNIT_TEST(OpeningsThatWaitedAreNotResetWhileTheFlowIsOpen);
+  CPPUNIT_TEST(AnswersFromBeforeTheFlowDoNotCountInItsSearch);
   CPPUNIT_TEST(LateReturnedOpeningsAreNotPlacedAgain);
   CPPUNIT_TEST(HighPriorityRoutesLeaveTheQueueFirst);
   CPPUNIT_TEST(DataCentresOutOfServiceGetNoOpenings);
@@ -641,6 +642,24 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, mOutput.Resets());
   }
 
+  // A directory agent denied the flow before its own upstream accepted a copy of the opening
+  // packet.
+  void AnswersFromBeforeTheFlowDoNotCountInItsSearch()
+  {
+    Wait();
+    mNow += Milliseconds{200};
+    mBalancer.OnTick(mOutput, mNow);
+    mNow += Milliseconds{10};
+    Send(CallerPacket(TestFlow(1), FlagAck, 7, 9, 50));
+    Answer(1, NodeMessageType::NotFound, TestFlow(1));
+    Answer(2, NodeMessageType::NotFound, TestFlow(1));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, mOutput.Resets());
+    Answer(1, NodeMessageType::NotFound, TestFlow(1));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, mOutput.Resets());
+    Answer(2, NodeMessageType::NotFound, TestFlow(1));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, mOutput.Resets());
+  }
+
   // A frozen agent returns the packet after its caller has given up or opened the flow elsewhere.
   void LateReturnedOpeningsAreNotPlacedAgain()
   {
