--- a/unittests/Packet/PacketAgentTest.cpp
+++ b/unittests/Packet/PacketAgentTest.cpp
@@ -37,6 +37,10 @@
   CPPUNIT_TEST(LateOpeningsDoNotRemoveAnOpenFlow);
   CPPUNIT_TEST(BouncedOpeningsDoNotRemoveAnAcceptedFlow);
   CPPUNIT_TEST(PacketsWithAnotherSequenceDoNotRemoveAnOpenFlow);
+  CPPUNIT_TEST(LateOpeningsDoNotRemoveAnOpenFlowThatWasAnsweredLate);
+  CPPUNIT_TEST(ResetsOfAnEndedFlowDoNotReachTheNextFlowOfThePort);
+  CPPUNIT_TEST(CopiesOfOpeningsAreNotTakenForTheOldFlow);
+  CPPUNIT_TEST(LateHeartbeatsDoNotCompleteTheTableOfARestartedAgent);
   CPPUNIT_TEST(AgentsNeedAProbeBeforeTheFirstHeartbeat);
   CPPUNIT_TEST(AgentsWithoutAnUpstreamAnswerNotFound);
   CPPUNIT_TEST(ResetsOfUnknownFlowsAreDropped);
@@ -450,6 +454,63 @@
     AssertAnswer(NodeMessageType::HolderFound, NodeMessageType::QueryLocal, TestFlow(1));
   }
 
+  // The upstream answers the opening packet after its agent has returned a copy as unanswered.
+  void LateOpeningsDoNotRemoveAnOpenFlowThatWasAnsweredLate()
+  {
+    ApplyRoutesAndHeartbeat();
+    FromBalancer(CallerPacket(TestFlow(1), FlagSyn, 1, 1));
+    FromBalancer(CallerPacket(TestFlow(1), FlagSyn, 1, 2));
+    AssertReturned(ReturnReason::Unresponsive);
+    FromUpstream(UpstreamPacket(TestFlow(1), FlagSyn | FlagAck));
+    FromBalancer(CallerPacket(TestFlow(1), FlagAck, 2, 2, 100));
+    FromUpstream(UpstreamPacket(TestFlow(1), FlagAck, 2, 200));
+    // A frozen balancer thaws. The upstream may bounce the packet.
+    const std::size_t delivered = mOutput.mToUpstream.size();
+    FromBalancer(CallerPacket(TestFlow(1), FlagSyn));
+    if (mOutput.mToUpstream.size() > delivered) {
+      Bounce();
+    }
+    AssertAnswer(NodeMessageType::HolderFound, NodeMessageType::QueryLocal, TestFlow(1));
+  }
+
+  // A balancer that remembers the earlier flow sends packets of the next one here.
+  void ResetsOfAnEndedFlowDoNotReachTheNextFlowOfThePort()
+  {
+    ApplyRoutesAndHeartbeat();
+    Establish(1);
+    FromBalancer(CallerPacket(TestFlow(1), FlagFin | FlagAck, 102, 202));
+    FromUpstream(UpstreamPacket(TestFlow(1), FlagFin | FlagAck, 202));
+    mOutput.Clear();
+    FromBalancer(CallerPacket(TestFlow(1), FlagAck, 0x40000000, 7, 100));
+    if (!mOutput.mToUpstream.empty()) {
+      FromUpstream(UpstreamPacket(TestFlow(1), FlagRst, 203));
+    }
+    CPPUNIT_ASSERT(mOutput.mToCallers.empty());
+  }
+
+  // Guards against the reset of a flow that is open at another upstream and half-open here, where
+  // an earlier flow of the port was open.
+  void CopiesOfOpeningsAreNotTakenForTheOldFlow()
+  {
+    ApplyRoutesAndHeartbeat();
+    Establish(1);
+    constexpr std::uint32_t kOtherSequence = 0x40000000;
+    FromBalancer(CallerPacket(TestFlow(1), FlagSyn, kOtherSequence, 1));
+    FromUpstream(UpstreamPacket(TestFlow(1), FlagSyn | FlagAck));
+    FromBalancer(CallerPacket(TestFlow(1), FlagAck, kOtherSequence + 1, 7, 100));
+    Bounce();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, mOutput.Resets());
+    AssertReturned(ReturnReason::NotHeld);
+  }
+
+  // The first heartbeat comes late, from a start of the upstream that has ended.
+  void LateHeartbeatsDoNotCompleteTheTableOfARestartedAgent()
+  {
+    ApplyRoutesAndHeartbeat(57);
+    CPPUNIT_ASSERT(Heartbeat(30, false, Milliseconds{0}, 2'000) == HeartbeatOutcome::Accepted);
+    AssertAnswer(NodeMessageType::ProbeNeeded, NodeMessageType::QueryLocal, TestFlow(1));
+  }
+
   // Guards against a NotFound from an agent that has just restarted although its upstream runs, and
   // against flows that are not found until the upstream's next heartbeat.
   void AgentsNeedAProbeBeforeTheFirstHeartbeat()
--- a/unittests/Packet/PacketBalancerTest.cpp
+++ b/unittests/Packet/PacketBalancerTest.cpp
@@ -22,6 +22,8 @@
   CPPUNIT_TEST(FlowsThatNobodyHoldsAreReset);
   CPPUNIT_TEST(AgentsWithConfirmedRegistrationsAreNotQueried);
   CPPUNIT_TEST(LoadReportsFromBeforeTheFlowDoNotEndASearch);
+  CPPUNIT_TEST(SecondQueriesWaitForLaterLoadReports);
+  CPPUNIT_TEST(DirectoryAgentsThatRestartedDuringASearchDoNotEndIt);
   CPPUNIT_TEST(OutdatedDirectoryAgentsDoNotEndASearch);
   CPPUNIT_TEST(OnlyAgentsThatDidNotAnswerAreQueriedAgain);
   CPPUNIT_TEST(PacketsAreKeptUntilRoutesAreKnown);
@@ -40,7 +42,14 @@
   CPPUNIT_TEST(OpeningsThatCannotBeServedInTimeAreReset);
   CPPUNIT_TEST(WaitingOpeningsOfOpenFlowsAreDropped);
   CPPUNIT_TEST(OpeningsThatWaitedAreNotResetWhileTheFlowIsOpen);
+  CPPUNIT_TEST(LaterPacketsEndARefusal);
   CPPUNIT_TEST(LateReturnedOpeningsAreNotPlacedAgain);
+  CPPUNIT_TEST(OpeningsReturnedAfterAnotherPlacementAreDropped);
+  CPPUNIT_TEST(OpeningsReturnedDuringASearchAreDropped);
+  CPPUNIT_TEST(ReturnedOpeningsOfForgottenFlowsAreNotResetWithoutAQuery);
+  CPPUNIT_TEST(LateOpeningsAreNotResetWithoutAQuery);
+  CPPUNIT_TEST(RestartedDirectoryAgentsDoNotRefuseAnOpening);
+  CPPUNIT_TEST(LateAnswersOfDirectoryAgentsDoNotRefuseAnOpening);
   CPPUNIT_TEST(HighPriorityRoutesLeaveTheQueueFirst);
   CPPUNIT_TEST(DataCentresOutOfServiceGetNoOpenings);
   CPPUNIT_TEST(FlowsFollowTheSpeedOfUpstreams);
@@ -265,6 +274,43 @@
     CPPUNIT_ASSERT(mOutput.mToNodes.back().mPacket == packet);
   }
 
+  // Guards against a second query whose answers are as old as the first ones.
+  void SecondQueriesWaitForLaterLoadReports()
+  {
+    SettleMany(60);
+    Send(CallerPacket(TestFlow(1), FlagAck, 7, 9, 50));
+    DirectoryAgentsAnswer(NodeMessageType::NotRegistered, TestFlow(1));
+    for (int i = 0; i < 2; ++i) {
+      CPPUNIT_ASSERT_EQUAL(std::size_t{2}, Sent(NodeMessageType::Query));
+      mNow += Milliseconds{24};
+      ReportRegistered(60, mDirectoryAgents.Digest());
+    }
+    for (int i = 0; i < 2; ++i) {
+      mNow += Milliseconds{100};
+      ReportRegistered(59, mDirectoryAgents.Digest());
+      CPPUNIT_ASSERT_EQUAL(std::size_t{2}, Sent(NodeMessageType::Query));
+    }
+    ReportRegisteredLater(60);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{4}, Sent(NodeMessageType::Query));
+  }
+
+  // Their first answers no longer count, and lost queries are repeated.
+  void DirectoryAgentsThatRestartedDuringASearchDoNotEndIt()
+  {
+    SettleMany(60);
+    const PacketBytes packet = CallerPacket(TestFlow(1), FlagAck, 7, 9, 50);
+    Send(packet);
+    DirectoryAgentsAnswer(NodeMessageType::NotRegistered, TestFlow(1));
+    ReportRegisteredLater(60);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{4}, Sent(NodeMessageType::Query));
+    mNow += Milliseconds{200};
+    Send(packet);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{6}, Sent(NodeMessageType::Query));
+    DirectoryAgentsAnswer(NodeMessageType::NotFound, TestFlow(1));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, mOutput.Resets());
+    CPPUNIT_ASSERT(Sent(NodeMessageType::QueryLocal) > 20);
+  }
+
   // Guards against the reset of a flow that is registered with the directory agents of another view
   // or with one that has restarted, or whose agent sends no load reports.
   void OutdatedDirectoryAgentsDoNotEndASearch()
@@ -641,6 +687,18 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, mOutput.Resets());
   }
 
+  // Guards against the reset of a flow whose next packet comes before the directory agents answer.
+  void LaterPacketsEndARefusal()
+  {
+    Wait();
+    mNow += Milliseconds{200};
+    mBalancer.OnTick(mOutput, mNow);
+    Send(CallerPacket(TestFlow(1), FlagAck, 7, 9, 50));
+    mNow += Milliseconds{150};
+    mBalancer.OnTick(mOutput, mNow);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, mOutput.Resets());
+  }
+
   // A frozen agent returns the packet after its caller has given up or opened the flow elsewhere.
   void LateReturnedOpeningsAreNotPlacedAgain()
   {
@@ -656,6 +714,93 @@
     CPPUNIT_ASSERT(mOutput.mToCallers.empty());
   }
 
+  // Guards against a second holder for the copy of an opening packet.
+  void OpeningsReturnedAfterAnotherPlacementAreDropped()
+  {
+    Settle();
+    const PacketBytes opening = CallerPacket(TestFlow(1), FlagSyn);
+    const PacketBytes copy = CallerPacket(TestFlow(1), FlagSyn, 1, 1);
+    Send(opening);
+    Send(copy);
+    const unsigned first = mOutput.mToNodes[0].mNode == NodeEndpoint(1) ? 1 : 2;
+    Return(first, ReturnReason::Unresponsive, opening);
+    CPPUNIT_ASSERT(mOutput.mToNodes.back().mNode == NodeEndpoint(3 - first));
+    mOutput.Clear();
+    Return(first, ReturnReason::Unresponsive, copy);
+    CPPUNIT_ASSERT(mOutput.mToNodes.empty());
+    CPPUNIT_ASSERT(mOutput.mToCallers.empty());
+  }
+
+  // Guards against a second placement of a flow that is open.
+  void OpeningsReturnedDuringASearchAreDropped()
+  {
+    Settle();
+    const PacketBytes opening = CallerPacket(TestFlow(1), FlagSyn);
+    const PacketBytes packet = CallerPacket(TestFlow(1), FlagAck, 2, 1, 100);
+    Send(opening);
+    Send(packet);
+    const unsigned first = mOutput.mToNodes[0].mNode == NodeEndpoint(1) ? 1 : 2;
+    Return(first, ReturnReason::NotHeld, packet);
+    mOutput.Clear();
+    Return(first, ReturnReason::Refused, opening);
+    CPPUNIT_ASSERT(mOutput.mToNodes.empty());
+    CPPUNIT_ASSERT(mOutput.mToCallers.empty());
+  }
+
+  static LoadReport Declining()
+  {
+    LoadReport report;
+    report.mSlots = 4;
+    return report;
+  }
+
+  // A frozen agent returns the packet to a balancer that has restarted; a copy has opened the flow.
+  void ReturnedOpeningsOfForgottenFlowsAreNotResetWithoutAQuery()
+  {
+    Settle();
+    Report(1, Declining());
+    Report(2, Declining());
+    Return(1, ReturnReason::Draining, CallerPacket(TestFlow(1), FlagSyn));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, mOutput.Resets());
+  }
+
+  // A frozen balancer reads the packet after a copy has opened the flow through another balancer.
+  void LateOpeningsAreNotResetWithoutAQuery()
+  {
+    Settle();
+    mNow += Milliseconds{5'000};
+    Report(1, Declining());
+    Report(2, Declining());
+    Send(CallerPacket(TestFlow(1), FlagSyn));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, Sent(NodeMessageType::Query));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, mOutput.Resets());
+  }
+
+  // Both directory agents have restarted and do not know what is registered.
+  void RestartedDirectoryAgentsDoNotRefuseAnOpening()
+  {
+    for (const auto answer : {NodeMessageType::ProbeNeeded, NodeMessageType::NotFound}) {
+      Wait();
+      mNow += Milliseconds{200};
+      mBalancer.OnTick(mOutput, mNow);
+      Answer(1, answer, TestFlow(1));
+      Answer(2, answer, TestFlow(1));
+      CPPUNIT_ASSERT_EQUAL(std::size_t{0}, mOutput.Resets());
+    }
+  }
+
+  // The directory agents' answers wait in a queue of the link.
+  void LateAnswersOfDirectoryAgentsDoNotRefuseAnOpening()
+  {
+    Wait();
+    mNow += Milliseconds{200};
+    mBalancer.OnTick(mOutput, mNow);
+    mNow += Milliseconds{150};
+    Report(1, Cold(0, Milliseconds{30'000}));
+    Answer(1, NodeMessageType::HolderFound, TestFlow(1), NodeEndpoint(2));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, mOutput.Resets());
+  }
+
   // Guards against flows of low priority that take the openings of flows of high priority.
   void HighPriorityRoutesLeaveTheQueueFirst()
   {
