Add failing tests of reused caller ports (known failures)

A copy of an opening packet takes over the closed entry of an earlier flow of its port: the open flow is neither registered nor counted, and is removed 4 s after its last packet. A restarted agent takes the next flow of a port for the old one that its upstream still serves, and resets it.

--- a/unittests/Packet/PacketAgentTest.cpp
+++ b/unittests/Packet/PacketAgentTest.cpp
@@ -40,6 +40,8 @@
   CPPUNIT_TEST(LateOpeningsDoNotRemoveAnOpenFlowThatWasAnsweredLate);
   CPPUNIT_TEST(ResetsOfAnEndedFlowDoNotReachTheNextFlowOfThePort);
   CPPUNIT_TEST(CopiesOfOpeningsAreNotTakenForTheOldFlow);
+  CPPUNIT_TEST(CopiesOfOpeningsReplaceAClosedFlow);
+  CPPUNIT_TEST(RestartedAgentsDoNotTakeTheNextFlowOfAPortForTheOldOne);
   CPPUNIT_TEST(LateHeartbeatsDoNotCompleteTheTableOfARestartedAgent);
   CPPUNIT_TEST(AgentsNeedAProbeBeforeTheFirstHeartbeat);
   CPPUNIT_TEST(AgentsWithoutAnUpstreamAnswerNotFound);
@@ -503,6 +505,35 @@
     AssertReturned(ReturnReason::NotHeld);
   }
 
+  // Guards against an open flow that is removed from the table like the closed one of its port.
+  void CopiesOfOpeningsReplaceAClosedFlow()
+  {
+    ApplyRoutesAndHeartbeat();
+    Establish(1);
+    FromBalancer(CallerPacket(TestFlow(1), FlagFin | FlagAck, 102, 202));
+    FromUpstream(UpstreamPacket(TestFlow(1), FlagFin | FlagAck, 202));
+    mNow += Milliseconds{600};
+    constexpr std::uint32_t kOtherSequence = 0x40000000;
+    FromBalancer(CallerPacket(TestFlow(1), FlagSyn, kOtherSequence, 1));
+    FromUpstream(UpstreamPacket(TestFlow(1), FlagSyn | FlagAck));
+    FromBalancer(CallerPacket(TestFlow(1), FlagAck, kOtherSequence + 1, 2, 100));
+    FromUpstream(UpstreamPacket(TestFlow(1), FlagAck, 2, 200));
+    CPPUNIT_ASSERT_EQUAL(std::uint32_t{1}, mAgent.CurrentLoad(mNow).mFlows);
+    mNow += Milliseconds{6'655};
+    mAgent.OnTick(mNow);
+    AssertAnswer(NodeMessageType::HolderFound, NodeMessageType::QueryLocal, TestFlow(1));
+  }
+
+  // The upstream still sends packets of the old flow, whose caller has fallen silent.
+  void RestartedAgentsDoNotTakeTheNextFlowOfAPortForTheOldOne()
+  {
+    ApplyRoutesAndHeartbeat(57);
+    FromUpstream(UpstreamPacket(TestFlow(1), FlagAck, 2, 200));
+    FromBalancer(CallerPacket(TestFlow(1), FlagAck, 0x40000000, 7, 100));
+    Bounce();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, mOutput.Resets());
+  }
+
   // The first heartbeat comes late, from a start of the upstream that has ended.
   void LateHeartbeatsDoNotCompleteTheTableOfARestartedAgent()
   {
