Tell the flows of one caller port apart by their sequence numbers

What callers would see: a reset of an open flow whose port an earlier flow used some seconds before, or of one that its agent had returned as unanswered before the upstream answered.

Cause: an agent took a copy of an opening packet for the flow in its table by the packet's retransmission number alone. A copy entered the closed entry of an earlier flow and was removed with it; a late first packet removed an entry that the upstream's late answer had made. A packet of another flow went to the upstream, whose reset for its ended flow was passed on. A restarted agent took the bounce of a packet of the next flow for the loss of the old one.

Change: the sequence number decides whether an opening packet belongs to the flow in the table. A packet with another sequence number is denied if the table is complete, and the flow stays. Resets of flows that both sides have ended are dropped. An agent resets a flow only if it delivered its opening, and no packet of another flow of the port has come.

Measured: LateOpeningsDoNotRemoveAnOpenFlowThatWasAnsweredLate, ResetsOfAnEndedFlowDoNotReachTheNextFlowOfThePort, CopiesOfOpeningsAreNotTakenForTheOldFlow, CopiesOfOpeningsReplaceAClosedFlow and RestartedAgentsDoNotTakeTheNextFlowOfAPortForTheOldOne failed before and pass.

--- a/include/dandelionslip/Packet/PacketAgent.h
+++ b/include/dandelionslip/Packet/PacketAgent.h
@@ -110,6 +110,8 @@
     bool mAccepted = false; ///< The upstream has sent a packet of the flow.
     /// The upstream has sent a packet other than its answer to the opening packet.
     bool mEstablished = false;
+    /// A packet of another flow of the caller's port has come; a reset could reach that flow.
+    bool mPortReused = false;
     bool mCallerSent = false; ///< The caller has sent a packet after the opening packet.
     bool mCallerEnded = false;
     bool mUpstreamEnded = false;
@@ -161,7 +163,7 @@
   void OnOpening(const Endpoint& aFrom, const PacketHeader& aPacketHeader,
                  std::span<std::uint8_t> aPacket, PacketOutput& aOutput, TimePoint aNow);
   bool IsOpen(const FlowKey& aKey) const;
-  static bool IsAcceptedOpening(const Flow& aFlow, const PacketHeader& aPacketHeader);
+  static bool IsOpeningOf(const Flow& aFlow, const PacketHeader& aPacketHeader);
   static bool IsOfOtherFlow(const Flow& aFlow, const PacketHeader& aPacketHeader);
   void LogOpening(const FlowKey& aFlow, ReturnReason aReason, TimePoint aNow) const;
   /// Handles a packet that is not an opening packet.
--- a/lib/Packet/PacketAgentFlows.cpp
+++ b/lib/Packet/PacketAgentFlows.cpp
@@ -67,9 +67,12 @@
 void PacketAgent::OnOpening(const Endpoint& aFrom, const PacketHeader& aPacketHeader,
                             std::span<std::uint8_t> aPacket, PacketOutput& aOutput, TimePoint aNow)
 {
-  const auto found = mFlows.find(aPacketHeader.mFlow);
-  const bool accepted = found != mFlows.end() && IsAcceptedOpening(found->second, aPacketHeader);
-  if (accepted && found->second.mEstablished) {
+  auto found = mFlows.find(aPacketHeader.mFlow);
+  if (found != mFlows.end() && !IsOpeningOf(found->second, aPacketHeader)) {
+    RemoveFlow(aPacketHeader.mFlow, RemovalReason::Opening, aNow);
+    found = mFlows.end();
+  }
+  if (found != mFlows.end() && found->second.mEstablished) {
     // The caller has the upstream's answer already.
     mLateOpenings.Add();
     return;
@@ -84,9 +87,6 @@
     Return(aFrom, *reason, aPacket, aOutput);
     return;
   }
-  if (aPacketHeader.mRetransmission == 0 && !accepted) {
-    RemoveFlow(aPacketHeader.mFlow, RemovalReason::Opening, aNow);
-  }
   LogOpening(aPacketHeader.mFlow, ReturnReason::None, aNow);
   Flow& flow = FindOrAddFlow(aPacketHeader.mFlow, aNow);
   flow.mKnownByOpening = flow.mKnownByOpening || !flow.mAnsweredAt;
@@ -115,21 +115,27 @@
     .With("routes", mRoutes.mVersion);
 }
 
-// Whether the upstream has accepted this opening packet or a copy of it.
-bool PacketAgent::IsAcceptedOpening(const Flow& aFlow, const PacketHeader& aPacketHeader)
+// Whether the packet opens this flow, not another one of the same caller port. Without any sequence
+// number of the caller, a retransmission is taken for one of the known flow.
+bool PacketAgent::IsOpeningOf(const Flow& aFlow, const PacketHeader& aPacketHeader)
 {
-  return aFlow.mAccepted && aFlow.mOpeningSequence == aPacketHeader.mSequence;
+  if (aFlow.mOpeningSequence) {
+    return *aFlow.mOpeningSequence == aPacketHeader.mSequence;
+  }
+  return aFlow.mDeliveredEnd ? IsNear(aPacketHeader.mSequence, *aFlow.mDeliveredEnd)
+                             : aPacketHeader.mRetransmission > 0;
 }
 
-// Whether the caller or the upstream has sent more than what opens the flow.
+// Whether the caller or the upstream has sent more than what opens the flow, and not both have
+// ended it.
 bool PacketAgent::IsOpen(const FlowKey& aKey) const
 {
   const auto found = mFlows.find(aKey);
-  return found != mFlows.end() && (found->second.mEstablished || found->second.mCallerSent);
+  return found != mFlows.end() && !found->second.mClosed &&
+         (found->second.mEstablished || found->second.mCallerSent);
 }
 
-// Whether the packet belongs to an earlier or later flow of the same caller port. Which of the two
-// the upstream holds, only the upstream knows.
+// Whether the packet belongs to an earlier or later flow of the same caller port.
 bool PacketAgent::IsOfOtherFlow(const Flow& aFlow, const PacketHeader& aPacketHeader)
 {
   return aFlow.mDeliveredEnd && !IsNear(aPacketHeader.mSequence, *aFlow.mDeliveredEnd);
@@ -140,11 +146,15 @@
                                PacketOutput& aOutput, TimePoint aNow)
 {
   const auto found = mFlows.find(aPacketHeader.mFlow);
-  if (found == mFlows.end() && TableIsComplete(aNow)) {
-    ReportNotHeld({0, aFrom, aType, aNow}, aPacketHeader, aPacket, aOutput, aNow);
-    return;
-  }
-  if (found == mFlows.end() || IsOfOtherFlow(found->second, aPacketHeader)) {
+  const bool ofOtherFlow = found != mFlows.end() && IsOfOtherFlow(found->second, aPacketHeader);
+  if (found == mFlows.end() || ofOtherFlow) {
+    if (ofOtherFlow) {
+      found->second.mPortReused = true;
+    }
+    if (TableIsComplete(aNow)) {
+      ReportNotHeld({0, aFrom, aType, aNow}, aPacketHeader, aPacket, aOutput, aNow);
+      return;
+    }
     if (aType == NodeMessageType::Probe && mProbes.size() < kMaxProbes) {
       mProbes[aPacketHeader.mFlow] = {aFrom, aNow};
     }
@@ -241,7 +251,9 @@
   mProbes.erase(packetHeader->mFlow);
   const auto found = mFlows.find(packetHeader->mFlow);
   if (packetHeader->mOpens) {
-    if (found == mFlows.end() || !IsAcceptedOpening(found->second, *packetHeader)) {
+    // The bounce of a copy does not end what the upstream has accepted.
+    if (found == mFlows.end() || !found->second.mAccepted ||
+        !IsOpeningOf(found->second, *packetHeader)) {
       RemoveFlow(packetHeader->mFlow, RemovalReason::Bounced, aNow);
     }
     Return(delivery.mBalancer, ReturnReason::Refused, aPacket, aOutput);
@@ -251,7 +263,8 @@
     ReportNotHeld(delivery, *packetHeader, aPacket, aOutput, aNow);
     return;
   }
-  if (found != mFlows.end() && found->second.mEstablished && found->second.mDeliveredEnd) {
+  if (found != mFlows.end() && found->second.mEstablished && found->second.mOpeningSequence &&
+      !found->second.mPortReused) {
     // The flow was open at this upstream, which no longer holds it, so no upstream does.
     const bool ended = found->second.mUpstreamEnded || found->second.mClosed;
     if (!ended) {
