Refuse an opening late only on the word of directory agents that know

What callers would see: a reset sent for an open flow by a balancer to which an agent returned its opening late, that had stood still, or whose directory agents had restarted or answered late. Its sequence number fits an open flow by chance only.

Cause: NotFound and ProbeNeeded of restarted directory agents counted as denials, silence for 100 ms too; a returned opening was placed and refused even if this process had not placed it; and the age of a packet counts from when it is read.

Change: only NotRegistered counts, silence for 300 ms. An opening that is returned by an agent other than the one at which this process placed it is dropped. After more than two seconds without a tick, a balancer queries before every refusal until it has caught up.

Measured: ReturnedOpeningsOfForgottenFlowsAreNotResetWithoutAQuery, LateOpeningsAreNotResetWithoutAQuery, RestartedDirectoryAgentsDoNotRefuseAnOpening and LateAnswersOfDirectoryAgentsDoNotRefuseAnOpening failed before and pass.

--- a/include/dandelionslip/Packet/PacketBalancer.h
+++ b/include/dandelionslip/Packet/PacketBalancer.h
@@ -186,8 +186,8 @@
   /// the first one, the view shows.
   bool AcceptsNow(const Endpoint& aEndpoint, const Agent& aAgent, const Flow& aFlow,
                   TimePoint aNow) const;
-  /// Whether the agent's data centre is in service and the agent has returned no packet of the
-  /// flow.
+  /// Whether the agent's data centre is in service and the agent has not returned the opening
+  /// packet.
   bool IsEligible(const Endpoint& aEndpoint, const Agent& aAgent, const Flow& aFlow) const;
   void SearchHolder(const PacketHeader& aPacketHeader, Flow& aFlow,
                     std::span<const std::uint8_t> aPacket, PacketOutput& aOutput, TimePoint aNow);
@@ -226,6 +226,9 @@
                 TimePoint aNow);
   void OnReturned(const Endpoint& aFrom, ReturnReason aReason, std::span<std::uint8_t> aPacket,
                   PacketOutput& aOutput, TimePoint aNow);
+  void OnOpeningReturned(const Endpoint& aFrom, ReturnReason aReason,
+                         const PacketHeader& aPacketHeader, std::span<std::uint8_t> aPacket,
+                         PacketOutput& aOutput, TimePoint aNow);
   void OnLoadReport(const Endpoint& aFrom, std::span<const std::uint8_t> aBytes,
                     PacketOutput& aOutput, TimePoint aNow);
   void ApplyView(const View& aView, TimePoint aNow);
@@ -240,6 +243,8 @@
   /// Resets an opening and logs what decided it: the agents that returned it and the state of the
   /// agents of its route.
   void ResetOpening(const PendingRefusal& aRefusal, PacketOutput& aOutput, TimePoint aNow);
+  bool MayHaveStoodStill(TimePoint aNow) const;
+  void NoteTick(TimePoint aNow);
   void CancelRefusal(const FlowKey& aKey);
   /// Handles a directory agent's answer. Returns whether it was the answer to the query of a
   /// refusal, and so does not belong to a search.
@@ -271,6 +276,8 @@
   std::vector<EarlyPacket> mEarlyPackets; ///< In order of arrival.
   OpeningQueue mWaiting;
   std::unordered_map<FlowKey, PendingRefusal, FlowKeyHash> mPendingRefusals;
+  std::optional<TimePoint> mTickedAt; ///< Last OnTick(); before it, the first OnState().
+  TimePoint mCaughtUpAt; ///< Until then, packets from before the process stood still may be read.
   TimePoint mExpiryCheckedAt; ///< When openings that waited too long were last reset.
   /// Set while a waiting opening is placed again: its time of arrival, which keeps its position in
   /// the queue if it has to wait again.
--- a/lib/Packet/PacketBalancer.cpp
+++ b/lib/Packet/PacketBalancer.cpp
@@ -78,6 +78,7 @@
     mConfigurationRevision = aConfiguration.mRevision;
     mDataCentres = aConfiguration.mDataCentres;
   }
+  mTickedAt = mTickedAt.value_or(aNow);
   const bool newRoutes = aConfiguration.mRoutes.mVersion > mRouteVersion;
   const bool hadAgents = !mAgents.empty();
   if (newRoutes) {
@@ -435,37 +436,50 @@
     .With("flow", ToString(packetHeader->mFlow))
     .With("agent", aFrom.ToString())
     .With("reason", ToString(aReason));
-  Flow& flow = FindOrAddFlow(packetHeader->mFlow, aNow);
-  if (packetHeader->mOpens &&
-      (flow.mSearch || aNow - flow.mFirstUsedAt > mSettings.mMaxPacketWait ||
-       (flow.mHolder && *flow.mHolder != aFrom))) {
-    // The flow is open or placed elsewhere, or its caller has given up.
+  if (packetHeader->mOpens) {
+    OnOpeningReturned(aFrom, aReason, *packetHeader, aPacket, aOutput, aNow);
     return;
   }
+  Flow& flow = FindOrAddFlow(packetHeader->mFlow, aNow);
   if (flow.mHolder && *flow.mHolder != aFrom) {
     // The flow was found at another agent in the meantime.
     aOutput.SendToNode(*flow.mHolder, {NodeMessageType::Deliver, ReturnReason::None}, aPacket);
     return;
   }
   flow.mHolder.reset();
-  const FlowDenial denial{aFrom, NodeMessageType::Returned, aReason, packetHeader->mOpens, aNow};
-  if (!packetHeader->mOpens) {
-    SearchAfterReturn(*packetHeader, flow, denial, aPacket, aOutput, aNow);
-    return;
-  }
+  SearchAfterReturn(*packetHeader, flow, {aFrom, NodeMessageType::Returned, aReason, false, aNow},
+                    aPacket, aOutput, aNow);
+}
+
+void PacketBalancer::OnOpeningReturned(const Endpoint& aFrom, ReturnReason aReason,
+                                       const PacketHeader& aPacketHeader,
+                                       std::span<std::uint8_t> aPacket, PacketOutput& aOutput,
+                                       TimePoint aNow)
+{
   if (aReason == ReturnReason::Cold) {
     // The upstream has reached its limit of new flows; the next report allows more.
     mAgents[aFrom].mReport.mOpeningsAllowed = 0;
-  } else {
-    flow.mOpeningReturnedBy.push_back(denial);
   }
-  const RouteEntry* route = FindRoute(packetHeader->mFlow);
+  const auto found = mFlows.find(aPacketHeader.mFlow);
+  if (found == mFlows.end() || found->second.mHolder != aFrom ||
+      aNow - found->second.mFirstUsedAt > mSettings.mMaxPacketWait) {
+    // The flow is placed or open elsewhere, an earlier process placed it, or its caller has given
+    // up.
+    return;
+  }
+  Flow& flow = found->second;
+  flow.mUsedAt = aNow;
+  flow.mHolder.reset();
+  if (aReason != ReturnReason::Cold) {
+    flow.mOpeningReturnedBy.push_back({aFrom, NodeMessageType::Returned, aReason, true, aNow});
+  }
+  const RouteEntry* route = FindRoute(aPacketHeader.mFlow);
   if (route == nullptr) {
-    RefuseOpening(*packetHeader, flow.mOpeningReturnedBy, mNoRoute, aOutput, flow.mFirstUsedAt,
+    RefuseOpening(aPacketHeader, flow.mOpeningReturnedBy, mNoRoute, aOutput, flow.mFirstUsedAt,
                   aNow);
     return;
   }
-  PlaceFlow(*packetHeader, flow, *route, aPacket, aOutput, aNow);
+  PlaceFlow(aPacketHeader, flow, *route, aPacket, aOutput, aNow);
 }
 
 void PacketBalancer::OnLoadReport(const Endpoint& aFrom, std::span<const std::uint8_t> aBytes,
@@ -496,6 +510,7 @@
 
 void PacketBalancer::OnTick(PacketOutput& aOutput, TimePoint aNow)
 {
+  NoteTick(aNow);
   mProbesLeft = kProbesPerSecond;
   ResetExpiredOpenings(aOutput, aNow);
   ContinueAwaitingSearches(aOutput, aNow);
--- a/lib/Packet/PacketBalancerResets.cpp
+++ b/lib/Packet/PacketBalancerResets.cpp
@@ -15,7 +15,12 @@
 constexpr Milliseconds kFirstCopyAfter{150};
 
 // The directory agents' answers to a query before a refusal are awaited for this long.
-constexpr Milliseconds kRefusalTimeout{100};
+constexpr Milliseconds kRefusalTimeout{300};
+
+// OnTick is called every second. After a longer interval the process has stood still, and packets
+// that arrived meanwhile are read for some time.
+constexpr Milliseconds kMaxTickInterval{2'000};
+constexpr Milliseconds kCatchUpTime{200};
 
 std::int64_t AgeMs(TimePoint aThen, TimePoint aNow)
 {
@@ -30,7 +35,8 @@
 {
   PendingRefusal refusal{
     aPacketHeader, {aReturnedBy.begin(), aReturnedBy.end()}, &aCounter, aArrivedAt, aNow, {}};
-  const bool mayBeOpen = aPacketHeader.mRetransmission > 0 || aNow - aArrivedAt > kFirstCopyAfter;
+  const bool mayBeOpen = aPacketHeader.mRetransmission > 0 || aNow - aArrivedAt > kFirstCopyAfter ||
+                         MayHaveStoodStill(aNow);
   if (mayBeOpen) {
     refusal.mUnanswered = mDirectoryAgents.AgentsFor(aPacketHeader.mFlow);
   }
@@ -45,6 +51,20 @@
   mPendingRefusals[aPacketHeader.mFlow] = std::move(refusal);
 }
 
+// Whether a packet that is read now may have arrived long ago.
+bool PacketBalancer::MayHaveStoodStill(TimePoint aNow) const
+{
+  return mTickedAt && (aNow - *mTickedAt > kMaxTickInterval || aNow < mCaughtUpAt);
+}
+
+void PacketBalancer::NoteTick(TimePoint aNow)
+{
+  if (mTickedAt && aNow - *mTickedAt > kMaxTickInterval) {
+    mCaughtUpAt = aNow + kCatchUpTime;
+  }
+  mTickedAt = aNow;
+}
+
 void PacketBalancer::CancelRefusal(const FlowKey& aKey)
 {
   if (const auto found = mPendingRefusals.find(aKey); found != mPendingRefusals.end()) {
@@ -66,11 +86,12 @@
     mPendingRefusals.erase(found);
     return !cancelled;
   }
-  const bool awaited = std::erase(refusal.mUnanswered, aFrom) > 0;
   if (refusal.mCancelled) {
-    return awaited;
+    return aType != NodeMessageType::ProbeNeeded && std::erase(refusal.mUnanswered, aFrom) > 0;
   }
-  if (awaited && refusal.mUnanswered.empty()) {
+  // Other answers come from agents that do not know what was registered before they started.
+  if (aType == NodeMessageType::NotRegistered && std::erase(refusal.mUnanswered, aFrom) > 0 &&
+      refusal.mUnanswered.empty()) {
     ResetOpening(refusal, aOutput, aNow);
     mPendingRefusals.erase(found);
   }
