Make what a log store loads durable before it is used

What callers saw: a change could be acknowledged and then lost. A replica wrote entries, their sync failed or was not reached (full or stalled disk, end of the process), and the process was restarted. The new process read the entries from the page cache and counted them as durable, so that the replica acknowledged them. After a loss of power its log ended before them.

Cause: LogStore::Open synced nothing that it had only read.

Change: Open writes the loaded bytes of the newest segment again in place, cuts an incomplete record off and syncs the segment, and at its end syncs the directory. An error fails Open; the process exits and is restarted as after other errors. A sync alone isn't enough: after a failed fsync Linux may take the unwritten pages for clean, and the next fsync succeeds without them. The bytes are replaced by equal ones, so that a torn write does no harm, and on most file systems they need no room. All other files were synced before they got their names, so the directory sync covers them. FileSystem::Append is now Write, with OpenMode::Overwrite. The simulated file system drops the bytes of a failed sync in the same way, so all of its tests are stricter.

What remains: a replica whose disk refuses every write doesn't start before it has room, where it started and ended at its first write before. If the kernel drops a page in the middle of the unsynced part from its cache, Open may report damage. The name of the data directory in its parent is not synced.

--- a/include/dandelionslip/Control/FileSystem.h
+++ b/include/dandelionslip/Control/FileSystem.h
@@ -19,8 +19,9 @@
 
 enum class OpenMode
 {
-  Create, ///< Creates the file, or empties an existing one.
-  Append, ///< Opens an existing file; writes go to its end.
+  Create,    ///< Creates the file, or empties an existing one.
+  Append,    ///< Opens an existing file; writes go to its end.
+  Overwrite, ///< Opens an existing file; writes replace its bytes from the start on.
 };
 
 /// File operations. Nothing is durable before Sync (contents) and SyncDirectory (names). All errors
@@ -31,8 +32,10 @@
   virtual ~FileSystem() = default;
 
   virtual Result<FileHandle> Open(const std::string& aPath, OpenMode aMode) = 0;
-  /// Writes all bytes at the end of the file.
-  virtual Status Append(FileHandle aFile, std::span<const std::uint8_t> aBytes) = 0;
+  /// Writes all bytes where the OpenMode says.
+  virtual Status Write(FileHandle aFile, std::span<const std::uint8_t> aBytes) = 0;
+  /// After an error, bytes that were written before are durable only once they have been written
+  /// again and synced: Linux may take them for clean and skip them in the next sync.
   virtual Status Sync(FileHandle aFile) = 0;
   virtual Status Truncate(FileHandle aFile, std::uint64_t aSize) = 0;
   virtual void Close(FileHandle aFile) = 0;
--- a/include/dandelionslip/Control/LogStore.h
+++ b/include/dandelionslip/Control/LogStore.h
@@ -45,7 +45,8 @@
 class LogStore
 {
 public:
-  /// Opens or creates the store. Drops an incomplete record at the end of the newest segment.
+  /// Opens or creates the store. Drops an incomplete record at the end of the newest segment. What
+  /// it finds is durable when it returns; a write or sync that fails gives ErrorCode::Io.
   /// A missing file or damage anywhere else gives ErrorCode::Corrupt with the path and, for damage,
   /// the offset.
   static Result<std::unique_ptr<LogStore>> Open(FileSystem& aFiles, LogStoreSettings aSettings,
@@ -104,7 +105,8 @@
   Status LoadSegment(LogIndex aFirst, bool aNewest);
   Status LoadEntries(Segment& aSegment, LogIndex aFirst, std::span<const std::uint8_t> aBytes,
                      bool aNewest);
-  Status DropTail(Segment& aSegment, std::uint64_t aSize);
+  void NoteDroppedTail(const Segment& aSegment, std::uint64_t aSize);
+  Status MakeDurable(const Segment& aSegment, std::span<const std::uint8_t> aBytes);
   Status DropCoveredEntries();
   std::optional<Term> TermAt(LogIndex aIndex) const;
   std::optional<Term> SegmentTermAt(LogIndex aIndex) const;
--- a/include/dandelionslip/Control/PosixFileSystem.h
+++ b/include/dandelionslip/Control/PosixFileSystem.h
@@ -10,7 +10,7 @@
 {
 public:
   Result<FileHandle> Open(const std::string& aPath, OpenMode aMode) override;
-  Status Append(FileHandle aFile, std::span<const std::uint8_t> aBytes) override;
+  Status Write(FileHandle aFile, std::span<const std::uint8_t> aBytes) override;
   Status Sync(FileHandle aFile) override;
   Status Truncate(FileHandle aFile, std::uint64_t aSize) override;
   void Close(FileHandle aFile) override;
--- a/lib/Control/LogStore.cpp
+++ b/lib/Control/LogStore.cpp
@@ -143,7 +143,7 @@
 {
   const std::string temporary = aPath + std::string(kTemporarySuffix);
   BOOST_OUTCOME_TRY(const FileHandle file, mFiles.Open(temporary, OpenMode::Create));
-  Status written = mFiles.Append(file, aBytes);
+  Status written = mFiles.Write(file, aBytes);
   if (written) {
     written = mFiles.Sync(file);
   }
@@ -188,7 +188,7 @@
     offsets.push_back(segment.mSize + batch.size());
     batch.insert(batch.end(), record.begin(), record.end());
   }
-  BOOST_OUTCOME_TRY(mFiles.Append(*mNewestFile, batch));
+  BOOST_OUTCOME_TRY(mFiles.Write(*mNewestFile, batch));
   BOOST_OUTCOME_TRY(mFiles.Sync(*mNewestFile));
   segment.mSize += batch.size();
   for (std::size_t i = 0; i < count; ++i) {
--- a/lib/Control/LogStoreLoad.cpp
+++ b/lib/Control/LogStoreLoad.cpp
@@ -130,7 +130,9 @@
   }
   BOOST_OUTCOME_TRY(LoadSnapshot(names));
   BOOST_OUTCOME_TRY(LoadSegments(names));
-  return DropCoveredEntries();
+  BOOST_OUTCOME_TRY(DropCoveredEntries());
+  // The last rename or removal may have been seen here without being durable.
+  return mFiles.SyncDirectory(mSettings.mDirectory);
 }
 
 Status LogStore::RemoveTemporaryFiles(std::vector<std::string>& aNames)
@@ -240,6 +242,9 @@
   segment.mPreviousTerm = header.mPreviousTerm;
   segment.mSize = record.mEnd;
   BOOST_OUTCOME_TRY(LoadEntries(segment, aFirst, bytes, aNewest));
+  if (aNewest) {
+    BOOST_OUTCOME_TRY(MakeDurable(segment, bytes));
+  }
   const LogIndex next = aFirst + segment.mTerms.size();
   mLastIndex = next - 1;
   mLastTerm = segment.mTerms.empty() ? segment.mPreviousTerm : segment.mTerms.back();
@@ -254,7 +259,8 @@
     const std::uint64_t offset = aSegment.mSize;
     const RecordView record = ReadRecord(aBytes, offset);
     if (record.mStatus == RecordStatus::Incomplete && aNewest) {
-      return DropTail(aSegment, aBytes.size());
+      NoteDroppedTail(aSegment, aBytes.size());
+      return Ok();
     }
     BOOST_OUTCOME_TRY(auto entry, DecodeRecord<LogEntry>(record, aSegment.mPath, offset));
     if (const LogIndex expected = aFirst + aSegment.mTerms.size(); entry.mIndex != expected) {
@@ -276,19 +282,28 @@
   return Ok();
 }
 
-Status LogStore::DropTail(Segment& aSegment, std::uint64_t aSize)
+void LogStore::NoteDroppedTail(const Segment& aSegment, std::uint64_t aSize)
 {
   mRecovered.mDroppedTail =
     Error{ErrorCode::Corrupt, "store.open", aSegment.mPath,
           "offset " + std::to_string(aSegment.mSize) + ": dropped " +
             std::to_string(aSize - aSegment.mSize) + " bytes of an incomplete record"};
-  BOOST_OUTCOME_TRY(const FileHandle file, mFiles.Open(aSegment.mPath, OpenMode::Append));
-  Status cut = mFiles.Truncate(file, aSegment.mSize);
-  if (cut) {
-    cut = mFiles.Sync(file);
+}
+
+// Writes the loaded bytes again before the sync: a sync that succeeds after a failed one does not
+// cover bytes that were written before both.
+Status LogStore::MakeDurable(const Segment& aSegment, std::span<const std::uint8_t> aBytes)
+{
+  BOOST_OUTCOME_TRY(const FileHandle file, mFiles.Open(aSegment.mPath, OpenMode::Overwrite));
+  Status status = mFiles.Truncate(file, aSegment.mSize);
+  if (status) {
+    status = mFiles.Write(file, aBytes.first(aSegment.mSize));
+  }
+  if (status) {
+    status = mFiles.Sync(file);
   }
   mFiles.Close(file);
-  return cut;
+  return status;
 }
 
 Status LogStore::DropCoveredEntries()
--- a/lib/Control/PosixFileSystem.cpp
+++ b/lib/Control/PosixFileSystem.cpp
@@ -31,6 +31,19 @@
   return Ok();
 }
 
+int FlagsOf(OpenMode aMode)
+{
+  switch (aMode) {
+    case OpenMode::Create:
+      return O_CREAT | O_TRUNC | O_APPEND;
+    case OpenMode::Append:
+      return O_APPEND;
+    case OpenMode::Overwrite:
+      return 0;
+  }
+  return 0;
+}
+
 std::string HandleName(FileHandle aFile)
 {
   return "descriptor " + std::to_string(aFile);
@@ -40,15 +53,14 @@
 
 Result<FileHandle> PosixFileSystem::Open(const std::string& aPath, OpenMode aMode)
 {
-  const int flags = aMode == OpenMode::Create ? O_CREAT | O_TRUNC : 0;
-  const int file = ::open(aPath.c_str(), O_WRONLY | O_APPEND | O_CLOEXEC | flags, kFileMode);
+  const int file = ::open(aPath.c_str(), O_WRONLY | O_CLOEXEC | FlagsOf(aMode), kFileMode);
   if (file < 0) {
     return FailWithErrno("file.open", aPath);
   }
   return file;
 }
 
-Status PosixFileSystem::Append(FileHandle aFile, std::span<const std::uint8_t> aBytes)
+Status PosixFileSystem::Write(FileHandle aFile, std::span<const std::uint8_t> aBytes)
 {
   while (!aBytes.empty()) {
     const auto written = ::write(aFile, aBytes.data(), aBytes.size());
@@ -56,7 +68,7 @@
       continue;
     }
     if (written <= 0) {
-      return FailWithErrno("file.append", HandleName(aFile));
+      return FailWithErrno("file.write", HandleName(aFile));
     }
     aBytes = aBytes.subspan(static_cast<std::size_t>(written));
   }
--- a/unittests/Control/FakeFileSystem.cpp
+++ b/unittests/Control/FakeFileSystem.cpp
@@ -31,8 +31,14 @@
   for (auto& [name, file] : mNames) {
     file->mData = DataAfterCrash(file->mSynced, file->mData, aMode, aRandom);
     file->mSynced = file->mData;
+    file->mDroppedFrom = file->mDroppedEnd = 0;
   }
   mSyncedNames = mNames;
+  RestartProcess();
+}
+
+void FakeFileSystem::RestartProcess()
+{
   mOpen.clear();
   mCrashed = false;
   CancelFaults();
@@ -148,24 +154,60 @@
   if (found == mNames.end()) {
     return Fail(ErrorCode::Io, "fake", aPath, "no such file");
   }
-  mOpen[mNextHandle] = found->second;
+  mOpen[mNextHandle].mFile = found->second;
+  if (aMode == OpenMode::Overwrite) {
+    mOpen[mNextHandle].mPosition = 0;
+  }
   return mNextHandle++;
 }
 
-Status FakeFileSystem::Append(FileHandle aFile, std::span<const std::uint8_t> aBytes)
+Status FakeFileSystem::Write(FileHandle aFile, std::span<const std::uint8_t> aBytes)
+{
+  BOOST_OUTCOME_TRY(CountOperation("write"));
+  auto& [file, position] = mOpen.at(aFile);
+  const std::size_t at = position.value_or(file->mData.size());
+  const std::size_t replaced = std::min(aBytes.size(), file->mData.size() - at);
+  const std::size_t added = std::min(aBytes.size() - replaced, RoomForBytes());
+  WriteAt(*file, at, aBytes.first(replaced + added));
+  if (position) {
+    *position += replaced + added;
+  }
+  return replaced + added == aBytes.size() ? Status(Ok()) : Refuse("write");
+}
+
+void FakeFileSystem::WriteAt(File& aFile, std::size_t aAt, std::span<const std::uint8_t> aBytes)
 {
-  BOOST_OUTCOME_TRY(CountOperation("append"));
-  Bytes& data = mOpen.at(aFile)->mData;
-  const auto fitting = aBytes.first(std::min(aBytes.size(), RoomForBytes()));
-  data.insert(data.end(), fitting.begin(), fitting.end());
-  return fitting.size() == aBytes.size() ? Status(Ok()) : Refuse("append");
+  const std::size_t end = aAt + aBytes.size();
+  aFile.mData.resize(std::max(aFile.mData.size(), end));
+  std::copy(aBytes.begin(), aBytes.end(), aFile.mData.begin() + static_cast<std::ptrdiff_t>(aAt));
+  if (aAt <= aFile.mDroppedFrom) {
+    aFile.mDroppedFrom = std::max(aFile.mDroppedFrom, end);
+  }
+}
+
+void FakeFileSystem::DropUnsynced(File& aFile)
+{
+  const auto [synced, data] = std::mismatch(aFile.mSynced.begin(), aFile.mSynced.end(),
+                                            aFile.mData.begin(), aFile.mData.end());
+  const auto first = static_cast<std::size_t>(data - aFile.mData.begin());
+  const bool dropped = aFile.mDroppedFrom < aFile.mDroppedEnd;
+  aFile.mDroppedFrom = dropped ? std::min(aFile.mDroppedFrom, first) : first;
+  aFile.mDroppedEnd = aFile.mData.size();
 }
 
 Status FakeFileSystem::Sync(FileHandle aFile)
 {
-  BOOST_OUTCOME_TRY(CountSync("sync"));
-  File& file = *mOpen.at(aFile);
+  File& file = *mOpen.at(aFile).mFile;
+  Status counted = CountSync("sync");
+  if (!counted && !mCrashed) {
+    DropUnsynced(file);
+  }
+  BOOST_OUTCOME_TRY(std::move(counted));
   file.mSynced = file.mData;
+  const std::size_t droppedEnd = std::min(file.mDroppedEnd, file.mData.size());
+  for (std::size_t at = file.mDroppedFrom; at < droppedEnd; ++at) {
+    file.mSynced[at] = 0;
+  }
   return Ok();
 }
 
@@ -173,7 +215,7 @@
 {
   BOOST_OUTCOME_TRY(CountOperation("truncate"));
   BOOST_OUTCOME_TRY(CheckChangeAllowed("truncate"));
-  mOpen.at(aFile)->mData.resize(aSize);
+  mOpen.at(aFile).mFile->mData.resize(aSize);
   return Ok();
 }
 
--- a/unittests/Control/FakeFileSystem.h
+++ b/unittests/Control/FakeFileSystem.h
@@ -48,13 +48,16 @@
   std::size_t Operations() const { return mOperations; }
   /// Drops changes that were not synced, as aMode says, and makes the files usable again.
   void Restart(CrashMode aMode, Random& aRandom);
+  /// Makes the files usable again after a crash of the process only: changes that were not synced
+  /// stay, and stay unsynced.
+  void RestartProcess();
   /// Removes all files.
   void Wipe();
   /// Contents of a file, to damage it.
   Bytes& Contents(const std::string& aPath);
 
   Result<FileHandle> Open(const std::string& aPath, OpenMode aMode) override;
-  Status Append(FileHandle aFile, std::span<const std::uint8_t> aBytes) override;
+  Status Write(FileHandle aFile, std::span<const std::uint8_t> aBytes) override;
   Status Sync(FileHandle aFile) override;
   Status Truncate(FileHandle aFile, std::uint64_t aSize) override;
   void Close(FileHandle aFile) override;
@@ -70,9 +73,19 @@
   {
     Bytes mData;
     Bytes mSynced;
+    /// Bytes that a failed sync dropped: further syncs skip them until they are written again.
+    std::size_t mDroppedFrom = 0;
+    std::size_t mDroppedEnd = 0;
+  };
+  struct OpenFile
+  {
+    std::shared_ptr<File> mFile;
+    std::optional<std::size_t> mPosition; ///< The end of the file if empty.
   };
   using Names = std::map<std::string, std::shared_ptr<File>>;
 
+  static void DropUnsynced(File& aFile);
+  static void WriteAt(File& aFile, std::size_t aAt, std::span<const std::uint8_t> aBytes);
   std::size_t UsedBytes() const;
   std::size_t RoomForBytes() const;
   Status Refuse(const std::string& aPath);
@@ -83,7 +96,7 @@
 
   Names mNames;
   Names mSyncedNames;
-  std::map<FileHandle, std::shared_ptr<File>> mOpen;
+  std::map<FileHandle, OpenFile> mOpen;
   FileHandle mNextHandle = 1;
   std::size_t mOperations = 0;
   std::size_t mSyncs = 0;
--- a/unittests/Control/LogStoreTest.cpp
+++ b/unittests/Control/LogStoreTest.cpp
@@ -136,6 +136,8 @@
   CPPUNIT_TEST_SUITE(LogStoreTest);
   CPPUNIT_TEST(CrashAtEveryStepKeepsWhatWasAcknowledged);
   CPPUNIT_TEST(FailedSyncStopsTheStore);
+  CPPUNIT_TEST(UnsyncedChangesAreDurableOnceTheStoreIsOpenAgain);
+  CPPUNIT_TEST(FailedSyncsAreMadeGoodOnceTheStoreIsOpenAgain);
   CPPUNIT_TEST(IncompleteTailIsDropped);
   CPPUNIT_TEST(DamageBeforeTheTailIsAnError);
   CPPUNIT_TEST(CorruptLengthIsNotAnIncompleteTail);
@@ -227,6 +229,60 @@
     }
   }
 
+  // Opens the store after its process ended, then once more after a loss of power.
+  static void CheckPowerLossAfterOpen(FakeFileSystem& aFiles, CrashMode aMode, Random& aRandom,
+                                      const std::string& aCase)
+  {
+    aFiles.RestartProcess();
+    auto store = OpenStore(aFiles);
+    CPPUNIT_ASSERT_MESSAGE(aCase + (store ? "" : store.error().Message()), store);
+    const Contents found = Recovered(*store.value());
+    store.value().reset();
+    aFiles.Restart(aMode, aRandom);
+    auto again = OpenStore(aFiles);
+    CPPUNIT_ASSERT_MESSAGE(aCase + (again ? "" : again.error().Message()), again);
+    CPPUNIT_ASSERT_MESSAGE(aCase, Recovered(*again.value()) == found);
+  }
+
+  // Guards against entries, terms or votes that a replica acknowledges after its restart but that a
+  // loss of power takes back.
+  void UnsyncedChangesAreDurableOnceTheStoreIsOpenAgain()
+  {
+    const Workload workload;
+    const auto& changes = workload.Changes();
+    std::size_t done = 0;
+    for (std::size_t step = 0; done < changes.size(); ++step) {
+      for (std::uint64_t variant = 0; variant < 12; ++variant) {
+        FakeFileSystem files;
+        Random random(variant);
+        files.CrashBefore(step);
+        done = RunUntilCrash(files, changes);
+        CheckPowerLossAfterOpen(
+          files, variant == 0 ? CrashMode::DropAll : CrashMode::Random, random,
+          "step " + std::to_string(step) + " variant " + std::to_string(variant) + " ");
+      }
+    }
+  }
+
+  // The same for bytes that a failed sync dropped, which the next sync of the file skips.
+  void FailedSyncsAreMadeGoodOnceTheStoreIsOpenAgain()
+  {
+    const Workload workload;
+    const auto& changes = workload.Changes();
+    std::size_t done = 0;
+    for (std::size_t sync = 0; done < changes.size(); ++sync) {
+      for (std::uint64_t variant = 0; variant < 12; ++variant) {
+        FakeFileSystem files;
+        Random random(variant);
+        files.FailSync(sync);
+        done = RunUntilCrash(files, changes);
+        CheckPowerLossAfterOpen(
+          files, variant == 0 ? CrashMode::DropAll : CrashMode::Random, random,
+          "sync " + std::to_string(sync) + " variant " + std::to_string(variant) + " ");
+      }
+    }
+  }
+
   // A store with two segments; returns the path of the newest one.
   static std::string FillTwoSegments(FakeFileSystem& aFiles)
   {
