Finish the discard of a refused replica's store after a crash

A store could also come back without a part of its log, or whole under its old identity. Of several failed removals only the last error was reported, and a success after an error hid it.

Cause: DiscardData removed the files in any order without a directory sync. A loss of power brings back any subset of them.

Change: LogStore::Discard syncs a marker file and the directory, removes the files, syncs the directory, and removes the marker. LogStore::Open finishes a discard whose marker it finds. The first error is returned; the process then ends and is restarted as before. Files that are not the store's stay. The simulated replica uses the same function.

Result: with the old order, LogStoreTest::InterruptedDiscardIsFinishedAtTheNextStart (step 1, variant 3) and DiscardWithAFailedSyncIsFinishedAtTheNextStart (sync 0, variant 1) failed; they pass now with 60 variants for each step and sync.

What remains: on a full disk the marker can't be created, so the discard waits for room.

--- a/include/dandelionslip/Control/LogStore.h
+++ b/include/dandelionslip/Control/LogStore.h
@@ -51,6 +51,10 @@
   /// the offset.
   static Result<std::unique_ptr<LogStore>> Open(FileSystem& aFiles, LogStoreSettings aSettings,
                                                 Random& aRandom);
+  /// Removes the files of a store that is not changed any more, so that the next Open creates an
+  /// empty one with a new identity. After an error or a crash the store is either complete or the
+  /// next Open finishes the removal.
+  static Status Discard(FileSystem& aFiles, const std::string& aDirectory);
   ~LogStore();
   LogStore(const LogStore&) = delete;
   LogStore& operator=(const LogStore&) = delete;
@@ -96,6 +100,7 @@
   std::string SnapshotPath(LogIndex aIndex) const;
 
   Status Load(Random& aRandom);
+  static Status FinishDiscard(FileSystem& aFiles, const std::string& aDirectory);
   Status RemoveTemporaryFiles(std::vector<std::string>& aNames);
   Status LoadIdentity();
   Status CreateIdentity(Random& aRandom);
--- a/lib/Control/LogStoreFormat.h
+++ b/lib/Control/LogStoreFormat.h
@@ -12,6 +12,8 @@
 inline constexpr std::string_view kTemporarySuffix = ".tmp";
 inline constexpr std::string_view kIdentityName = "identity";
 inline constexpr std::string_view kHardStateName = "hard-state";
+/// Its presence means that all other files of the store are to be removed.
+inline constexpr std::string_view kDiscardName = "discard";
 inline constexpr std::string_view kSnapshotPrefix = "snapshot-";
 inline constexpr std::string_view kSegmentPrefix = "segment-";
 
--- a/lib/Control/LogStoreLoad.cpp
+++ b/lib/Control/LogStoreLoad.cpp
@@ -108,6 +108,10 @@
 {
   BOOST_OUTCOME_TRY(mFiles.MakeDirectory(mSettings.mDirectory));
   BOOST_OUTCOME_TRY(auto names, mFiles.List(mSettings.mDirectory));
+  if (Contains(names, kDiscardName)) {
+    BOOST_OUTCOME_TRY(FinishDiscard(mFiles, mSettings.mDirectory));
+    names.clear();
+  }
   BOOST_OUTCOME_TRY(RemoveTemporaryFiles(names));
   const bool hasLog = !IndexesWithPrefix(names, kSegmentPrefix).empty() ||
                       !IndexesWithPrefix(names, kSnapshotPrefix).empty();
--- a/lib/Daemon/ControlDaemon.cpp
+++ b/lib/Daemon/ControlDaemon.cpp
@@ -17,7 +17,6 @@
 #include <algorithm>
 #include <array>
 #include <cstdio>
-#include <filesystem>
 #include <set>
 
 namespace dandelionslip {
@@ -720,21 +719,6 @@
   std::unique_ptr<ControlAdapter> mAdapter;
 };
 
-// Deletes the data of an identity that the group refuses, so that the replica can join under a new
-// one.
-Result<void> DiscardData(const std::string& aFolder)
-{
-  std::error_code error;
-  for (const auto& entry : std::filesystem::directory_iterator(aFolder, error)) {
-    std::filesystem::remove_all(entry.path(), error);
-  }
-  if (error) {
-    return Fail(ErrorCode::Io, "control.discard", aFolder, error.message());
-  }
-  LogEvent(LogLevel::Warning, "data_discarded").With("folder", aFolder);
-  return Ok();
-}
-
 } // namespace
 
 Result<int> RunControl(const ControlSettings& aSettings, const ControlStart& aStart)
@@ -753,11 +737,13 @@
     if (!code || !daemon.IdentityRefused() || !aSettings.mJoin) {
       return code;
     }
-    // The group replaced this replica while it was not running or not reachable.
+    // The group replaced this replica while it was not running or not reachable, so it joins again
+    // under a new identity.
     start.mBootstrap = false;
-    if (const auto discarded = DiscardData(aSettings.mDataFolder); !discarded) {
+    if (const auto discarded = LogStore::Discard(files, aSettings.mDataFolder); !discarded) {
       return discarded.as_failure();
     }
+    LogEvent(LogLevel::Warning, "data_discarded").With("folder", aSettings.mDataFolder);
   }
 }
 
--- a/unittests/Control/LogStoreTest.cpp
+++ b/unittests/Control/LogStoreTest.cpp
@@ -142,6 +142,8 @@
   CPPUNIT_TEST(DamageBeforeTheTailIsAnError);
   CPPUNIT_TEST(CorruptLengthIsNotAnIncompleteTail);
   CPPUNIT_TEST(MissingFilesAreErrors);
+  CPPUNIT_TEST(InterruptedDiscardIsFinishedAtTheNextStart);
+  CPPUNIT_TEST(DiscardWithAFailedSyncIsFinishedAtTheNextStart);
   CPPUNIT_TEST(IdentityBelongsToTheDirectory);
   CPPUNIT_TEST(BootstrapNeedsAnEmptyStore);
   CPPUNIT_TEST(EntriesMayExceedTheSegmentBound);
@@ -352,6 +354,71 @@
     }
   }
 
+  // Fills a store and discards it with a fault. Returns whether the discard, and the start after
+  // it, succeeded in spite of the fault.
+  static bool DiscardWith(const std::function<void(FakeFileSystem&)>& aFault,
+                          std::uint64_t aVariant, const std::string& aCase)
+  {
+    constexpr std::size_t kMostOperations = 12;
+    const Workload workload;
+    FakeFileSystem files;
+    RunUntilCrash(files, workload.Changes());
+    const ReplicaId identity = OpenStore(files).value()->TakeRecovered().mReplica;
+    Random random(aVariant + 2);
+    const auto open = [&] {
+      return LogStore::Open(files, {kDirectory, kSmallSegment, {}}, random);
+    };
+    const auto interrupt = [&] {
+      files.RestartProcess();
+      if (aVariant % 3 != 0) {
+        files.Restart(aVariant % 3 == 1 ? CrashMode::DropAll : CrashMode::Random, random);
+      }
+    };
+    aFault(files);
+    const bool discarded = LogStore::Discard(files, kDirectory).has_value();
+    const bool done = discarded && open();
+    interrupt();
+    files.CrashBefore(random.Below(kMostOperations));
+    static_cast<void>(open().has_value()); // May be interrupted again.
+    interrupt();
+    files.Restart(CrashMode::Random, random);
+    auto store = open();
+    CPPUNIT_ASSERT_MESSAGE(aCase + (store ? "" : store.error().Message()), store);
+    RecoveredState state = store.value()->TakeRecovered();
+    const bool kept = !discarded && state.mReplica == identity;
+    CPPUNIT_ASSERT_MESSAGE(aCase, kept || state.mReplica != identity);
+    CPPUNIT_ASSERT_MESSAGE(aCase, kept || (state.IsEmpty() && state.mHardState == HardState{}));
+    CPPUNIT_ASSERT_MESSAGE(aCase,
+                           !kept || state.mEntries == workload.Changes().back().mAfter.mEntries);
+    return done;
+  }
+
+  // Guards against a store that cannot start, or starts with a part of its log, after its discard
+  // was interrupted.
+  void InterruptedDiscardIsFinishedAtTheNextStart()
+  {
+    bool done = false;
+    for (std::size_t step = 0; !done; ++step) {
+      for (std::uint64_t variant = 0; variant < 60; ++variant) {
+        done =
+          DiscardWith([=](FakeFileSystem& aFiles) { aFiles.CrashBefore(step); }, variant,
+                      "step " + std::to_string(step) + " variant " + std::to_string(variant) + " ");
+      }
+    }
+  }
+
+  void DiscardWithAFailedSyncIsFinishedAtTheNextStart()
+  {
+    bool done = false;
+    for (std::size_t sync = 0; !done; ++sync) {
+      for (std::uint64_t variant = 0; variant < 60; ++variant) {
+        done =
+          DiscardWith([=](FakeFileSystem& aFiles) { aFiles.FailSync(sync); }, variant,
+                      "sync " + std::to_string(sync) + " variant " + std::to_string(variant) + " ");
+      }
+    }
+  }
+
   // Guards against a replica taking over the data directory of another one.
   void IdentityBelongsToTheDirectory()
   {
@@ -407,6 +474,8 @@
       CPPUNIT_ASSERT(Recovered(*OpenStore(files, directory).value()) == change.mAfter);
     }
     CPPUNIT_ASSERT(!files.Open(directory + "/missing", OpenMode::Append));
+    CPPUNIT_ASSERT(LogStore::Discard(files, directory));
+    CPPUNIT_ASSERT(files.List(directory).value().empty());
     std::filesystem::remove_all(directory);
   }
 };
--- a/unittests/Control/SimulatedReplica.cpp
+++ b/unittests/Control/SimulatedReplica.cpp
@@ -73,10 +73,7 @@
 
 Status SimulatedReplica::TakeNewIdentity()
 {
-  BOOST_OUTCOME_TRY(const auto names, mFiles.List("data"));
-  for (const std::string& name : names) {
-    BOOST_OUTCOME_TRY(mFiles.Remove("data/" + name));
-  }
+  BOOST_OUTCOME_TRY(LogStore::Discard(mFiles, "data"));
   mId = NewReplicaId(mRandom);
   mStopReason.clear();
   return Ok();
