--- a/include/dandelionslip/Control/LogStore.h
+++ b/include/dandelionslip/Control/LogStore.h
@@ -45,11 +45,16 @@
 class LogStore
 {
 public:
-  /// Opens or creates the store. Drops an incomplete record at the end of the newest segment.
+  /// Opens or creates the store. Drops an incomplete record at the end of the newest segment. What
+  /// it finds is durable when it returns; a write or sync that fails gives ErrorCode::Io.
   /// A missing file or damage anywhere else gives ErrorCode::Corrupt with the path and, for damage,
   /// the offset.
   static Result<std::unique_ptr<LogStore>> Open(FileSystem& aFiles, LogStoreSettings aSettings,
                                                 Random& aRandom);
+  /// Removes the files of a store that is not changed any more, so that the next Open creates an
+  /// empty one with a new identity. After an error or a crash the store is either complete or the
+  /// next Open finishes the removal.
+  static Status Discard(FileSystem& aFiles, const std::string& aDirectory);
   ~LogStore();
   LogStore(const LogStore&) = delete;
   LogStore& operator=(const LogStore&) = delete;
@@ -95,6 +100,7 @@
   std::string SnapshotPath(LogIndex aIndex) const;
 
   Status Load(Random& aRandom);
+  static Status FinishDiscard(FileSystem& aFiles, const std::string& aDirectory);
   Status RemoveTemporaryFiles(std::vector<std::string>& aNames);
   Status LoadIdentity();
   Status CreateIdentity(Random& aRandom);
@@ -104,7 +110,8 @@
   Status LoadSegment(LogIndex aFirst, bool aNewest);
   Status LoadEntries(Segment& aSegment, LogIndex aFirst, std::span<const std::uint8_t> aBytes,
                      bool aNewest);
-  Status DropTail(Segment& aSegment, std::uint64_t aSize);
+  void NoteDroppedTail(const Segment& aSegment, std::uint64_t aSize);
+  Status MakeDurable(const Segment& aSegment, std::span<const std::uint8_t> aBytes);
   Status DropCoveredEntries();
   std::optional<Term> TermAt(LogIndex aIndex) const;
   std::optional<Term> SegmentTermAt(LogIndex aIndex) const;
