--- a/include/dandelionslip/Packet/PacketBalancer.h
+++ b/include/dandelionslip/Packet/PacketBalancer.h
@@ -209,7 +209,7 @@
   void AddAgentsNotRuledOut(Search& aSearch, TimePoint aNow);
   void QueryNextStage(const FlowKey& aKey, Search& aSearch, PacketOutput& aOutput, TimePoint aNow);
   void SendProbe(const Endpoint& aAgent, const Search& aSearch, PacketOutput& aOutput);
-  void ResetIfNotFound(const FlowKey& aKey, Flow& aFlow, PacketOutput& aOutput, TimePoint aNow);
+  void FinishSearch(const FlowKey& aKey, Flow& aFlow, PacketOutput& aOutput, TimePoint aNow);
   bool IsCoveredByDirectory(const Agent& aAgent, TimePoint aNow) const;
   bool DirectoryRulesOut(const FlowKey& aKey, const Search& aSearch, TimePoint aNow) const;
   TimePoint OldestCoveringReport(TimePoint aNow) const;
--- a/lib/Packet/PacketBalancerSearch.cpp
+++ b/lib/Packet/PacketBalancerSearch.cpp
@@ -125,7 +125,7 @@
       continue;
     }
     found->second.mSearch->mAwaitsReports = false;
-    ResetIfNotFound(key, found->second, aOutput, aNow);
+    FinishSearch(key, found->second, aOutput, aNow);
   }
 }
 
@@ -197,7 +197,7 @@
 }
 
 // The directory agents are queried first, unless there are none or an agent has already returned a
-// packet of the flow, whose registration is then out of date. The next stage follows if they do not
+// packet of the flow: then they probably name that agent. The next stage follows if they do not
 // answer, do not know the holder, or name an agent that does not hold the flow.
 void PacketBalancer::StartSearch(const PacketHeader& aPacketHeader, Flow& aFlow,
                                  std::vector<FlowDenial> aRuledOut,
@@ -216,7 +216,7 @@
   } else {
     SendQueries(aPacketHeader.mFlow, search, NodeMessageType::Query, aOutput, aNow);
   }
-  ResetIfNotFound(aPacketHeader.mFlow, aFlow, aOutput, aNow);
+  FinishSearch(aPacketHeader.mFlow, aFlow, aOutput, aNow);
 }
 
 void PacketBalancer::KeepPacket(Search& aSearch, std::span<const std::uint8_t> aPacket)
@@ -250,7 +250,7 @@
   } else {
     QueryNextStage(aPacketHeader.mFlow, search, aOutput, aNow);
   }
-  ResetIfNotFound(aPacketHeader.mFlow, aFlow, aOutput, aNow);
+  FinishSearch(aPacketHeader.mFlow, aFlow, aOutput, aNow);
 }
 
 // Whether the view has had time to become complete since the first agents were known.
@@ -343,14 +343,15 @@
   if (search.mStage < SearchStage::AllAgents) {
     QueryNextStage(aKey, search, aOutput, aNow);
   }
-  ResetIfNotFound(aKey, aFlow, aOutput, aNow);
+  FinishSearch(aKey, aFlow, aOutput, aNow);
 }
 
-// Resets the flow if all agents that are known by now are ruled out, so that its caller does not
-// wait until the deadline. Before the view may be complete, an agent that is not in it yet may hold
-// the flow.
-void PacketBalancer::ResetIfNotFound(const FlowKey& aKey, Flow& aFlow, PacketOutput& aOutput,
-                                     TimePoint aNow)
+// Once all queried agents have answered in the last stages: queries agents that have become known
+// meanwhile, confirms the directory's answers, or resets the flow, so that its caller does not wait
+// until the deadline. Before the view may be complete, an agent that is not in it yet may hold the
+// flow.
+void PacketBalancer::FinishSearch(const FlowKey& aKey, Flow& aFlow, PacketOutput& aOutput,
+                                  TimePoint aNow)
 {
   Search& search = *aFlow.mSearch;
   if (search.mStage < SearchStage::AllAgents || !search.mUnanswered.empty() ||
