Find an upstream again whose heartbeats have become stale

What operators saw: one odd entry among those of the servers, and a server got no new flows until it restarted. A heartbeat of another writer with a later born, or with a higher sequence number under the server's own id and born, made all heartbeats of the running server stale; so did a clock that was set back before the server started again.

Cause: OnUpstreamHeartbeat dropped every heartbeat with an earlier start time or a lower sequence number, however long the newest start was silent.

Change: a stale start replaces the known one when heartbeats with rising sequence numbers have come for three intervals with no gap longer than that, and the known start has sent none in the meantime. A burst of late heartbeats, one heartbeat again and again, and a start beside a known one that sends heartbeats change nothing. A start that has announced its exit stays out.

--- a/include/dandelionslip/Packet/PacketAgent.h
+++ b/include/dandelionslip/Packet/PacketAgent.h
@@ -94,6 +94,16 @@
     bool mLeft = false;
   };
 
+  /// Stale heartbeats of one start, with rising sequence numbers, since a heartbeat was accepted.
+  struct StaleHeartbeats
+  {
+    std::string mId;
+    std::int64_t mStartedMs = 0;
+    std::uint64_t mSequence = 0;
+    TimePoint mFirstAt;
+    TimePoint mLastAt;
+  };
+
   struct Flow
   {
     TimePoint mFirstUsedAt;
@@ -146,6 +156,8 @@
   /// Returns why the opening packet is refused; empty if it is admitted. Counts an admitted flow
   /// against the limit of a cold upstream.
   std::optional<ReturnReason> AdmitOpening(const PacketHeader& aPacketHeader, TimePoint aNow);
+  /// Notes a stale heartbeat; returns whether its start replaces the known one, which is silent.
+  bool ReplacesSilentStart(const UpstreamHeartbeat& aHeartbeat, TimePoint aNow);
   ReturnReason ReasonForNoNewFlows(TimePoint aNow) const;
   bool RouteTargetsService(const FlowKey& aFlow) const;
   bool IsCold(TimePoint aNow) const;
@@ -203,6 +215,7 @@
   const PacketCodec& mCodec;
   TimePoint mStartedAt;
   std::optional<Upstream> mUpstream;
+  std::optional<StaleHeartbeats> mStaleHeartbeats;
   bool mUpstreamSentPackets = false; ///< Shows that the upstream runs, even without a heartbeat.
   /// Whether this process ran when the upstream started, and so opened all of its flows.
   bool mSawUpstreamStart = false;
--- a/lib/Packet/PacketAgent.cpp
+++ b/lib/Packet/PacketAgent.cpp
@@ -99,6 +99,26 @@
     .With("revision", aConfiguration.mRevision);
 }
 
+// A heartbeat from another writer, or a clock that was set back before the upstream started again,
+// makes the heartbeats of the running upstream stale. Late heartbeats of an earlier start come in a
+// burst.
+bool PacketAgent::ReplacesSilentStart(const UpstreamHeartbeat& aHeartbeat, TimePoint aNow)
+{
+  const auto silence = kMaxMissedHeartbeats * mSettings.mHeartbeat;
+  auto& stale = mStaleHeartbeats;
+  if (!stale || stale->mId != aHeartbeat.mId || stale->mStartedMs != aHeartbeat.mStartedMs ||
+      aNow - stale->mLastAt > silence) {
+    stale = {aHeartbeat.mId, aHeartbeat.mStartedMs, aHeartbeat.mSequence, aNow, aNow};
+    return false;
+  }
+  if (aHeartbeat.mSequence <= stale->mSequence) {
+    return false;
+  }
+  stale->mSequence = aHeartbeat.mSequence;
+  stale->mLastAt = aNow;
+  return aNow - stale->mFirstAt >= silence;
+}
+
 HeartbeatOutcome PacketAgent::OnUpstreamHeartbeat(const UpstreamHeartbeat& aHeartbeat,
                                                   TimePoint aNow)
 {
@@ -108,11 +128,12 @@
   if (mUpstream) {
     const UpstreamHeartbeat& known = mUpstream->mLastHeartbeat;
     const bool sameStart = known.mId == aHeartbeat.mId && known.mStartedMs == aHeartbeat.mStartedMs;
-    if (sameStart ? aHeartbeat.mSequence <= known.mSequence
-                  : aHeartbeat.mStartedMs < known.mStartedMs) {
+    if (sameStart && mUpstream->mLeft) {
       return HeartbeatOutcome::Stale;
     }
-    if (sameStart && mUpstream->mLeft) {
+    const bool stale = sameStart ? aHeartbeat.mSequence <= known.mSequence
+                                 : aHeartbeat.mStartedMs < known.mStartedMs;
+    if (stale && !ReplacesSilentStart(aHeartbeat, aNow)) {
       return HeartbeatOutcome::Stale;
     }
     mSawUpstreamStart = mSawUpstreamStart || !sameStart;
@@ -137,6 +158,7 @@
     }
   }
   mUpstream = Upstream{aHeartbeat, aNow, aNow + aHeartbeat.mColdLeft, false};
+  mStaleHeartbeats.reset();
   mColdUntilHeartbeat = false;
   mUnansweredOpenings = 0;
   return HeartbeatOutcome::Accepted;
--- a/unittests/Packet/PacketAgentTest.cpp
+++ b/unittests/Packet/PacketAgentTest.cpp
@@ -43,6 +43,9 @@
   CPPUNIT_TEST(BouncedProbesAreAnsweredNotFound);
   CPPUNIT_TEST(StaleHeartbeatsAreIgnored);
   CPPUNIT_TEST(UpstreamIsFoundAgainAfterAStartTimeInTheFuture);
+  CPPUNIT_TEST(UpstreamIsFoundAgainAfterASequenceNumberInTheFuture);
+  CPPUNIT_TEST(LateHeartbeatsOfAnEarlierStartDoNotReplaceASilentUpstream);
+  CPPUNIT_TEST(EarlierStartsDoNotReplaceAnUpstreamWithHeartbeats);
   CPPUNIT_TEST(LateExitOfAnEarlierStartDoesNotEndTheUpstream);
   CPPUNIT_TEST(ReportsCountOpenFlowsAndRequests);
   CPPUNIT_TEST(LatenciesAreMeasured);
@@ -522,6 +525,53 @@
     CPPUNIT_ASSERT(mAgent.CurrentLoad(mNow).mAccepts);
   }
 
+  // Guards against heartbeats that stay stale after a foreign one under the upstream's own name.
+  void UpstreamIsFoundAgainAfterASequenceNumberInTheFuture()
+  {
+    ApplyRoutesAndHeartbeat(5);
+    CPPUNIT_ASSERT(Heartbeat(9'000'000'000) == HeartbeatOutcome::Accepted);
+    for (std::uint64_t sequence = 6; sequence < 26; ++sequence) {
+      mNow += Settings().mHeartbeat;
+      Heartbeat(sequence);
+    }
+    CPPUNIT_ASSERT(mAgent.CurrentLoad(mNow).mAccepts);
+  }
+
+  // Guards against flows for an upstream that is gone, while its successor is silent.
+  void LateHeartbeatsOfAnEarlierStartDoNotReplaceASilentUpstream()
+  {
+    ApplyRoutesAndHeartbeat(5);
+    Heartbeat(1, false, Milliseconds{0}, 2'000);
+    for (std::uint64_t burst = 1; burst < 4; ++burst) {
+      mNow += 4 * Settings().mHeartbeat;
+      for (std::uint64_t i = 0; i < 10; ++i) {
+        CPPUNIT_ASSERT(Heartbeat(burst * 10 + i) == HeartbeatOutcome::Stale);
+        mNow += Milliseconds{1};
+      }
+    }
+    // The same heartbeat again and again is no sign of a running upstream.
+    for (int i = 0; i < 10; ++i) {
+      mNow += Settings().mHeartbeat;
+      CPPUNIT_ASSERT(Heartbeat(39) == HeartbeatOutcome::Stale);
+    }
+    CPPUNIT_ASSERT(!mAgent.CurrentLoad(mNow).mAccepts);
+  }
+
+  // Guards against an upstream that is replaced by an earlier start while its heartbeats come.
+  void EarlierStartsDoNotReplaceAnUpstreamWithHeartbeats()
+  {
+    ApplyRoutesAndHeartbeat(5);
+    for (std::uint64_t sequence = 1; sequence < 12; ++sequence) {
+      CPPUNIT_ASSERT(Heartbeat(sequence, false, Milliseconds{0}, 2'000) ==
+                     HeartbeatOutcome::Accepted);
+      for (std::uint64_t i = 0; i < 2; ++i) {
+        mNow += Settings().mHeartbeat;
+        CPPUNIT_ASSERT(Heartbeat(6 + 2 * sequence + i, true) == HeartbeatOutcome::Stale);
+      }
+    }
+    CPPUNIT_ASSERT(mAgent.CurrentLoad(mNow).mAccepts);
+  }
+
   // Guards against an upstream that takes no flows for as long as it runs.
   void LateExitOfAnEarlierStartDoesNotEndTheUpstream()
   {
