Keep the flow table incomplete after a heartbeat of another start

What callers may see: resets of open flows. An agent that had restarted beside its running server took its flow table as complete on any heartbeat of another start, such as a foreign one, or the server's own after a late one of an earlier start. It then denied flows that the server held from before the agent's start, and balancers reset these.

Cause: OnUpstreamHeartbeat set mSawUpstreamStart on each change of the start, though only the start's first heartbeat shows that this process ran before it.

Change: the table is complete once the first heartbeat (sequence 0 or 1) of the known start has been received; after a change of the start only once a second heartbeat has confirmed it, as one entry may come from another writer. Until then, or until the process is older than any flow, unknown flows need a probe. A cold server's openings also stay blocked for one window after the agent's start if the first heartbeat was a late one of an earlier start.

Measured: four new tests of PacketAgentTest fail without the change (a query is answered NotFound instead of ProbeNeeded; an opening is delivered to the cold server) and pass with it.

--- a/include/dandelionslip/Packet/PacketAgent.h
+++ b/include/dandelionslip/Packet/PacketAgent.h
@@ -92,6 +92,7 @@
     TimePoint mHeardAt;
     TimePoint mColdUntil;
     bool mLeft = false;
+    bool mSawFirstHeartbeat = false; ///< This process received the first heartbeat of the start.
   };
 
   /// Stale heartbeats of one start, with rising sequence numbers, since a heartbeat was accepted.
--- a/lib/Packet/PacketAgent.cpp
+++ b/lib/Packet/PacketAgent.cpp
@@ -125,6 +125,7 @@
   if (aHeartbeat.mService != mSettings.mService) {
     return HeartbeatOutcome::WrongService;
   }
+  bool sawFirst = aHeartbeat.mSequence <= 1;
   if (mUpstream) {
     const UpstreamHeartbeat& known = mUpstream->mLastHeartbeat;
     const bool sameStart = known.mId == aHeartbeat.mId && known.mStartedMs == aHeartbeat.mStartedMs;
@@ -136,7 +137,9 @@
     if (stale && !ReplacesSilentStart(aHeartbeat, aNow)) {
       return HeartbeatOutcome::Stale;
     }
-    mSawUpstreamStart = mSawUpstreamStart || !sameStart;
+    // Another start's first heartbeat may come from another writer; its second one confirms it.
+    sawFirst = sawFirst || (sameStart && mUpstream->mSawFirstHeartbeat);
+    mSawUpstreamStart = sameStart && (mSawUpstreamStart || mUpstream->mSawFirstHeartbeat);
     if (!sameStart || known.mDraining != aHeartbeat.mDraining) {
       LogEvent(LogLevel::Info, "upstream_changed")
         .With("upstream", aHeartbeat.mId)
@@ -150,14 +153,13 @@
       .With("sequence", aHeartbeat.mSequence)
       .With("started_ms", aHeartbeat.mStartedMs)
       .With("cold_left_ms", aHeartbeat.mColdLeft.count());
-    // If this is not the upstream's first heartbeat, an earlier process of this agent may have
-    // opened flows, also in the limiter's current window.
-    mSawUpstreamStart = aHeartbeat.mSequence <= 1;
-    if (!mSawUpstreamStart) {
-      mColdLimiter.Block(mStartedAt);
-    }
+    mSawUpstreamStart = sawFirst;
+  }
+  if (!sawFirst) {
+    // An earlier process of this agent may have opened flows, also in the limiter's current window.
+    mColdLimiter.Block(mStartedAt);
   }
-  mUpstream = Upstream{aHeartbeat, aNow, aNow + aHeartbeat.mColdLeft, false};
+  mUpstream = Upstream{aHeartbeat, aNow, aNow + aHeartbeat.mColdLeft, false, sawFirst};
   mStaleHeartbeats.reset();
   mColdUntilHeartbeat = false;
   mUnansweredOpenings = 0;
--- a/unittests/Packet/PacketAgentTest.cpp
+++ b/unittests/Packet/PacketAgentTest.cpp
@@ -39,6 +39,10 @@
   CPPUNIT_TEST(PacketsWithAnotherSequenceDoNotRemoveAnOpenFlow);
   CPPUNIT_TEST(AgentsNeedAProbeBeforeTheFirstHeartbeat);
   CPPUNIT_TEST(AgentsWithoutAnUpstreamAnswerNotFound);
+  CPPUNIT_TEST(ARestartedAgentDoesNotTakeItsTableAsCompleteAfterAHeartbeatOfAnotherStart);
+  CPPUNIT_TEST(OneFirstHeartbeatOfAnotherStartDoesNotMakeTheTableComplete);
+  CPPUNIT_TEST(LateFirstHeartbeatDoesNotMakeTheTableComplete);
+  CPPUNIT_TEST(RestartedAgentsBlockColdOpeningsAfterALateHeartbeat);
   CPPUNIT_TEST(ResetsOfUnknownFlowsAreDropped);
   CPPUNIT_TEST(BouncedProbesAreAnsweredNotFound);
   CPPUNIT_TEST(StaleHeartbeatsAreIgnored);
@@ -476,6 +480,67 @@
     AssertAnswer(NodeMessageType::ProbeNeeded, NodeMessageType::QueryLocal, TestFlow(1));
   }
 
+  void ApplyDirectoryAgents()
+  {
+    mAgent.OnView(TestView(1, {TestAgentMember(20, "web"), TestAgentMember(21, "web")}), 1);
+    mAgent.RegisterFlows(mOutput, mNow);
+  }
+
+  void AssertTableComplete(bool aExpected)
+  {
+    AssertAnswer(aExpected ? NodeMessageType::NotFound : NodeMessageType::ProbeNeeded,
+                 NodeMessageType::QueryLocal, TestFlow(1));
+    CPPUNIT_ASSERT_EQUAL(aExpected, mAgent.CurrentLoad(mNow).mConfirmedAgentsDigest != 0);
+  }
+
+  // Guards against resets of flows that the upstream holds from before the agent's start.
+  void ARestartedAgentDoesNotTakeItsTableAsCompleteAfterAHeartbeatOfAnotherStart()
+  {
+    ApplyRoutesAndHeartbeat(7);
+    ApplyDirectoryAgents();
+    CPPUNIT_ASSERT(Heartbeat(9, false, Milliseconds{0}, 2'000) == HeartbeatOutcome::Accepted);
+    AssertTableComplete(false);
+    CPPUNIT_ASSERT(Heartbeat(10, false, Milliseconds{0}, 2'000) == HeartbeatOutcome::Accepted);
+    AssertTableComplete(false);
+    mNow += Settings().mMaxFlowAge + Milliseconds{1};
+    AssertTableComplete(true);
+  }
+
+  // Guards against such resets after a foreign heartbeat, until the upstream is found again.
+  void OneFirstHeartbeatOfAnotherStartDoesNotMakeTheTableComplete()
+  {
+    ApplyRoutesAndHeartbeat(7);
+    ApplyDirectoryAgents();
+    CPPUNIT_ASSERT(Heartbeat(1, false, Milliseconds{0}, 2'000) == HeartbeatOutcome::Accepted);
+    for (std::uint64_t sequence = 8; sequence < 18; ++sequence) {
+      AssertTableComplete(false);
+      mNow += Settings().mHeartbeat;
+      Heartbeat(sequence);
+    }
+    CPPUNIT_ASSERT(Heartbeat(1, false, Milliseconds{0}, 3'000) == HeartbeatOutcome::Accepted);
+    AssertTableComplete(false);
+    CPPUNIT_ASSERT(Heartbeat(2, false, Milliseconds{0}, 3'000) == HeartbeatOutcome::Accepted);
+    AssertTableComplete(true);
+  }
+
+  // Guards against such resets after a late heartbeat that an earlier start sent first.
+  void LateFirstHeartbeatDoesNotMakeTheTableComplete()
+  {
+    ApplyRoutesAndHeartbeat(1);
+    ApplyDirectoryAgents();
+    CPPUNIT_ASSERT(Heartbeat(9, false, Milliseconds{0}, 2'000) == HeartbeatOutcome::Accepted);
+    AssertTableComplete(false);
+  }
+
+  // Guards against twice the cold limit in one second when the first heartbeat heard is a late one.
+  void RestartedAgentsBlockColdOpeningsAfterALateHeartbeat()
+  {
+    ApplyRoutesAndHeartbeat(1, Milliseconds{5'000});
+    CPPUNIT_ASSERT(Heartbeat(9, false, Milliseconds{5'000}, 2'000) == HeartbeatOutcome::Accepted);
+    FromBalancer(CallerPacket(TestFlow(1), FlagSyn));
+    AssertReturned(ReturnReason::Cold);
+  }
+
   // Guards against the reset of a flow by an upstream that only received a flow probe.
   void ResetsOfUnknownFlowsAreDropped()
   {
