Ignore a held revision beyond the term

What operators would see: one control replica that serves no newer view for as long as it runs, so that its nodes stop following the list.

Cause: a follower took held_revision of a view update or of a summary's answer as it came. One in a later term than the leader's, such as 2^64-1, stayed above every revision that the leader or its successors issue, and the replica serves only views of the term of the held revision.

Change: such a held revision is ignored, as the views of such revisions are.

--- a/lib/Control/MembershipCore.cpp
+++ b/lib/Control/MembershipCore.cpp
@@ -12,6 +12,13 @@
 // views of that term from 1 in the lower 32.
 constexpr unsigned kTermShift = 32;
 
+// A revision beyond the leader's term would be higher than the revisions of later leaders, whose
+// views would then be ignored.
+bool IsBeyondTerm(std::uint64_t aRevision, std::uint64_t aTerm)
+{
+  return aRevision >> kTermShift > aTerm;
+}
+
 template <typename State, typename Difference>
 void AddNewer(const RevisionHistory<State, Difference>& aHistory, std::uint64_t aKnownRevision,
               std::optional<State>& aWhole, std::optional<Difference>& aDifference)
@@ -144,16 +151,11 @@
 
 void MembershipCore::ApplyViewUpdate(const ViewUpdate& aUpdate)
 {
-  // A revision beyond the sender's term would be higher than the revisions of later leaders, whose
-  // views would then be ignored.
-  const auto allowed = [&](std::uint64_t aRevision) {
-    return aRevision >> kTermShift <= aUpdate.mTerm;
-  };
-  if (aUpdate.mView && allowed(aUpdate.mView->mRevision)) {
+  if (aUpdate.mView && !IsBeyondTerm(aUpdate.mView->mRevision, aUpdate.mTerm)) {
     mViews.Advance(*aUpdate.mView);
     return;
   }
-  if (aUpdate.mDifference && allowed(aUpdate.mDifference->mToRevision)) {
+  if (aUpdate.mDifference && !IsBeyondTerm(aUpdate.mDifference->mToRevision, aUpdate.mTerm)) {
     // If the difference does not fit, the answer tells the leader this replica's revision, and the
     // leader sends an update that fits.
     std::ignore = mViews.Apply(*aUpdate.mDifference);
@@ -162,6 +164,9 @@
 
 void MembershipCore::UpdateHeldRevision(std::uint64_t aRevision)
 {
+  if (IsBeyondTerm(aRevision, mRaftStatus.mTerm)) {
+    return;
+  }
   mHeldRevision = std::max(mHeldRevision, aRevision);
   const std::uint64_t heldTerm = mHeldRevision >> kTermShift;
   // Serves no view of a term before that of the held revision: it may never have reached a quorum.
--- a/unittests/Control/MembershipCoreTest.cpp
+++ b/unittests/Control/MembershipCoreTest.cpp
@@ -21,6 +21,7 @@
   CPPUNIT_TEST(RestartedControlRebuildsTheView);
   CPPUNIT_TEST(DigestMismatchRequestsAWholeSummary);
   CPPUNIT_TEST(ViewsOfOtherTermsAreRefused);
+  CPPUNIT_TEST(HeldRevisionsBeyondTheTermAreIgnored);
   CPPUNIT_TEST(RandomFaultsKeepTheInvariants);
   CPPUNIT_TEST_SUITE_END();
 
@@ -210,6 +211,31 @@
     CPPUNIT_ASSERT(core.OnViewUpdate(update(5, 5)).mViewRevision > 0);
   }
 
+  // Guards against a replica that serves no newer view as long as it runs.
+  void HeldRevisionsBeyondTheTermAreIgnored()
+  {
+    constexpr std::uint64_t kFirst = (std::uint64_t{5} << 32U) + 1;
+    for (const std::uint64_t held : {std::uint64_t{6} << 32U, ~std::uint64_t{0}}) {
+      MembershipCore core("r1", MembershipSettings{});
+      core.OnRaftStatus({5, false, "r0", {"r0", "r1", "r2"}}, kTestStart);
+      ViewUpdate update;
+      update.mTerm = 5;
+      update.mView = View{};
+      update.mView->mRevision = kFirst;
+      update.mHeldRevision = held;
+      core.OnViewUpdate(update);
+      SummaryAnswer answer;
+      answer.mTerm = 5;
+      answer.mHeldRevision = held;
+      core.OnSummaryAnswer(answer);
+      CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, core.ServedView().mRevision);
+      update.mView->mRevision = kFirst + 1;
+      update.mHeldRevision = kFirst + 1;
+      core.OnViewUpdate(update);
+      CPPUNIT_ASSERT_EQUAL(kFirst + 1, core.ServedView().mRevision);
+    }
+  }
+
   static void InjectFault(MembershipCluster& aCluster, Random& aRandom)
   {
     const std::string name = Numbered("n", aRandom.Below(6));
