Refuse an incarnation that is no start time

What operators would see: a node that is fenced for good, over any number of restarts. Incarnations are start times in milliseconds by the wall clock; a fenced packet node adds 5 s until it exceeds the known one. An announcement under the node's name with an incarnation such as 2^64-1 can't be exceeded.

Change: CheckAnnouncement refuses incarnations above 2^43, a time in the year 2248. The bound doesn't use control's clock, so a control machine whose clock is wrong refuses no node.

Still open: an announcement with a start time between now and that bound fences the node until 5 s a step exceed it.

--- a/lib/Control/LeaseTable.cpp
+++ b/lib/Control/LeaseTable.cpp
@@ -12,6 +12,9 @@
 constexpr std::size_t kMaxEndpointLength = 64;
 constexpr std::uint32_t kMaxWeight = 1'000'000;
 
+// Incarnations are start times in milliseconds since 1970; this one is in the year 2248.
+constexpr std::uint64_t kMaxIncarnation = std::uint64_t{1} << 43U;
+
 bool IsGone(MemberState aState)
 {
   return aState == MemberState::Left || aState == MemberState::Lost;
@@ -59,6 +62,9 @@
   if (member.mIncarnation == 0) {
     return Reject(member, "incarnation: found 0, expected the time of the start");
   }
+  if (member.mIncarnation > kMaxIncarnation) {
+    return Reject(member, "incarnation: expected the time of the start, at most 2^43 ms");
+  }
   if (member.mState == MemberState::Lost) {
     return Reject(member, "state: found lost, which only the control leader declares");
   }
--- a/unittests/Control/LeaseTableTest.cpp
+++ b/unittests/Control/LeaseTableTest.cpp
@@ -1,6 +1,8 @@
 // Tests of leases, fencing and planned stops.
 #include "ControlFixtures.h"
 
+#include "dandelionslip/Control/AttachedNodes.h"
+
 #include <cppunit/extensions/HelperMacros.h>
 
 namespace dandelionslip {
@@ -20,6 +22,7 @@
   CPPUNIT_TEST(RenewedLeaseRestoresTheState);
   CPPUNIT_TEST(TheTableIsBounded);
   CPPUNIT_TEST(InvalidAnnouncementsAreRefused);
+  CPPUNIT_TEST(IncarnationsThatAreNoStartTimeAreRefused);
   CPPUNIT_TEST_SUITE_END();
 
   static MemberState StateOf(const LeaseTable& aTable, const std::string& aName)
@@ -155,6 +158,26 @@
     CPPUNIT_ASSERT(refuses([](Member& aMember) { aMember.mIncarnation = 0; }));
     CPPUNIT_ASSERT(refuses([](Member& aMember) { aMember.mDataCentre.clear(); }));
   }
+
+  // Guards against a node that stays fenced because no start time exceeds the known incarnation.
+  void IncarnationsThatAreNoStartTimeAreRefused()
+  {
+    LeaseTable table{MembershipSettings{}};
+    constexpr std::uint64_t kNow = 1'800'000'000'000;
+    for (const std::uint64_t incarnation :
+         {~std::uint64_t{0}, std::uint64_t{1} << 63U, std::uint64_t{1} << 53U,
+          (std::uint64_t{1} << 43U) + 1}) {
+      CPPUNIT_ASSERT(table.Renew(AgentAnnouncement("a", incarnation), kTestStart) ==
+                     RenewalOutcome::Invalid);
+    }
+    CPPUNIT_ASSERT(table.Renew(AgentAnnouncement("a", kNow), kTestStart) ==
+                   RenewalOutcome::Accepted);
+    AttachedNodes nodes{MembershipSettings{}};
+    CPPUNIT_ASSERT(nodes.RecordAnnouncement(AgentAnnouncement("a", ~std::uint64_t{0}),
+                                            kTestStart) == RenewalOutcome::Invalid);
+    CPPUNIT_ASSERT(nodes.RecordAnnouncement(AgentAnnouncement("a", kNow), kTestStart) ==
+                   RenewalOutcome::Accepted);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(LeaseTableTest);
