Count no traffic of a control endpoint that can't be used

What operators would see: agents and balancers that forward requests end by themselves, again and again, while control's list of replicas holds an address that is no numeric "address:port".

Cause: ControlLink::TrafficBytes used the client of each endpoint; there is none for such an address (null).

Measured: UnusableEndpointsDoNotEndTheNode ends the test process without the change and passes with it.

--- a/lib/Daemon/ControlLink.cpp
+++ b/lib/Daemon/ControlLink.cpp
@@ -198,8 +198,10 @@
     endpoints = mEndpoints;
   }
   for (const auto& endpoint : endpoints) {
-    const TrafficCount& traffic = mClients.ClientFor(endpoint)->Traffic();
-    bytes += traffic.mRead + traffic.mWritten;
+    if (const auto client = mClients.ClientFor(endpoint)) {
+      const TrafficCount& traffic = client->Traffic();
+      bytes += traffic.mRead + traffic.mWritten;
+    }
   }
   return bytes;
 }
