Refuse replicas whose address no node can use

What operators would see: one join request with the address "host:7300", an empty one or a port out of range, and control lists a replica that no node and no replica reaches. Nodes that forwarded requests ended on reading the list.

Change: the address of a join request is checked where it enters (HTTP status 400, counted as malformed), and again when a learner is proposed, which also covers a change of the membership by an operator.

Measured: JoinRequestsNeedAnAddressThatNodesCanUse and LearnersNeedAnAddressThatNodesCanUse fail without the change and pass with it. RaftCoreTest and ControlCodecTest pass.

--- a/include/dandelionslip/Control/JoinRequest.h
+++ b/include/dandelionslip/Control/JoinRequest.h
@@ -27,4 +27,8 @@
   aVisitor.Optional("forwarded", aValue.mForwarded);
 }
 
+/// Decodes a request whose address is a numeric "address:port". InvalidInput: malformed.
+Result<JoinRequest> DecodeJoinRequest(std::span<const std::uint8_t> aBytes,
+                                      std::string_view aSource);
+
 } // namespace dandelionslip
--- a/lib/Control/RaftProposal.cpp
+++ b/lib/Control/RaftProposal.cpp
@@ -1,6 +1,8 @@
 // Proposals, membership changes and leadership transfer.
 #include "RaftCoreImpl.h"
 
+#include "dandelionslip/Model/Endpoint.h"
+
 #include <boost/outcome/try.hpp>
 
 namespace dandelionslip {
@@ -108,6 +110,9 @@
     return Fail(ErrorCode::InvalidInput, "raft.change", aChange.mReplica,
                 "expected a UUID in lower-case form");
   }
+  if (const auto address = Endpoint::Parse(aChange.mAddress); !address) {
+    return address.as_failure();
+  }
   if (aMembers.Find(aChange.mReplica) != nullptr) {
     return Fail(ErrorCode::InvalidInput, "raft.change", aChange.mReplica,
                 "already in the membership");
--- a/lib/Daemon/ControlDaemon.cpp
+++ b/lib/Daemon/ControlDaemon.cpp
@@ -455,18 +455,21 @@
 
   void OnJoin(const std::shared_ptr<HttpExchange>& aExchange)
   {
-    auto request = Decode<JoinRequest>(aExchange);
-    if (!request) {
+    auto decoded = DecodeJoinRequest(aExchange->Request().mBody, aExchange->Peer());
+    if (!decoded) {
+      mRegistry.CounterFor("dandelionslip_malformed_messages_total").Add();
+      RespondError(*aExchange, kStatusBadRequest, decoded.error().Message());
       return;
     }
-    mRaft.ReceiveJoin(request->mReplica, request->mAddress);
+    JoinRequest& request = decoded.value();
+    mRaft.ReceiveJoin(request.mReplica, request.mAddress);
     if (mRaft.IsLeader()) {
       const std::lock_guard lock(mMutex);
-      mRepairPlanner.OnJoinRequest(request->mReplica, request->mAddress, RuntimeClock::now());
+      mRepairPlanner.OnJoinRequest(request.mReplica, request.mAddress, RuntimeClock::now());
     } else if (const std::string leader = mRaft.LeaderAddress();
-               !request->mForwarded && !leader.empty()) {
-      request->mForwarded = true;
-      mClients.Post(leader, "/v1/join", ToCbor(*request), kPeerTimeout, [](const auto&) {});
+               !request.mForwarded && !leader.empty()) {
+      request.mForwarded = true;
+      mClients.Post(leader, "/v1/join", ToCbor(request), kPeerTimeout, [](const auto&) {});
     }
     aExchange->Respond({});
   }
--- a/unittests/Control/ControlCodecTest.cpp
+++ b/unittests/Control/ControlCodecTest.cpp
@@ -2,6 +2,7 @@
 #include "ControlFixtures.h"
 
 #include "dandelionslip/Control/AttachedDigest.h"
+#include "dandelionslip/Control/JoinRequest.h"
 #include "dandelionslip/Control/MembershipCore.h"
 #include "dandelionslip/Model/NodeState.h"
 #include "dandelionslip/Support/Random.h"
@@ -72,6 +73,7 @@
   CPPUNIT_TEST(DamagedViewUpdatesAreHandled);
   CPPUNIT_TEST(DamagedSnapshotsAreHandled);
   CPPUNIT_TEST(OversizedMessagesAreRefused);
+  CPPUNIT_TEST(JoinRequestsNeedAnAddressThatNodesCanUse);
   CPPUNIT_TEST(OneInvalidAnnouncementDoesNotRefuseTheSummary);
   CPPUNIT_TEST_SUITE_END();
 
@@ -251,6 +253,23 @@
     CPPUNIT_ASSERT(limit(DecodeViewUpdate(ToCbor(update), "test")));
   }
 
+  // Guards against a replica list that no node can use, which ended the nodes that read it.
+  void JoinRequestsNeedAnAddressThatNodesCanUse()
+  {
+    Random random(1);
+    JoinRequest request{NewReplicaId(random), "192.0.2.1:7300", true};
+    CPPUNIT_ASSERT(DecodeJoinRequest(ToCbor(request), "test").value() == request);
+    for (const char* address :
+         {"", ":", "192.0.2.1", "192.0.2.1:", "192.0.2.1:0", "192.0.2.1:65536", "192.0.2.1:99999",
+          "192.0.2.1:-1", "192.0.2.1:18446744073709551616", "192.0.2.256:7300", "host:7300",
+          ":7300", " 192.0.2.1:7300", "192.0.2.1:7300 ", "[::1:7300", "192.0.2.1:7300:1"}) {
+      request.mAddress = address;
+      const auto decoded = DecodeJoinRequest(ToCbor(request), "test");
+      CPPUNIT_ASSERT_MESSAGE(address, !decoded);
+      CPPUNIT_ASSERT(decoded.error().mCode == ErrorCode::InvalidInput);
+    }
+  }
+
   // Guards against nodes that lose their leases because another node of their replica is invalid.
   void OneInvalidAnnouncementDoesNotRefuseTheSummary()
   {
--- a/unittests/Control/RaftCoreTest.cpp
+++ b/unittests/Control/RaftCoreTest.cpp
@@ -20,6 +20,7 @@
   CPPUNIT_TEST(SecondLossRightAfterTheRepair);
   CPPUNIT_TEST(LearnerIsPromotedOnlyWhenDurable);
   CPPUNIT_TEST(OneMembershipChangeAtATime);
+  CPPUNIT_TEST(LearnersNeedAnAddressThatNodesCanUse);
   CPPUNIT_TEST(RemovedIdentityIsRefusedForGood);
   CPPUNIT_TEST(LearnerForgetsASilentLeader);
   CPPUNIT_TEST(WipedVoterIsRefused);
@@ -234,6 +235,20 @@
     AwaitConverged(cluster);
   }
 
+  // Guards against a replica list that no node can use.
+  void LearnersNeedAnAddressThatNodesCanUse()
+  {
+    SimulatedCluster cluster(4, 3, 9);
+    SimulatedReplica& leader = cluster.At(cluster.AwaitLeader());
+    for (const char* address : {"", "host:7300", "192.0.2.1:0", "192.0.2.1:65536"}) {
+      const RaftMembershipChange add{RaftMembershipChangeKind::AddLearner, cluster.At(3).Id(),
+                                     address};
+      const auto added = leader.Change(cluster.Now(), add);
+      CPPUNIT_ASSERT_MESSAGE(address, !added);
+      CPPUNIT_ASSERT(added.error().mCode == ErrorCode::InvalidInput);
+    }
+  }
+
   // Guards against a removed replica that comes back under its old identity.
   void RemovedIdentityIsRefusedForGood()
   {
