Refuse numbers that are not finite

CBOR has NaN and infinities; the decoder took them for every real field, such as cold_opens_per_second of a service, from which an agent computes an integer (undefined for NaN and infinity).

Change: real fields must be finite. A test goes through the bounds of the integer fields too, which were right.

Measured: NumbersThatAreNotFiniteAreRejected fails without the change and passes with it; IntegersThatDoNotFitAreRejected passes either way.

--- a/include/dandelionslip/Support/Fields.h
+++ b/include/dandelionslip/Support/Fields.h
@@ -10,6 +10,7 @@
 #include "dandelionslip/Support/Json.h"
 
 #include <chrono>
+#include <cmath>
 #include <cstdint>
 #include <limits>
 #include <map>
@@ -242,7 +243,10 @@
     } else if constexpr (std::is_integral_v<T>) {
       DecodeInteger(aIn, aPath, aValue, aRange);
     } else if constexpr (std::is_floating_point_v<T>) {
-      aIn.is_number() ? void(aValue = aIn.get<T>()) : RecordWrongValue(aPath, aIn, "a number");
+      // CBOR has numbers that are not finite.
+      aIn.is_number() && std::isfinite(aIn.get<T>())
+        ? void(aValue = aIn.get<T>())
+        : RecordWrongValue(aPath, aIn, "a finite number");
     } else if constexpr (std::is_same_v<T, std::string>) {
       aIn.is_string() ? void(aValue = aIn.get<std::string>())
                       : RecordWrongValue(aPath, aIn, "a string");
--- a/unittests/Support/JsonTest.cpp
+++ b/unittests/Support/JsonTest.cpp
@@ -6,6 +6,8 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <limits>
+
 namespace dandelionslip {
 
 namespace {
@@ -16,6 +18,24 @@
   std::uint32_t mCount = 0;
 };
 
+// One field of each kind of number.
+struct Numbers
+{
+  std::uint32_t mSmall = 0;
+  std::uint64_t mLarge = 0;
+  std::int64_t mSigned = 0;
+  double mReal = 0;
+};
+
+template <typename V>
+void DescribeFields(V& aVisitor, Numbers& aValue)
+{
+  aVisitor.Optional("small", aValue.mSmall);
+  aVisitor.Optional("large", aValue.mLarge);
+  aVisitor.Optional("signed", aValue.mSigned);
+  aVisitor.Optional("real", aValue.mReal);
+}
+
 template <typename V>
 void DescribeFields(V& aVisitor, Sample& aValue)
 {
@@ -34,6 +54,8 @@
   CPPUNIT_TEST(NestedIndefiniteCborStringsDoNotOverflowTheStack);
   CPPUNIT_TEST(DeclaredCborLengthsAllocateNothing);
   CPPUNIT_TEST(ErrorsOfLongInputAreShort);
+  CPPUNIT_TEST(IntegersThatDoNotFitAreRejected);
+  CPPUNIT_TEST(NumbersThatAreNotFiniteAreRejected);
   CPPUNIT_TEST(CorruptedCborDoesNotCrash);
   CPPUNIT_TEST(LogValuesAreEscaped);
   CPPUNIT_TEST_SUITE_END();
@@ -105,6 +127,41 @@
                       "test");
   }
 
+  static bool Accepts(const char* aKey, const Json& aValue)
+  {
+    const Json object{{aKey, aValue}};
+    return FromCbor<Numbers>(EncodeCbor(object), "test").has_value();
+  }
+
+  // Guards against a number that is cut to the width of its field.
+  void IntegersThatDoNotFitAreRejected()
+  {
+    constexpr std::uint64_t kMost = ~std::uint64_t{0};
+    constexpr std::uint64_t kHalf = std::uint64_t{1} << 63U;
+    constexpr std::uint64_t kSmallest = std::uint64_t{1} << 32U;
+    CPPUNIT_ASSERT(Accepts("small", kSmallest - 1) && Accepts("large", kMost));
+    CPPUNIT_ASSERT(Accepts("signed", kHalf - 1) && Accepts("signed", -1));
+    for (const Json& value : {Json(kSmallest), Json(std::uint64_t{1} << 53U), Json(kHalf),
+                              Json(kMost), Json(-1), Json(1.0), Json(true), Json("1"), Json()}) {
+      CPPUNIT_ASSERT_MESSAGE(value.dump(), !Accepts("small", value));
+    }
+    for (const Json& value : {Json(-1), Json(1e300), Json(Json::array({1}))}) {
+      CPPUNIT_ASSERT_MESSAGE(value.dump(), !Accepts("large", value));
+    }
+    CPPUNIT_ASSERT(!Accepts("signed", kHalf) && !Accepts("signed", kMost));
+  }
+
+  // Guards against arithmetic with a number that has no integer value.
+  void NumbersThatAreNotFiniteAreRejected()
+  {
+    using Limits = std::numeric_limits<double>;
+    CPPUNIT_ASSERT(Accepts("real", 1.5) && Accepts("real", 0) && Accepts("real", -1));
+    for (const double value : {Limits::quiet_NaN(), Limits::infinity(), -Limits::infinity()}) {
+      CPPUNIT_ASSERT(!Accepts("real", value));
+    }
+    CPPUNIT_ASSERT(!Accepts("real", "1"));
+  }
+
   // Guards against a depth, form or end of nesting that the limit misses.
   void NestingOfAnyDepthIsRejected()
   {
