Report a large limit of cold openings in full

A service whose cold openings a second, times the excess factor, exceed 32 bits was reported to balancers with the lower 32 bits only; beyond 64 bits the conversion was undefined. The operator's own documents stay below that with an excess factor under 49.

Change: the limit ends at 2^32-1.

--- a/lib/Packet/PacketAgent.cpp
+++ b/lib/Packet/PacketAgent.cpp
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <limits>
 
 namespace dandelionslip {
 
@@ -186,7 +187,9 @@
   const RoutedService* service = mRoutes.FindService(mSettings.mService);
   const double rate = service == nullptr ? 0.0 : service->mColdOpeningsPerSecond;
   const double bound = std::floor(rate * mSettings.mColdExcessFactor + mSettings.mColdSlack);
-  return bound < 1 ? 1 : static_cast<std::size_t>(bound);
+  // Load reports carry the bound in 32 bits.
+  constexpr double kMost = std::numeric_limits<std::uint32_t>::max();
+  return static_cast<std::size_t>(std::clamp(bound, 1.0, kMost));
 }
 
 // Why the upstream takes no new flows; ReturnReason::None if it takes them.
--- a/unittests/Packet/PacketAgentTest.cpp
+++ b/unittests/Packet/PacketAgentTest.cpp
@@ -26,6 +26,7 @@
   CPPUNIT_TEST(DrainingUpstreamsKeepFlowsAndRefuseOpenings);
   CPPUNIT_TEST(DataCentreOutOfServiceRefusesOpenings);
   CPPUNIT_TEST(ColdUpstreamsStayWithinTheirOpeningLimit);
+  CPPUNIT_TEST(ColdOpeningRatesOfAnySizeAreReported);
   CPPUNIT_TEST(ReturnedDataCentreIsColdUntilTheNextHeartbeat);
   CPPUNIT_TEST(RestartedAgentRefusesColdOpeningsForOneWindow);
   CPPUNIT_TEST(RetransmittedUnansweredOpeningsAreReturned);
@@ -293,6 +294,22 @@
     AssertReturned(ReturnReason::Draining);
   }
 
+  // Guards against a large rate that is reported as a small one.
+  void ColdOpeningRatesOfAnySizeAreReported()
+  {
+    std::uint64_t version = 0;
+    for (const double rate : {4'294'967'296.0, 1e19, 1e300}) {
+      Configuration configuration = TestConfiguration(++version, {"web"});
+      configuration.mRoutes.mServices.front().mColdOpeningsPerSecond = rate;
+      mAgent.OnConfiguration(configuration);
+      Heartbeat(version, false, Milliseconds{5'000});
+      const LoadReport report = mAgent.CurrentLoad(mNow);
+      CPPUNIT_ASSERT(report.mCold);
+      CPPUNIT_ASSERT_EQUAL(~std::uint32_t{0}, report.mOpeningsPerSecond);
+      CPPUNIT_ASSERT_EQUAL(~std::uint32_t{0}, report.mOpeningsAllowed);
+    }
+  }
+
   // Guards against more flows in any second than the limit of a cold upstream.
   void ColdUpstreamsStayWithinTheirOpeningLimit()
   {
