--- a/include/dandelionslip/Support/Json.h
+++ b/include/dandelionslip/Support/Json.h
@@ -28,7 +28,8 @@
 /// Encodes a value as CBOR.
 Bytes EncodeCbor(const Json& aValue);
 
-/// Decodes CBOR; rejects trailing bytes, duplicate keys and deep nesting.
+/// Decodes CBOR; rejects trailing bytes, duplicate keys, deep nesting and strings of indefinite
+/// length.
 Result<Json> DecodeCbor(std::span<const std::uint8_t> aBytes, std::string_view aSource);
 
 } // namespace dandelionslip
