--- a/lib/Packet/PacketAgent.cpp
+++ b/lib/Packet/PacketAgent.cpp
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <limits>
 
 namespace dandelionslip {
 
@@ -99,23 +100,47 @@
     .With("revision", aConfiguration.mRevision);
 }
 
+// A heartbeat from another writer, or a clock that was set back before the upstream started again,
+// makes the heartbeats of the running upstream stale. Late heartbeats of an earlier start come in a
+// burst.
+bool PacketAgent::ReplacesSilentStart(const UpstreamHeartbeat& aHeartbeat, TimePoint aNow)
+{
+  const auto silence = kMaxMissedHeartbeats * mSettings.mHeartbeat;
+  auto& stale = mStaleHeartbeats;
+  if (!stale || stale->mId != aHeartbeat.mId || stale->mStartedMs != aHeartbeat.mStartedMs ||
+      aNow - stale->mLastAt > silence) {
+    stale = {aHeartbeat.mId, aHeartbeat.mStartedMs, aHeartbeat.mSequence, aNow, aNow};
+    return false;
+  }
+  if (aHeartbeat.mSequence <= stale->mSequence) {
+    return false;
+  }
+  stale->mSequence = aHeartbeat.mSequence;
+  stale->mLastAt = aNow;
+  return aNow - stale->mFirstAt >= silence;
+}
+
 HeartbeatOutcome PacketAgent::OnUpstreamHeartbeat(const UpstreamHeartbeat& aHeartbeat,
                                                   TimePoint aNow)
 {
   if (aHeartbeat.mService != mSettings.mService) {
     return HeartbeatOutcome::WrongService;
   }
+  bool sawFirst = aHeartbeat.mSequence <= 1;
   if (mUpstream) {
     const UpstreamHeartbeat& known = mUpstream->mLastHeartbeat;
     const bool sameStart = known.mId == aHeartbeat.mId && known.mStartedMs == aHeartbeat.mStartedMs;
-    if (sameStart ? aHeartbeat.mSequence <= known.mSequence
-                  : aHeartbeat.mStartedMs < known.mStartedMs) {
+    if (sameStart && mUpstream->mLeft) {
       return HeartbeatOutcome::Stale;
     }
-    if (sameStart && mUpstream->mLeft) {
+    const bool stale = sameStart ? aHeartbeat.mSequence <= known.mSequence
+                                 : aHeartbeat.mStartedMs < known.mStartedMs;
+    if (stale && !ReplacesSilentStart(aHeartbeat, aNow)) {
       return HeartbeatOutcome::Stale;
     }
-    mSawUpstreamStart = mSawUpstreamStart || !sameStart;
+    // Another start's first heartbeat may come from another writer; its second one confirms it.
+    sawFirst = sawFirst || (sameStart && mUpstream->mSawFirstHeartbeat);
+    mSawUpstreamStart = sameStart && (mSawUpstreamStart || mUpstream->mSawFirstHeartbeat);
     if (!sameStart || known.mDraining != aHeartbeat.mDraining) {
       LogEvent(LogLevel::Info, "upstream_changed")
         .With("upstream", aHeartbeat.mId)
@@ -129,14 +154,14 @@
       .With("sequence", aHeartbeat.mSequence)
       .With("started_ms", aHeartbeat.mStartedMs)
       .With("cold_left_ms", aHeartbeat.mColdLeft.count());
-    // If this is not the upstream's first heartbeat, an earlier process of this agent may have
-    // opened flows, also in the limiter's current window.
-    mSawUpstreamStart = aHeartbeat.mSequence <= 1;
-    if (!mSawUpstreamStart) {
-      mColdLimiter.Block(mStartedAt);
-    }
+    mSawUpstreamStart = sawFirst;
+  }
+  if (!sawFirst) {
+    // An earlier process of this agent may have opened flows, also in the limiter's current window.
+    mColdLimiter.Block(mStartedAt);
   }
-  mUpstream = Upstream{aHeartbeat, aNow, aNow + aHeartbeat.mColdLeft, false};
+  mUpstream = Upstream{aHeartbeat, aNow, aNow + aHeartbeat.mColdLeft, false, sawFirst};
+  mStaleHeartbeats.reset();
   mColdUntilHeartbeat = false;
   mUnansweredOpenings = 0;
   return HeartbeatOutcome::Accepted;
@@ -162,7 +187,9 @@
   const RoutedService* service = mRoutes.FindService(mSettings.mService);
   const double rate = service == nullptr ? 0.0 : service->mColdOpeningsPerSecond;
   const double bound = std::floor(rate * mSettings.mColdExcessFactor + mSettings.mColdSlack);
-  return bound < 1 ? 1 : static_cast<std::size_t>(bound);
+  // Load reports carry the bound in 32 bits.
+  constexpr double kMost = std::numeric_limits<std::uint32_t>::max();
+  return static_cast<std::size_t>(std::clamp(bound, 1.0, kMost));
 }
 
 // Why the upstream takes no new flows; ReturnReason::None if it takes them.
--- a/unittests/Packet/PacketAgentTest.cpp
+++ b/unittests/Packet/PacketAgentTest.cpp
@@ -26,6 +26,7 @@
   CPPUNIT_TEST(DrainingUpstreamsKeepFlowsAndRefuseOpenings);
   CPPUNIT_TEST(DataCentreOutOfServiceRefusesOpenings);
   CPPUNIT_TEST(ColdUpstreamsStayWithinTheirOpeningLimit);
+  CPPUNIT_TEST(ColdOpeningRatesOfAnySizeAreReported);
   CPPUNIT_TEST(ReturnedDataCentreIsColdUntilTheNextHeartbeat);
   CPPUNIT_TEST(RestartedAgentRefusesColdOpeningsForOneWindow);
   CPPUNIT_TEST(RetransmittedUnansweredOpeningsAreReturned);
@@ -46,10 +47,17 @@
   CPPUNIT_TEST(LateHeartbeatsDoNotCompleteTheTableOfARestartedAgent);
   CPPUNIT_TEST(AgentsNeedAProbeBeforeTheFirstHeartbeat);
   CPPUNIT_TEST(AgentsWithoutAnUpstreamAnswerNotFound);
+  CPPUNIT_TEST(ARestartedAgentDoesNotTakeItsTableAsCompleteAfterAHeartbeatOfAnotherStart);
+  CPPUNIT_TEST(OneFirstHeartbeatOfAnotherStartDoesNotMakeTheTableComplete);
+  CPPUNIT_TEST(LateFirstHeartbeatDoesNotMakeTheTableComplete);
+  CPPUNIT_TEST(RestartedAgentsBlockColdOpeningsAfterALateHeartbeat);
   CPPUNIT_TEST(ResetsOfUnknownFlowsAreDropped);
   CPPUNIT_TEST(BouncedProbesAreAnsweredNotFound);
   CPPUNIT_TEST(StaleHeartbeatsAreIgnored);
   CPPUNIT_TEST(UpstreamIsFoundAgainAfterAStartTimeInTheFuture);
+  CPPUNIT_TEST(UpstreamIsFoundAgainAfterASequenceNumberInTheFuture);
+  CPPUNIT_TEST(LateHeartbeatsOfAnEarlierStartDoNotReplaceASilentUpstream);
+  CPPUNIT_TEST(EarlierStartsDoNotReplaceAnUpstreamWithHeartbeats);
   CPPUNIT_TEST(LateExitOfAnEarlierStartDoesNotEndTheUpstream);
   CPPUNIT_TEST(ReportsCountOpenFlowsAndRequests);
   CPPUNIT_TEST(LatenciesAreMeasured);
@@ -293,6 +301,22 @@
     AssertReturned(ReturnReason::Draining);
   }
 
+  // Guards against a large rate that is reported as a small one.
+  void ColdOpeningRatesOfAnySizeAreReported()
+  {
+    std::uint64_t version = 0;
+    for (const double rate : {4'294'967'296.0, 1e19, 1e300}) {
+      Configuration configuration = TestConfiguration(++version, {"web"});
+      configuration.mRoutes.mServices.front().mColdOpeningsPerSecond = rate;
+      mAgent.OnConfiguration(configuration);
+      Heartbeat(version, false, Milliseconds{5'000});
+      const LoadReport report = mAgent.CurrentLoad(mNow);
+      CPPUNIT_ASSERT(report.mCold);
+      CPPUNIT_ASSERT_EQUAL(~std::uint32_t{0}, report.mOpeningsPerSecond);
+      CPPUNIT_ASSERT_EQUAL(~std::uint32_t{0}, report.mOpeningsAllowed);
+    }
+  }
+
   // Guards against more flows in any second than the limit of a cold upstream.
   void ColdUpstreamsStayWithinTheirOpeningLimit()
   {
@@ -578,6 +602,67 @@
     AssertAnswer(NodeMessageType::ProbeNeeded, NodeMessageType::QueryLocal, TestFlow(1));
   }
 
+  void ApplyDirectoryAgents()
+  {
+    mAgent.OnView(TestView(1, {TestAgentMember(20, "web"), TestAgentMember(21, "web")}), 1);
+    mAgent.RegisterFlows(mOutput, mNow);
+  }
+
+  void AssertTableComplete(bool aExpected)
+  {
+    AssertAnswer(aExpected ? NodeMessageType::NotFound : NodeMessageType::ProbeNeeded,
+                 NodeMessageType::QueryLocal, TestFlow(1));
+    CPPUNIT_ASSERT_EQUAL(aExpected, mAgent.CurrentLoad(mNow).mConfirmedAgentsDigest != 0);
+  }
+
+  // Guards against resets of flows that the upstream holds from before the agent's start.
+  void ARestartedAgentDoesNotTakeItsTableAsCompleteAfterAHeartbeatOfAnotherStart()
+  {
+    ApplyRoutesAndHeartbeat(7);
+    ApplyDirectoryAgents();
+    CPPUNIT_ASSERT(Heartbeat(9, false, Milliseconds{0}, 2'000) == HeartbeatOutcome::Accepted);
+    AssertTableComplete(false);
+    CPPUNIT_ASSERT(Heartbeat(10, false, Milliseconds{0}, 2'000) == HeartbeatOutcome::Accepted);
+    AssertTableComplete(false);
+    mNow += Settings().mMaxFlowAge + Milliseconds{1};
+    AssertTableComplete(true);
+  }
+
+  // Guards against such resets after a foreign heartbeat, until the upstream is found again.
+  void OneFirstHeartbeatOfAnotherStartDoesNotMakeTheTableComplete()
+  {
+    ApplyRoutesAndHeartbeat(7);
+    ApplyDirectoryAgents();
+    CPPUNIT_ASSERT(Heartbeat(1, false, Milliseconds{0}, 2'000) == HeartbeatOutcome::Accepted);
+    for (std::uint64_t sequence = 8; sequence < 18; ++sequence) {
+      AssertTableComplete(false);
+      mNow += Settings().mHeartbeat;
+      Heartbeat(sequence);
+    }
+    CPPUNIT_ASSERT(Heartbeat(1, false, Milliseconds{0}, 3'000) == HeartbeatOutcome::Accepted);
+    AssertTableComplete(false);
+    CPPUNIT_ASSERT(Heartbeat(2, false, Milliseconds{0}, 3'000) == HeartbeatOutcome::Accepted);
+    AssertTableComplete(true);
+  }
+
+  // Guards against such resets after a late heartbeat that an earlier start sent first.
+  void LateFirstHeartbeatDoesNotMakeTheTableComplete()
+  {
+    ApplyRoutesAndHeartbeat(1);
+    ApplyDirectoryAgents();
+    CPPUNIT_ASSERT(Heartbeat(9, false, Milliseconds{0}, 2'000) == HeartbeatOutcome::Accepted);
+    AssertTableComplete(false);
+  }
+
+  // Guards against twice the cold limit in one second when the first heartbeat heard is a late one.
+  void RestartedAgentsBlockColdOpeningsAfterALateHeartbeat()
+  {
+    ApplyRoutesAndHeartbeat(1, Milliseconds{5'000});
+    CPPUNIT_ASSERT(Heartbeat(9, false, Milliseconds{5'000}, 2'000) == HeartbeatOutcome::Accepted);
+    FromBalancer(CallerPacket(TestFlow(1), FlagSyn));
+    AssertReturned(ReturnReason::Cold);
+  }
+
   // Guards against the reset of a flow by an upstream that only received a flow probe.
   void ResetsOfUnknownFlowsAreDropped()
   {
@@ -627,6 +712,53 @@
     CPPUNIT_ASSERT(mAgent.CurrentLoad(mNow).mAccepts);
   }
 
+  // Guards against heartbeats that stay stale after a foreign one under the upstream's own name.
+  void UpstreamIsFoundAgainAfterASequenceNumberInTheFuture()
+  {
+    ApplyRoutesAndHeartbeat(5);
+    CPPUNIT_ASSERT(Heartbeat(9'000'000'000) == HeartbeatOutcome::Accepted);
+    for (std::uint64_t sequence = 6; sequence < 26; ++sequence) {
+      mNow += Settings().mHeartbeat;
+      Heartbeat(sequence);
+    }
+    CPPUNIT_ASSERT(mAgent.CurrentLoad(mNow).mAccepts);
+  }
+
+  // Guards against flows for an upstream that is gone, while its successor is silent.
+  void LateHeartbeatsOfAnEarlierStartDoNotReplaceASilentUpstream()
+  {
+    ApplyRoutesAndHeartbeat(5);
+    Heartbeat(1, false, Milliseconds{0}, 2'000);
+    for (std::uint64_t burst = 1; burst < 4; ++burst) {
+      mNow += 4 * Settings().mHeartbeat;
+      for (std::uint64_t i = 0; i < 10; ++i) {
+        CPPUNIT_ASSERT(Heartbeat(burst * 10 + i) == HeartbeatOutcome::Stale);
+        mNow += Milliseconds{1};
+      }
+    }
+    // The same heartbeat again and again is no sign of a running upstream.
+    for (int i = 0; i < 10; ++i) {
+      mNow += Settings().mHeartbeat;
+      CPPUNIT_ASSERT(Heartbeat(39) == HeartbeatOutcome::Stale);
+    }
+    CPPUNIT_ASSERT(!mAgent.CurrentLoad(mNow).mAccepts);
+  }
+
+  // Guards against an upstream that is replaced by an earlier start while its heartbeats come.
+  void EarlierStartsDoNotReplaceAnUpstreamWithHeartbeats()
+  {
+    ApplyRoutesAndHeartbeat(5);
+    for (std::uint64_t sequence = 1; sequence < 12; ++sequence) {
+      CPPUNIT_ASSERT(Heartbeat(sequence, false, Milliseconds{0}, 2'000) ==
+                     HeartbeatOutcome::Accepted);
+      for (std::uint64_t i = 0; i < 2; ++i) {
+        mNow += Settings().mHeartbeat;
+        CPPUNIT_ASSERT(Heartbeat(6 + 2 * sequence + i, true) == HeartbeatOutcome::Stale);
+      }
+    }
+    CPPUNIT_ASSERT(mAgent.CurrentLoad(mNow).mAccepts);
+  }
+
   // Guards against an upstream that takes no flows for as long as it runs.
   void LateExitOfAnEarlierStartDoesNotEndTheUpstream()
   {
