Refuse an endpoint with a NUL in it

What operators would see: an entry such as 10.0.0.1\0.9:80 was taken for 10.0.0.1:80, an endpoint that nobody announced.

Cause: inet_pton reads up to the first NUL. Found by a test of odd heartbeats.

Measured: MalformedHeartbeatsAreRejected failed with the address 10.0.0.1\u0000.9:80 and passes; all 396 unit tests pass.

--- a/lib/Model/Endpoint.cpp
+++ b/lib/Model/Endpoint.cpp
@@ -25,7 +25,8 @@
                 "expected a numeric address:port such as 192.0.2.1:80 or [2001:db8::1]:80");
   };
   const auto colon = aText.rfind(':');
-  if (colon == std::string_view::npos) {
+  // inet_pton ignores what follows a NUL.
+  if (colon == std::string_view::npos || aText.find('\0') != std::string_view::npos) {
     return invalid();
   }
   std::string address(aText.substr(0, colon));
