Give the packet plane's simulation kinds of faults beside those of nodes

The simulation had planned work alone or the faults of nodes.

Measured: PacketFlowSimulationTest, 7 passed.

--- a/unittests/Packet/PacketFlowSimulation.cpp
+++ b/unittests/Packet/PacketFlowSimulation.cpp
@@ -68,9 +68,24 @@
 
 } // namespace
 
-PacketFlowSimulation::PacketFlowSimulation(std::uint64_t aSeed, bool aPlannedOnly)
+const char* ToText(PacketFlowFaults aFaults)
+{
+  switch (aFaults) {
+    case PacketFlowFaults::PlannedWork:
+      return "planned work";
+    case PacketFlowFaults::Nodes:
+      return "faults of nodes";
+    case PacketFlowFaults::Upstreams:
+      return "faults of upstreams";
+    case PacketFlowFaults::Membership:
+      return "faults of membership";
+  }
+  return "";
+}
+
+PacketFlowSimulation::PacketFlowSimulation(std::uint64_t aSeed, PacketFlowFaults aFaults)
   : mSeed(aSeed)
-  , mPlannedOnly(aPlannedOnly)
+  , mFaultKinds(aFaults)
   , mRandom(aSeed)
   , mNow(kStart)
 {
@@ -323,9 +338,9 @@
   const auto ms = [&](TimePoint aTime) { return std::to_string(Ms(aTime)); };
   const Node& holder = *aTruth.mHolder->mNode;
   std::string text =
-    ": seed " + std::to_string(mSeed) + ", at " + ms(mNow) + " ms, flow " + ToString(aFlow) +
-    "\n  sender " + aSender.mName + " (process since " + ms(aSender.mStartedAt) +
-    ", last fault until " + ms(aSender.mDisturbedUntil) + ", view " +
+    ": seed " + std::to_string(mSeed) + ", " + ToText(mFaultKinds) + ", at " + ms(mNow) +
+    " ms, flow " + ToString(aFlow) + "\n  sender " + aSender.mName + " (process since " +
+    ms(aSender.mStartedAt) + ", last fault until " + ms(aSender.mDisturbedUntil) + ", view " +
     std::to_string(aSender.mViewRevision) + ", directory " +
     std::to_string(aSender.mDirectoryAgents.Digest()) + ")\n  holder " + holder.mName +
     " (process since " + ms(holder.mStartedAt) + ", last fault until " +
--- a/unittests/Packet/PacketFlowSimulation.h
+++ b/unittests/Packet/PacketFlowSimulation.h
@@ -18,6 +18,17 @@
 
 namespace dandelionslip {
 
+/// The faults and planned work of a run.
+enum class PacketFlowFaults
+{
+  PlannedWork, ///< Nothing else.
+  Nodes,       ///< Also unplanned faults of balancers, agents and their links, and crashes.
+  Upstreams,   ///< Also frozen upstreams, removed VMs and dropped routes.
+  Membership,  ///< Also nodes that control does not reach, and incomplete views.
+};
+
+const char* ToText(PacketFlowFaults aFaults);
+
 /// What happened in a run; shows that the simulation exercises the code.
 struct PacketFlowCounts
 {
@@ -43,8 +54,7 @@
 class PacketFlowSimulation
 {
 public:
-  /// aPlannedOnly: no faults, only planned work.
-  PacketFlowSimulation(std::uint64_t aSeed, bool aPlannedOnly);
+  PacketFlowSimulation(std::uint64_t aSeed, PacketFlowFaults aFaults);
   ~PacketFlowSimulation();
 
   /// Lets aTime pass, with random faults and planned work.
@@ -126,8 +136,11 @@
   void ApplyState(Node& aNode, const View& aView, const Configuration& aConfiguration);
   void ScheduleFault();
   void InjectFault();
+  void LogFault(const std::string& aText);
   Node& RandomNode(MemberKind aKind);
   void Disturb(Node& aNode, Duration aTime);
+  void InjectUpstreamFault();   // PacketFlowSimulationUpstreamFaults.cpp
+  void InjectMembershipFault(); // PacketFlowSimulationMembershipFaults.cpp
 
   // Upstreams (PacketFlowSimulationUpstreams.cpp).
   void AddUpstream(const std::string& aService, const std::string& aDataCentre);
@@ -155,7 +168,7 @@
   void Abandon(const FlowKey& aFlow);
 
   std::uint64_t mSeed;
-  bool mPlannedOnly;
+  PacketFlowFaults mFaultKinds;
   Random mRandom;
   TimePoint mNow;
   std::uint64_t mNextTask = 0;
--- a/unittests/Packet/PacketFlowSimulationControl.cpp
+++ b/unittests/Packet/PacketFlowSimulationControl.cpp
@@ -159,26 +159,36 @@
   });
 }
 
+void PacketFlowSimulation::LogFault(const std::string& aText)
+{
+  mFaults.push_back(std::to_string(Ms(mNow)) + " " + aText);
+}
+
 void PacketFlowSimulation::InjectFault()
 {
+  if (mFaultKinds == PacketFlowFaults::Upstreams && Chance(0.5)) {
+    InjectUpstreamFault();
+    return;
+  }
+  if (mFaultKinds == PacketFlowFaults::Membership && Chance(0.5)) {
+    InjectMembershipFault();
+    return;
+  }
   const bool ofAgent = Chance(0.5);
   Node& node = RandomNode(ofAgent ? MemberKind::Agent : MemberKind::Balancer);
-  const auto log = [&](const std::string& aText) {
-    mFaults.push_back(std::to_string(Ms(mNow)) + " " + aText);
-  };
-  const std::uint64_t kind = mRandom.Below(mPlannedOnly ? 8 : 16);
+  const std::uint64_t kind = mRandom.Below(mFaultKinds == PacketFlowFaults::PlannedWork ? 8 : 16);
   const Duration time = Between(Milliseconds(200), Milliseconds(Chance(0.3) ? 8'000 : 2'000));
   const auto timeText =
     std::to_string(std::chrono::duration_cast<Milliseconds>(time).count()) + " ms";
   if (kind <= 2) {
-    log("planned stop of " + node.mName);
+    LogFault("planned stop of " + node.mName);
     StopProcess(node);
   } else if (kind == 3) {
-    log("new routes");
+    LogFault("new routes");
     PublishRoutes();
   } else if (kind == 4) {
     const std::string dataCentre = Chance(0.5) ? "north" : "south";
-    log("data centre out " + dataCentre + " for " + timeText);
+    LogFault("data centre out " + dataCentre + " for " + timeText);
     ++mConfiguration.mRevision;
     mConfiguration.mDataCentres[dataCentre] = {true, mConfiguration.mRevision};
     mStateChanged = true;
@@ -189,63 +199,64 @@
     });
   } else if (kind == 5) {
     Upstream& upstream = *mUpstreams[mRandom.Below(mUpstreams.size())];
-    log("drain of " + upstream.mId);
+    LogFault("drain of " + upstream.mId);
     DrainUpstream(upstream);
   } else if (kind == 6) {
     Upstream& upstream = *mUpstreams[mRandom.Below(mUpstreams.size())];
-    log(upstream.mId + " full or slow for " + timeText);
+    LogFault(upstream.mId + " full or slow for " + timeText);
     (Chance(0.5) ? upstream.mFullUntil : upstream.mSlowUntil) = mNow + time;
   } else if (kind == 7) {
     if (mUpstreams.size() < 16) {
-      log("new upstream");
+      LogFault("new upstream");
       AddUpstream(Chance(0.5) ? "web" : "render", Chance(0.5) ? "north" : "south");
     }
   } else if (kind == 8) {
-    log("kill of " + node.mName);
+    LogFault("kill of " + node.mName);
     Disturb(node, Milliseconds(600));
     if (node.mUp) {
       KillProcess(node);
     }
   } else if (kind == 9 || kind == 10) {
     const bool clockStands = Chance(0.5);
-    log("freeze of " + node.mName + " for " + timeText + (clockStands ? ", clock stands" : ""));
+    LogFault("freeze of " + node.mName + " for " + timeText +
+             (clockStands ? ", clock stands" : ""));
     Disturb(node, time);
     Freeze(node, time, clockStands);
   } else if (kind == 11) {
     node.mLoss = 0.01 + 0.09 * mRandom.Unit();
     node.mTails = 0.1 * mRandom.Unit();
-    log("loss and delays at " + node.mName + " for " + timeText);
+    LogFault("loss and delays at " + node.mName + " for " + timeText);
     Disturb(node, time);
     After(time, [&node] { node.mLoss = node.mTails = 0; });
   } else if (kind == 12) {
     Node& other = RandomNode(MemberKind::Agent);
     const std::pair<unsigned, unsigned> cut =
       Chance(0.5) ? std::pair(node.mNumber, other.mNumber) : std::pair(other.mNumber, node.mNumber);
-    log("cut from node " + std::to_string(cut.first) + " to node " + std::to_string(cut.second) +
-        " for " + timeText);
+    LogFault("cut from node " + std::to_string(cut.first) + " to node " +
+             std::to_string(cut.second) + " for " + timeText);
     Disturb(node, time);
     Disturb(other, time);
     mCuts.insert(cut);
     After(time, [this, cut] { mCuts.erase(cut); });
   } else if (kind == 13) {
-    log("late state at " + node.mName + " for " + timeText);
+    LogFault("late state at " + node.mName + " for " + timeText);
     node.mStateDelay =
       std::chrono::duration_cast<Milliseconds>(Between(Milliseconds(100), Milliseconds(3'000)));
     Disturb(node, time + node.mStateDelay);
     After(time, [&node] { node.mStateDelay = kUsualStateDelay; });
   } else if (kind == 14) {
     Upstream& upstream = *mUpstreams[mRandom.Below(mUpstreams.size())];
-    log("crash of " + upstream.mId);
+    LogFault("crash of " + upstream.mId);
     if (upstream.mUp) {
       Disturb(*upstream.mNode, Milliseconds(2'000));
       CrashUpstream(upstream);
       if (upstream.mNode->mUp && Chance(0.4)) {
-        log("kill of " + upstream.mNode->mName);
+        LogFault("kill of " + upstream.mNode->mName);
         KillProcess(*upstream.mNode);
       }
     }
   } else if (Chance(0.2)) {
-    log("kill of all processes");
+    LogFault("kill of all processes");
     for (const auto& each : mNodes) {
       Disturb(*each, Milliseconds(600));
       if (each->mUp) {
--- a/unittests/Packet/PacketFlowSimulationTest.cpp
+++ b/unittests/Packet/PacketFlowSimulationTest.cpp
@@ -44,18 +44,20 @@
   CPPUNIT_TEST_SUITE(PacketFlowSimulationTest);
   CPPUNIT_TEST(OpenFlowsAreNotResetByPlannedWork);
   CPPUNIT_TEST(OpenFlowsAreNotResetUnderFaults);
+  CPPUNIT_TEST(OpenFlowsAreNotResetUnderFaultsOfUpstreams);
+  CPPUNIT_TEST(OpenFlowsAreNotResetUnderFaultsOfMembership);
   CPPUNIT_TEST(RunsContainWhatTheyTest);
   CPPUNIT_TEST(MostDeadFlowsAreReset);
   CPPUNIT_TEST(RunsAreRepeatable);
   CPPUNIT_TEST_SUITE_END();
 
-  static void CheckSeeds(bool aPlannedOnly, const std::vector<std::uint64_t>& aSeeds)
+  static void CheckSeeds(PacketFlowFaults aFaults, const std::vector<std::uint64_t>& aSeeds)
   {
     std::size_t inTouch = 0;
     std::size_t outOfTouch = 0;
     std::string firstText;
     for (const std::uint64_t seed : aSeeds) {
-      PacketFlowSimulation simulation(seed, aPlannedOnly);
+      PacketFlowSimulation simulation(seed, aFaults);
       simulation.Run(kRunTime);
       for (const PacketFlowViolation& violation : simulation.Violations()) {
         ++(violation.mInTouch ? inTouch : outOfTouch);
@@ -63,8 +65,8 @@
           firstText = violation.mText;
         }
         if (SelectedSeeds() != nullptr) {
-          std::cout << (violation.mInTouch ? "VIOLATION " : "out of touch ")
-                    << (aPlannedOnly ? "planned only, " : "") << violation.mText << std::endl;
+          std::cout << (violation.mInTouch ? "VIOLATION " : "out of touch ") << violation.mText
+                    << std::endl;
         }
       }
     }
@@ -76,16 +78,28 @@
 
   void OpenFlowsAreNotResetByPlannedWork()
   {
-    CheckSeeds(true, SeedsToRun({126, 171, 305, 323, 352, 20392}));
+    CheckSeeds(PacketFlowFaults::PlannedWork, SeedsToRun({126, 171, 305, 323, 352, 20392}));
+  }
+  void OpenFlowsAreNotResetUnderFaults()
+  {
+    CheckSeeds(PacketFlowFaults::Nodes, SeedsToRun({43, 48, 441}));
+  }
+
+  void OpenFlowsAreNotResetUnderFaultsOfUpstreams()
+  {
+    CheckSeeds(PacketFlowFaults::Upstreams, SeedsToRun({}));
+  }
+  void OpenFlowsAreNotResetUnderFaultsOfMembership()
+  {
+    CheckSeeds(PacketFlowFaults::Membership, SeedsToRun({}));
   }
-  void OpenFlowsAreNotResetUnderFaults() { CheckSeeds(false, SeedsToRun({43, 48, 441})); }
 
   // The sum of the counts of six runs, and its text.
-  static std::pair<PacketFlowCounts, std::string> CountsOf(bool aPlannedOnly)
+  static std::pair<PacketFlowCounts, std::string> CountsOf(PacketFlowFaults aFaults)
   {
     PacketFlowCounts sum;
     for (std::uint64_t seed = 1; seed <= 6; ++seed) {
-      PacketFlowSimulation simulation(seed, aPlannedOnly);
+      PacketFlowSimulation simulation(seed, aFaults);
       simulation.Run(kRunTime);
       const PacketFlowCounts& counts = simulation.Counts();
       sum.mOpened += counts.mOpened;
@@ -112,8 +126,9 @@
   // Guards against a simulation in which nothing happens.
   void RunsContainWhatTheyTest()
   {
-    for (const bool plannedOnly : {true, false}) {
-      const auto [sum, text] = CountsOf(plannedOnly);
+    for (const auto faults : {PacketFlowFaults::PlannedWork, PacketFlowFaults::Nodes,
+                              PacketFlowFaults::Upstreams, PacketFlowFaults::Membership}) {
+      const auto [sum, text] = CountsOf(faults);
       CPPUNIT_ASSERT_MESSAGE(text, sum.mOpened > 1'000 && sum.mMoved > 1'000);
       CPPUNIT_ASSERT_MESSAGE(text, sum.mQueries > 1'000 && sum.mOpeningReturns > 20);
       CPPUNIT_ASSERT_MESSAGE(text, sum.mAnswered > 20 * sum.mTimedOut);
@@ -123,18 +138,18 @@
   // Guards against callers that wait for their deadline on flows that no upstream holds.
   void MostDeadFlowsAreReset()
   {
-    const auto [planned, plannedText] = CountsOf(true);
+    const auto [planned, plannedText] = CountsOf(PacketFlowFaults::PlannedWork);
     CPPUNIT_ASSERT_MESSAGE(plannedText,
                            planned.mDeadReset > 10 && planned.mDeadReset > planned.mDeadTimedOut);
-    const auto [faults, faultsText] = CountsOf(false);
+    const auto [faults, faultsText] = CountsOf(PacketFlowFaults::Nodes);
     CPPUNIT_ASSERT_MESSAGE(faultsText,
                            faults.mDeadReset > 10 && faults.mDeadReset > faults.mDeadTimedOut);
   }
 
   void RunsAreRepeatable()
   {
-    PacketFlowSimulation first(7, false);
-    PacketFlowSimulation second(7, false);
+    PacketFlowSimulation first(7, PacketFlowFaults::Nodes);
+    PacketFlowSimulation second(7, PacketFlowFaults::Nodes);
     first.Run(kRunTime);
     second.Run(kRunTime);
     CPPUNIT_ASSERT_EQUAL(first.Counts().mAnswered, second.Counts().mAnswered);
