Count an acknowledgement only for the view of its registration

An agent counted any acknowledgement of a directory agent's endpoint. One that an earlier process of the directory agent had sent, together with a lost registration with the next process, made the flow confirmed: the agent reported that the directory agents know all of its flows, and a balancer could reset the flow on their word until the next refresh, 20 s later.

A registration now carries the digest of the directory agents by the view of its sender, and the acknowledgement returns it. The digest contains the incarnation of each agent. A process cannot acknowledge a registration by a view that was made after its end, so an acknowledgement with the digest of the present view is by the incarnation that this view names or by a later one, which has stored the flow itself. An acknowledging process need not know that its own incarnation is in the view. If the process is replaced while the views still name the earlier one, it answers NotFound, which never stands for other agents; the view with its incarnation makes the agent register all flows again.

The decoders of both formats reject the other one; between nodes of two versions, searches and registrations fail and the messages are counted as malformed.

--- a/include/dandelionslip/Packet/FlowMessage.h
+++ b/include/dandelionslip/Packet/FlowMessage.h
@@ -20,6 +20,9 @@
 
   Endpoint mHolder; ///< IPv4 only; all zero if the message names no holder.
   std::vector<FlowKey> mFlows;
+  /// DirectoryAgents::Digest() of the sender's view. An acknowledgement has that of the
+  /// registration.
+  std::uint64_t mAgentsDigest = 0;
 
   std::vector<std::uint8_t> Encode() const;
   /// Fails with InvalidInput if the message is truncated, has trailing bytes, or contains no flow
--- a/include/dandelionslip/Packet/NodeMessageHeader.h
+++ b/include/dandelionslip/Packet/NodeMessageHeader.h
@@ -23,7 +23,7 @@
   NotFound,    ///< To a balancer: the flow is neither held nor, for a Query, registered here.
   ProbeNeeded, ///< To a balancer: only the upstream knows; send a packet of the flow as a Probe.
   Register,    ///< To a directory agent: flows that the sender holds.
-  RegisterAck, ///< To an agent: its flows are registered here.
+  RegisterAck, ///< To an agent: its flows are registered here. A copy of the Register.
   /// To a balancer: like NotFound, from an agent whose view contains its current incarnation. A
   /// holder would have registered the flow with it.
   NotRegistered,
--- a/lib/Packet/FlowMessage.cpp
+++ b/lib/Packet/FlowMessage.cpp
@@ -7,13 +7,17 @@
 
 namespace {
 
-constexpr std::size_t kHolderBytes = 6;
+// The difference from earlier formats is no multiple of kFlowBytes, so that their decoders reject
+// it.
+constexpr std::size_t kHeaderBytes = 14;
 constexpr std::size_t kFlowBytes = 12;
 
 using boost::endian::load_big_u16;
 using boost::endian::load_big_u32;
+using boost::endian::load_big_u64;
 using boost::endian::store_big_u16;
 using boost::endian::store_big_u32;
+using boost::endian::store_big_u64;
 
 void EncodeFlow(const FlowKey& aFlow, std::uint8_t* aOut)
 {
@@ -32,10 +36,11 @@
 
 std::vector<std::uint8_t> FlowMessage::Encode() const
 {
-  std::vector<std::uint8_t> bytes(kHolderBytes + mFlows.size() * kFlowBytes);
+  std::vector<std::uint8_t> bytes(kHeaderBytes + mFlows.size() * kFlowBytes);
   store_big_u32(bytes.data(), mHolder.V4Address());
   store_big_u16(bytes.data() + 4, mHolder.mPort);
-  std::uint8_t* out = bytes.data() + kHolderBytes;
+  store_big_u64(bytes.data() + 6, mAgentsDigest);
+  std::uint8_t* out = bytes.data() + kHeaderBytes;
   for (const FlowKey& flow : mFlows) {
     EncodeFlow(flow, out);
     out += kFlowBytes;
@@ -45,15 +50,16 @@
 
 Result<FlowMessage> FlowMessage::Decode(std::span<const std::uint8_t> aBytes)
 {
-  const std::size_t rest = aBytes.size() < kHolderBytes ? 0 : aBytes.size() - kHolderBytes;
+  const std::size_t rest = aBytes.size() < kHeaderBytes ? 0 : aBytes.size() - kHeaderBytes;
   if (rest == 0 || rest % kFlowBytes != 0 || rest / kFlowBytes > kMaxFlows) {
     return Fail(ErrorCode::InvalidInput, "flow_message.decode", "",
                 "found " + std::to_string(aBytes.size()) +
-                  " bytes, expected 6 bytes and 1 to 80 flows of 12 bytes");
+                  " bytes, expected 14 bytes and 1 to 80 flows of 12 bytes");
   }
   FlowMessage message;
   message.mHolder = Endpoint::FromV4(load_big_u32(aBytes.data()), load_big_u16(aBytes.data() + 4));
-  for (std::size_t at = kHolderBytes; at < aBytes.size(); at += kFlowBytes) {
+  message.mAgentsDigest = load_big_u64(aBytes.data() + 6);
+  for (std::size_t at = kHeaderBytes; at < aBytes.size(); at += kFlowBytes) {
     message.mFlows.push_back(DecodeFlow(aBytes.data() + at));
   }
   return message;
--- a/lib/Packet/PacketAgentDirectory.cpp
+++ b/lib/Packet/PacketAgentDirectory.cpp
@@ -22,7 +22,7 @@
                                  const FlowKey& aFlow, const Endpoint& aHolder,
                                  PacketOutput& aOutput)
 {
-  const FlowMessage message{aHolder, {aFlow}};
+  const FlowMessage message{aHolder, {aFlow}, mDirectoryAgents.Digest()};
   aOutput.SendToNode(aBalancer, {aType, ReturnReason::None}, message.Encode());
 }
 
@@ -98,6 +98,11 @@
     mMalformed.Add();
     return;
   }
+  // An earlier process of the directory agent may have sent it. It then answers a registration by
+  // an earlier view, because this one contains the incarnation of the present process.
+  if (message.value().mAgentsDigest != mDirectoryAgents.Digest()) {
+    return;
+  }
   const std::uint64_t agent = HashOf(aFrom);
   for (const FlowKey& key : message.value().mFlows) {
     if (const auto found = mFlows.find(key); found != mFlows.end()) {
@@ -125,6 +130,7 @@
     }
     aFlow.mUnconfirmedAgents[count++] = HashOf(agent);
     FlowMessage& message = aRegistrations[agent];
+    message.mAgentsDigest = mDirectoryAgents.Digest();
     message.mFlows.push_back(aKey);
     if (message.mFlows.size() == FlowMessage::kMaxFlows) {
       SendRegistrations({{agent, message}}, aOutput);
--- a/unittests/Packet/PacketAgentTest.cpp
+++ b/unittests/Packet/PacketAgentTest.cpp
@@ -64,6 +64,8 @@
   CPPUNIT_TEST(UpstreamsWithoutHeartbeatsTakeNoFlows);
   CPPUNIT_TEST(FlowsAreRegisteredWithTheirDirectoryAgents);
   CPPUNIT_TEST(RegistrationsAreConfirmed);
+  CPPUNIT_TEST(AcknowledgementsOfARestartedDirectoryAgentDoNotConfirmLostRegistrations);
+  CPPUNIT_TEST(AcknowledgementsNameTheRegistration);
   CPPUNIT_TEST(DirectoryAgentsAnswerNotRegisteredOnlyWhenInTheView);
   CPPUNIT_TEST_SUITE_END();
 
@@ -240,6 +242,56 @@
     CPPUNIT_ASSERT_EQUAL(directoryAgents.Digest(), mAgent.CurrentLoad(mNow).mConfirmedAgentsDigest);
   }
 
+  static std::vector<Member> SixAgents(std::uint64_t aIncarnation)
+  {
+    std::vector<Member> members;
+    for (unsigned node = 20; node < 26; ++node) {
+      members.push_back(TestAgentMember(node, "web"));
+      members.back().mIncarnation = aIncarnation;
+    }
+    return members;
+  }
+
+  // The acknowledgements were sent before the restart and arrive after it; balancers would reset
+  // the flow on the word of the new processes.
+  void AcknowledgementsOfARestartedDirectoryAgentDoNotConfirmLostRegistrations()
+  {
+    ApplyRoutesAndHeartbeat();
+    mAgent.OnView(TestView(1, SixAgents(1)), 1);
+    mAgent.RegisterFlows(mOutput, mNow);
+    Open(1);
+    auto late = std::exchange(mOutput.mToNodes, {});
+    mAgent.OnView(TestView(2, SixAgents(2)), 1);
+    mAgent.RegisterFlows(mOutput, mNow);
+    std::swap(mOutput.mToNodes, late);
+    ConfirmRegistrations();
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, mAgent.CurrentLoad(mNow).mConfirmedAgentsDigest);
+    mOutput.mToNodes = late;
+    ConfirmRegistrations();
+    CPPUNIT_ASSERT(mAgent.CurrentLoad(mNow).mConfirmedAgentsDigest != 0);
+  }
+
+  // Guards against an acknowledgement with the digest of the directory agent's own view, and
+  // against answers that do not say by which view they were given.
+  void AcknowledgementsNameTheRegistration()
+  {
+    const View view = TestView(1, SixAgents(1));
+    DirectoryAgents own;
+    own.Update(view);
+    mAgent.OnView(view, 1);
+    const FlowMessage registration{{}, {TestFlow(3), TestFlow(4)}, own.Digest() + 1};
+    FromBalancer(registration.Encode(), NodeMessageType::Register);
+    const auto& sent = mOutput.mToNodes.back();
+    CPPUNIT_ASSERT(sent.mHeader.mType == NodeMessageType::RegisterAck);
+    const auto acknowledgement = FlowMessage::Decode(sent.mPacket);
+    CPPUNIT_ASSERT(acknowledgement && acknowledgement.value().mFlows == registration.mFlows);
+    CPPUNIT_ASSERT_EQUAL(registration.mAgentsDigest, acknowledgement.value().mAgentsDigest);
+    FromBalancer(FlowMessage{{}, {TestFlow(5)}}.Encode(), NodeMessageType::Query);
+    const auto answer = FlowMessage::Decode(mOutput.mToNodes.back().mPacket);
+    CPPUNIT_ASSERT(answer);
+    CPPUNIT_ASSERT_EQUAL(own.Digest(), answer.value().mAgentsDigest);
+  }
+
   // Guards against a restarted directory agent that answers NotRegistered for flows which were
   // registered with its previous process, and against an agent that counts its flows as registered
   // although it does not know all of them.
--- a/unittests/Packet/PacketCodecsTest.cpp
+++ b/unittests/Packet/PacketCodecsTest.cpp
@@ -20,6 +20,8 @@
   CPPUNIT_TEST_SUITE(PacketCodecsTest);
   CPPUNIT_TEST(MessagesSurviveARoundTrip);
   CPPUNIT_TEST(DamagedMessagesAreRejected);
+  CPPUNIT_TEST(FlowMessagesFitIntoADatagram);
+  CPPUNIT_TEST(FlowMessagesOfTheFirstFormatAreRejected);
   CPPUNIT_TEST(ReportsAreSmall);
   CPPUNIT_TEST(FewDirectoryAgentsChangeWhenAnAgentJoins);
   CPPUNIT_TEST(IdleTimeDoesNotLowerTheEstimate);
@@ -40,10 +42,11 @@
     const auto back = NodeMessageHeader::Decode(header.Encode());
     CPPUNIT_ASSERT(back && back.value().mType == NodeMessageType::Returned);
     CPPUNIT_ASSERT(back.value().mReason == ReturnReason::Cold);
-    const FlowMessage message{NodeEndpoint(3), {TestFlow(1), TestFlow(2)}};
+    const FlowMessage message{NodeEndpoint(3), {TestFlow(1), TestFlow(2)}, 0xfedcba9876543210};
     const auto decoded = FlowMessage::Decode(message.Encode());
     CPPUNIT_ASSERT(decoded && decoded.value().mHolder == message.mHolder);
     CPPUNIT_ASSERT(decoded.value().mFlows == message.mFlows);
+    CPPUNIT_ASSERT_EQUAL(message.mAgentsDigest, decoded.value().mAgentsDigest);
     const auto report = LoadReport::Decode(Report().Encode());
     CPPUNIT_ASSERT(report && report.value() == Report());
   }
@@ -79,6 +82,31 @@
     }
   }
 
+  // Guards against registrations that the link fragments, and against more flows than the limit.
+  void FlowMessagesFitIntoADatagram()
+  {
+    FlowMessage message;
+    message.mFlows.resize(FlowMessage::kMaxFlows);
+    const auto largest = message.Encode();
+    CPPUNIT_ASSERT(NodeMessageHeader::kBytes + largest.size() <= 1'200);
+    CPPUNIT_ASSERT(FlowMessage::Decode(largest));
+    message.mFlows.emplace_back();
+    CPPUNIT_ASSERT(!FlowMessage::Decode(message.Encode()));
+  }
+
+  // Guards against nodes of two versions that read each other's fields as addresses.
+  void FlowMessagesOfTheFirstFormatAreRejected()
+  {
+    constexpr std::size_t kFirstHeaderBytes = 6;
+    constexpr std::size_t kFlowBytes = 12;
+    for (std::size_t flows = 1; flows <= FlowMessage::kMaxFlows; ++flows) {
+      CPPUNIT_ASSERT(!FlowMessage::Decode(Bytes(kFirstHeaderBytes + flows * kFlowBytes)));
+      FlowMessage message;
+      message.mFlows.resize(flows);
+      CPPUNIT_ASSERT((message.Encode().size() - kFirstHeaderBytes) % kFlowBytes != 0);
+    }
+  }
+
   // Guards against reports that fill a balancer's link: 63 agents send five per second each to a
   // balancer with 1.9 Mbit/s, and may use a tenth of that.
   void ReportsAreSmall()
