Let directory agents with another view not rule out a holder

A directory agent that has restarted answers NotRegistered as soon as its own view contains its new incarnation. A balancer whose view does not contain it yet could take the last load report of the earlier process as a sign that the directory agent is covered, and so reset a flow that was registered with that process only. The refusal of an opening did not compare the views at all.

Answers carry the digest of the directory agents by the answering agent's view. A balancer takes NotRegistered with another digest as NotFound, which rules out only the agent that answers.

Evidence: DirectoryAgentsWithAnotherViewDoNotEndASearch and DirectoryAgentsWithAnotherViewDoNotRefuseAnOpening failed before ("Expected: 0, Actual: 1", the number of resets) and pass now. The balancer's tests answer with the digest of the balancer's view where the agents' view is meant to be the same; no assertion changed.

--- a/include/dandelionslip/Packet/NodeMessageHeader.h
+++ b/include/dandelionslip/Packet/NodeMessageHeader.h
@@ -25,7 +25,7 @@
   Register,    ///< To a directory agent: flows that the sender holds.
   RegisterAck, ///< To an agent: its flows are registered here. A copy of the Register.
   /// To a balancer: like NotFound, from an agent whose view contains its current incarnation. A
-  /// holder would have registered the flow with it.
+  /// holder would have registered the flow with it. Counts only at balancers with the same agents.
   NotRegistered,
 };
 
--- a/lib/Packet/PacketBalancerSearch.cpp
+++ b/lib/Packet/PacketBalancerSearch.cpp
@@ -269,6 +269,11 @@
     return;
   }
   const FlowKey& key = message.value().mFlows.front();
+  // A directory agent speaks only for the registrations by the agents of its own view.
+  const bool otherView = message.value().mAgentsDigest != mDirectoryAgents.Digest();
+  if (aType == NodeMessageType::NotRegistered && otherView) {
+    aType = NodeMessageType::NotFound;
+  }
   if (AnswerPendingRefusal(key, aFrom, aType, aOutput, aNow)) {
     return;
   }
--- a/unittests/Packet/PacketBalancerLogTest.cpp
+++ b/unittests/Packet/PacketBalancerLogTest.cpp
@@ -61,7 +61,7 @@
 
   void Answer(const Endpoint& aAgent, NodeMessageType aType)
   {
-    auto bytes = FlowMessage{{}, {TestFlow(1)}}.Encode();
+    auto bytes = FlowMessage{{}, {TestFlow(1)}, mDirectoryAgents.Digest()}.Encode();
     mBalancer.OnNodePacket(aAgent, {aType, ReturnReason::None}, bytes, mOutput, mNow);
   }
 
--- a/unittests/Packet/PacketBalancerTest.cpp
+++ b/unittests/Packet/PacketBalancerTest.cpp
@@ -25,6 +25,8 @@
   CPPUNIT_TEST(SecondQueriesWaitForLaterLoadReports);
   CPPUNIT_TEST(DirectoryAgentsThatRestartedDuringASearchDoNotEndIt);
   CPPUNIT_TEST(OutdatedDirectoryAgentsDoNotEndASearch);
+  CPPUNIT_TEST(DirectoryAgentsWithAnotherViewDoNotEndASearch);
+  CPPUNIT_TEST(DirectoryAgentsWithAnotherViewDoNotRefuseAnOpening);
   CPPUNIT_TEST(OnlyAgentsThatDidNotAnswerAreQueriedAgain);
   CPPUNIT_TEST(PacketsAreKeptUntilRoutesAreKnown);
   CPPUNIT_TEST(QueriesStayWithinTheLinkBudget);
@@ -62,6 +64,7 @@
   TimePoint mNow = kStart;
   PacketBalancer mBalancer{{}, mCodec, mRegistry, Random(1)};
   DirectoryAgents mDirectoryAgents;
+  std::uint64_t mDigestDifference = 0; ///< Between the views of agents and of the balancer.
 
   void Send(PacketBytes aPacket) { mBalancer.OnCallerPacket(aPacket, mOutput, mNow); }
 
@@ -104,7 +107,8 @@
   void Answer(unsigned aNode, NodeMessageType aType, const FlowKey& aFlow,
               const Endpoint& aHolder = {})
   {
-    auto bytes = FlowMessage{aHolder, {aFlow}}.Encode();
+    auto bytes =
+      FlowMessage{aHolder, {aFlow}, mDirectoryAgents.Digest() + mDigestDifference}.Encode();
     mBalancer.OnNodePacket(NodeEndpoint(aNode), {aType, ReturnReason::None}, bytes, mOutput, mNow);
   }
 
@@ -118,9 +122,9 @@
   // Two agents of "web", nodes 1 and 2, that accept flows, after the settle time.
   void Settle()
   {
-    mBalancer.OnState(TestConfiguration(1, {"web"}),
-                      TestView(1, {TestAgentMember(1, "web"), TestAgentMember(2, "web")}), mOutput,
-                      mNow);
+    const View view = TestView(1, {TestAgentMember(1, "web"), TestAgentMember(2, "web")});
+    mDirectoryAgents.Update(view);
+    mBalancer.OnState(TestConfiguration(1, {"web"}), view, mOutput, mNow);
     mNow += kSettled;
     Report(1, Accepting());
     Report(2, Accepting());
@@ -213,7 +217,7 @@
   void DirectoryAgentsAnswer(NodeMessageType aType, const FlowKey& aFlow)
   {
     for (const Endpoint& agent : mDirectoryAgents.AgentsFor(aFlow)) {
-      auto bytes = FlowMessage{{}, {aFlow}}.Encode();
+      auto bytes = FlowMessage{{}, {aFlow}, mDirectoryAgents.Digest() + mDigestDifference}.Encode();
       mBalancer.OnNodePacket(agent, {aType, ReturnReason::None}, bytes, mOutput, mNow);
     }
   }
@@ -334,6 +338,32 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{0}, mOutput.Resets());
   }
 
+  // The directory agents have restarted, and the balancer does not know it yet. Their last load
+  // reports here are those of the earlier processes.
+  void DirectoryAgentsWithAnotherViewDoNotEndASearch()
+  {
+    SettleMany(60);
+    Send(CallerPacket(TestFlow(1), FlagAck, 7, 9, 50));
+    DirectoryAgentsAnswer(NodeMessageType::NotRegistered, TestFlow(1));
+    ReportRegisteredLater(60);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{4}, Sent(NodeMessageType::Query));
+    mDigestDifference = 1;
+    DirectoryAgentsAnswer(NodeMessageType::NotRegistered, TestFlow(1));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, mOutput.Resets());
+    CPPUNIT_ASSERT(Sent(NodeMessageType::QueryLocal) > 20);
+  }
+
+  void DirectoryAgentsWithAnotherViewDoNotRefuseAnOpening()
+  {
+    Wait();
+    mNow += Milliseconds{200};
+    mBalancer.OnTick(mOutput, mNow);
+    mDigestDifference = 1;
+    Answer(1, NodeMessageType::NotRegistered, TestFlow(1));
+    Answer(2, NodeMessageType::NotRegistered, TestFlow(1));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, mOutput.Resets());
+  }
+
   // Guards against a search that starts over with every retransmission: one agent does not answer,
   // and only that one is queried again.
   void OnlyAgentsThatDidNotAnswerAreQueriedAgain()
