Simulate nodes that control does not reach, and views without live agents

In the simulation of the packet plane control heard every announcement, remembered every member and reached every node. The kind Membership now has agents, balancers and data centres that control does not reach for 1 to 20 s (in both directions, or without the answers), restarts of all replicas of control, whose first views lack members, also while agents are cut off, two data centres that do not reach each other, with control in a third one or in all, balancers that join and leave, agents whose clock was set back and that control fences, and views that arrive late for many seconds.

A node that control does not reach, or gets views late, counts as disturbed while that lasts; a restart of control disturbs all nodes; nodes of separated data centres that reach control do not.

RunsContainWhatTheyTest also requires that the faults happen.

--- a/unittests/Packet/PacketFlowSimulation.cpp
+++ b/unittests/Packet/PacketFlowSimulation.cpp
@@ -93,11 +93,13 @@
   mPace = static_cast<std::uint32_t>(600 + mRandom.Below(5'000));
   mView.mRevision = 1;
   PublishRoutes();
+  const bool spread = mFaultKinds == PacketFlowFaults::Membership;
   for (std::size_t i = 0; i < kAgents; ++i) {
-    AddUpstream(i % 3 == 0 ? "render" : "web", i % 2 == 0 ? "north" : "south");
+    const std::string dataCentre = i % 2 == 0 ? "north" : "south";
+    AddUpstream(i % 3 == 0 ? "render" : "web", spread ? DataCentres()[i / 2 % 3] : dataCentre);
   }
   for (std::size_t i = 0; i < kBalancers; ++i) {
-    StartProcess(AddNode(MemberKind::Balancer, "", "north"));
+    StartProcess(AddNode(MemberKind::Balancer, "", spread ? DataCentres()[i % 3] : "north"));
   }
   for (std::size_t i = 0; i < kCallers; ++i) {
     After(Between(Milliseconds(500), Milliseconds(5'000)), [this] { OpenFlow(); });
@@ -174,8 +176,9 @@
     std::max(aFrom != nullptr ? aFrom->mLoss : 0.0, aTo != nullptr ? aTo->mLoss : 0.0);
   const double tails =
     std::max(aFrom != nullptr ? aFrom->mTails : 0.0, aTo != nullptr ? aTo->mTails : 0.0);
-  if (Chance(loss) ||
-      (aFrom != nullptr && aTo != nullptr && mCuts.contains({aFrom->mNumber, aTo->mNumber}))) {
+  if (Chance(loss) || (aFrom != nullptr && aTo != nullptr &&
+                       (mCuts.contains({aFrom->mNumber, aTo->mNumber}) ||
+                        mSeparated.contains({aFrom->mDataCentre, aTo->mDataCentre})))) {
     return std::nullopt;
   }
   const Duration delay = std::chrono::microseconds(200 + mRandom.Below(2'800));
@@ -272,6 +275,19 @@
         });
 }
 
+const std::vector<std::string>& PacketFlowSimulation::DataCentres()
+{
+  static const std::vector<std::string> kDataCentres{"north", "south", "west"};
+  return kDataCentres;
+}
+
+// Whether the balancer's view has the agent as live.
+bool PacketFlowSimulation::ViewHas(const Node& aBalancer, const Node& aAgent)
+{
+  const Member* member = aBalancer.mView ? aBalancer.mView->FindMember(aAgent.mName) : nullptr;
+  return member != nullptr && HoldsFlows(member->mState);
+}
+
 // The router: selects a balancer by the flow's hash.
 void PacketFlowSimulation::SendFromCaller(const FlowKey& aFlow, const PacketBytes& aPacket)
 {
@@ -288,7 +304,9 @@
   const auto& chosen = inRotation.size() * 2 < all.size() ? all : inRotation;
   Node& to = *chosen[(HashOf(aFlow) >> 7U) % chosen.size()];
   FlowTruth& truth = mTruths[aFlow];
-  mCounts.mMoved += truth.mBalancer != 0 && truth.mBalancer != to.mNumber ? 1 : 0;
+  const bool moved = truth.mBalancer != 0 && truth.mBalancer != to.mNumber;
+  mCounts.mMoved += moved ? 1 : 0;
+  mCounts.mMovedUnseen += moved && truth.mOpen && !ViewHas(to, *truth.mHolder->mNode) ? 1 : 0;
   truth.mBalancer = to.mNumber;
   const auto delay = Delay(nullptr, &to);
   const auto header = mCodec.DecodeFromCaller(aPacket);
--- a/unittests/Packet/PacketFlowSimulation.h
+++ b/unittests/Packet/PacketFlowSimulation.h
@@ -40,6 +40,14 @@
   std::size_t mTimedOut = 0;       ///< Requests on an open flow without an answer in time.
   std::size_t mDeadTimedOut = 0;   ///< Flows that died with their upstream; the caller timed out.
   std::size_t mDeadReset = 0;      ///< Flows that died with their upstream; the caller got a reset.
+  // Only with faults of membership, except for mMovedUnseen.
+  std::size_t mMovedUnseen = 0; ///< Times that an open flow moved to a balancer whose view lacks
+                                ///< its holder.
+  std::size_t mCutOff = 0;      ///< Times that control could not reach a node.
+  std::size_t mControlRestarts = 0;
+  std::size_t mSeparations = 0; ///< Times that two data centres did not reach each other.
+  std::size_t mBalancersAdded = 0;
+  std::size_t mFenced = 0; ///< Announcements with an incarnation that was too low.
 };
 
 /// A reset of a flow that an upstream held open.
@@ -133,14 +141,37 @@
   void CheckLeases();
   void PublishState();
   void SendState(Node& aNode);
-  void ApplyState(Node& aNode, const View& aView, const Configuration& aConfiguration);
+  void ApplyState(Node& aNode, const std::shared_ptr<const View>& aView,
+                  const Configuration& aConfiguration);
   void ScheduleFault();
   void InjectFault();
   void LogFault(const std::string& aText);
   Node& RandomNode(MemberKind aKind);
   void Disturb(Node& aNode, Duration aTime);
-  void InjectUpstreamFault();   // PacketFlowSimulationUpstreamFaults.cpp
-  void InjectMembershipFault(); // PacketFlowSimulationMembershipFaults.cpp
+  void InjectUpstreamFault(); // PacketFlowSimulationUpstreamFaults.cpp
+
+  // Faults of membership (PacketFlowSimulationMembershipFaults.cpp).
+  void InjectMembershipFault();
+  void CutOff(Node& aNode, Duration aTime, bool aHeard);
+  void CutOffAgent();
+  void CutOffAgents();
+  void CutOffDataCentre();
+  void CutOffBalancer();
+  void RestartControl();
+  void RestartControlWithoutAgents();
+  void SeparateDataCentres();
+  void SeparateDataCentresAndControl();
+  std::pair<std::string, std::string> Separate(Duration aTime);
+  std::size_t CountBalancers() const;
+  void AddBalancer();
+  void AddBalancerWithoutAgents();
+  void RemoveBalancer();
+  void SetClockBack();
+  void AnswerFenced(const Member& aMember);
+  void DelayStates();
+  static std::string TimeText(Duration aTime);
+  static const std::vector<std::string>& DataCentres();
+  static bool ViewHas(const Node& aBalancer, const Node& aAgent);
 
   // Upstreams (PacketFlowSimulationUpstreams.cpp).
   void AddUpstream(const std::string& aService, const std::string& aDataCentre);
@@ -178,10 +209,14 @@
   std::vector<std::unique_ptr<Node>> mNodes; ///< Node number n is at index n - 1.
   std::vector<std::unique_ptr<Upstream>> mUpstreams;
   std::set<std::pair<unsigned, unsigned>> mCuts; ///< Sender and receiver.
+  /// Data centres of senders and receivers that do not reach each other.
+  std::multiset<std::pair<std::string, std::string>> mSeparated;
 
   View mView;
   Configuration mConfiguration;
   bool mStateChanged = false;
+  bool mControlHears = true;                 ///< Records announcements.
+  bool mControlServes = true;                ///< Sends states.
   std::map<std::string, TimePoint> mHeardAt; ///< By member name.
   Duration mLease{};
   std::uint32_t mPace = 0; ///< Longest time between two faults, in ms.
--- a/unittests/Packet/PacketFlowSimulationControl.cpp
+++ b/unittests/Packet/PacketFlowSimulationControl.cpp
@@ -55,17 +55,21 @@
   member.mState = aNode.mAgent      ? aNode.mAgent->State(NodeTime(aNode))
                   : aNode.mStopping ? MemberState::Draining
                                     : MemberState::Serving;
-  if (const auto delay = Delay(&aNode, nullptr)) {
+  if (const auto delay = Delay(&aNode, nullptr); delay && aNode.mAnnouncementsCut == 0) {
     After(*delay, [this, member] { OnAnnouncement(member); });
   }
 }
 
 void PacketFlowSimulation::OnAnnouncement(const Member& aMember)
 {
+  if (!mControlHears) {
+    return;
+  }
   const auto found = mView.mMembers.find(aMember.mName);
   if (found != mView.mMembers.end() && (found->second.mIncarnation > aMember.mIncarnation ||
                                         (found->second.mIncarnation == aMember.mIncarnation &&
                                          found->second.mState == MemberState::Left))) {
+    AnswerFenced(aMember);
     return;
   }
   mHeardAt[aMember.mName] = mNow;
@@ -89,7 +93,7 @@
 
 void PacketFlowSimulation::PublishState()
 {
-  if (std::exchange(mStateChanged, false)) {
+  if (mControlServes && std::exchange(mStateChanged, false)) {
     ++mView.mRevision;
     for (const auto& node : mNodes) {
       if (node->mUp) {
@@ -105,30 +109,35 @@
 {
   const Duration delay = Chance(0.1) ? Between(Milliseconds(50), Milliseconds(500))
                                      : Between(Milliseconds(5), aNode.mStateDelay);
+  if (aNode.mStatesCut > 0 || !mControlServes) {
+    return;
+  }
   AfterOn(aNode, delay,
           [this, &aNode, view = std::make_shared<const View>(mView),
            configuration = std::make_shared<const Configuration>(mConfiguration)] {
-            ApplyState(aNode, *view, *configuration);
+            ApplyState(aNode, view, *configuration);
           });
 }
 
-void PacketFlowSimulation::ApplyState(Node& aNode, const View& aView,
+void PacketFlowSimulation::ApplyState(Node& aNode, const std::shared_ptr<const View>& aView,
                                       const Configuration& aConfiguration)
 {
-  if (aView.mRevision < aNode.mViewRevision ||
+  const View& view = *aView;
+  if (view.mRevision < aNode.mViewRevision ||
       aConfiguration.mRevision < aNode.mConfigurationRevision) {
     return;
   }
-  aNode.mViewRevision = aView.mRevision;
+  aNode.mViewRevision = view.mRevision;
+  aNode.mView = aView;
   aNode.mConfigurationRevision = aConfiguration.mRevision;
-  aNode.mDirectoryAgents.Update(aView);
+  aNode.mDirectoryAgents.Update(view);
   if (aNode.mBalancer) {
-    aNode.mBalancer->OnState(aConfiguration, aView, aNode, NodeTime(aNode));
+    aNode.mBalancer->OnState(aConfiguration, view, aNode, NodeTime(aNode));
     return;
   }
   aNode.mAgent->OnConfiguration(aConfiguration);
-  aNode.mAgent->OnView(aView, aNode.mIncarnation);
-  for (const auto& [name, member] : aView.mMembers) {
+  aNode.mAgent->OnView(view, aNode.mIncarnation);
+  for (const auto& [name, member] : view.mMembers) {
     const auto endpoint = Endpoint::Parse(member.mDatagramEndpoint);
     if (member.mKind == MemberKind::Balancer && HoldsFlows(member.mState) && endpoint) {
       OnBalancerSeen(aNode, endpoint.value());
--- a/unittests/Packet/PacketFlowSimulationNodes.cpp
+++ b/unittests/Packet/PacketFlowSimulationNodes.cpp
@@ -16,6 +16,9 @@
 constexpr std::uint32_t kNodeAddresses = 0x0a000000; // 10.0.0.0
 constexpr std::uint16_t kNodePort = 7720;
 
+// More than clocks are set back in a run.
+constexpr std::uint64_t kIncarnationBase = 10'000'000;
+
 } // namespace
 
 PacketFlowSimulation::Node& PacketFlowSimulation::AddNode(MemberKind aKind,
@@ -51,9 +54,11 @@
   aNode.mUp = true;
   aNode.mStopping = false;
   aNode.mStartedAt = mNow;
-  aNode.mIncarnation = static_cast<std::uint64_t>(Ms(mNow)) + 1;
+  aNode.mIncarnation =
+    kIncarnationBase + static_cast<std::uint64_t>(Ms(mNow) - aNode.mSetBack.count());
   aNode.mViewRevision = 0;
   aNode.mConfigurationRevision = 0;
+  aNode.mView = nullptr;
   aNode.mDirectoryAgents = {};
   aNode.mReports.clear();
   aNode.mBalancers.clear();
--- a/unittests/Packet/PacketFlowSimulationParts.h
+++ b/unittests/Packet/PacketFlowSimulationParts.h
@@ -62,12 +62,16 @@
   double mLoss = 0;
   double mTails = 0; ///< Share of datagrams that are delayed by up to 300 ms.
   Milliseconds mStateDelay{0};
+  unsigned mAnnouncementsCut = 0; ///< Faults that keep announcements from control.
+  unsigned mStatesCut = 0;        ///< Faults that keep states from the node.
+  Milliseconds mSetBack{0};       ///< By which the wall clock was set back.
   /// End of the last unplanned fault of the node or its links.
   TimePoint mDisturbedUntil;
 
   std::uint64_t mViewRevision = 0;
   std::uint64_t mConfigurationRevision = 0;
-  DirectoryAgents mDirectoryAgents; ///< Of the last applied view.
+  std::shared_ptr<const View> mView; ///< Applied last.
+  DirectoryAgents mDirectoryAgents;  ///< Of the last applied view.
 
   unsigned mMisses = 2; ///< Readiness checks that failed in a row.
   std::map<unsigned, ReportSeen> mReports;
--- a/unittests/Packet/PacketFlowSimulationTest.cpp
+++ b/unittests/Packet/PacketFlowSimulationTest.cpp
@@ -110,13 +110,24 @@
       sum.mTimedOut += counts.mTimedOut;
       sum.mDeadTimedOut += counts.mDeadTimedOut;
       sum.mDeadReset += counts.mDeadReset;
+      sum.mMovedUnseen += counts.mMovedUnseen;
+      sum.mCutOff += counts.mCutOff;
+      sum.mControlRestarts += counts.mControlRestarts;
+      sum.mSeparations += counts.mSeparations;
+      sum.mBalancersAdded += counts.mBalancersAdded;
+      sum.mFenced += counts.mFenced;
     }
     const std::string text =
       "opened " + std::to_string(sum.mOpened) + ", moved " + std::to_string(sum.mMoved) +
       ", queries " + std::to_string(sum.mQueries) + ", returns " +
       std::to_string(sum.mOpeningReturns) + ", answered " + std::to_string(sum.mAnswered) +
       ", timed out " + std::to_string(sum.mTimedOut) + ", dead flows timed out " +
-      std::to_string(sum.mDeadTimedOut) + ", dead flows reset " + std::to_string(sum.mDeadReset);
+      std::to_string(sum.mDeadTimedOut) + ", dead flows reset " + std::to_string(sum.mDeadReset) +
+      ", moved unseen " + std::to_string(sum.mMovedUnseen) + ", cut off " +
+      std::to_string(sum.mCutOff) + ", restarts of control " +
+      std::to_string(sum.mControlRestarts) + ", separations " + std::to_string(sum.mSeparations) +
+      ", balancers added " + std::to_string(sum.mBalancersAdded) + ", fenced " +
+      std::to_string(sum.mFenced);
     if (SelectedSeeds() != nullptr) {
       std::cout << text << std::endl;
     }
@@ -132,6 +143,11 @@
       CPPUNIT_ASSERT_MESSAGE(text, sum.mOpened > 1'000 && sum.mMoved > 1'000);
       CPPUNIT_ASSERT_MESSAGE(text, sum.mQueries > 1'000 && sum.mOpeningReturns > 20);
       CPPUNIT_ASSERT_MESSAGE(text, sum.mAnswered > 20 * sum.mTimedOut);
+      if (faults == PacketFlowFaults::Membership) {
+        CPPUNIT_ASSERT_MESSAGE(text, sum.mMovedUnseen > 50 && sum.mCutOff > 50);
+        CPPUNIT_ASSERT_MESSAGE(text, sum.mControlRestarts > 5 && sum.mSeparations > 5);
+        CPPUNIT_ASSERT_MESSAGE(text, sum.mBalancersAdded > 5 && sum.mFenced > 5);
+      }
     }
   }
 
