Leave openings to their timeout while no directory agent is known

What callers saw: an open flow was reset by a balancer that had no view. It had kept the first opening packet since its start and reset it after 1.3 s, while a copy had opened the flow through another balancer.

Cause: before an opening that may have a copy is reset, the directory agents are queried; with no directory agents known, it was reset at once. The absence of directory agents in a view that has not come, or came from a control that has just restarted, says nothing about the flow.

OpeningsThatWaitedForAViewAreNotReset failed before: equality assertion failed - Expected: 0 - Actual : 1

Change: such an opening is dropped, as it is when a directory agent does not answer. First copies that cannot be routed are still reset at once.

--- a/include/dandelionslip/Packet/PacketBalancer.h
+++ b/include/dandelionslip/Packet/PacketBalancer.h
@@ -236,8 +236,8 @@
   void LogPlacement(const PacketHeader& aPacketHeader, const Endpoint& aHolder, TimePoint aNow);
   /// Resets an opening that cannot be placed. If the caller may have sent a copy of the packet in
   /// the meantime, which may have opened the flow through another balancer, resets it only after
-  /// all directory agents have answered that they do not know the flow. aArrivedAt: when the packet
-  /// came.
+  /// all directory agents have answered that they do not know the flow, and never if there are
+  /// none. aArrivedAt: when the packet came.
   void RefuseOpening(const PacketHeader& aPacketHeader, std::span<const FlowDenial> aReturnedBy,
                      Counter& aCounter, PacketOutput& aOutput, TimePoint aArrivedAt,
                      TimePoint aNow);
--- a/lib/Packet/PacketBalancerResets.cpp
+++ b/lib/Packet/PacketBalancerResets.cpp
@@ -37,11 +37,13 @@
     aPacketHeader, {aReturnedBy.begin(), aReturnedBy.end()}, &aCounter, aArrivedAt, aNow, {}};
   const bool mayBeOpen = aPacketHeader.mRetransmission > 0 || aNow - aArrivedAt > kFirstCopyAfter ||
                          MayHaveStoodStill(aNow);
-  if (mayBeOpen) {
-    refusal.mUnanswered = mDirectoryAgents.AgentsFor(aPacketHeader.mFlow);
+  if (!mayBeOpen) {
+    ResetOpening(refusal, aOutput, aNow);
+    return;
   }
+  refusal.mUnanswered = mDirectoryAgents.AgentsFor(aPacketHeader.mFlow);
   if (refusal.mUnanswered.empty()) {
-    ResetOpening(refusal, aOutput, aNow);
+    // Nobody can tell whether the flow is open.
     return;
   }
   const auto message = FlowMessage{{}, {aPacketHeader.mFlow}}.Encode();
--- a/unittests/Packet/PacketBalancerTest.cpp
+++ b/unittests/Packet/PacketBalancerTest.cpp
@@ -42,6 +42,7 @@
   CPPUNIT_TEST(OpeningsThatCannotBeServedInTimeAreReset);
   CPPUNIT_TEST(WaitingOpeningsOfOpenFlowsAreDropped);
   CPPUNIT_TEST(OpeningsThatWaitedAreNotResetWhileTheFlowIsOpen);
+  CPPUNIT_TEST(OpeningsThatWaitedForAViewAreNotReset);
   CPPUNIT_TEST(LaterPacketsEndARefusal);
   CPPUNIT_TEST(AnswersFromBeforeTheFlowDoNotCountInItsSearch);
   CPPUNIT_TEST(LateReturnedOpeningsAreNotPlacedAgain);
@@ -688,6 +689,15 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{0}, mOutput.Resets());
   }
 
+  // A balancer without a view knows no directory agents, and other balancers may open the flow.
+  void OpeningsThatWaitedForAViewAreNotReset()
+  {
+    Send(CallerPacket(TestFlow(1), FlagSyn));
+    mNow += Milliseconds{1'400};
+    mBalancer.OnTick(mOutput, mNow);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, mOutput.Resets());
+  }
+
   // Guards against the reset of a flow whose next packet comes before the directory agents answer.
   void LaterPacketsEndARefusal()
   {
