--- a/unittests/Packet/PacketFlowSimulationMembershipFaults.cpp
+++ b/unittests/Packet/PacketFlowSimulationMembershipFaults.cpp
@@ -14,6 +14,7 @@
 constexpr std::size_t kMaxCutNodes = 4;
 constexpr Milliseconds kShortestCut{1'000};
 constexpr Milliseconds kLongestCut{20'000};
+constexpr Milliseconds kLongestSeparation{8'000};
 constexpr Milliseconds kAnnounceInterval{500};
 constexpr Milliseconds kUsualStateDelay{50};
 constexpr Milliseconds kBalancerStopTime{2'300};
@@ -146,7 +147,7 @@
 // The network between two data centres fails. Control is in a third one, which reaches both.
 void PacketFlowSimulation::SeparateDataCentres()
 {
-  Separate(Between(kShortestCut, kLongestCut));
+  Separate(Between(kShortestCut, kLongestSeparation));
 }
 
 std::pair<std::string, std::string> PacketFlowSimulation::Separate(Duration aTime)
@@ -172,7 +173,7 @@
 // replica that reaches the leader.
 void PacketFlowSimulation::SeparateDataCentresAndControl()
 {
-  const Duration time = Between(Milliseconds(5'000), kLongestCut);
+  const Duration time = Between(Milliseconds(5'000), kLongestSeparation);
   const auto [first, second] = Separate(time);
   for (const auto& node : mNodes) {
     const bool separated = node->mDataCentre == first || node->mDataCentre == second;
