Reset no flow without a lease of control

What callers saw: balancers that control did not reach reset open flows whose upstreams were sound.

Cause: a search ends in a reset when all agents that the balancer knows deny the flow. A balancer that control has declared lost is in no view, so agents that join neither appear in its view nor report to it, and the flows that they hold were reset for the absence of a live agent.

Evidence: 11.3851 front-fukuoka-1, cut off since 2.0, resets a flow that was opened at 9.3029 by an agent which joined at about 6 s; the agent is not among those it asked. FlowsOfAgentsThatJoinWithoutALeaseAreNotReset failed with "equality assertion failed - Expected: 0 - Actual: 1".

Change: a balancer gets the end of its lease with the state, and a search waits while there is none. Control grants a lease only once a quorum holds a view that counts the balancer as live, so agents that join afterwards learn of it. Callers of flows that have died meanwhile wait for their own timeout.

--- a/include/dandelionslip/Packet/PacketBalancer.h
+++ b/include/dandelionslip/Packet/PacketBalancer.h
@@ -53,9 +53,10 @@
   PacketBalancer(const PacketBalancerSettings& aSettings, const PacketCodec& aCodec,
                  MetricsRegistry& aRegistry, Random aRandom, TimePoint aNow = RuntimeClock::now());
 
-  /// Applies a configuration and a view. Their revisions never decrease from call to call.
+  /// Applies a configuration and a view. Their revisions never decrease from call to call. Until
+  /// aLeaseEnd, control counts this balancer as live, so that agents that join learn of it.
   void OnState(const Configuration& aConfiguration, const View& aView, PacketOutput& aOutput,
-               TimePoint aNow);
+               TimePoint aNow, TimePoint aLeaseEnd = TimePoint::max());
   /// Handles a packet of a caller; may modify it.
   void OnCallerPacket(std::span<std::uint8_t> aPacket, PacketOutput& aOutput, TimePoint aNow);
   /// Handles a message from an agent; aPacket is what follows the header.
@@ -218,6 +219,7 @@
   void ContinueAwaitingSearches(PacketOutput& aOutput, TimePoint aNow);
   std::vector<Endpoint> PreferredAgentsFor(const std::string& aService, const FlowKey& aKey) const;
   bool ViewMayBeComplete(TimePoint aNow) const;
+  bool KnowsAllAgents(TimePoint aNow) const;
   void OnFlowMessage(const Endpoint& aFrom, NodeMessageType aType,
                      std::span<const std::uint8_t> aBytes, PacketOutput& aOutput, TimePoint aNow);
   void OnHolderFound(const FlowKey& aKey, Flow& aFlow, const Endpoint& aHolder,
@@ -269,6 +271,7 @@
   AgentMap mAgents; ///< By datagram endpoint.
   DirectoryAgents mDirectoryAgents;
   std::optional<TimePoint> mFirstAgentAt;
+  TimePoint mLeaseEnd; ///< Until then, control counts this balancer as live.
   SearchBudget mSearchBudget;
   std::uint32_t mProbesLeft = 0; ///< Flow probes still allowed this second in stage AllAgents.
   std::unordered_map<FlowKey, Flow, FlowKeyHash> mFlows;
--- a/lib/Daemon/PacketBalancerDaemon.cpp
+++ b/lib/Daemon/PacketBalancerDaemon.cpp
@@ -94,8 +94,8 @@
 
   void OnState(const NodeState& aState)
   {
-    mCore.OnState(aState.CurrentConfiguration(), aState.CurrentView(), mOutput,
-                  RuntimeClock::now());
+    mCore.OnState(aState.CurrentConfiguration(), aState.CurrentView(), mOutput, RuntimeClock::now(),
+                  mNode.LeaseEnd());
     if (mCore.Ready() && !std::exchange(mWasReady, true)) {
       LogEvent(LogLevel::Info, "ready").With("routes", mCore.RouteVersion());
     }
--- a/lib/Daemon/PacketNode.cpp
+++ b/lib/Daemon/PacketNode.cpp
@@ -34,8 +34,8 @@
   , mSeeds(aSettings.mControlEndpoints)
   , mLink(mPool.Loop(), mClients, aSettings, mRegistry,
           {[this] { return MakeAnnouncement(); },
-           [this](const auto& aAnswer, const auto& aState, TimePoint) {
-             OnAnnouncementAnswer(aAnswer, aState);
+           [this](const auto& aAnswer, const auto& aState, TimePoint aSentAt) {
+             OnAnnouncementAnswer(aAnswer, aState, aSentAt);
            }})
 {
 }
@@ -83,8 +83,12 @@
   mMetrics = std::move(metrics.value());
 }
 
-void PacketNode::OnAnnouncementAnswer(const AnnouncementAnswer& aAnswer, const NodeState& aState)
+void PacketNode::OnAnnouncementAnswer(const AnnouncementAnswer& aAnswer, const NodeState& aState,
+                                      TimePoint aSentAt)
 {
+  if (aAnswer.mConfirmed && !aAnswer.mFenced) {
+    mLeaseEnd = std::max(mLeaseEnd, aSentAt + aAnswer.mLease);
+  }
   if (aAnswer.mFenced) {
     mIncarnation += kIncarnationStepMs;
     LogEvent(LogLevel::Info, "incarnation_raised").With("incarnation", mIncarnation);
--- a/lib/Daemon/PacketNode.h
+++ b/lib/Daemon/PacketNode.h
@@ -46,11 +46,14 @@
   boost::asio::io_context& Loop() { return mPool.Loop(); }
   ControlLink& Link() { return mLink; }
   std::uint64_t Incarnation() const { return mIncarnation; }
+  /// End of the lease that control has granted; the epoch before the first one.
+  TimePoint LeaseEnd() const { return mLeaseEnd; }
   MetricsRegistry& Registry() { return mRegistry; }
 
 private:
   Announcement MakeAnnouncement() const;
-  void OnAnnouncementAnswer(const AnnouncementAnswer& aAnswer, const NodeState& aState);
+  void OnAnnouncementAnswer(const AnnouncementAnswer& aAnswer, const NodeState& aState,
+                            TimePoint aSentAt);
   void OpenMetrics();
   /// Reloads the seeds if no replica has granted a lease recently.
   void ReloadSeedsWithoutLease();
@@ -63,6 +66,7 @@
   MetricsRegistry mRegistry;
   std::unique_ptr<MetricsEndpoint> mMetrics;
   std::uint64_t mIncarnation;
+  TimePoint mLeaseEnd;
   std::vector<std::string> mSeeds;
   ControlLink mLink;
   std::unique_ptr<RepeatingTimer> mSeedTimer;
--- a/lib/Packet/PacketBalancer.cpp
+++ b/lib/Packet/PacketBalancer.cpp
@@ -72,8 +72,9 @@
 }
 
 void PacketBalancer::OnState(const Configuration& aConfiguration, const View& aView,
-                             PacketOutput& aOutput, TimePoint aNow)
+                             PacketOutput& aOutput, TimePoint aNow, TimePoint aLeaseEnd)
 {
+  mLeaseEnd = aLeaseEnd;
   if (aConfiguration.mRevision > mConfigurationRevision) {
     mConfigurationRevision = aConfiguration.mRevision;
     mDataCentres = aConfiguration.mDataCentres;
--- a/lib/Packet/PacketBalancerSearch.cpp
+++ b/lib/Packet/PacketBalancerSearch.cpp
@@ -259,6 +259,13 @@
   return mFirstAgentAt && aNow - *mFirstAgentAt >= mSettings.mViewCompletionTime;
 }
 
+// Whether every agent that may hold flows is known. Agents report to the balancers that control
+// counts as live, so without a lease some may have joined unnoticed.
+bool PacketBalancer::KnowsAllAgents(TimePoint aNow) const
+{
+  return ViewMayBeComplete(aNow) && aNow < mLeaseEnd;
+}
+
 void PacketBalancer::OnFlowMessage(const Endpoint& aFrom, NodeMessageType aType,
                                    std::span<const std::uint8_t> aBytes, PacketOutput& aOutput,
                                    TimePoint aNow)
@@ -348,14 +355,13 @@
 
 // Once all queried agents have answered in the last stages: queries agents that have become known
 // meanwhile, confirms the directory's answers, or resets the flow, so that its caller does not wait
-// until the deadline. Before the view may be complete, an agent that is not in it yet may hold the
-// flow.
+// until the deadline. While agents may be unknown, one of them may hold the flow.
 void PacketBalancer::FinishSearch(const FlowKey& aKey, Flow& aFlow, PacketOutput& aOutput,
                                   TimePoint aNow)
 {
   Search& search = *aFlow.mSearch;
   if (search.mStage < SearchStage::AllAgents || !search.mUnanswered.empty() ||
-      !ViewMayBeComplete(aNow)) {
+      !KnowsAllAgents(aNow)) {
     return;
   }
   const bool again = search.mStage == SearchStage::DirectoryAgentsAgain;
--- a/unittests/Packet/PacketBalancerTest.cpp
+++ b/unittests/Packet/PacketBalancerTest.cpp
@@ -30,6 +30,7 @@
   CPPUNIT_TEST(QueriesStayWithinTheLinkBudget);
   CPPUNIT_TEST(SilentAgentsPreventAReset);
   CPPUNIT_TEST(LostAgentsPreventAReset);
+  CPPUNIT_TEST(FlowsOfAgentsThatJoinWithoutALeaseAreNotReset);
   CPPUNIT_TEST(AgentsThatReturnedTheOpeningAreQueriedBeforeAReset);
   CPPUNIT_TEST(AgentsThatBecomeKnownDuringASearchAreQueriedBeforeAReset);
   CPPUNIT_TEST(AgentsThatNeedAProbeGetThePacket);
@@ -407,6 +408,32 @@
     CPPUNIT_ASSERT(allAgentQueries * 50 * 8 <= kSeconds * 2'500'000 / 4);
   }
 
+  // Guards against the reset of an open flow by a balancer that control does not reach while the
+  // flow's agent joins.
+  void FlowsOfAgentsThatJoinWithoutALeaseAreNotReset()
+  {
+    const Configuration configuration = TestConfiguration(1, {"web"});
+    mBalancer.OnState(configuration, TestView(1, {TestAgentMember(1, "web")}), mOutput, mNow,
+                      mNow + kSettled);
+    mNow += kSettled;
+    const PacketBytes packet = CallerPacket(TestFlow(1), FlagAck, 7, 9, 50);
+    Send(packet);
+    Answer(1, NodeMessageType::NotFound, TestFlow(1));
+    mNow += Milliseconds{200};
+    Send(packet);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, mOutput.Resets());
+    mBalancer.OnState(configuration,
+                      TestView(2, {TestAgentMember(1, "web"), TestAgentMember(2, "web")}), mOutput,
+                      mNow, mNow + Milliseconds{2'000});
+    mOutput.Clear();
+    mNow += Milliseconds{400};
+    Send(packet);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, Sent(NodeMessageType::QueryLocal));
+    CPPUNIT_ASSERT(mOutput.mToNodes.back().mNode == NodeEndpoint(2));
+    Answer(2, NodeMessageType::NotFound, TestFlow(1));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, mOutput.Resets());
+  }
+
   // An agent may accept a repetition of an opening packet that it has returned to this balancer.
   void AgentsThatReturnedTheOpeningAreQueriedBeforeAReset()
   {
