Give the simulated balancers leases of control

With faults of membership, balancers of the simulation had no lease: they reset flows as if control reached them at any time. Control now answers a balancer's announcement with a lease as long as a member's, once the view has the balancer as live, unless the answer is cut off.

--- a/unittests/Packet/PacketFlowSimulation.h
+++ b/unittests/Packet/PacketFlowSimulation.h
@@ -168,6 +168,7 @@
   void RemoveBalancer();
   void SetClockBack();
   void AnswerFenced(const Member& aMember);
+  void GrantLease(const Member& aMember);
   void DelayStates();
   static std::string TimeText(Duration aTime);
   static const std::vector<std::string>& DataCentres();
--- a/unittests/Packet/PacketFlowSimulationControl.cpp
+++ b/unittests/Packet/PacketFlowSimulationControl.cpp
@@ -73,6 +73,7 @@
     return;
   }
   mHeardAt[aMember.mName] = mNow;
+  GrantLease(aMember);
   if (found == mView.mMembers.end() || !(found->second == aMember)) {
     mView.mMembers[aMember.mName] = aMember;
     mStateChanged = true;
@@ -129,10 +130,13 @@
   }
   aNode.mViewRevision = view.mRevision;
   aNode.mView = aView;
+  aNode.mConfiguration = std::make_shared<const Configuration>(aConfiguration);
   aNode.mConfigurationRevision = aConfiguration.mRevision;
   aNode.mDirectoryAgents.Update(view);
   if (aNode.mBalancer) {
-    aNode.mBalancer->OnState(aConfiguration, view, aNode, NodeTime(aNode));
+    const TimePoint leaseEnd =
+      mFaultKinds == PacketFlowFaults::Membership ? aNode.mLeaseEnd : TimePoint::max();
+    aNode.mBalancer->OnState(aConfiguration, view, aNode, NodeTime(aNode), leaseEnd);
     return;
   }
   aNode.mAgent->OnConfiguration(aConfiguration);
--- a/unittests/Packet/PacketFlowSimulationMembershipFaults.cpp
+++ b/unittests/Packet/PacketFlowSimulationMembershipFaults.cpp
@@ -18,6 +18,7 @@
 constexpr Milliseconds kAnnounceInterval{500};
 constexpr Milliseconds kUsualStateDelay{50};
 constexpr Milliseconds kBalancerStopTime{2'300};
+constexpr Milliseconds kAnswerTime{1};
 
 // The views of a later term have higher revisions than all views of earlier ones.
 constexpr std::uint64_t kRevisionsPerTerm = 1'000'000;
@@ -238,7 +239,7 @@
 void PacketFlowSimulation::SetClockBack()
 {
   Node& node = RandomNode(MemberKind::Agent);
-  const Duration step = Between(Milliseconds(1'000), Milliseconds(40'000));
+  const Duration step = Between(Milliseconds(1'000), Milliseconds(60'000));
   LogFault("clock of " + node.mName + " set back by " + TimeText(step));
   Disturb(node, Duration{});
   node.mSetBack += std::chrono::duration_cast<Milliseconds>(step);
@@ -267,6 +268,31 @@
           });
 }
 
+// The answer to a balancer's announcement, once the balancer is live in the view.
+void PacketFlowSimulation::GrantLease(const Member& aMember)
+{
+  const auto found = std::find_if(mNodes.begin(), mNodes.end(), [&](const auto& aNode) {
+    return aNode->mName == aMember.mName && aNode->mIncarnation == aMember.mIncarnation;
+  });
+  if (mFaultKinds != PacketFlowFaults::Membership || aMember.mKind != MemberKind::Balancer ||
+      found == mNodes.end() || !mControlServes || (*found)->mStatesCut > 0) {
+    return;
+  }
+  Node& node = **found;
+  const Member* known = mView.FindMember(aMember.mName);
+  if (known == nullptr || known->mIncarnation != aMember.mIncarnation ||
+      !HoldsFlows(known->mState)) {
+    return;
+  }
+  AfterOn(node, kAnswerTime, [this, &node, end = NodeTime(node) + mLease] {
+    node.mLeaseEnd = std::max(node.mLeaseEnd, end);
+    if (node.mView) {
+      node.mBalancer->OnState(*node.mConfiguration, *node.mView, node, NodeTime(node),
+                              node.mLeaseEnd);
+    }
+  });
+}
+
 // The replica of some nodes follows the leader late.
 void PacketFlowSimulation::DelayStates()
 {
--- a/unittests/Packet/PacketFlowSimulationNodes.cpp
+++ b/unittests/Packet/PacketFlowSimulationNodes.cpp
@@ -59,6 +59,8 @@
   aNode.mViewRevision = 0;
   aNode.mConfigurationRevision = 0;
   aNode.mView = nullptr;
+  aNode.mConfiguration = nullptr;
+  aNode.mLeaseEnd = {};
   aNode.mDirectoryAgents = {};
   aNode.mReports.clear();
   aNode.mBalancers.clear();
--- a/unittests/Packet/PacketFlowSimulationParts.h
+++ b/unittests/Packet/PacketFlowSimulationParts.h
@@ -71,7 +71,9 @@
   std::uint64_t mViewRevision = 0;
   std::uint64_t mConfigurationRevision = 0;
   std::shared_ptr<const View> mView; ///< Applied last.
-  DirectoryAgents mDirectoryAgents;  ///< Of the last applied view.
+  std::shared_ptr<const Configuration> mConfiguration;
+  TimePoint mLeaseEnd;              ///< Of a balancer, by its own clock.
+  DirectoryAgents mDirectoryAgents; ///< Of the last applied view.
 
   unsigned mMisses = 2; ///< Readiness checks that failed in a row.
   std::map<unsigned, ReportSeen> mReports;
