Name holders that views lack in load reports

What callers saw (simulation, out of touch): after a restart of control, open flows were reset by balancers that had started since, or had not used the holder for 15 s, while the holder's agent and upstream served and only control did not reach the agent.

Cause: a balancer knows agents from its view and from their load reports. Control forgets its members when all replicas restart, so views lack an agent that it does not reach, and that agent, with the view of before, reports only to balancers that it knows. All known agents deny the flow, and the absence of the holder counts as a denial.

Change: a directory agent knows the holders of the flows that are registered with it. Its load reports name those that its view lacks: up to four in the first report for a balancer, then one in every fourth report, in turn. Balancers query named agents in searches and give them no new flows before they report. Without such holders, reports have the same bytes as before.

Without the two new calls PacketBalancerTest::AgentsThatOnlyOtherAgentsKnowAreQueriedBeforeAReset: expected 0, actual 1 PacketAgentTest::HoldersThatTheViewLacksAreReported: expected 4, actual 0 ReportsAreSmall also counts the names now, with its bound unchanged.

--- a/include/dandelionslip/Packet/FlowDirectory.h
+++ b/include/dandelionslip/Packet/FlowDirectory.h
@@ -6,6 +6,7 @@
 #include "dandelionslip/Support/RuntimeClock.h"
 
 #include <cstddef>
+#include <map>
 #include <optional>
 #include <unordered_map>
 
@@ -28,6 +29,8 @@
   std::optional<Endpoint> Find(const FlowKey& aFlow) const;
   void Expire(TimePoint aNow);
   std::size_t Size() const { return mEntries.size(); }
+  /// Agents that have registered flows within kLifetime, and when each last did.
+  const std::map<Endpoint, TimePoint>& Holders() const { return mHolders; }
 
 private:
   struct Entry
@@ -37,6 +40,7 @@
   };
 
   std::unordered_map<FlowKey, Entry, FlowKeyHash> mEntries;
+  std::map<Endpoint, TimePoint> mHolders;
 };
 
 } // namespace dandelionslip
--- a/include/dandelionslip/Packet/LoadReport.h
+++ b/include/dandelionslip/Packet/LoadReport.h
@@ -1,17 +1,22 @@
 // Load of an upstream, as its agent reports it to balancers.
 #pragma once
 
+#include "dandelionslip/Model/Endpoint.h"
 #include "dandelionslip/Support/Json.h"
 #include "dandelionslip/Support/RuntimeClock.h"
 
 #include <cstdint>
 #include <string>
+#include <vector>
 
 namespace dandelionslip {
 
 /// State and load of one upstream, sent to every balancer several times a second.
 struct LoadReport
 {
+  /// Most agents in mUnseenHolders.
+  static constexpr std::size_t kMaxUnseenHolders = 4;
+
   std::string mService;
   std::string mDataCentre;
   bool mAccepts = false; ///< Whether new flows may be sent.
@@ -33,11 +38,14 @@
   /// DirectoryAgents::Digest() of the view for which the directory agents have confirmed all flows
   /// that are open at the upstream when the report is sent; 0 if some are not confirmed.
   std::uint64_t mConfirmedAgentsDigest = 0;
+  /// Agents that have registered flows with the reporting agent and are missing from its view, for
+  /// example because control has restarted and does not reach them. IPv4 only.
+  std::vector<Endpoint> mUnseenHolders{};
 
   bool operator==(const LoadReport&) const = default;
 
-  /// Encodes the fields, in order, as a CBOR array of about 40 bytes; balancers' VMs may have links
-  /// of only a few Mbit/s.
+  /// Encodes the fields, in order, as a CBOR array of about 40 bytes, and 9 for each unseen holder;
+  /// balancers' VMs may have links of only a few Mbit/s.
   Bytes Encode() const;
   /// Fails with InvalidInput if aBytes is not CBOR or the number or type of the fields differs.
   static Result<LoadReport> Decode(std::span<const std::uint8_t> aBytes);
--- a/include/dandelionslip/Packet/PacketAgent.h
+++ b/include/dandelionslip/Packet/PacketAgent.h
@@ -18,6 +18,7 @@
 #include <array>
 #include <map>
 #include <optional>
+#include <set>
 #include <unordered_map>
 
 namespace dandelionslip {
@@ -57,6 +58,8 @@
 class PacketAgent
 {
 public:
+  static constexpr std::uint32_t kReportsPerName = 4;
+
   PacketAgent(const PacketAgentSettings& aSettings, const PacketCodec& aCodec,
               MetricsRegistry& aRegistry, TimePoint aNow);
 
@@ -80,7 +83,11 @@
   /// Begins a planned stop: new flows are refused from now on.
   void StopAccepting() { mStopping = true; }
 
+  /// The first load report for a balancer.
   LoadReport CurrentLoad(TimePoint aNow) const;
+  /// The load report for balancers that have got one. Names one unseen holder in every
+  /// kReportsPerName, so that reports stay small.
+  LoadReport NextLoad(TimePoint aNow);
   /// The state that this agent announces to control.
   MemberState State(TimePoint aNow) const;
 
@@ -193,6 +200,7 @@
   static void SendRegistrations(const Registrations& aRegistrations, PacketOutput& aOutput);
   static bool HasUnconfirmedAgents(const Flow& aFlow);
   bool AllFlowsConfirmed() const;
+  std::vector<Endpoint> UnseenHolders(TimePoint aNow) const;
   NodeMessageType NegativeAnswer(NodeMessageType aQuery, TimePoint aNow) const;
   void SendFlowAnswer(const Endpoint& aBalancer, NodeMessageType aType, const FlowKey& aFlow,
                       const Endpoint& aHolder, PacketOutput& aOutput);
@@ -241,8 +249,10 @@
   /// Whether the view contains this process, which other agents need to register flows with it.
   bool mInView = false;
   FlowDirectory mDirectory;
+  std::set<Endpoint> mAgentsInView; ///< Agents in any state.
   std::array<Delivery, kRememberedDeliveries> mDeliveries{};
   std::uint32_t mNextTag = 1;
+  std::uint32_t mNextLoads = 0; ///< Load reports for balancers that had got one.
   OpeningLimiter mColdLimiter;
   SpeedEstimator mSpeedEstimator;
   std::uint32_t mOpenFlows = 0; ///< Flows in mFlows that are not closed.
--- a/include/dandelionslip/Packet/PacketBalancer.h
+++ b/include/dandelionslip/Packet/PacketBalancer.h
@@ -83,6 +83,8 @@
     std::optional<TimePoint> mLostAt;
     LoadReport mReport;
     std::optional<TimePoint> mReportedAt;
+    /// When another agent last reported that this one has registered flows.
+    std::optional<TimePoint> mNamedAt;
     std::uint32_t mPlacedSinceReport = 0; ///< Flows that this balancer placed since mReport.
   };
 
@@ -231,6 +233,7 @@
                          PacketOutput& aOutput, TimePoint aNow);
   void OnLoadReport(const Endpoint& aFrom, std::span<const std::uint8_t> aBytes,
                     PacketOutput& aOutput, TimePoint aNow);
+  void AddUnseenHolders(std::span<const Endpoint> aHolders, TimePoint aNow);
   void ApplyView(const View& aView, TimePoint aNow);
   void ApplyAgent(const Member& aMember, TimePoint aNow);
   void LogPlacement(const PacketHeader& aPacketHeader, const Endpoint& aHolder, TimePoint aNow);
--- a/lib/Daemon/PacketAgentDaemon.cpp
+++ b/lib/Daemon/PacketAgentDaemon.cpp
@@ -179,7 +179,7 @@
     const TimePoint now = RuntimeClock::now();
     std::erase_if(mBalancers,
                   [&](const auto& aItem) { return now - aItem.second > kBalancerTimeout; });
-    LoadReport report = mCore.CurrentLoad(now);
+    LoadReport report = mCore.NextLoad(now);
     Bytes encoded = report.Encode();
     const auto shares = mShares.Split(report.mOpeningsAllowed, mBalancers.size());
     auto share = shares.begin();
--- a/lib/Packet/FlowDirectory.cpp
+++ b/lib/Packet/FlowDirectory.cpp
@@ -9,6 +9,7 @@
     return false;
   }
   mEntries[aFlow] = {aHolder, aNow};
+  mHolders[aHolder] = aNow;
   return true;
 }
 
@@ -22,6 +23,7 @@
 {
   std::erase_if(mEntries,
                 [&](const auto& aItem) { return aNow - aItem.second.mRegisteredAt > kLifetime; });
+  std::erase_if(mHolders, [&](const auto& aItem) { return aNow - aItem.second > kLifetime; });
 }
 
 } // namespace dandelionslip
--- a/lib/Packet/LoadReport.cpp
+++ b/lib/Packet/LoadReport.cpp
@@ -19,9 +19,23 @@
   &LoadReport::mOpeningsAllowed, &LoadReport::mOpeningsPerSecond};
 
 // The texts, one number with the flags as bits, kNumbers, mColdLeft, and mConfirmedAgentsDigest,
-// which is the only 64-bit field.
+// which is the only 64-bit field. The unseen holders follow, one number each.
 constexpr std::size_t kFields = kTexts + 1 + kNumbers.size() + 2;
 
+constexpr unsigned kPortBits = 16;
+constexpr std::uint64_t kMaxEndpoint = (std::uint64_t{1} << 48U) - 1;
+
+std::uint64_t ToNumber(const Endpoint& aEndpoint)
+{
+  return std::uint64_t{aEndpoint.V4Address()} << kPortBits | aEndpoint.mPort;
+}
+
+Endpoint ToEndpoint(std::uint64_t aNumber)
+{
+  return Endpoint::FromV4(static_cast<std::uint32_t>(aNumber >> kPortBits),
+                          static_cast<std::uint16_t>(aNumber));
+}
+
 bool IsNumber(const Json& aValue, std::uint64_t aLimit)
 {
   return aValue.is_number_unsigned() && aValue.get<std::uint64_t>() <= aLimit;
@@ -41,6 +55,9 @@
   }
   fields.push_back(static_cast<std::uint32_t>(mColdLeft.count()));
   fields.push_back(mConfirmedAgentsDigest);
+  for (const Endpoint& holder : mUnseenHolders) {
+    fields.push_back(ToNumber(holder));
+  }
   return EncodeCbor(fields);
 }
 
@@ -51,16 +68,21 @@
     return fields.as_failure();
   }
   const Json& json = fields.value();
-  bool valid =
-    json.is_array() && json.size() == kFields && json[0].is_string() && json[1].is_string();
+  bool valid = json.is_array() && json.size() >= kFields &&
+               json.size() <= kFields + kMaxUnseenHolders && json[0].is_string() &&
+               json[1].is_string();
   for (std::size_t i = kTexts; valid && i < kFields; ++i) {
     valid = IsNumber(json[i], i + 1 == kFields ? std::numeric_limits<std::uint64_t>::max()
                                                : std::numeric_limits<std::uint32_t>::max());
   }
+  for (std::size_t i = kFields; valid && i < json.size(); ++i) {
+    valid = IsNumber(json[i], kMaxEndpoint);
+  }
   if (!valid) {
     return Fail(ErrorCode::InvalidInput, "load_report.decode", "",
                 "expected an array of two strings and " + std::to_string(kFields - kTexts) +
-                  " unsigned numbers");
+                  " unsigned numbers, and up to " + std::to_string(kMaxUnseenHolders) +
+                  " endpoints");
   }
   LoadReport report;
   report.mService = json[0].get<std::string>();
@@ -74,6 +96,9 @@
   }
   report.mColdLeft = Milliseconds(json[kFields - 2].get<std::uint32_t>());
   report.mConfirmedAgentsDigest = json[kFields - 1].get<std::uint64_t>();
+  for (std::size_t i = kFields; i < json.size(); ++i) {
+    report.mUnseenHolders.push_back(ToEndpoint(json[i].get<std::uint64_t>()));
+  }
   return report;
 }
 
--- a/lib/Packet/PacketAgent.cpp
+++ b/lib/Packet/PacketAgent.cpp
@@ -262,6 +262,7 @@
   }
   const bool complete = TableIsComplete(aNow) || UpstreamIsAbsent(aNow);
   report.mConfirmedAgentsDigest = complete && AllFlowsConfirmed() ? mDirectoryAgents.Digest() : 0;
+  report.mUnseenHolders = UnseenHolders(aNow);
   report.mFinished = IsFinished();
   report.mStarting = !mUpstream && aNow - mStartedAt < kMaxMissedHeartbeats * mSettings.mHeartbeat;
   report.mFlows = mOpenFlows;
@@ -272,6 +273,16 @@
   return report;
 }
 
+LoadReport PacketAgent::NextLoad(TimePoint aNow)
+{
+  LoadReport report = CurrentLoad(aNow);
+  const bool names = mNextLoads++ % kReportsPerName == 0;
+  if (report.mUnseenHolders.size() > (names ? 1 : 0)) {
+    report.mUnseenHolders.resize(names ? 1 : 0);
+  }
+  return report;
+}
+
 // Whether both the agent and its upstream stop as planned, so that no flow is left here.
 bool PacketAgent::IsFinished() const
 {
--- a/lib/Packet/PacketAgentDirectory.cpp
+++ b/lib/Packet/PacketAgentDirectory.cpp
@@ -6,9 +6,25 @@
 
 namespace dandelionslip {
 
+namespace {
+
+// Time between two load reports that name an unseen holder.
+constexpr Milliseconds kUnseenHoldersTurn{PacketAgent::kReportsPerName * 200};
+
+} // namespace
+
 void PacketAgent::OnView(const View& aView, std::uint64_t aOwnIncarnation)
 {
   mDirectoryAgentsChanged = mDirectoryAgents.Update(aView) || mDirectoryAgentsChanged;
+  if (aView.mRevision != mViewRevision) {
+    mAgentsInView.clear();
+    for (const auto& [name, member] : aView.mMembers) {
+      if (const auto endpoint = Endpoint::Parse(member.mDatagramEndpoint);
+          endpoint && member.mKind == MemberKind::Agent) {
+        mAgentsInView.insert(endpoint.value());
+      }
+    }
+  }
   mViewRevision = aView.mRevision;
   const std::string own = mSettings.mEndpoint.ToString();
   mInView = std::any_of(aView.mMembers.begin(), aView.mMembers.end(), [&](const auto& aItem) {
@@ -160,6 +176,26 @@
   SendRegistrations(registrations, aOutput);
 }
 
+// Some of the holders that are missing from the view; others at other agents and times, so that
+// balancers learn of all.
+std::vector<Endpoint> PacketAgent::UnseenHolders(TimePoint aNow) const
+{
+  std::vector<Endpoint> unseen;
+  for (const auto& [holder, registeredAt] : mDirectory.Holders()) {
+    if (!mAgentsInView.contains(holder) && holder != mSettings.mEndpoint) {
+      unseen.push_back(holder);
+    }
+  }
+  if (!unseen.empty()) {
+    const std::uint64_t turn = HashOf(mSettings.mEndpoint) +
+                               static_cast<std::uint64_t>((aNow - mStartedAt) / kUnseenHoldersTurn);
+    std::rotate(unseen.begin(), unseen.begin() + static_cast<std::ptrdiff_t>(turn % unseen.size()),
+                unseen.end());
+    unseen.resize(std::min(unseen.size(), LoadReport::kMaxUnseenHolders));
+  }
+  return unseen;
+}
+
 // Whether the directory agents of the view know all flows that are open here.
 bool PacketAgent::AllFlowsConfirmed() const
 {
--- a/lib/Packet/PacketBalancer.cpp
+++ b/lib/Packet/PacketBalancer.cpp
@@ -15,8 +15,8 @@
 
 namespace {
 
-// An agent that is not in the view is removed when it has not reported for this long. Until then
-// its upstream may hold flows.
+// An agent that is not in the view is removed when it has not reported, and no other agent has
+// reported that it holds flows, for this long. Until then its upstream may hold flows.
 constexpr Milliseconds kAgentRetention{10'000};
 
 // Limit of flow probes in searches among all agents. At 1,200 bytes each, they take a quarter of
@@ -494,6 +494,7 @@
     mAgents.erase(aFrom);
     return;
   }
+  AddUnseenHolders(report.value().mUnseenHolders, aNow);
   Agent& agent = mAgents[aFrom];
   agent.mEndpointHash = HashOf(aFrom);
   agent.mService = report.value().mService;
@@ -508,6 +509,17 @@
   }
 }
 
+// Agents that are missing from the reporting agent's view, and perhaps from this balancer's, get no
+// new flows before they report, but are queried in searches.
+void PacketBalancer::AddUnseenHolders(std::span<const Endpoint> aHolders, TimePoint aNow)
+{
+  for (const Endpoint& holder : aHolders) {
+    Agent& agent = mAgents[holder];
+    agent.mEndpointHash = HashOf(holder);
+    agent.mNamedAt = aNow;
+  }
+}
+
 void PacketBalancer::OnTick(PacketOutput& aOutput, TimePoint aNow)
 {
   NoteTick(aNow);
@@ -520,8 +532,10 @@
   std::erase_if(mAgents, [&](const auto& aItem) {
     const Agent& agent = aItem.second;
     const bool mayHoldFlows = agent.mLostAt && aNow - *agent.mLostAt <= mSettings.mMaxFlowAge;
-    return !agent.mInView && !mayHoldFlows &&
-           (!agent.mReportedAt || aNow - *agent.mReportedAt > kAgentRetention);
+    const auto isOld = [&](const std::optional<TimePoint>& aTime) {
+      return !aTime || aNow - *aTime > kAgentRetention;
+    };
+    return !agent.mInView && !mayHoldFlows && isOld(agent.mReportedAt) && isOld(agent.mNamedAt);
   });
 }
 
--- a/unittests/Packet/PacketAgentTest.cpp
+++ b/unittests/Packet/PacketAgentTest.cpp
@@ -9,6 +9,7 @@
 #include <boost/endian/conversion.hpp>
 
 #include <algorithm>
+#include <set>
 #include <utility>
 
 namespace dandelionslip {
@@ -65,6 +66,7 @@
   CPPUNIT_TEST(FlowsAreRegisteredWithTheirDirectoryAgents);
   CPPUNIT_TEST(RegistrationsAreConfirmed);
   CPPUNIT_TEST(DirectoryAgentsAnswerNotRegisteredOnlyWhenInTheView);
+  CPPUNIT_TEST(HoldersThatTheViewLacksAreReported);
   CPPUNIT_TEST_SUITE_END();
 
   platform::PlatformPacketCodec mCodec;
@@ -259,6 +261,47 @@
     CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, restarted.CurrentLoad(mNow).mConfirmedAgentsDigest);
   }
 
+  void RegisterFrom(unsigned aNode, const FlowKey& aFlow)
+  {
+    auto bytes = FlowMessage{{}, {aFlow}}.Encode();
+    mAgent.OnNodePacket(NodeEndpoint(aNode), {NodeMessageType::Register, ReturnReason::None}, bytes,
+                        mOutput, mNow);
+  }
+
+  // Guards against balancers that do not learn of an agent that control does not reach.
+  void HoldersThatTheViewLacksAreReported()
+  {
+    mAgent.OnView(TestView(1, {TestAgentMember(kSelf, "web"), TestAgentMember(20, "web")}), 1);
+    RegisterFrom(20, TestFlow(1));
+    CPPUNIT_ASSERT(mAgent.CurrentLoad(mNow).mUnseenHolders.empty());
+    for (unsigned node = 21; node <= 27; ++node) {
+      RegisterFrom(node, TestFlow(static_cast<std::uint16_t>(node)));
+    }
+    std::set<Endpoint> named;
+    for (int i = 0; i < 7; ++i) {
+      const LoadReport report = mAgent.CurrentLoad(mNow);
+      CPPUNIT_ASSERT_EQUAL(LoadReport::kMaxUnseenHolders, report.mUnseenHolders.size());
+      named.insert(report.mUnseenHolders.begin(), report.mUnseenHolders.end());
+      mNow += Milliseconds{800};
+    }
+    CPPUNIT_ASSERT_EQUAL(std::size_t{7}, named.size());
+    CPPUNIT_ASSERT(!named.contains(NodeEndpoint(20)));
+    named.clear();
+    std::size_t names = 0;
+    for (int i = 0; i < 28; ++i) {
+      const LoadReport report = mAgent.NextLoad(mNow);
+      names += report.mUnseenHolders.size();
+      named.insert(report.mUnseenHolders.begin(), report.mUnseenHolders.end());
+      mNow += Milliseconds{200};
+    }
+    CPPUNIT_ASSERT_EQUAL(std::size_t{7}, names);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{7}, named.size());
+    // Their registrations expire.
+    mNow += Milliseconds{65'500};
+    mAgent.OnTick(mNow);
+    CPPUNIT_ASSERT(mAgent.CurrentLoad(mNow).mUnseenHolders.empty());
+  }
+
   // Guards against flows of another service after an address was reused, and against flows for an
   // upstream that has never sent a heartbeat.
   void OpeningsNeedAnUpstreamAndARoute()
--- a/unittests/Packet/PacketBalancerTest.cpp
+++ b/unittests/Packet/PacketBalancerTest.cpp
@@ -32,6 +32,7 @@
   CPPUNIT_TEST(LostAgentsPreventAReset);
   CPPUNIT_TEST(AgentsThatReturnedTheOpeningAreQueriedBeforeAReset);
   CPPUNIT_TEST(AgentsThatBecomeKnownDuringASearchAreQueriedBeforeAReset);
+  CPPUNIT_TEST(AgentsThatOnlyOtherAgentsKnowAreQueriedBeforeAReset);
   CPPUNIT_TEST(AgentsThatNeedAProbeGetThePacket);
   CPPUNIT_TEST(OutdatedRegistrationsAreNotFollowedTwice);
   CPPUNIT_TEST(ProbesStayFewWhenAllNodesRestart);
@@ -498,6 +499,35 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, mOutput.Resets());
   }
 
+  // A view from after a restart of control lacks an agent that control does not reach.
+  void AgentsThatOnlyOtherAgentsKnowAreQueriedBeforeAReset()
+  {
+    SettleMany(4);
+    LoadReport report = Accepting();
+    report.mConfirmedAgentsDigest = mDirectoryAgents.Digest();
+    report.mUnseenHolders = {NodeEndpoint(8)};
+    Report(2, report);
+    const PacketBytes packet = CallerPacket(TestFlow(1), FlagAck, 7, 9, 50);
+    Send(packet);
+    DirectoryAgentsAnswer(NodeMessageType::NotRegistered, TestFlow(1));
+    ReportRegisteredLater(4);
+    DirectoryAgentsAnswer(NodeMessageType::NotRegistered, TestFlow(1));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, mOutput.Resets());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, Sent(NodeMessageType::QueryLocal));
+    Answer(8, NodeMessageType::HolderFound, TestFlow(1), NodeEndpoint(8));
+    CPPUNIT_ASSERT(mOutput.mToNodes.back().mNode == NodeEndpoint(8));
+    CPPUNIT_ASSERT(mOutput.mToNodes.back().mPacket == packet);
+    // It is forgotten when no agent names it any more.
+    mNow += Milliseconds{10'500};
+    mBalancer.OnTick(mOutput, mNow);
+    ReportRegistered(4, mDirectoryAgents.Digest());
+    Send(CallerPacket(TestFlow(2), FlagAck, 7, 9, 50));
+    DirectoryAgentsAnswer(NodeMessageType::NotRegistered, TestFlow(2));
+    ReportRegisteredLater(4);
+    DirectoryAgentsAnswer(NodeMessageType::NotRegistered, TestFlow(2));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, mOutput.Resets());
+  }
+
   // Guards against a flow that is not found because its agent has restarted and only the upstream
   // knows that it holds the flow.
   void AgentsThatNeedAProbeGetThePacket()
--- a/unittests/Packet/PacketCodecsTest.cpp
+++ b/unittests/Packet/PacketCodecsTest.cpp
@@ -3,6 +3,7 @@
 
 #include "dandelionslip/Packet/DirectoryAgents.h"
 #include "dandelionslip/Packet/FlowMessage.h"
+#include "dandelionslip/Packet/PacketAgent.h"
 #include "dandelionslip/Packet/SpeedEstimator.h"
 #include "dandelionslip/Support/Random.h"
 
@@ -44,8 +45,16 @@
     const auto decoded = FlowMessage::Decode(message.Encode());
     CPPUNIT_ASSERT(decoded && decoded.value().mHolder == message.mHolder);
     CPPUNIT_ASSERT(decoded.value().mFlows == message.mFlows);
-    const auto report = LoadReport::Decode(Report().Encode());
-    CPPUNIT_ASSERT(report && report.value() == Report());
+    for (const std::vector<Endpoint>& holders :
+         {std::vector<Endpoint>{}, {NodeEndpoint(3), NodeEndpoint(4)}}) {
+      LoadReport sent = Report();
+      sent.mUnseenHolders = holders;
+      const auto report = LoadReport::Decode(sent.Encode());
+      CPPUNIT_ASSERT(report && report.value() == sent);
+    }
+    LoadReport tooMany = Report();
+    tooMany.mUnseenHolders.resize(LoadReport::kMaxUnseenHolders + 1, NodeEndpoint(3));
+    CPPUNIT_ASSERT(!LoadReport::Decode(tooMany.Encode()));
   }
 
   // Guards against reads beyond the end of a message and against values that cannot be encoded.
@@ -86,8 +95,13 @@
     constexpr double kLinkBytesPerSecond = 1.9e6 / 8;
     constexpr double kReportsPerSecond = 63 * 5;
     constexpr double kPacketHeaders = 28;
-    const double bytes =
-      static_cast<double>(Report().Encode().size() + NodeMessageHeader::kBytes) + kPacketHeaders;
+    LoadReport naming = Report();
+    naming.mUnseenHolders = {NodeEndpoint(3)};
+    const double nameBytes =
+      static_cast<double>(naming.Encode().size() - Report().Encode().size()) /
+      PacketAgent::kReportsPerName;
+    const double bytes = static_cast<double>(Report().Encode().size() + NodeMessageHeader::kBytes) +
+                         kPacketHeaders + nameBytes;
     CPPUNIT_ASSERT(bytes * kReportsPerSecond <= kLinkBytesPerSecond / 10);
   }
 
--- a/unittests/Packet/PacketFlowSimulationNodes.cpp
+++ b/unittests/Packet/PacketFlowSimulationNodes.cpp
@@ -167,7 +167,7 @@
   const TimePoint now = NodeTime(aAgent);
   std::erase_if(aAgent.mBalancers,
                 [&](const auto& aItem) { return now - aItem.second > kBalancerTimeout; });
-  LoadReport report = aAgent.mAgent->CurrentLoad(now);
+  LoadReport report = aAgent.mAgent->NextLoad(now);
   const auto shares = aAgent.mShares.Split(report.mOpeningsAllowed, aAgent.mBalancers.size());
   auto share = shares.begin();
   for (const auto& [balancer, lastSeen] : aAgent.mBalancers) {
