Take a silent upstream as absent only if it refuses a connection

Callers saw, or could see: a reset of an open flow. An agent that heard nothing of its upstream for three heartbeats after its own start denied the upstream's flows and reported its empty table as complete. The upstream may be frozen or slow, or its heartbeats late, and hold flows from before the agent's start.

The denial was there for a VM that starts again after its upstream was removed: searches for flows that have ended must end as well.

Change: silence is no evidence. An agent that has had no heartbeat since its start, and nothing else for three intervals, tries one connection to the upstream's TCP endpoint and closes it at once; true once in the life of a process, so this is no health check. Refused: nothing runs there, the table is complete until the upstream is heard of, and packets of unknown flows are answered without the upstream. Any other outcome: queries are answered with ProbeNeeded until flows of that age cannot exist any more (60 s). An agent without such an endpoint never takes its upstream as absent. Heartbeats and packets of the upstream take the evidence back; an upstream that failed after it had bounced a packet is recognised now, which it was not before.

Ruled out: the port-unreachable error of UDP.

Tests: ASilentUpstreamIsNotTakenAsAbsent and AnUpstreamThatFailsAfterTheAgentsStartIsTakenAsAbsent failed with the old condition ("sent.mHeader.mType == aExpected", NotFound for ProbeNeeded). AgentsWithoutAnUpstreamAnswerNotFound expected the denial on silence; it expects it on a refused connection now, and that a probe does not go to the upstream.

--- a/include/dandelionslip/Config/PacketSettings.h
+++ b/include/dandelionslip/Config/PacketSettings.h
@@ -32,7 +32,10 @@
 struct PacketAgentNodeSettings : PacketNodeSettings
 {
   std::string mService;
-  std::string mUpstreamEndpoint;          ///< UDP "address:port" of the upstream.
+  std::string mUpstreamEndpoint; ///< UDP "address:port" of the upstream.
+  /// TCP "address:port" that accepts connections as long as the upstream runs; empty if there is
+  /// none. An agent without it never takes an upstream as absent.
+  std::string mUpstreamConnectionEndpoint;
   std::string mUpstreamOutboundEndpoint;  ///< UDP "address:port" that the upstream sends to.
   std::string mUpstreamHeartbeatEndpoint; ///< TCP "address:port" for the upstream's heartbeats.
   Milliseconds mHeartbeat{1'000};         ///< Interval of the upstream's heartbeats.
--- a/include/dandelionslip/Packet/PacketAgent.h
+++ b/include/dandelionslip/Packet/PacketAgent.h
@@ -67,6 +67,13 @@
   /// The upstream has announced that it exits. An announcement of another start is ignored.
   /// aStartedMs: as in UpstreamHeartbeat; empty if the upstream did not state it.
   void OnUpstreamLeft(const std::string& aId, std::optional<std::int64_t> aStartedMs);
+  /// Whether to try a connection to the upstream now: no heartbeat has come since the start, and
+  /// nothing else for three intervals, which does not show whether the upstream runs and holds
+  /// flows. True at most once, because new connections load an upstream.
+  bool TakeConnectionCheck(TimePoint aNow);
+  /// The upstream's VM has refused the connection, so the upstream does not run and holds no flow.
+  /// Other outcomes show nothing.
+  void OnConnectionRefused();
   /// Handles a message from a balancer or another agent; aPacket is what follows the header.
   void OnNodePacket(const Endpoint& aFrom, const NodeMessageHeader& aHeader,
                     std::span<std::uint8_t> aPacket, PacketOutput& aOutput, TimePoint aNow);
@@ -168,7 +175,6 @@
   bool IsFinished() const;
   std::size_t ColdLimit() const;
   bool TableIsComplete(TimePoint aNow) const;
-  bool UpstreamIsAbsent(TimePoint aNow) const;
   void Deliver(const Endpoint& aBalancer, NodeMessageType aType, std::span<std::uint8_t> aPacket,
                PacketOutput& aOutput, TimePoint aNow);
   void Return(const Endpoint& aBalancer, ReturnReason aReason,
@@ -221,7 +227,11 @@
   TimePoint mStartedAt;
   std::optional<Upstream> mUpstream;
   std::optional<StaleHeartbeats> mStaleHeartbeats;
-  bool mUpstreamSentPackets = false; ///< Shows that the upstream runs, even without a heartbeat.
+  bool mConnectionChecked = false;
+  /// The upstream refused a connection and has sent nothing since. One that starts later sends a
+  /// heartbeat before it gets flows.
+  bool mUpstreamAbsent = false;
+  std::optional<TimePoint> mUpstreamSentAt; ///< Last packet of the upstream.
   /// Whether this process ran when the upstream started, and so opened all of its flows.
   bool mSawUpstreamStart = false;
   bool mStopping = false;
--- a/lib/Daemon/PacketAgentDaemon.cpp
+++ b/lib/Daemon/PacketAgentDaemon.cpp
@@ -2,6 +2,7 @@
 #include "PacketNode.h"
 
 #include "dandelionslip/Daemon/PacketDaemons.h"
+#include "dandelionslip/Net/ConnectionCheck.h"
 #include "dandelionslip/Net/MetricsEndpoint.h"
 #include "dandelionslip/Packet/OpeningShares.h"
 #include "dandelionslip/Packet/PacketAgent.h"
@@ -64,6 +65,7 @@
                                               [this] { mCore.OnTick(RuntimeClock::now()); });
     mRegisterTimer = std::make_unique<RepeatingTimer>(mNode.Loop(), kRegisterInterval, [this] {
       mCore.RegisterFlows(mOutput, RuntimeClock::now());
+      CheckConnection();
     });
     mLoadReportTimer = std::make_unique<RepeatingTimer>(mNode.Loop(), kLoadReportInterval,
                                                         [this] { SendLoadReports(); });
@@ -169,6 +171,23 @@
     }
   }
 
+  void CheckConnection()
+  {
+    const std::string& endpoint = mSettings.mUpstreamConnectionEndpoint;
+    if (endpoint.empty() || !mCore.TakeConnectionCheck(RuntimeClock::now())) {
+      return;
+    }
+    TryConnection(mNode.Loop(), Endpoint::Parse(endpoint).value(),
+                  [this](ConnectionOutcome aOutcome) {
+                    LogEvent(LogLevel::Info, "upstream_silent")
+                      .With("upstream", mSettings.mUpstreamConnectionEndpoint)
+                      .With("connection", ToString(aOutcome));
+                    if (aOutcome == ConnectionOutcome::Refused) {
+                      mCore.OnConnectionRefused();
+                    }
+                  });
+  }
+
   void SendLoadReport(const Endpoint& aBalancer, const Bytes& aReport)
   {
     mOutput.SendToNode(aBalancer, {NodeMessageType::LoadReport, ReturnReason::None}, aReport);
--- a/lib/Packet/PacketAgent.cpp
+++ b/lib/Packet/PacketAgent.cpp
@@ -161,6 +161,7 @@
     mColdLimiter.Block(mStartedAt);
   }
   mUpstream = Upstream{aHeartbeat, aNow, aNow + aHeartbeat.mColdLeft, false, sawFirst};
+  mUpstreamAbsent = false;
   mStaleHeartbeats.reset();
   mColdUntilHeartbeat = false;
   mUnansweredOpenings = 0;
@@ -235,15 +236,23 @@
 
 bool PacketAgent::TableIsComplete(TimePoint aNow) const
 {
-  return mSawUpstreamStart || aNow - mStartedAt > mSettings.mMaxFlowAge;
+  return mSawUpstreamStart || mUpstreamAbsent || aNow - mStartedAt > mSettings.mMaxFlowAge;
 }
 
-// Whether nothing has been heard of an upstream although this process has run for long enough. The
-// VM of a removed upstream may start again with the agent alone.
-bool PacketAgent::UpstreamIsAbsent(TimePoint aNow) const
+bool PacketAgent::TakeConnectionCheck(TimePoint aNow)
 {
-  return !mUpstream && !mUpstreamSentPackets &&
-         aNow - mStartedAt > kMaxMissedHeartbeats * mSettings.mHeartbeat;
+  const TimePoint heardAt = std::max(mStartedAt, mUpstreamSentAt.value_or(mStartedAt));
+  if (mConnectionChecked || mUpstream ||
+      aNow - heardAt <= kMaxMissedHeartbeats * mSettings.mHeartbeat) {
+    return false;
+  }
+  mConnectionChecked = true;
+  return true;
+}
+
+void PacketAgent::OnConnectionRefused()
+{
+  mUpstreamAbsent = !mUpstream;
 }
 
 LoadReport PacketAgent::CurrentLoad(TimePoint aNow) const
@@ -260,8 +269,8 @@
                          : std::chrono::duration_cast<Milliseconds>(mUpstream->mColdUntil - aNow);
     report.mOpeningsPerSecond = static_cast<std::uint32_t>(ColdLimit());
   }
-  const bool complete = TableIsComplete(aNow) || UpstreamIsAbsent(aNow);
-  report.mConfirmedAgentsDigest = complete && AllFlowsConfirmed() ? mDirectoryAgents.Digest() : 0;
+  report.mConfirmedAgentsDigest =
+    TableIsComplete(aNow) && AllFlowsConfirmed() ? mDirectoryAgents.Digest() : 0;
   report.mFinished = IsFinished();
   report.mStarting = !mUpstream && aNow - mStartedAt < kMaxMissedHeartbeats * mSettings.mHeartbeat;
   report.mFlows = mOpenFlows;
--- a/lib/Packet/PacketAgentDirectory.cpp
+++ b/lib/Packet/PacketAgentDirectory.cpp
@@ -67,7 +67,7 @@
 // The answer to a query for a flow that is neither in the table nor in the directory.
 NodeMessageType PacketAgent::NegativeAnswer(NodeMessageType aQuery, TimePoint aNow) const
 {
-  if (!TableIsComplete(aNow) && !UpstreamIsAbsent(aNow)) {
+  if (!TableIsComplete(aNow)) {
     return NodeMessageType::ProbeNeeded;
   }
   return aQuery == NodeMessageType::Query && mInView ? NodeMessageType::NotRegistered
--- a/lib/Packet/PacketAgentFlows.cpp
+++ b/lib/Packet/PacketAgentFlows.cpp
@@ -185,7 +185,8 @@
                                    TimePoint aNow)
 {
   mUnansweredOpenings = 0;
-  mUpstreamSentPackets = true;
+  mUpstreamSentAt = aNow;
+  mUpstreamAbsent = false;
   if (mCodec.IsBounced(aPacket)) {
     OnBounced(aPacket, aOutput, aNow);
     return;
--- a/unittests/Packet/PacketAgentTest.cpp
+++ b/unittests/Packet/PacketAgentTest.cpp
@@ -46,6 +46,9 @@
   CPPUNIT_TEST(RestartedAgentsDoNotTakeTheNextFlowOfAPortForTheOldOne);
   CPPUNIT_TEST(LateHeartbeatsDoNotCompleteTheTableOfARestartedAgent);
   CPPUNIT_TEST(AgentsNeedAProbeBeforeTheFirstHeartbeat);
+  CPPUNIT_TEST(ASilentUpstreamIsNotTakenAsAbsent);
+  CPPUNIT_TEST(AnUpstreamThatFailsAfterTheAgentsStartIsTakenAsAbsent);
+  CPPUNIT_TEST(NoConnectionIsTriedToAnUpstreamThatWasHeardOf);
   CPPUNIT_TEST(AgentsWithoutAnUpstreamAnswerNotFound);
   CPPUNIT_TEST(ARestartedAgentDoesNotTakeItsTableAsCompleteAfterAHeartbeatOfAnotherStart);
   CPPUNIT_TEST(OneFirstHeartbeatOfAnotherStartDoesNotMakeTheTableComplete);
@@ -590,13 +593,56 @@
     AssertAnswer(NodeMessageType::ProbeNeeded, NodeMessageType::Query, TestFlow(1));
   }
 
+  // Guards against a reset of the flows of an upstream that is frozen or slow, or whose heartbeats
+  // are late.
+  void ASilentUpstreamIsNotTakenAsAbsent()
+  {
+    ApplyDirectoryAgents();
+    CPPUNIT_ASSERT(!mAgent.TakeConnectionCheck(mNow));
+    mNow += std::chrono::seconds(4);
+    AssertTableComplete(false);
+    CPPUNIT_ASSERT(mAgent.TakeConnectionCheck(mNow));
+    CPPUNIT_ASSERT(!mAgent.TakeConnectionCheck(mNow));
+    AssertTableComplete(false);
+  }
+
+  // Guards against searches that do not end until the caller's deadline: the upstream fails after
+  // it has given a packet back.
+  void AnUpstreamThatFailsAfterTheAgentsStartIsTakenAsAbsent()
+  {
+    ApplyDirectoryAgents();
+    mNow += std::chrono::seconds(2);
+    FromUpstream(UpstreamPacket(TestFlow(2), FlagRst));
+    mNow += std::chrono::seconds(2);
+    CPPUNIT_ASSERT(!mAgent.TakeConnectionCheck(mNow));
+    mNow += std::chrono::seconds(2);
+    CPPUNIT_ASSERT(mAgent.TakeConnectionCheck(mNow));
+    mAgent.OnConnectionRefused();
+    AssertTableComplete(true);
+    Heartbeat(5);
+    AssertTableComplete(false);
+  }
+
+  void NoConnectionIsTriedToAnUpstreamThatWasHeardOf()
+  {
+    ApplyRoutesAndHeartbeat(7);
+    mNow += std::chrono::seconds(4);
+    CPPUNIT_ASSERT(!mAgent.TakeConnectionCheck(mNow));
+    mAgent.OnConnectionRefused();
+    AssertAnswer(NodeMessageType::ProbeNeeded, NodeMessageType::QueryLocal, TestFlow(1));
+  }
+
   // Guards against searches that never end: the VM of a removed upstream lost power and started
   // again, and its agent waits for heartbeats that never come.
   void AgentsWithoutAnUpstreamAnswerNotFound()
   {
     mNow += std::chrono::seconds(4);
+    CPPUNIT_ASSERT(mAgent.TakeConnectionCheck(mNow));
+    mAgent.OnConnectionRefused();
     AssertAnswer(NodeMessageType::NotFound, NodeMessageType::Query, TestFlow(1));
     AssertAnswer(NodeMessageType::NotFound, NodeMessageType::QueryLocal, TestFlow(1));
+    FromBalancer(CallerPacket(TestFlow(1), FlagAck, 5, 5, 10), NodeMessageType::Probe);
+    CPPUNIT_ASSERT(mOutput.mToUpstream.empty());
     // The upstream runs after all and may hold flows from before the agent's start.
     FromUpstream(UpstreamPacket(TestFlow(2), FlagAck));
     AssertAnswer(NodeMessageType::ProbeNeeded, NodeMessageType::QueryLocal, TestFlow(1));
