Let queries before refusals count in the search budget

Callers saw: openings that cannot be placed and may have opened their flow by a copy made their balancer query two directory agents each, without a limit. After a loss of power that fills a small link with queries, as searches did before they had a budget. The number of openings that awaited answers was not bounded, and one that was dropped for want of answers left no line and no count.

Change: each such query takes a token of the search budget. An opening whose queries find none is not reset: a copy may have opened the flow, and a reset of an open flow cannot be taken back, while its caller has waited before and gives up after 1.4 s. Openings that no copy can have opened (first packet, less than 150 ms old) are reset at once as before, without a query. At most 4,096 openings await answers. dandelionslip_refusals_dropped_total{reason} and the line refusal_dropped count and show each one that is dropped: no_answer, unsure, no_budget, full.

Tests, with the failure without the change: QueriesBeforeRefusalsStayWithinTheSearchBudget ("queries > 0 && queries <= allowed"), RefusalsThatAwaitAnswersAreBounded ("Expected: 20 Actual: 30"), RefusalsWithoutAnswersAreLogged ("Expected: 1 Actual: 0").

Measured: unit tests, 405 passed.

--- a/include/dandelionslip/Packet/PacketBalancer.h
+++ b/include/dandelionslip/Packet/PacketBalancer.h
@@ -39,7 +39,9 @@
   /// announce themselves every 100 ms after their start.
   Milliseconds mViewCompletionTime{1'000};
   std::size_t mMaxWaiting = 10'000; ///< Opening packets queued at once; 32 bytes each.
-  NodeCapacity mCapacity;           ///< Of the balancer's VM.
+  /// Openings at once whose refusal awaits answers of directory agents; about 300 bytes each.
+  std::size_t mMaxPendingRefusals = 4'096;
+  NodeCapacity mCapacity; ///< Of the balancer's VM.
 };
 
 /// Forwards each packet of a caller to the holder of its flow, the agent whose upstream has the
@@ -156,11 +158,24 @@
     TimePoint mArrivedAt;
     TimePoint mQueriedAt;
     std::vector<Endpoint> mUnanswered; ///< Directory agents that have not answered yet.
+    bool mAllQueried = false;          ///< The search budget allowed all queries.
+    bool mUnsure = false;              ///< A directory agent does not know what was registered.
     /// The caller has sent another packet of the flow. Negative answers that are still awaited may
     /// be older than the flow and must not count in a search for its holder.
     bool mCancelled = false;
   };
 
+  /// Why an opening that cannot be placed is not reset: its flow may be open.
+  enum class RefusalDropReason
+  {
+    NoAnswer, ///< A directory agent did not answer.
+    Unsure,   ///< A directory agent has restarted, or its process is not in its view.
+    NoBudget, ///< The search budget did not allow a query.
+    Full,     ///< Too many refusals await answers.
+  };
+  static constexpr std::size_t kRefusalDropReasons = 4;
+  static std::string_view ToText(RefusalDropReason aReason);
+
   using AgentMap = std::map<Endpoint, Agent>;
 
   const RouteEntry* FindRoute(const FlowKey& aFlow) const;
@@ -236,14 +251,19 @@
   void LogPlacement(const PacketHeader& aPacketHeader, const Endpoint& aHolder, TimePoint aNow);
   /// Resets an opening that cannot be placed. If the caller may have sent a copy of the packet in
   /// the meantime, which may have opened the flow through another balancer, resets it only after
-  /// all directory agents have answered that they do not know the flow. aArrivedAt: when the packet
-  /// came.
+  /// all directory agents have answered that they do not know the flow; without these answers, or
+  /// search budget for the queries, its caller is left to its own timeout. aArrivedAt: when the
+  /// packet came.
   void RefuseOpening(const PacketHeader& aPacketHeader, std::span<const FlowDenial> aReturnedBy,
                      Counter& aCounter, PacketOutput& aOutput, TimePoint aArrivedAt,
                      TimePoint aNow);
   /// Resets an opening and logs what decided it: the agents that returned it and the state of the
   /// agents of its route.
   void ResetOpening(const PendingRefusal& aRefusal, PacketOutput& aOutput, TimePoint aNow);
+  void QueryForRefusal(PendingRefusal& aRefusal, PacketOutput& aOutput, TimePoint aNow);
+  std::string_view ReasonOf(const PendingRefusal& aRefusal) const;
+  /// Counts and logs an opening that cannot be placed and is not reset.
+  void DropRefusal(const PendingRefusal& aRefusal, RefusalDropReason aReason, TimePoint aNow);
   bool MayHaveStoodStill(TimePoint aNow) const;
   void NoteTick(TimePoint aNow);
   void CancelRefusal(const FlowKey& aKey);
@@ -299,6 +319,7 @@
   Counter& mFlowsFull;
   Counter& mWaited;
   Counter& mWaitExpired;
+  std::array<Counter*, kRefusalDropReasons> mRefusalsDropped{};
   std::array<Counter*, kReturnReasons> mReturned{};
 };
 
--- a/lib/Packet/PacketBalancer.cpp
+++ b/lib/Packet/PacketBalancer.cpp
@@ -64,6 +64,11 @@
   , mWaited(aRegistry.CounterFor("dandelionslip_openings_waited_total"))
   , mWaitExpired(aRegistry.CounterFor("dandelionslip_openings_waited_in_vain_total"))
 {
+  for (std::size_t i = 0; i < kRefusalDropReasons; ++i) {
+    const auto reason = ToText(static_cast<RefusalDropReason>(i));
+    mRefusalsDropped[i] = &aRegistry.CounterFor("dandelionslip_refusals_dropped_total",
+                                                "reason=\"" + std::string(reason) + "\"");
+  }
   for (std::size_t i = 0; i < kReturnReasons; ++i) {
     const auto reason = ToString(static_cast<ReturnReason>(i));
     mReturned[i] = &aRegistry.CounterFor("dandelionslip_packets_returned_total",
--- a/lib/Packet/PacketBalancerResets.cpp
+++ b/lib/Packet/PacketBalancerResets.cpp
@@ -44,13 +44,28 @@
     ResetOpening(refusal, aOutput, aNow);
     return;
   }
-  const auto message = FlowMessage{{}, {aPacketHeader.mFlow}}.Encode();
-  for (const Endpoint& agent : refusal.mUnanswered) {
-    aOutput.SendToNode(agent, {NodeMessageType::Query, ReturnReason::None}, message);
+  if (mPendingRefusals.size() >= mSettings.mMaxPendingRefusals &&
+      !mPendingRefusals.contains(aPacketHeader.mFlow)) {
+    DropRefusal(refusal, RefusalDropReason::Full, aNow);
+    return;
   }
+  QueryForRefusal(refusal, aOutput, aNow);
   mPendingRefusals[aPacketHeader.mFlow] = std::move(refusal);
 }
 
+void PacketBalancer::QueryForRefusal(PendingRefusal& aRefusal, PacketOutput& aOutput,
+                                     TimePoint aNow)
+{
+  const auto message = FlowMessage{{}, {aRefusal.mPacketHeader.mFlow}}.Encode();
+  for (const Endpoint& agent : aRefusal.mUnanswered) {
+    if (!mSearchBudget.TryTake(aNow)) {
+      return;
+    }
+    aOutput.SendToNode(agent, {NodeMessageType::Query, ReturnReason::None}, message);
+  }
+  aRefusal.mAllQueried = true;
+}
+
 // Whether a packet that is read now may have arrived long ago.
 bool PacketBalancer::MayHaveStoodStill(TimePoint aNow) const
 {
@@ -90,6 +105,7 @@
     return aType != NodeMessageType::ProbeNeeded && std::erase(refusal.mUnanswered, aFrom) > 0;
   }
   // Other answers come from agents that do not know what was registered before they started.
+  refusal.mUnsure = refusal.mUnsure || aType != NodeMessageType::NotRegistered;
   if (aType == NodeMessageType::NotRegistered && std::erase(refusal.mUnanswered, aFrom) > 0 &&
       refusal.mUnanswered.empty()) {
     ResetOpening(refusal, aOutput, aNow);
@@ -102,10 +118,51 @@
 void PacketBalancer::DropUnansweredRefusals(TimePoint aNow)
 {
   std::erase_if(mPendingRefusals, [&](const auto& aItem) {
-    return aNow - aItem.second.mQueriedAt > kRefusalTimeout;
+    const PendingRefusal& refusal = aItem.second;
+    if (aNow - refusal.mQueriedAt <= kRefusalTimeout) {
+      return false;
+    }
+    if (!refusal.mCancelled) {
+      DropRefusal(refusal,
+                  refusal.mUnsure       ? RefusalDropReason::Unsure
+                  : refusal.mAllQueried ? RefusalDropReason::NoAnswer
+                                        : RefusalDropReason::NoBudget,
+                  aNow);
+    }
+    return true;
   });
 }
 
+void PacketBalancer::DropRefusal(const PendingRefusal& aRefusal, RefusalDropReason aReason,
+                                 TimePoint aNow)
+{
+  mRefusalsDropped[static_cast<std::size_t>(aReason)]->Add();
+  LogEvent(LogLevel::Info, "refusal_dropped")
+    .With("flow", ToString(aRefusal.mPacketHeader.mFlow))
+    .With("copy", aRefusal.mPacketHeader.mRetransmission)
+    .With("reason", ReasonOf(aRefusal))
+    .With("dropped_for", ToText(aReason))
+    .With("waited_ms", AgeMs(aRefusal.mArrivedAt, aNow))
+    .With("unanswered", aRefusal.mUnanswered.size())
+    .With("pending", mPendingRefusals.size())
+    .With("directory", mDirectoryAgents.Digest())
+    .With("view", mViewRevision);
+}
+
+std::string_view PacketBalancer::ToText(RefusalDropReason aReason)
+{
+  constexpr std::array<std::string_view, kRefusalDropReasons> kNames{"no_answer", "unsure",
+                                                                     "no_budget", "full"};
+  return kNames[static_cast<std::size_t>(aReason)];
+}
+
+std::string_view PacketBalancer::ReasonOf(const PendingRefusal& aRefusal) const
+{
+  return aRefusal.mCounter == &mNoRoute       ? "no_route"
+         : aRefusal.mCounter == &mWaitExpired ? "waited_too_long"
+                                              : "no_upstream";
+}
+
 void PacketBalancer::ResetOpening(const PendingRefusal& aRefusal, PacketOutput& aOutput,
                                   TimePoint aNow)
 {
@@ -129,11 +186,9 @@
   LogEvent(LogLevel::Info, "flow_refused")
     .With("flow", ToString(header.mFlow))
     .With("copy", header.mRetransmission)
-    .With("reason", aRefusal.mCounter == &mNoRoute       ? "no_route"
-                    : aRefusal.mCounter == &mWaitExpired ? "waited_too_long"
-                                                         : "no_upstream")
+    .With("reason", ReasonOf(aRefusal))
     .With("waited_ms", AgeMs(aRefusal.mArrivedAt, aNow))
-    .With("returned_by", ToText(aRefusal.mReturnedBy, aNow))
+    .With("returned_by", dandelionslip::ToText(aRefusal.mReturnedBy, aNow))
     .With("candidates", candidates)
     .With("silent", silent)
     .With("declining", declining)
@@ -167,7 +222,7 @@
     .With("reason", "not_found")
     .With("known_ms", AgeMs(aFlow.mFirstUsedAt, aNow))
     .With("search_ms", AgeMs(search.mStartedAt, aNow))
-    .With("ruled_out", ToText(search.mRuledOut, aNow))
+    .With("ruled_out", dandelionslip::ToText(search.mRuledOut, aNow))
     .With("covered", covered)
     .With("covered_report_age_ms", coveredAgeMs)
     .With("directory", mDirectoryAgents.Digest())
--- a/unittests/Packet/PacketBalancerLogTest.cpp
+++ b/unittests/Packet/PacketBalancerLogTest.cpp
@@ -22,6 +22,7 @@
   CPPUNIT_TEST(ResetsNameTheAgentsThatDeniedTheFlow);
   CPPUNIT_TEST(ResetsCountTheAgentsThatTheDirectoryRuledOut);
   CPPUNIT_TEST(RefusedOpeningsNameTheAgentsThatReturnedThem);
+  CPPUNIT_TEST(RefusalsWithoutAnswersAreLogged);
   CPPUNIT_TEST(LinesOfResetsByManyAgentsAreBounded);
   CPPUNIT_TEST_SUITE_END();
 
@@ -100,6 +101,31 @@
     return lines.front().substr(lines.front().find(" flow=") + 1);
   }
 
+  // Guards against openings that end without a reset, a count or a line.
+  void RefusalsWithoutAnswersAreLogged()
+  {
+    for (const bool restarted : {false, true}) {
+      mLog.emplace();
+      Settle(2);
+      FlowKey flow = TestFlow(1);
+      ++flow.mServicePort;
+      Send(CallerPacket(flow, FlagSyn, 1, 2));
+      if (restarted) {
+        auto bytes = FlowMessage{{}, {flow}}.Encode();
+        mBalancer.OnNodePacket(NodeEndpoint(1), {NodeMessageType::ProbeNeeded, ReturnReason::None},
+                               bytes, mOutput, mNow);
+      }
+      mNow += Milliseconds{310};
+      mBalancer.OnTick(mOutput, mNow);
+      CPPUNIT_ASSERT_EQUAL(std::size_t{0}, mOutput.Resets());
+      const std::string line = Line("refusal_dropped");
+      const std::string expected =
+        std::string("copy=2 reason=no_route dropped_for=") + (restarted ? "unsure" : "no_answer");
+      CPPUNIT_ASSERT_MESSAGE(line, line.find(expected) != std::string::npos);
+      CPPUNIT_ASSERT_MESSAGE(line, line.find("waited_ms=310 unanswered=2") != std::string::npos);
+    }
+  }
+
   void ResetsNameTheAgentsThatDeniedTheFlow()
   {
     Settle(2);
--- a/unittests/Packet/PacketBalancerTest.cpp
+++ b/unittests/Packet/PacketBalancerTest.cpp
@@ -44,6 +44,8 @@
   CPPUNIT_TEST(OpeningsThatWaitedAreNotResetWhileTheFlowIsOpen);
   CPPUNIT_TEST(LaterPacketsEndARefusal);
   CPPUNIT_TEST(AnswersFromBeforeTheFlowDoNotCountInItsSearch);
+  CPPUNIT_TEST(QueriesBeforeRefusalsStayWithinTheSearchBudget);
+  CPPUNIT_TEST(RefusalsThatAwaitAnswersAreBounded);
   CPPUNIT_TEST(LateReturnedOpeningsAreNotPlacedAgain);
   CPPUNIT_TEST(OpeningsReturnedAfterAnotherPlacementAreDropped);
   CPPUNIT_TEST(OpeningsReturnedDuringASearchAreDropped);
@@ -718,6 +720,58 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, mOutput.Resets());
   }
 
+  std::uint64_t Dropped(const std::string& aReason)
+  {
+    return mRegistry
+      .CounterFor("dandelionslip_refusals_dropped_total", "reason=\"" + aReason + "\"")
+      .Value();
+  }
+
+  // Copies of opening packets of aCount flows to an address without a route.
+  void SendUnroutableCopies(PacketBalancer& aBalancer, std::uint16_t aCount)
+  {
+    aBalancer.OnState(TestConfiguration(1, {"web"}),
+                      TestView(1, {TestAgentMember(1, "web"), TestAgentMember(2, "web")}), mOutput,
+                      mNow);
+    for (std::uint16_t i = 0; i < aCount; ++i) {
+      FlowKey flow = TestFlow(i);
+      ++flow.mServicePort;
+      PacketBytes copy = CallerPacket(flow, FlagSyn, 1, 1);
+      aBalancer.OnCallerPacket(copy, mOutput, mNow);
+    }
+  }
+
+  // Guards against a link that is full of queries when many openings cannot be placed.
+  void QueriesBeforeRefusalsStayWithinTheSearchBudget()
+  {
+    PacketBalancerSettings settings;
+    settings.mCapacity = {0.03, 1.9};
+    PacketBalancer balancer(settings, mCodec, mRegistry, Random(1), mNow);
+    constexpr std::uint16_t kFlows = 1'000;
+    SendUnroutableCopies(balancer, kFlows);
+    const double allowed = SearchBudget::QueriesPerSecond(settings.mCapacity) *
+                           std::chrono::duration<double>(TokenBucket::kBurst).count();
+    const std::size_t queries = Sent(NodeMessageType::Query);
+    CPPUNIT_ASSERT(queries > 0 && static_cast<double>(queries) <= allowed);
+    mNow += Milliseconds{350};
+    balancer.OnTick(mOutput, mNow);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, mOutput.Resets());
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{kFlows}, Dropped("no_budget") + Dropped("no_answer"));
+    CPPUNIT_ASSERT(Dropped("no_budget") > Dropped("no_answer"));
+  }
+
+  // Guards against memory that grows with the openings that cannot be placed.
+  void RefusalsThatAwaitAnswersAreBounded()
+  {
+    PacketBalancerSettings settings;
+    settings.mMaxPendingRefusals = 10;
+    PacketBalancer balancer(settings, mCodec, mRegistry, Random(1), mNow);
+    SendUnroutableCopies(balancer, 15);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{20}, Sent(NodeMessageType::Query));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, mOutput.Resets());
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{5}, Dropped("full"));
+  }
+
   // A frozen agent returns the packet after its caller has given up or opened the flow elsewhere.
   void LateReturnedOpeningsAreNotPlacedAgain()
   {
