Simulate faults of upstreams, removed VMs and dropped routes

The kind Upstreams now injects: a frozen upstream or VM, which holds its flows; an agent that is killed or stopped while its upstream is frozen; an upstream that crashes and starts again in several rounds, also under the same id; one that answers requests late or not at all, refuses openings in bursts and resets flows, half-open ones too, which is no disturbance; upstream and agent that lose power together; VMs that are removed at once or after they drained, mostly followed two to four seconds later by a VM of another name, and mostly of the other service, at the same endpoint; dropped routes. A flow whose route was dropped since its first packet may be reset.

Half of this kind's faults come with one of the upstreams. 60% of the ordinary ones are planned work alone, so that flows of undisturbed holders still move.

--- a/unittests/Packet/PacketFlowSimulation.cpp
+++ b/unittests/Packet/PacketFlowSimulation.cpp
@@ -190,7 +190,11 @@
   if (number == 0 || number > mNodes.size()) {
     return;
   }
-  Node& to = *mNodes[number - 1];
+  Node* current = mNodes[number - 1].get();
+  while (current->mSuccessor != nullptr) {
+    current = current->mSuccessor;
+  }
+  Node& to = *current;
   const bool isQuery =
     aHeader.mType == NodeMessageType::Query || aHeader.mType == NodeMessageType::QueryLocal;
   mCounts.mQueries += isQuery ? 1 : 0;
@@ -318,8 +322,8 @@
 {
   FlowTruth& truth = mTruths[aFlow];
   // Flows that are older or were idle for longer may be discarded.
-  if (!truth.mOpen || truth.mReported || mNow - truth.mOpenedAt > kMaxFlowAge ||
-      mNow - truth.mLastPacketAt > kIdleTimeout) {
+  if (!truth.mOpen || truth.mReported || truth.mRouteDropped ||
+      mNow - truth.mOpenedAt > kMaxFlowAge || mNow - truth.mLastPacketAt > kIdleTimeout) {
     return;
   }
   truth.mReported = true;
--- a/unittests/Packet/PacketFlowSimulation.h
+++ b/unittests/Packet/PacketFlowSimulation.h
@@ -40,6 +40,14 @@
   std::size_t mTimedOut = 0;       ///< Requests on an open flow without an answer in time.
   std::size_t mDeadTimedOut = 0;   ///< Flows that died with their upstream; the caller timed out.
   std::size_t mDeadReset = 0;      ///< Flows that died with their upstream; the caller got a reset.
+  // With faults of upstreams.
+  std::size_t mSurvivedFreeze = 0;   ///< Flows that were used after a freeze of their upstream.
+  std::size_t mFlaps = 0;            ///< Ends of upstreams that crash again and again.
+  std::size_t mUpstreamResets = 0;   ///< Flows that their upstream reset by itself.
+  std::size_t mRemovedReset = 0;     ///< Flows of removed VMs; the caller got a reset.
+  std::size_t mReplacedVms = 0;      ///< VMs with another name at the endpoint of an earlier one.
+  std::size_t mRouteDropped = 0;     ///< Open flows whose route a configuration dropped.
+  std::size_t mExpectedTimeOuts = 0; ///< Of mTimedOut, those that the upstream or the route caused.
 };
 
 /// A reset of a flow that an upstream held open.
@@ -86,6 +94,7 @@
     bool mOpen = false;
     bool mDied = false; ///< Its upstream crashed or left.
     bool mReported = false;
+    bool mRouteDropped = false; ///< By a configuration since the flow's first packet.
     TimePoint mOpenedAt;
     TimePoint mLastPacketAt; ///< At the upstream.
     std::vector<Event> mEvents;
@@ -115,6 +124,7 @@
   // Balancers and agents (PacketFlowSimulationNodes.cpp).
   Node& AddNode(MemberKind aKind, const std::string& aService, const std::string& aDataCentre);
   void StartProcess(Node& aNode);
+  void HaltProcess(Node& aNode);
   void KillProcess(Node& aNode);
   void StopProcess(Node& aNode);
   void Freeze(Node& aNode, Duration aTime, bool aClockStands);
@@ -139,14 +149,41 @@
   void LogFault(const std::string& aText);
   Node& RandomNode(MemberKind aKind);
   void Disturb(Node& aNode, Duration aTime);
-  void InjectUpstreamFault();   // PacketFlowSimulationUpstreamFaults.cpp
   void InjectMembershipFault(); // PacketFlowSimulationMembershipFaults.cpp
 
+  // Faults of upstreams (PacketFlowSimulationUpstreamFaults.cpp).
+  void InjectUpstreamFault();
+  Upstream& RandomUpstream();
+  void FreezeUpstreamFor(Upstream& aUpstream, Duration aTime);
+  void ThawUpstream(Upstream& aUpstream);
+  /// Keeps the task until the thaw, if the upstream is frozen; returns whether it is.
+  static bool Defer(Upstream& aUpstream, Task aTask);
+  void FreezeUpstream(Upstream& aUpstream);
+  void FreezeVm(Upstream& aUpstream);
+  void RestartAgentOfFrozenUpstream(Upstream& aUpstream);
+  void FlapUpstream(Upstream& aUpstream);
+  void Flap(Upstream& aUpstream, std::uint64_t aRounds);
+  void ServeBadly(Upstream& aUpstream);
+  void RefuseOrReset(Upstream& aUpstream, std::uint64_t aStart);
+  void ResetSomeFlow(Upstream& aUpstream);
+  bool ExpectsTimeOut(const FlowTruth& aTruth) const;
+
+  // Upstream VMs and routes (PacketFlowSimulationVmFaults.cpp).
+  void LosePower(Upstream& aUpstream);
+  void RemoveVm(Upstream& aUpstream);
+  void RemoveVmOnceDrained(Upstream& aUpstream);
+  void EndVm(Upstream& aUpstream);
+  void DropRoute(Upstream& aUpstream);
+  bool HasRoute(const FlowKey& aFlow) const;
+
   // Upstreams (PacketFlowSimulationUpstreams.cpp).
-  void AddUpstream(const std::string& aService, const std::string& aDataCentre);
+  /// aPredecessor: an ended VM whose endpoint the new one gets; may be null.
+  void AddUpstream(const std::string& aService, const std::string& aDataCentre,
+                   Node* aPredecessor = nullptr);
   void StartUpstream(Upstream& aUpstream);
   void CrashUpstream(Upstream& aUpstream);
   void DrainUpstream(Upstream& aUpstream);
+  void LeaveUpstream(Upstream& aUpstream, std::uint64_t aStart);
   void EndUpstream(Upstream& aUpstream);
   void SendHeartbeats(Upstream& aUpstream, std::uint64_t aStart);
   void OnCallerPacket(Upstream& aUpstream, PacketBytes aPacket);
--- a/unittests/Packet/PacketFlowSimulationCallers.cpp
+++ b/unittests/Packet/PacketFlowSimulationCallers.cpp
@@ -72,7 +72,9 @@
   CallerFlow& flow = found->second;
   if (header->mResets) {
     Note(aFlow, "caller gets a reset");
-    mCounts.mDeadReset += mTruths[aFlow].mDied ? 1 : 0;
+    const FlowTruth& truth = mTruths[aFlow];
+    mCounts.mDeadReset += truth.mDied ? 1 : 0;
+    mCounts.mRemovedReset += truth.mDied && truth.mHolder->mNode->mGone ? 1 : 0;
     Abandon(aFlow);
     return;
   }
@@ -165,6 +167,7 @@
     Note(aFlow, "caller gives up the request");
     ++mCounts.mTimedOut;
     mCounts.mDeadTimedOut += mTruths[aFlow].mDied ? 1 : 0;
+    mCounts.mExpectedTimeOuts += ExpectsTimeOut(mTruths[aFlow]) ? 1 : 0;
     Abandon(aFlow);
     return;
   }
--- a/unittests/Packet/PacketFlowSimulationControl.cpp
+++ b/unittests/Packet/PacketFlowSimulationControl.cpp
@@ -166,9 +166,13 @@
 
 void PacketFlowSimulation::InjectFault()
 {
-  if (mFaultKinds == PacketFlowFaults::Upstreams && Chance(0.5)) {
-    InjectUpstreamFault();
-    return;
+  bool plannedWorkOnly = mFaultKinds == PacketFlowFaults::PlannedWork;
+  if (mFaultKinds == PacketFlowFaults::Upstreams) {
+    if (Chance(0.5)) {
+      InjectUpstreamFault();
+    }
+    // Flows whose holder has no fault move between balancers and agents that are in touch.
+    plannedWorkOnly = Chance(0.6);
   }
   if (mFaultKinds == PacketFlowFaults::Membership && Chance(0.5)) {
     InjectMembershipFault();
@@ -176,7 +180,7 @@
   }
   const bool ofAgent = Chance(0.5);
   Node& node = RandomNode(ofAgent ? MemberKind::Agent : MemberKind::Balancer);
-  const std::uint64_t kind = mRandom.Below(mFaultKinds == PacketFlowFaults::PlannedWork ? 8 : 16);
+  const std::uint64_t kind = mRandom.Below(plannedWorkOnly ? 8 : 16);
   const Duration time = Between(Milliseconds(200), Milliseconds(Chance(0.3) ? 8'000 : 2'000));
   const auto timeText =
     std::to_string(std::chrono::duration_cast<Milliseconds>(time).count()) + " ms";
--- a/unittests/Packet/PacketFlowSimulationNodes.cpp
+++ b/unittests/Packet/PacketFlowSimulationNodes.cpp
@@ -83,11 +83,16 @@
   ScheduleAnnouncement(aNode, mNow);
 }
 
-void PacketFlowSimulation::KillProcess(Node& aNode)
+void PacketFlowSimulation::HaltProcess(Node& aNode)
 {
   aNode.mUp = false;
   aNode.mFrozen = false;
   aNode.mDeferred.clear();
+}
+
+void PacketFlowSimulation::KillProcess(Node& aNode)
+{
+  HaltProcess(aNode);
   After(kRestartTime + Between(Milliseconds(0), Milliseconds(Chance(0.2) ? 4'000 : 50)),
         [this, &aNode] { StartProcess(aNode); });
 }
--- a/unittests/Packet/PacketFlowSimulationParts.h
+++ b/unittests/Packet/PacketFlowSimulationParts.h
@@ -52,7 +52,8 @@
   TimePoint mStartedAt;
   bool mUp = false;
   bool mStopping = false;
-  bool mGone = false; ///< The VM was removed.
+  bool mGone = false;         ///< The VM was removed.
+  Node* mSuccessor = nullptr; ///< VM that got the endpoint of this one.
 
   bool mFrozen = false;
   TimePoint mFrozenAt;
@@ -93,6 +94,7 @@
   std::uint32_t mNextRequest = 0;
   std::uint32_t mResponses = 0;    ///< Requests whose response was sent.
   std::uint32_t mAcknowledged = 0; ///< Responses that the caller acknowledged.
+  bool mThawed = false;            ///< Open during a freeze of the upstream, and not used since.
 };
 
 /// An upstream, which outlives the processes of its agent.
@@ -108,7 +110,11 @@
   std::uint64_t mHeartbeats = 0;
   TimePoint mFullUntil;
   TimePoint mSlowUntil;
-  TimePoint mSilentUntil;
+  TimePoint mBadUntil;     ///< Until then it answers requests late or not at all.
+  TimePoint mRefusesUntil; ///< Until then it refuses all openings.
+  bool mFrozen = false;
+  TimePoint mThawedAt;
+  std::vector<Task> mDeferred;
   std::unordered_map<FlowKey, UpstreamFlow, FlowKeyHash> mFlows;
 };
 
--- a/unittests/Packet/PacketFlowSimulationUpstreams.cpp
+++ b/unittests/Packet/PacketFlowSimulationUpstreams.cpp
@@ -16,9 +16,14 @@
 
 } // namespace
 
-void PacketFlowSimulation::AddUpstream(const std::string& aService, const std::string& aDataCentre)
+void PacketFlowSimulation::AddUpstream(const std::string& aService, const std::string& aDataCentre,
+                                       Node* aPredecessor)
 {
   Node& node = AddNode(MemberKind::Agent, aService, aDataCentre);
+  if (aPredecessor != nullptr) {
+    node.mEndpoint = aPredecessor->mEndpoint;
+    aPredecessor->mSuccessor = &node;
+  }
   mUpstreams.push_back(std::make_unique<Upstream>());
   Upstream& upstream = *mUpstreams.back();
   upstream.mNode = &node;
@@ -59,6 +64,8 @@
     }
   }
   aUpstream.mUp = false;
+  aUpstream.mFrozen = false;
+  aUpstream.mDeferred.clear();
   ++aUpstream.mStart;
   aUpstream.mFlows.clear();
 }
@@ -78,25 +85,30 @@
   }
   aUpstream.mDraining = true;
   After(Between(Milliseconds(2'000), Milliseconds(12'000)),
-        [this, &aUpstream, start = aUpstream.mStart] {
-          if (!aUpstream.mUp || aUpstream.mStart != start) {
-            return;
-          }
-          EndUpstream(aUpstream);
-          Node& node = *aUpstream.mNode;
-          RunOn(node, node.mProcess, [this, &node, id = aUpstream.mId] {
-            const MemberState before = node.mAgent->State(NodeTime(node));
-            node.mAgent->OnUpstreamLeft(id, std::nullopt);
-            ReportIfChanged(node, before);
-          });
-          After(Between(Milliseconds(300), Milliseconds(6'000)),
-                [this, &aUpstream] { StartUpstream(aUpstream); });
-        });
+        [this, &aUpstream, start = aUpstream.mStart] { LeaveUpstream(aUpstream, start); });
+}
+
+void PacketFlowSimulation::LeaveUpstream(Upstream& aUpstream, std::uint64_t aStart)
+{
+  if (!aUpstream.mUp || aUpstream.mStart != aStart ||
+      Defer(aUpstream, [this, &aUpstream, aStart] { LeaveUpstream(aUpstream, aStart); })) {
+    return;
+  }
+  EndUpstream(aUpstream);
+  Node& node = *aUpstream.mNode;
+  RunOn(node, node.mProcess, [this, &node, id = aUpstream.mId] {
+    const MemberState before = node.mAgent->State(NodeTime(node));
+    node.mAgent->OnUpstreamLeft(id, std::nullopt);
+    ReportIfChanged(node, before);
+  });
+  After(Between(Milliseconds(300), Milliseconds(6'000)),
+        [this, &aUpstream] { StartUpstream(aUpstream); });
 }
 
 void PacketFlowSimulation::SendHeartbeats(Upstream& aUpstream, std::uint64_t aStart)
 {
-  if (aUpstream.mStart != aStart) {
+  if (aUpstream.mStart != aStart ||
+      Defer(aUpstream, [this, &aUpstream, aStart] { SendHeartbeats(aUpstream, aStart); })) {
     return;
   }
   UpstreamHeartbeat heartbeat;
@@ -152,7 +164,8 @@
     }
     return;
   }
-  if (mNow < aUpstream.mFullUntil ? Chance(0.7) : Chance(0.01)) {
+  if (mNow < aUpstream.mRefusesUntil ||
+      (mNow < aUpstream.mFullUntil ? Chance(0.7) : Chance(0.01))) {
     Bounce(aUpstream, std::move(aPacket));
     return;
   }
@@ -169,6 +182,11 @@
 void PacketFlowSimulation::AnswerOpening(Upstream& aUpstream, const FlowKey& aFlow,
                                          std::uint64_t aStart, unsigned aAttempt)
 {
+  if (aUpstream.mStart == aStart && Defer(aUpstream, [this, &aUpstream, aFlow, aStart, aAttempt] {
+        AnswerOpening(aUpstream, aFlow, aStart, aAttempt);
+      })) {
+    return;
+  }
   const auto found = aUpstream.mFlows.find(aFlow);
   if (aUpstream.mStart != aStart || found == aUpstream.mFlows.end() ||
       found->second.mState != UpstreamFlow::State::Opening) {
@@ -188,7 +206,8 @@
 void PacketFlowSimulation::OnCallerPacket(Upstream& aUpstream, PacketBytes aPacket)
 {
   const auto header = mCodec.DecodeFromCaller(aPacket);
-  if (!aUpstream.mUp || !header) {
+  if (!aUpstream.mUp || !header ||
+      Defer(aUpstream, [this, &aUpstream, aPacket] { OnCallerPacket(aUpstream, aPacket); })) {
     return;
   }
   const FlowKey& key = header->mFlow;
@@ -212,6 +231,7 @@
     truth.mHolder = &aUpstream;
     truth.mOpen = true;
     truth.mOpenedAt = mNow;
+    truth.mRouteDropped = truth.mRouteDropped || !HasRoute(key);
     ++mCounts.mOpened;
     Note(key, aUpstream.mId + " has the end of the handshake");
   }
@@ -238,9 +258,15 @@
   }
   const bool isNew = request == flow.mNextRequest;
   flow.mNextRequest += isNew ? 1 : 0;
-  const Duration work = !isNew         ? Milliseconds(0)
-                        : Chance(0.05) ? Between(Milliseconds(50), Milliseconds(400))
-                                       : Between(Milliseconds(1), Milliseconds(40));
+  mCounts.mSurvivedFreeze += isNew && std::exchange(flow.mThawed, false) ? 1 : 0;
+  const bool bad = isNew && mNow < aUpstream.mBadUntil;
+  if (bad && Chance(0.15)) {
+    return;
+  }
+  const Duration work = !isNew               ? Milliseconds(0)
+                        : bad && Chance(0.3) ? Between(Milliseconds(400), Milliseconds(3'000))
+                        : Chance(0.05)       ? Between(Milliseconds(50), Milliseconds(400))
+                                             : Between(Milliseconds(1), Milliseconds(40));
   if (isNew || request < flow.mResponses) {
     After(work, [this, &aUpstream, key, start = aUpstream.mStart, request] {
       Respond(aUpstream, key, start, request, 0);
@@ -252,6 +278,12 @@
 void PacketFlowSimulation::Respond(Upstream& aUpstream, const FlowKey& aFlow, std::uint64_t aStart,
                                    std::uint32_t aRequest, unsigned aAttempt)
 {
+  if (aUpstream.mStart == aStart &&
+      Defer(aUpstream, [this, &aUpstream, aFlow, aStart, aRequest, aAttempt] {
+        Respond(aUpstream, aFlow, aStart, aRequest, aAttempt);
+      })) {
+    return;
+  }
   const auto found = aUpstream.mFlows.find(aFlow);
   if (aUpstream.mStart != aStart || found == aUpstream.mFlows.end() ||
       found->second.mState != UpstreamFlow::State::Open || found->second.mAcknowledged > aRequest) {
