Let callers of the simulated packet plane use their ports again

The simulation gave every flow a port of its own.

PacketFlowFaults::PortReuse has the faults of Nodes, and 7 of 10 flows use a port whose last flow ended up to five seconds ago, also one whose upstream still holds that flow. Callers ignore packets and resets whose sequence number is more than 76,800 from their last acknowledgement, as the platform's callers do; upstreams bounce packets of another flow. A reset that fits is a violation, the others are counted.

--- a/unittests/Packet/PacketFlowSimulation.cpp
+++ b/unittests/Packet/PacketFlowSimulation.cpp
@@ -79,6 +79,8 @@
       return "faults of upstreams";
     case PacketFlowFaults::Membership:
       return "faults of membership";
+    case PacketFlowFaults::PortReuse:
+      return "ports used again";
   }
   return "";
 }
@@ -244,21 +246,23 @@
                                         std::span<const std::uint8_t> aPacket)
 {
   const bool resets = (aPacket[8] & FlagRst) != 0;
+  std::uint32_t sequence = 0;
   if (resets) {
-    Note(aFlow, aFrom.mName + " sends a reset");
-    CheckReset(aFrom, aFlow, "sent");
+    sequence = mCodec.DecodeFromUpstream(aPacket)->mSequence;
+    Note(aFlow, aFrom.mName + " sends a reset, seq " + std::to_string(sequence));
+    CheckReset(aFrom, aFlow, sequence, "sent");
   }
   const auto delay = Delay(&aFrom, nullptr);
   if (!delay) {
     return;
   }
-  After(*delay,
-        [this, &aFrom, aFlow, resets, packet = PacketBytes(aPacket.begin(), aPacket.end())] {
-          if (resets) {
-            CheckReset(aFrom, aFlow, "received");
-          }
-          OnUpstreamPacket(aFlow, packet);
-        });
+  After(*delay, [this, &aFrom, aFlow, resets, sequence,
+                 packet = PacketBytes(aPacket.begin(), aPacket.end())] {
+    if (resets) {
+      CheckReset(aFrom, aFlow, sequence, "received");
+    }
+    OnUpstreamPacket(aFlow, packet);
+  });
 }
 
 void PacketFlowSimulation::SendToUpstream(Node& aFrom, std::span<const std::uint8_t> aPacket)
@@ -314,7 +318,8 @@
 }
 
 // Asserts that no upstream holds a flow that a balancer or an agent resets.
-void PacketFlowSimulation::CheckReset(Node& aSender, const FlowKey& aFlow, const char* aWhen)
+void PacketFlowSimulation::CheckReset(Node& aSender, const FlowKey& aFlow, std::uint32_t aSequence,
+                                      const char* aWhen)
 {
   FlowTruth& truth = mTruths[aFlow];
   // Flows that are older or were idle for longer may be discarded.
@@ -322,14 +327,19 @@
       mNow - truth.mLastPacketAt > kIdleTimeout) {
     return;
   }
-  truth.mReported = true;
+  PacketHeader header;
+  header.mSequence = aSequence;
+  const bool fits = FitsCaller(aFlow, header);
+  // Callers ignore the resets of earlier flows of the port; a later one may fit.
+  truth.mReported = fits || mFaultKinds != PacketFlowFaults::PortReuse;
   // Unplanned faults excuse the nodes that they hit, and no others, until the contact time is over.
   const auto inTouch = [&](const Node& aNode) {
     return mNow - aNode.mDisturbedUntil > kContactTime;
   };
   const Node& balancer = *mNodes[truth.mBalancer - 1];
   mViolations.push_back({std::string("reset ") + aWhen + Describe(aSender, aFlow, truth),
-                         inTouch(aSender) && inTouch(balancer) && inTouch(*truth.mHolder->mNode)});
+                         inTouch(aSender) && inTouch(balancer) && inTouch(*truth.mHolder->mNode),
+                         fits});
 }
 
 std::string PacketFlowSimulation::Describe(const Node& aSender, const FlowKey& aFlow,
--- a/unittests/Packet/PacketFlowSimulation.h
+++ b/unittests/Packet/PacketFlowSimulation.h
@@ -25,6 +25,7 @@
   Nodes,       ///< Also unplanned faults of balancers, agents and their links, and crashes.
   Upstreams,   ///< Also frozen upstreams, removed VMs and dropped routes.
   Membership,  ///< Also nodes that control does not reach, and incomplete views.
+  PortReuse,   ///< As Nodes, and callers use ports again that they used a moment ago.
 };
 
 const char* ToText(PacketFlowFaults aFaults);
@@ -48,6 +49,8 @@
   std::string mText; ///< Circumstances and history of the flow.
   /// Whether balancer, agent and holder had no unplanned fault within the contact time.
   bool mInTouch = false;
+  /// Whether its sequence number is near the caller's last acknowledgement; callers ignore others.
+  bool mFits = false;
 };
 
 /// The simulated system. Every run with the same seed is the same.
@@ -86,6 +89,7 @@
     bool mOpen = false;
     bool mDied = false; ///< Its upstream crashed or left.
     bool mReported = false;
+    std::uint32_t mCallerSequence = 0; ///< Of the opening packet of the port's last flow.
     TimePoint mOpenedAt;
     TimePoint mLastPacketAt; ///< At the upstream.
     std::vector<Event> mEvents;
@@ -108,7 +112,7 @@
   void NoteDatagram(const Node& aFrom, unsigned aTo, const NodeMessageHeader& aHeader,
                     std::span<const std::uint8_t> aPacket, const char* aVerb);
   void Note(const FlowKey& aFlow, std::string aText);
-  void CheckReset(Node& aSender, const FlowKey& aFlow, const char* aWhen);
+  void CheckReset(Node& aSender, const FlowKey& aFlow, std::uint32_t aSequence, const char* aWhen);
   std::string Describe(const Node& aSender, const FlowKey& aFlow, const FlowTruth& aTruth) const;
   std::int64_t Ms(TimePoint aTime) const;
 
@@ -157,6 +161,9 @@
                      unsigned aAttempt);
   void Respond(Upstream& aUpstream, const FlowKey& aFlow, std::uint64_t aStart,
                std::uint32_t aRequest, unsigned aAttempt);
+  void AfterIfHeld(Upstream& aUpstream, const FlowKey& aFlow, Duration aDelay, Task aTask);
+  bool IsOfOtherFlow(const UpstreamFlow& aFlow, const PacketHeader& aHeader) const;
+  static PacketBytes AnswerToOpening(const FlowKey& aKey, const UpstreamFlow& aFlow);
 
   // Callers (PacketFlowSimulationCallers.cpp).
   void OpenFlow();
@@ -166,6 +173,9 @@
   void ContinueFlow(const FlowKey& aFlow);
   void CloseFlow(const FlowKey& aFlow, unsigned aAttempt);
   void Abandon(const FlowKey& aFlow);
+  void AfterIfUsed(const FlowKey& aFlow, Duration aDelay, Task aTask);
+  FlowKey NextFlowKey();
+  bool FitsCaller(const FlowKey& aFlow, const PacketHeader& aHeader) const;
 
   std::uint64_t mSeed;
   PacketFlowFaults mFaultKinds;
@@ -189,6 +199,7 @@
   std::unordered_map<FlowKey, CallerFlow, FlowKeyHash> mCallerFlows;
   std::unordered_map<FlowKey, FlowTruth, FlowKeyHash> mTruths;
   std::uint32_t mNextFlow = 0;
+  std::vector<std::pair<FlowKey, TimePoint>> mUsedPorts; ///< With the end of their last use.
   std::vector<std::string> mFaults;
 
   PacketFlowCounts mCounts;
--- a/unittests/Packet/PacketFlowSimulationCallers.cpp
+++ b/unittests/Packet/PacketFlowSimulationCallers.cpp
@@ -15,6 +15,8 @@
                                                     Milliseconds(1'400)};
 constexpr unsigned kMaxEndAttempts = 4;
 
+constexpr Milliseconds kMaxPortRest{5'000}; ///< Before a port is used again.
+
 Milliseconds RetransmissionDelay(unsigned aAttempt)
 {
   return Milliseconds(200 << std::min(aAttempt, 3U));
@@ -22,16 +24,34 @@
 
 } // namespace
 
-void PacketFlowSimulation::OpenFlow()
+FlowKey PacketFlowSimulation::NextFlowKey()
 {
+  std::erase_if(mUsedPorts, [&](const auto& aItem) { return mNow - aItem.second > kMaxPortRest; });
+  if (!mUsedPorts.empty() && Chance(0.7)) {
+    const auto chosen =
+      mUsedPorts.begin() + static_cast<std::ptrdiff_t>(mRandom.Below(mUsedPorts.size()));
+    const FlowKey key = chosen->first;
+    mUsedPorts.erase(chosen);
+    FlowTruth& truth = mTruths[key];
+    truth.mOpen = truth.mDied = truth.mReported = false;
+    Note(key, "caller uses the port again");
+    return key;
+  }
   const std::uint32_t number = mNextFlow++;
   FlowKey key;
   key.mCallerAddress = kCallerAddress + number % 250;
   key.mCallerPort = static_cast<std::uint16_t>(kFirstPort + number / 250 + number % 7 * 1'000);
   key.mServiceAddress = kServiceAddress;
   key.mServicePort = kServicePorts[mRandom.Below(kServicePorts.size())];
+  return key;
+}
+
+void PacketFlowSimulation::OpenFlow()
+{
+  const FlowKey key = NextFlowKey();
   CallerFlow& flow = mCallerFlows[key];
   flow.mSequence = static_cast<std::uint32_t>(mRandom.Next());
+  mTruths[key].mCallerSequence = flow.mSequence;
   const bool isLong = Chance(0.6);
   flow.mEndsAt = mNow + (isLong ? Between(Milliseconds(5'000), Milliseconds(55'000))
                                 : Between(Milliseconds(100), Milliseconds(3'000)));
@@ -51,22 +71,53 @@
   }
   SendFromCaller(aFlow, CallerPacket(aFlow, FlagSyn, found->second.mSequence, aAttempt));
   const Milliseconds sentAt = aAttempt == 0 ? Milliseconds(0) : kOpeningTimes[aAttempt - 1];
-  After(kOpeningTimes[aAttempt] - sentAt,
-        [this, aFlow, aAttempt] { SendOpening(aFlow, aAttempt + 1); });
+  AfterIfUsed(aFlow, kOpeningTimes[aAttempt] - sentAt,
+              [this, aFlow, aAttempt] { SendOpening(aFlow, aAttempt + 1); });
 }
 
 // Forgets the flow; the caller tries again on a new one.
 void PacketFlowSimulation::Abandon(const FlowKey& aFlow)
 {
   mCallerFlows.erase(aFlow);
+  if (mFaultKinds == PacketFlowFaults::PortReuse) {
+    mUsedPorts.emplace_back(aFlow, mNow);
+  }
   After(Between(Milliseconds(0), Milliseconds(500)), [this] { OpenFlow(); });
 }
 
+// Runs the task unless the caller has given the flow up, also if it uses the port again.
+void PacketFlowSimulation::AfterIfUsed(const FlowKey& aFlow, Duration aDelay, Task aTask)
+{
+  After(aDelay,
+        [this, aFlow, sequence = mCallerFlows.at(aFlow).mSequence, task = std::move(aTask)] {
+          const auto found = mCallerFlows.find(aFlow);
+          if (found != mCallerFlows.end() && found->second.mSequence == sequence) {
+            task();
+          }
+        });
+}
+
+// Whether the caller heeds the upstream's packet or a reset, by its sequence number.
+bool PacketFlowSimulation::FitsCaller(const FlowKey& aFlow, const PacketHeader& aHeader) const
+{
+  const auto found = mCallerFlows.find(aFlow);
+  if (found == mCallerFlows.end()) {
+    return false;
+  }
+  const CallerFlow& flow = found->second;
+  if (aHeader.mAcceptsOpening) {
+    return aHeader.mAcknowledged == flow.mSequence + 1;
+  }
+  return !flow.mUpstreamSequence ||
+         IsNear(aHeader.mSequence, *flow.mUpstreamSequence + 1 + flow.mRequest * kMessageBytes);
+}
+
 void PacketFlowSimulation::OnUpstreamPacket(const FlowKey& aFlow, const PacketBytes& aPacket)
 {
   const auto found = mCallerFlows.find(aFlow);
   const auto header = mCodec.DecodeFromUpstream(aPacket);
-  if (found == mCallerFlows.end() || !header) {
+  if (found == mCallerFlows.end() || !header ||
+      (mFaultKinds == PacketFlowFaults::PortReuse && !FitsCaller(aFlow, *header))) {
     return;
   }
   CallerFlow& flow = found->second;
@@ -97,7 +148,8 @@
       }
     }
     if (first) {
-      After(Between(Milliseconds(0), Milliseconds(20)), [this, aFlow] { ContinueFlow(aFlow); });
+      AfterIfUsed(aFlow, Between(Milliseconds(0), Milliseconds(20)),
+                  [this, aFlow] { ContinueFlow(aFlow); });
     }
     return;
   }
@@ -116,7 +168,7 @@
         const Duration pause = Chance(0.4)   ? Between(Milliseconds(0), Milliseconds(200))
                                : Chance(0.7) ? Between(Milliseconds(200), Milliseconds(4'000))
                                              : Between(Milliseconds(4'000), Milliseconds(14'000));
-        After(pause, [this, aFlow] { ContinueFlow(aFlow); });
+        AfterIfUsed(aFlow, pause, [this, aFlow] { ContinueFlow(aFlow); });
       }
     }
     if (!header->mEnds) {
@@ -171,8 +223,8 @@
   SendFromCaller(aFlow, CallerPacket(aFlow, FlagAck, flow.mSequence + 1 + aRequest * kMessageBytes,
                                      *flow.mUpstreamSequence + 1 + aRequest * kMessageBytes,
                                      kMessageBytes));
-  After(std::min<Duration>(RetransmissionDelay(aAttempt), flow.mDeadline - mNow),
-        [this, aFlow, aRequest, aAttempt] { SendRequest(aFlow, aRequest, aAttempt + 1); });
+  AfterIfUsed(aFlow, std::min<Duration>(RetransmissionDelay(aAttempt), flow.mDeadline - mNow),
+              [this, aFlow, aRequest, aAttempt] { SendRequest(aFlow, aRequest, aAttempt + 1); });
 }
 
 void PacketFlowSimulation::CloseFlow(const FlowKey& aFlow, unsigned aAttempt)
@@ -189,7 +241,8 @@
   SendFromCaller(aFlow, CallerPacket(aFlow, FlagFin | FlagAck,
                                      flow.mSequence + 1 + flow.mRequest * kMessageBytes,
                                      *flow.mUpstreamSequence + 1 + flow.mRequest * kMessageBytes));
-  After(RetransmissionDelay(aAttempt), [this, aFlow, aAttempt] { CloseFlow(aFlow, aAttempt + 1); });
+  AfterIfUsed(aFlow, RetransmissionDelay(aAttempt),
+              [this, aFlow, aAttempt] { CloseFlow(aFlow, aAttempt + 1); });
 }
 
 } // namespace dandelionslip
--- a/unittests/Packet/PacketFlowSimulationParts.h
+++ b/unittests/Packet/PacketFlowSimulationParts.h
@@ -3,6 +3,8 @@
 
 #include "PacketFlowSimulation.h"
 
+#include <algorithm>
+
 namespace dandelionslip {
 
 /// A VM with a balancer or an agent.
@@ -128,4 +130,11 @@
 /// Bytes of every request and response.
 inline constexpr std::uint16_t kMessageBytes = 100;
 
+/// Whether two sequence numbers may belong to the same flow.
+inline bool IsNear(std::uint32_t aFirst, std::uint32_t aSecond)
+{
+  constexpr std::uint32_t kWindow = 76'800;
+  return std::min(aFirst - aSecond, aSecond - aFirst) <= kWindow;
+}
+
 } // namespace dandelionslip
--- a/unittests/Packet/PacketFlowSimulationTest.cpp
+++ b/unittests/Packet/PacketFlowSimulationTest.cpp
@@ -46,6 +46,7 @@
   CPPUNIT_TEST(OpenFlowsAreNotResetUnderFaults);
   CPPUNIT_TEST(OpenFlowsAreNotResetUnderFaultsOfUpstreams);
   CPPUNIT_TEST(OpenFlowsAreNotResetUnderFaultsOfMembership);
+  CPPUNIT_TEST(OpenFlowsOfPortsThatAreUsedAgainAreNotReset);
   CPPUNIT_TEST(RunsContainWhatTheyTest);
   CPPUNIT_TEST(MostDeadFlowsAreReset);
   CPPUNIT_TEST(RunsAreRepeatable);
@@ -55,11 +56,16 @@
   {
     std::size_t inTouch = 0;
     std::size_t outOfTouch = 0;
+    std::size_t ignored = 0;
     std::string firstText;
     for (const std::uint64_t seed : aSeeds) {
       PacketFlowSimulation simulation(seed, aFaults);
       simulation.Run(kRunTime);
       for (const PacketFlowViolation& violation : simulation.Violations()) {
+        if (aFaults == PacketFlowFaults::PortReuse && !violation.mFits) {
+          ++ignored;
+          continue;
+        }
         ++(violation.mInTouch ? inTouch : outOfTouch);
         if (firstText.empty() && violation.mInTouch) {
           firstText = violation.mText;
@@ -73,6 +79,9 @@
     if (outOfTouch > 0 && SelectedSeeds() != nullptr) {
       std::cout << outOfTouch << " resets of open flows within the contact time of a fault\n";
     }
+    if (ignored > 0 && SelectedSeeds() != nullptr) {
+      std::cout << ignored << " resets with the sequence number of an earlier flow of the port\n";
+    }
     CPPUNIT_ASSERT_EQUAL_MESSAGE(firstText, std::size_t{0}, inTouch);
   }
 
@@ -94,6 +103,12 @@
     CheckSeeds(PacketFlowFaults::Membership, SeedsToRun({}));
   }
 
+  // Callers ignore a reset with the sequence number of an earlier flow of the port.
+  void OpenFlowsOfPortsThatAreUsedAgainAreNotReset()
+  {
+    CheckSeeds(PacketFlowFaults::PortReuse, SeedsToRun({}));
+  }
+
   // The sum of the counts of six runs, and its text.
   static std::pair<PacketFlowCounts, std::string> CountsOf(PacketFlowFaults aFaults)
   {
@@ -126,8 +141,9 @@
   // Guards against a simulation in which nothing happens.
   void RunsContainWhatTheyTest()
   {
-    for (const auto faults : {PacketFlowFaults::PlannedWork, PacketFlowFaults::Nodes,
-                              PacketFlowFaults::Upstreams, PacketFlowFaults::Membership}) {
+    for (const auto faults :
+         {PacketFlowFaults::PlannedWork, PacketFlowFaults::Nodes, PacketFlowFaults::Upstreams,
+          PacketFlowFaults::Membership, PacketFlowFaults::PortReuse}) {
       const auto [sum, text] = CountsOf(faults);
       CPPUNIT_ASSERT_MESSAGE(text, sum.mOpened > 1'000 && sum.mMoved > 1'000);
       CPPUNIT_ASSERT_MESSAGE(text, sum.mQueries > 1'000 && sum.mOpeningReturns > 20);
--- a/unittests/Packet/PacketFlowSimulationUpstreams.cpp
+++ b/unittests/Packet/PacketFlowSimulationUpstreams.cpp
@@ -1,6 +1,8 @@
 // Upstreams of the simulated packet plane.
 #include "PacketFlowSimulationParts.h"
 
+#include <boost/endian/conversion.hpp>
+
 namespace dandelionslip {
 
 namespace {
@@ -8,6 +10,7 @@
 constexpr Milliseconds kHeartbeat{770};
 constexpr Milliseconds kColdTime{2'000};
 constexpr unsigned kMaxRetransmissions = 8;
+constexpr std::size_t kAcknowledgedOffset = 28;
 
 Milliseconds RetransmissionDelay(unsigned aAttempt)
 {
@@ -52,7 +55,8 @@
 {
   for (const auto& [key, flow] : aUpstream.mFlows) {
     FlowTruth& truth = mTruths[key];
-    if (truth.mOpen && truth.mHolder == &aUpstream) {
+    if (truth.mOpen && truth.mHolder == &aUpstream &&
+        flow.mCallerSequence == truth.mCallerSequence) {
       truth.mOpen = false;
       truth.mDied = true;
       Note(key, aUpstream.mId + " ends");
@@ -142,15 +146,47 @@
   SendFromUpstream(aUpstream, aPacket);
 }
 
+// Runs the task unless the upstream has discarded the flow, also if it holds the port's next one.
+void PacketFlowSimulation::AfterIfHeld(Upstream& aUpstream, const FlowKey& aFlow, Duration aDelay,
+                                       Task aTask)
+{
+  After(aDelay, [&aUpstream, aFlow, sequence = aUpstream.mFlows.at(aFlow).mCallerSequence,
+                 task = std::move(aTask)] {
+    const auto found = aUpstream.mFlows.find(aFlow);
+    if (found != aUpstream.mFlows.end() && found->second.mCallerSequence == sequence) {
+      task();
+    }
+  });
+}
+
+bool PacketFlowSimulation::IsOfOtherFlow(const UpstreamFlow& aFlow,
+                                         const PacketHeader& aHeader) const
+{
+  return mFaultKinds == PacketFlowFaults::PortReuse &&
+         !IsNear(aHeader.mSequence, aFlow.mCallerSequence);
+}
+
+// Acknowledges the caller's sequence number, so that the caller can tell its flows apart.
+PacketBytes PacketFlowSimulation::AnswerToOpening(const FlowKey& aKey, const UpstreamFlow& aFlow)
+{
+  PacketBytes packet = UpstreamPacket(aKey, FlagSyn | FlagAck, aFlow.mSequence);
+  boost::endian::store_big_u32(packet.data() + kAcknowledgedOffset, aFlow.mCallerSequence + 1);
+  return packet;
+}
+
 void PacketFlowSimulation::OnOpening(Upstream& aUpstream, const PacketHeader& aHeader,
                                      PacketBytes aPacket)
 {
   const FlowKey& key = aHeader.mFlow;
   if (const auto found = aUpstream.mFlows.find(key); found != aUpstream.mFlows.end()) {
-    if (found->second.mState == UpstreamFlow::State::Opening) {
-      SendFromUpstream(aUpstream, UpstreamPacket(key, FlagSyn | FlagAck, found->second.mSequence));
+    const bool same = found->second.mCallerSequence == aHeader.mSequence;
+    if (same && found->second.mState == UpstreamFlow::State::Opening) {
+      SendFromUpstream(aUpstream, AnswerToOpening(key, found->second));
     }
-    return;
+    if (same || aHeader.mSequence != mTruths[key].mCallerSequence) {
+      return;
+    }
+    aUpstream.mFlows.erase(found);
   }
   if (mNow < aUpstream.mFullUntil ? Chance(0.7) : Chance(0.01)) {
     Bounce(aUpstream, std::move(aPacket));
@@ -161,7 +197,7 @@
   flow.mCallerSequence = aHeader.mSequence;
   const bool slow = mNow < aUpstream.mSlowUntil ? Chance(0.7) : Chance(0.03);
   const Duration delay = slow ? Between(Milliseconds(100), Milliseconds(400)) : Milliseconds(1);
-  After(delay, [this, &aUpstream, key, start = aUpstream.mStart] {
+  AfterIfHeld(aUpstream, key, delay, [this, &aUpstream, key, start = aUpstream.mStart] {
     AnswerOpening(aUpstream, key, start, 0);
   });
 }
@@ -179,10 +215,11 @@
     return;
   }
   Note(aFlow, aUpstream.mId + " answers the opening");
-  SendFromUpstream(aUpstream, UpstreamPacket(aFlow, FlagSyn | FlagAck, found->second.mSequence));
-  After(RetransmissionDelay(aAttempt), [this, &aUpstream, aFlow, aStart, aAttempt] {
-    AnswerOpening(aUpstream, aFlow, aStart, aAttempt + 1);
-  });
+  SendFromUpstream(aUpstream, AnswerToOpening(aFlow, found->second));
+  AfterIfHeld(aUpstream, aFlow, RetransmissionDelay(aAttempt),
+              [this, &aUpstream, aFlow, aStart, aAttempt] {
+                AnswerOpening(aUpstream, aFlow, aStart, aAttempt + 1);
+              });
 }
 
 void PacketFlowSimulation::OnCallerPacket(Upstream& aUpstream, PacketBytes aPacket)
@@ -198,24 +235,27 @@
   }
   const auto found = aUpstream.mFlows.find(key);
   FlowTruth& truth = mTruths[key];
-  if (found == aUpstream.mFlows.end()) {
+  if (found == aUpstream.mFlows.end() || IsOfOtherFlow(found->second, *header)) {
     Bounce(aUpstream, std::move(aPacket));
     return;
   }
   UpstreamFlow& flow = found->second;
+  const bool current = flow.mCallerSequence == truth.mCallerSequence;
   if (flow.mState == UpstreamFlow::State::Opening) {
     if (header->mAcknowledged != flow.mSequence + 1) {
       Bounce(aUpstream, std::move(aPacket));
       return;
     }
     flow.mState = UpstreamFlow::State::Open;
-    truth.mHolder = &aUpstream;
-    truth.mOpen = true;
-    truth.mOpenedAt = mNow;
+    if (current) {
+      truth.mHolder = &aUpstream;
+      truth.mOpen = true;
+      truth.mOpenedAt = mNow;
+    }
     ++mCounts.mOpened;
     Note(key, aUpstream.mId + " has the end of the handshake");
   }
-  truth.mLastPacketAt = mNow;
+  truth.mLastPacketAt = current ? mNow : truth.mLastPacketAt;
   if (flow.mState == UpstreamFlow::State::Ended) {
     const std::uint8_t flags = header->mEnds ? FlagAck : FlagRst;
     if (header->mEnds || header->mDataBytes > 0) {
@@ -227,7 +267,7 @@
     std::max(flow.mAcknowledged, (header->mAcknowledged - flow.mSequence - 1) / kMessageBytes);
   if (header->mEnds) {
     flow.mState = UpstreamFlow::State::Ended;
-    truth.mOpen = false;
+    truth.mOpen = truth.mOpen && !current;
     Note(key, aUpstream.mId + " ends the flow");
     SendFromUpstream(aUpstream, UpstreamPacket(key, FlagFin | FlagAck, flow.mSequence + 1));
     return;
@@ -242,7 +282,7 @@
                         : Chance(0.05) ? Between(Milliseconds(50), Milliseconds(400))
                                        : Between(Milliseconds(1), Milliseconds(40));
   if (isNew || request < flow.mResponses) {
-    After(work, [this, &aUpstream, key, start = aUpstream.mStart, request] {
+    AfterIfHeld(aUpstream, key, work, [this, &aUpstream, key, start = aUpstream.mStart, request] {
       Respond(aUpstream, key, start, request, 0);
     });
   }
@@ -260,7 +300,8 @@
   UpstreamFlow& flow = found->second;
   flow.mResponses = std::max(flow.mResponses, aRequest + 1);
   if (aAttempt > kMaxRetransmissions) {
-    mTruths[aFlow].mOpen = false;
+    FlowTruth& truth = mTruths[aFlow];
+    truth.mOpen = truth.mOpen && flow.mCallerSequence != truth.mCallerSequence;
     Note(aFlow, aUpstream.mId + " gives the flow up");
     aUpstream.mFlows.erase(found);
     return;
@@ -270,9 +311,10 @@
   SendFromUpstream(
     aUpstream,
     UpstreamPacket(aFlow, flags, flow.mSequence + 1 + aRequest * kMessageBytes, kMessageBytes));
-  After(RetransmissionDelay(aAttempt), [this, &aUpstream, aFlow, aStart, aRequest, aAttempt] {
-    Respond(aUpstream, aFlow, aStart, aRequest, aAttempt + 1);
-  });
+  AfterIfHeld(aUpstream, aFlow, RetransmissionDelay(aAttempt),
+              [this, &aUpstream, aFlow, aStart, aRequest, aAttempt] {
+                Respond(aUpstream, aFlow, aStart, aRequest, aAttempt + 1);
+              });
 }
 
 } // namespace dandelionslip
