--- a/unittests/Packet/PacketFlowSimulationUpstreamFaults.cpp
+++ b/unittests/Packet/PacketFlowSimulationUpstreamFaults.cpp
@@ -9,7 +9,7 @@
 // An upstream is disturbed for this long after its end.
 constexpr Milliseconds kCrashDisturbance{2'000};
 
-std::string TimeText(RuntimeClock::duration aTime)
+std::string DurationText(RuntimeClock::duration aTime)
 {
   return " for " + std::to_string(std::chrono::duration_cast<Milliseconds>(aTime).count()) + " ms";
 }
@@ -58,7 +58,7 @@
   if (!aUpstream.mUp || aUpstream.mFrozen) {
     return;
   }
-  LogFault("freeze of " + aUpstream.mId + TimeText(aTime));
+  LogFault("freeze of " + aUpstream.mId + DurationText(aTime));
   Disturb(*aUpstream.mNode, aTime);
   aUpstream.mFrozen = true;
   After(aTime, [this, &aUpstream, start = aUpstream.mStart] {
@@ -89,7 +89,7 @@
 void PacketFlowSimulation::FreezeVm(Upstream& aUpstream)
 {
   const Duration time = Between(Milliseconds(300), Milliseconds(Chance(0.4) ? 9'000 : 2'000));
-  LogFault("freeze of VM of " + aUpstream.mNode->mName + TimeText(time));
+  LogFault("freeze of VM of " + aUpstream.mNode->mName + DurationText(time));
   Disturb(*aUpstream.mNode, time);
   FreezeUpstreamFor(aUpstream, time);
   Freeze(*aUpstream.mNode, time, false);
@@ -140,7 +140,7 @@
     return;
   }
   const Duration time = Between(Milliseconds(500), Milliseconds(6'000));
-  LogFault(aUpstream.mId + " serves badly" + TimeText(time));
+  LogFault(aUpstream.mId + " serves badly" + DurationText(time));
   aUpstream.mBadUntil = mNow + time;
   RefuseOrReset(aUpstream, aUpstream.mStart);
 }
