Judge resets from the users' contact time on

The simulation excused a reset within five seconds of an unplanned fault of the nodes concerned. The users' contact_ms is 4,000, so resets in the fifth second count and were not judged.

--- a/unittests/Packet/PacketFlowSimulation.cpp
+++ b/unittests/Packet/PacketFlowSimulation.cpp
@@ -12,8 +12,8 @@
 constexpr std::size_t kMaxDeferred = 4'000;
 constexpr Milliseconds kReadinessInterval{500};
 
-// Resets are judged only if no unplanned fault ended within this time.
-constexpr Milliseconds kContactTime{5'000};
+// Resets are judged only if no unplanned fault ended within this time: the users' contact_ms.
+constexpr Milliseconds kContactTime{4'000};
 constexpr Milliseconds kMaxFlowAge{60'000};
 constexpr Milliseconds kIdleTimeout{15'000};
 
