Repeat a lost query before a refusal once

Callers saw: an opening that could not be placed, and may have opened its flow by a copy, left its caller to its own timeout when one datagram between balancer and directory agent was lost.

Change: a directory agent that has not answered within 100 ms is queried once more, and one that the search budget left out is queried then. The limit of 300 ms stays. An agent that answered that it is unsure is not asked again, and no other agent is: only the flow's two directory agents would have its registration. Since an agent may answer twice now, the balancer counts the answers that are still awaited, also after the refusal is decided, so that they do not count in a later search.

Tests: ALostQueryBeforeARefusalIsRepeatedOnce failed without the repetition ("Expected: 3 Actual: 2"). AnswersAfterARefusalDoNotCountInALaterSearch failed when the awaited answers were forgotten with the decision ("Expected: 0 Actual: 1": an open flow was reset).

--- a/include/dandelionslip/Packet/PacketBalancer.h
+++ b/include/dandelionslip/Packet/PacketBalancer.h
@@ -158,10 +158,14 @@
     TimePoint mArrivedAt;
     TimePoint mQueriedAt;
     std::vector<Endpoint> mUnanswered; ///< Directory agents that have not answered yet.
-    bool mAllQueried = false;          ///< The search budget allowed all queries.
-    bool mUnsure = false;              ///< A directory agent does not know what was registered.
-    /// The caller has sent another packet of the flow. Negative answers that are still awaited may
-    /// be older than the flow and must not count in a search for its holder.
+    /// One entry for each query whose answer has not come.
+    std::vector<Endpoint> mAwaited;
+    bool mRepeated = false;   ///< The agents that did not answer were queried again.
+    bool mAllQueried = false; ///< The search budget allowed all queries.
+    bool mUnsure = false;     ///< A directory agent does not know what was registered.
+    /// The refusal is decided, or the caller has sent another packet of the flow. Negative answers
+    /// that are still awaited may be older than the flow and must not count in a search for its
+    /// holder.
     bool mCancelled = false;
   };
 
@@ -271,7 +275,9 @@
   /// refusal, and so does not belong to a search.
   bool AnswerPendingRefusal(const FlowKey& aKey, const Endpoint& aFrom, NodeMessageType aType,
                             PacketOutput& aOutput, TimePoint aNow);
-  void DropUnansweredRefusals(TimePoint aNow);
+  /// Queries directory agents that have not answered once more, and drops refusals that have waited
+  /// for too long.
+  void RepeatOrDropRefusals(PacketOutput& aOutput, TimePoint aNow);
   /// Resets a flow that no agent holds and logs what decided it: which agents were ruled out, by
   /// which answer of which age, and those for which the directory agents spoke.
   void ResetFlow(const PacketHeader& aPacketHeader, const Flow& aFlow, PacketOutput& aOutput,
--- a/lib/Packet/PacketBalancerResets.cpp
+++ b/lib/Packet/PacketBalancerResets.cpp
@@ -17,6 +17,10 @@
 // The directory agents' answers to a query before a refusal are awaited for this long.
 constexpr Milliseconds kRefusalTimeout{300};
 
+// A directory agent that has not answered after this time is queried again: a query and its answer
+// take a few milliseconds.
+constexpr Milliseconds kRefusalRepeatAfter{100};
+
 // OnTick is called every second. After a longer interval the process has stood still, and packets
 // that arrived meanwhile are read for some time.
 constexpr Milliseconds kMaxTickInterval{2'000};
@@ -34,7 +38,7 @@
                                    PacketOutput& aOutput, TimePoint aArrivedAt, TimePoint aNow)
 {
   PendingRefusal refusal{
-    aPacketHeader, {aReturnedBy.begin(), aReturnedBy.end()}, &aCounter, aArrivedAt, aNow, {}};
+    aPacketHeader, {aReturnedBy.begin(), aReturnedBy.end()}, &aCounter, aArrivedAt, aNow, {}, {}};
   const bool mayBeOpen = aPacketHeader.mRetransmission > 0 || aNow - aArrivedAt > kFirstCopyAfter ||
                          MayHaveStoodStill(aNow);
   if (mayBeOpen) {
@@ -62,6 +66,7 @@
       return;
     }
     aOutput.SendToNode(agent, {NodeMessageType::Query, ReturnReason::None}, message);
+    aRefusal.mAwaited.push_back(agent);
   }
   aRefusal.mAllQueried = true;
 }
@@ -96,41 +101,60 @@
     return false;
   }
   PendingRefusal& refusal = found->second;
-  if (aType == NodeMessageType::HolderFound) {
-    const bool cancelled = refusal.mCancelled;
-    mPendingRefusals.erase(found);
-    return !cancelled;
+  const bool cancelled = refusal.mCancelled;
+  if (cancelled && aType == NodeMessageType::ProbeNeeded) {
+    return false;
+  }
+  const auto awaited = std::find(refusal.mAwaited.begin(), refusal.mAwaited.end(), aFrom);
+  const bool isAwaited = awaited != refusal.mAwaited.end();
+  if (isAwaited) {
+    refusal.mAwaited.erase(awaited);
   }
-  if (refusal.mCancelled) {
-    return aType != NodeMessageType::ProbeNeeded && std::erase(refusal.mUnanswered, aFrom) > 0;
+  if (cancelled) {
+    return isAwaited && aType != NodeMessageType::HolderFound;
   }
   // Other answers come from agents that do not know what was registered before they started.
-  refusal.mUnsure = refusal.mUnsure || aType != NodeMessageType::NotRegistered;
-  if (aType == NodeMessageType::NotRegistered && std::erase(refusal.mUnanswered, aFrom) > 0 &&
-      refusal.mUnanswered.empty()) {
+  if (aType == NodeMessageType::NotRegistered) {
+    std::erase(refusal.mUnanswered, aFrom);
+  } else {
+    refusal.mUnsure = true;
+  }
+  if (refusal.mUnanswered.empty()) {
     ResetOpening(refusal, aOutput, aNow);
+  }
+  // The answers that are still awaited must not count in a later search.
+  refusal.mCancelled = refusal.mUnanswered.empty() || aType == NodeMessageType::HolderFound;
+  if (refusal.mCancelled && refusal.mAwaited.empty()) {
     mPendingRefusals.erase(found);
   }
   return true;
 }
 
-// Without both answers the flow may be open, and its caller is left to its own timeout.
-void PacketBalancer::DropUnansweredRefusals(TimePoint aNow)
+// Without the answers the flow may be open, and its caller is left to its own timeout.
+void PacketBalancer::RepeatOrDropRefusals(PacketOutput& aOutput, TimePoint aNow)
 {
-  std::erase_if(mPendingRefusals, [&](const auto& aItem) {
-    const PendingRefusal& refusal = aItem.second;
-    if (aNow - refusal.mQueriedAt <= kRefusalTimeout) {
-      return false;
+  for (auto item = mPendingRefusals.begin(); item != mPendingRefusals.end();) {
+    PendingRefusal& refusal = item->second;
+    const auto age = aNow - refusal.mQueriedAt;
+    if (age > kRefusalTimeout) {
+      if (!refusal.mCancelled) {
+        DropRefusal(refusal,
+                    refusal.mUnsure       ? RefusalDropReason::Unsure
+                    : refusal.mAllQueried ? RefusalDropReason::NoAnswer
+                                          : RefusalDropReason::NoBudget,
+                    aNow);
+      }
+      item = mPendingRefusals.erase(item);
+      continue;
     }
-    if (!refusal.mCancelled) {
-      DropRefusal(refusal,
-                  refusal.mUnsure       ? RefusalDropReason::Unsure
-                  : refusal.mAllQueried ? RefusalDropReason::NoAnswer
-                                        : RefusalDropReason::NoBudget,
-                  aNow);
+    // An agent that is unsure stays so.
+    if (age >= kRefusalRepeatAfter && !refusal.mCancelled && !refusal.mUnsure &&
+        !refusal.mRepeated) {
+      refusal.mRepeated = true;
+      QueryForRefusal(refusal, aOutput, aNow);
     }
-    return true;
-  });
+    ++item;
+  }
 }
 
 void PacketBalancer::DropRefusal(const PendingRefusal& aRefusal, RefusalDropReason aReason,
--- a/lib/Packet/PacketBalancerWaiting.cpp
+++ b/lib/Packet/PacketBalancerWaiting.cpp
@@ -77,7 +77,7 @@
 void PacketBalancer::ResetExpiredOpenings(PacketOutput& aOutput, TimePoint aNow)
 {
   mExpiryCheckedAt = aNow;
-  DropUnansweredRefusals(aNow);
+  RepeatOrDropRefusals(aOutput, aNow);
   for (const WaitingOpening& opening : mWaiting.TakeExpired(aNow)) {
     if (const auto packetHeader = mCodec.DecodeFromCaller(opening.mPacket)) {
       RefuseOpening(*packetHeader, {}, mWaitExpired, aOutput, opening.mArrivedAt, aNow);
--- a/unittests/Packet/PacketBalancerTest.cpp
+++ b/unittests/Packet/PacketBalancerTest.cpp
@@ -44,6 +44,8 @@
   CPPUNIT_TEST(OpeningsThatWaitedAreNotResetWhileTheFlowIsOpen);
   CPPUNIT_TEST(LaterPacketsEndARefusal);
   CPPUNIT_TEST(AnswersFromBeforeTheFlowDoNotCountInItsSearch);
+  CPPUNIT_TEST(ALostQueryBeforeARefusalIsRepeatedOnce);
+  CPPUNIT_TEST(AnswersAfterARefusalDoNotCountInALaterSearch);
   CPPUNIT_TEST(QueriesBeforeRefusalsStayWithinTheSearchBudget);
   CPPUNIT_TEST(RefusalsThatAwaitAnswersAreBounded);
   CPPUNIT_TEST(LateReturnedOpeningsAreNotPlacedAgain);
@@ -720,6 +722,44 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, mOutput.Resets());
   }
 
+  // The refusal of flow 1 after its query to agent 2 was lost and repeated.
+  void RefuseAfterALostQuery()
+  {
+    Wait();
+    mNow += Milliseconds{200};
+    mBalancer.OnTick(mOutput, mNow);
+    Answer(1, NodeMessageType::NotRegistered, TestFlow(1));
+    mNow += Milliseconds{110};
+    Report(1, Cold(0, Milliseconds{30'000}));
+  }
+
+  // Guards against callers that wait for their own timeout because one datagram was lost.
+  void ALostQueryBeforeARefusalIsRepeatedOnce()
+  {
+    RefuseAfterALostQuery();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{3}, Sent(NodeMessageType::Query));
+    CPPUNIT_ASSERT(mOutput.mToNodes.back().mNode == NodeEndpoint(2));
+    mNow += Milliseconds{60};
+    Report(1, Cold(0, Milliseconds{30'000}));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{3}, Sent(NodeMessageType::Query));
+    Answer(2, NodeMessageType::NotRegistered, TestFlow(1));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, mOutput.Resets());
+  }
+
+  // The query was not lost but late, and the next flow of the port is open when its answer comes.
+  void AnswersAfterARefusalDoNotCountInALaterSearch()
+  {
+    RefuseAfterALostQuery();
+    Answer(2, NodeMessageType::NotRegistered, TestFlow(1));
+    mOutput.Clear();
+    Send(CallerPacket(TestFlow(1), FlagAck, 7, 9, 50));
+    Answer(1, NodeMessageType::NotFound, TestFlow(1));
+    Answer(2, NodeMessageType::NotFound, TestFlow(1));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, mOutput.Resets());
+    Answer(2, NodeMessageType::NotFound, TestFlow(1));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, mOutput.Resets());
+  }
+
   std::uint64_t Dropped(const std::string& aReason)
   {
     return mRegistry
