Check that views are complete soon after a restart of control

Without services in the configuration store, as on the users' platform, a leader that knows no earlier view does not wait for the live nodes before its first view.

--- a/unittests/Control/MembershipCoreTest.cpp
+++ b/unittests/Control/MembershipCoreTest.cpp
@@ -1,6 +1,8 @@
 // Tests of the membership core on three replicas.
 #include "MembershipCluster.h"
 
+#include "dandelionslip/Packet/PacketBalancer.h"
+
 #include <cppunit/extensions/HelperMacros.h>
 
 namespace dandelionslip {
@@ -19,6 +21,7 @@
   CPPUNIT_TEST(OlderProcessesAreFencedEverywhere);
   CPPUNIT_TEST(NewLeaderTakesTheNewestViewOfAQuorum);
   CPPUNIT_TEST(RestartedControlRebuildsTheView);
+  CPPUNIT_TEST(ViewsAreCompleteSoonAfterARestartOfControl);
   CPPUNIT_TEST(DigestMismatchRequestsAWholeSummary);
   CPPUNIT_TEST(ViewsOfOtherTermsAreRefused);
   CPPUNIT_TEST(HeldRevisionsBeyondTheTermAreIgnored);
@@ -160,6 +163,41 @@
     CPPUNIT_ASSERT(cluster.Core(1).CurrentView() == cluster.NodeOf("n2").mState.CurrentView());
   }
 
+  // Without services, the first view does not wait for all live nodes. Guards against packet
+  // balancers that reset a flow because an agent is still missing.
+  void ViewsAreCompleteSoonAfterARestartOfControl()
+  {
+    constexpr std::size_t kNodes = 12;
+    std::size_t incomplete = 0;
+    for (std::uint64_t seed = 1; seed <= 100; ++seed) {
+      MembershipCluster cluster(seed);
+      for (std::size_t i = 0; i < kNodes; ++i) {
+        cluster.AddNode(Numbered("n", i), i % kClusterReplicas);
+      }
+      cluster.Run(6s);
+      for (std::size_t i = 0; i < kClusterReplicas; ++i) {
+        cluster.Restart(i);
+      }
+      cluster.Elect(seed % kClusterReplicas);
+      const TimePoint end = cluster.Now() + 5s;
+      std::optional<TimePoint> firstAt;
+      std::size_t members = 0;
+      while (members < kNodes && cluster.Now() < end) {
+        cluster.Run(20ms);
+        const View& view = cluster.Core(cluster.Leader()).CurrentView();
+        members = view.mMembers.size();
+        if (!firstAt && view.mRevision > 0) {
+          firstAt = cluster.Now();
+          incomplete += members < kNodes ? 1 : 0;
+        }
+        CPPUNIT_ASSERT(!firstAt ||
+                       cluster.Now() - *firstAt < PacketBalancerSettings{}.mViewCompletionTime);
+      }
+      CPPUNIT_ASSERT_EQUAL(kNodes, members);
+    }
+    CPPUNIT_ASSERT(incomplete > 50);
+  }
+
   // Guards against a leader that renews nodes that are no longer attached to the replica.
   void DigestMismatchRequestsAWholeSummary()
   {
