Query agents outside the view for registrations

What callers saw (simulation, out of touch): after a restart of control, balancers reset open flows whose holder and its directory agents all were agents that control did not reach.

Cause: such a holder registers its flows with the agents of the view of before. If these are outside the balancer's view too, they are queried only in the last stage, and only for flows that they hold themselves, so their registrations are not used.

Change: in the last stage of a search, agents outside the balancer's view get a Query in place of a QueryLocal. A registration that names an agent which has denied the flow in this search counts there as a denial by the agent that answered, so that it is not followed again and again.

--- a/include/dandelionslip/Packet/PacketBalancer.h
+++ b/include/dandelionslip/Packet/PacketBalancer.h
@@ -222,8 +222,9 @@
   bool ViewMayBeComplete(TimePoint aNow) const;
   void OnFlowMessage(const Endpoint& aFrom, NodeMessageType aType,
                      std::span<const std::uint8_t> aBytes, PacketOutput& aOutput, TimePoint aNow);
-  void OnHolderFound(const FlowKey& aKey, Flow& aFlow, const Endpoint& aHolder,
-                     PacketOutput& aOutput, TimePoint aNow);
+  /// aFrom: the agent that answered.
+  void OnHolderFound(const FlowKey& aKey, Flow& aFlow, const Endpoint& aFrom,
+                     const Endpoint& aHolder, PacketOutput& aOutput, TimePoint aNow);
   void OnDenied(const FlowKey& aKey, Flow& aFlow, const FlowDenial& aDenial, PacketOutput& aOutput,
                 TimePoint aNow);
   void OnReturned(const Endpoint& aFrom, ReturnReason aReason, std::span<std::uint8_t> aPacket,
--- a/lib/Packet/PacketBalancerSearch.cpp
+++ b/lib/Packet/PacketBalancerSearch.cpp
@@ -37,7 +37,8 @@
 } // namespace
 
 // Queries all agents that have not answered. In stage AllAgents, the search budget limits the
-// number of queries.
+// number of queries. Agents outside the view may be the directory agents of a holder outside the
+// view, and are queried as such.
 void PacketBalancer::SendQueries(const FlowKey& aKey, Search& aSearch, NodeMessageType aType,
                                  PacketOutput& aOutput, TimePoint aNow)
 {
@@ -47,7 +48,10 @@
     if (limited && !mSearchBudget.TryTake(aNow)) {
       return;
     }
-    aOutput.SendToNode(agent, {aType, ReturnReason::None}, message);
+    const auto known = mAgents.find(agent);
+    const bool outside = limited && known != mAgents.end() && !known->second.mInView;
+    aOutput.SendToNode(agent, {outside ? NodeMessageType::Query : aType, ReturnReason::None},
+                       message);
   }
 }
 
@@ -280,7 +284,7 @@
   if (aType == NodeMessageType::ProbeNeeded) {
     SendProbe(aFrom, *flow.mSearch, aOutput);
   } else if (aType == NodeMessageType::HolderFound) {
-    OnHolderFound(key, flow, message.value().mHolder, aOutput, aNow);
+    OnHolderFound(key, flow, aFrom, message.value().mHolder, aOutput, aNow);
   } else {
     if (aType == NodeMessageType::NotRegistered) {
       flow.mSearch->mDirectoryAgentsWithoutEntry.push_back(aFrom);
@@ -301,15 +305,20 @@
   aOutput.SendToNode(aAgent, {NodeMessageType::Probe, ReturnReason::None}, aSearch.mPackets.back());
 }
 
-void PacketBalancer::OnHolderFound(const FlowKey& aKey, Flow& aFlow, const Endpoint& aHolder,
-                                   PacketOutput& aOutput, TimePoint aNow)
+void PacketBalancer::OnHolderFound(const FlowKey& aKey, Flow& aFlow, const Endpoint& aFrom,
+                                   const Endpoint& aHolder, PacketOutput& aOutput, TimePoint aNow)
 {
-  if (IsDeniedBy(aFlow.mSearch->mRuledOut, aHolder) &&
-      aFlow.mSearch->mStage == SearchStage::DirectoryAgents) {
+  const bool outdated = IsDeniedBy(aFlow.mSearch->mRuledOut, aHolder);
+  if (outdated && aFlow.mSearch->mStage == SearchStage::DirectoryAgents) {
     // The registration is out of date: this agent has returned a packet of the flow.
     QueryNextStage(aKey, *aFlow.mSearch, aOutput, aNow);
     return;
   }
+  if (outdated && aFlow.mSearch->mStage == SearchStage::AllAgents && aHolder != aFrom) {
+    OnDenied(aKey, aFlow, {aFrom, NodeMessageType::NotFound, ReturnReason::None, false, aNow},
+             aOutput, aNow);
+    return;
+  }
   const auto search = std::move(aFlow.mSearch);
   aFlow.mHolder = aHolder;
   LogEvent(LogLevel::Info, "flow_found")
