--- a/include/dandelionslip/Packet/FlowMessage.h
+++ b/include/dandelionslip/Packet/FlowMessage.h
@@ -23,6 +23,10 @@
   /// DirectoryAgents::Digest() of the sender's view. An acknowledgement has that of the
   /// registration.
   std::uint64_t mAgentsDigest = 0;
+  /// Of a balancer's query; the answer has the same.
+  std::uint32_t mNumber = 0;
+  /// Of the caller's packet whose flow a query is for: flows use a port one after the other.
+  std::uint32_t mSequence = 0;
 
   std::vector<std::uint8_t> Encode() const;
   /// Fails with InvalidInput if the message is truncated, has trailing bytes, or contains no flow
--- a/include/dandelionslip/Packet/NodeMessageHeader.h
+++ b/include/dandelionslip/Packet/NodeMessageHeader.h
@@ -13,9 +13,11 @@
 enum class NodeMessageType : std::uint8_t
 {
   Deliver = 1, ///< To an agent: deliver the packet to the upstream, or return it.
-  Probe,       ///< To an agent: deliver the packet and report whether the upstream holds its flow.
-  Returned,    ///< To a balancer: the agent did not accept the packet; mReason says why.
-  LoadReport,  ///< To a balancer: a LoadReport follows.
+  /// To an agent: deliver the packet and report whether the upstream holds its flow. The tag is the
+  /// number of the search, which the answer names.
+  Probe,
+  Returned,   ///< To a balancer: the agent did not accept the packet; mReason says why.
+  LoadReport, ///< To a balancer: a LoadReport follows.
   // The payload of the types below is a FlowMessage.
   Query,       ///< To an agent: which agent holds the flow, by its table or its directory?
   QueryLocal,  ///< To an agent: does its own upstream hold the flow?
--- a/include/dandelionslip/Packet/PacketAgent.h
+++ b/include/dandelionslip/Packet/PacketAgent.h
@@ -142,6 +142,7 @@
     Endpoint mBalancer;
     NodeMessageType mType = NodeMessageType::Deliver;
     TimePoint mDeliveredAt;
+    std::uint32_t mNumber = 0; ///< Of the search that a probe belongs to.
   };
 
   /// A flow probe that the upstream has not reacted to yet.
@@ -149,6 +150,7 @@
   {
     Endpoint mBalancer;
     TimePoint mSentAt;
+    std::uint32_t mNumber = 0; ///< Of the search that it belongs to.
   };
 
   /// Registrations to send, batched by directory agent.
@@ -169,15 +171,17 @@
   std::size_t ColdLimit() const;
   bool TableIsComplete(TimePoint aNow) const;
   bool UpstreamIsAbsent(TimePoint aNow) const;
-  void Deliver(const Endpoint& aBalancer, NodeMessageType aType, std::span<std::uint8_t> aPacket,
-               PacketOutput& aOutput, TimePoint aNow);
+  void Deliver(const Endpoint& aBalancer, NodeMessageType aType, std::uint32_t aNumber,
+               std::span<std::uint8_t> aPacket, PacketOutput& aOutput, TimePoint aNow);
   void Return(const Endpoint& aBalancer, ReturnReason aReason,
               std::span<const std::uint8_t> aPacket, PacketOutput& aOutput);
   void OnOpening(const Endpoint& aFrom, const PacketHeader& aPacketHeader,
                  std::span<std::uint8_t> aPacket, PacketOutput& aOutput, TimePoint aNow);
   bool IsOpen(const FlowKey& aKey) const;
+  bool Holds(const FlowKey& aKey, std::uint32_t aSequence) const;
   static bool IsOpeningOf(const Flow& aFlow, const PacketHeader& aPacketHeader);
   static bool IsOfOtherFlow(const Flow& aFlow, const PacketHeader& aPacketHeader);
+  static bool IsOfOtherFlow(const Flow& aFlow, std::uint32_t aSequence);
   void LogOpening(const FlowKey& aFlow, ReturnReason aReason, TimePoint aNow) const;
   /// Handles a packet that is not an opening packet.
   void OnFlowPacket(const Endpoint& aFrom, NodeMessageType aType, const PacketHeader& aPacketHeader,
@@ -194,8 +198,9 @@
   static bool HasUnconfirmedAgents(const Flow& aFlow);
   bool AllFlowsConfirmed() const;
   NodeMessageType NegativeAnswer(NodeMessageType aQuery, TimePoint aNow) const;
-  void SendFlowAnswer(const Endpoint& aBalancer, NodeMessageType aType, const FlowKey& aFlow,
-                      const Endpoint& aHolder, PacketOutput& aOutput);
+  /// aNumber: of the query or, for a probe, of its search.
+  void SendFlowAnswer(const Endpoint& aBalancer, NodeMessageType aType, std::uint32_t aNumber,
+                      const FlowKey& aFlow, const Endpoint& aHolder, PacketOutput& aOutput);
   void ReportNotHeld(const Delivery& aDelivery, const PacketHeader& aPacketHeader,
                      std::span<const std::uint8_t> aPacket, PacketOutput& aOutput, TimePoint aNow);
   void AnswerProbe(const FlowKey& aFlow, PacketOutput& aOutput);
--- a/include/dandelionslip/Packet/PacketBalancer.h
+++ b/include/dandelionslip/Packet/PacketBalancer.h
@@ -113,6 +113,12 @@
   /// A search for the holder of a flow.
   struct Search
   {
+    /// Of the search's queries. Answers to others are about earlier flows, or older than the flow.
+    std::uint32_t mNumber = 0;
+    /// Of the queries whose negative answers count: mNumber, or that of the directory agents'
+    /// second queries.
+    std::uint32_t mDenialNumber = 0;
+    std::uint32_t mSequence = 0; ///< Of the first packet; packets of other flows are not near it.
     TimePoint mStartedAt;
     TimePoint mLastQueriedAt;
     SearchStage mStage = SearchStage::DirectoryAgents;
@@ -139,6 +145,9 @@
   struct Flow
   {
     std::optional<Endpoint> mHolder;
+    /// Of the last packet that was sent to mHolder. A packet whose number is not near it belongs to
+    /// an earlier or later flow of the caller's port.
+    std::uint32_t mSequence = 0;
     /// By agents that returned the opening packet; they get it no more. Says nothing about who
     /// holds the flow once it is open: an agent may accept a later copy, from any balancer.
     std::vector<FlowDenial> mOpeningReturnedBy;
@@ -155,10 +164,8 @@
     Counter* mCounter = nullptr;
     TimePoint mArrivedAt;
     TimePoint mQueriedAt;
+    std::uint32_t mNumber = 0;         ///< Of the queries.
     std::vector<Endpoint> mUnanswered; ///< Directory agents that have not answered yet.
-    /// The caller has sent another packet of the flow. Negative answers that are still awaited may
-    /// be older than the flow and must not count in a search for its holder.
-    bool mCancelled = false;
   };
 
   using AgentMap = std::map<Endpoint, Agent>;
@@ -201,6 +208,9 @@
   /// Keeps a packet for the holder, up to a limit.
   static void KeepPacket(Search& aSearch, std::span<const std::uint8_t> aPacket);
   static bool IsSearching(const Flow& aFlow, TimePoint aNow);
+  /// Whether the packet belongs to the flow that mHolder holds.
+  static bool IsOfHeldFlow(const Flow& aFlow, const PacketHeader& aPacketHeader);
+  static bool IsSearchedFor(const Search& aSearch, const PacketHeader& aPacketHeader);
   void ContinueSearch(const PacketHeader& aPacketHeader, Flow& aFlow,
                       std::span<const std::uint8_t> aPacket, PacketOutput& aOutput, TimePoint aNow);
   void ForwardEarlyPackets(PacketOutput& aOutput, TimePoint aNow);
@@ -246,11 +256,10 @@
   void ResetOpening(const PendingRefusal& aRefusal, PacketOutput& aOutput, TimePoint aNow);
   bool MayHaveStoodStill(TimePoint aNow) const;
   void NoteTick(TimePoint aNow);
-  void CancelRefusal(const FlowKey& aKey);
-  /// Handles a directory agent's answer. Returns whether it was the answer to the query of a
-  /// refusal, and so does not belong to a search.
-  bool AnswerPendingRefusal(const FlowKey& aKey, const Endpoint& aFrom, NodeMessageType aType,
-                            PacketOutput& aOutput, TimePoint aNow);
+  /// Handles a directory agent's answer to a query with this number. Returns whether it was the
+  /// answer to the query of a refusal, and so does not belong to a search.
+  bool AnswerPendingRefusal(const FlowKey& aKey, std::uint32_t aNumber, const Endpoint& aFrom,
+                            NodeMessageType aType, PacketOutput& aOutput, TimePoint aNow);
   void DropUnansweredRefusals(TimePoint aNow);
   /// Resets a flow that no agent holds and logs what decided it: which agents were ruled out, by
   /// which answer of which age, and those for which the directory agents spoke.
@@ -277,6 +286,7 @@
   std::vector<EarlyPacket> mEarlyPackets; ///< In order of arrival.
   OpeningQueue mWaiting;
   std::unordered_map<FlowKey, PendingRefusal, FlowKeyHash> mPendingRefusals;
+  std::uint32_t mNextNumber;          ///< Of searches and refusals.
   std::optional<TimePoint> mTickedAt; ///< Last OnTick(); before it, the first OnState().
   TimePoint mCaughtUpAt; ///< Until then, packets from before the process stood still may be read.
   TimePoint mExpiryCheckedAt; ///< When openings that waited too long were last reset.
--- a/include/dandelionslip/Packet/PacketCodec.h
+++ b/include/dandelionslip/Packet/PacketCodec.h
@@ -25,7 +25,7 @@
   std::uint32_t mAcknowledged = 0;
   std::uint16_t mDataBytes = 0;
   /// Number that the agent writes into each packet that it delivers. A bounced packet still has it,
-  /// so that the agent finds the delivery.
+  /// so that the agent finds the delivery. In a Probe: the number of the balancer's search.
   std::uint32_t mTag = 0;
 };
 
--- a/lib/Packet/FlowMessage.cpp
+++ b/lib/Packet/FlowMessage.cpp
@@ -9,7 +9,7 @@
 
 // The difference from earlier formats is no multiple of kFlowBytes, so that their decoders reject
 // it.
-constexpr std::size_t kHeaderBytes = 14;
+constexpr std::size_t kHeaderBytes = 22;
 constexpr std::size_t kFlowBytes = 12;
 
 using boost::endian::load_big_u16;
@@ -40,6 +40,8 @@
   store_big_u32(bytes.data(), mHolder.V4Address());
   store_big_u16(bytes.data() + 4, mHolder.mPort);
   store_big_u64(bytes.data() + 6, mAgentsDigest);
+  store_big_u32(bytes.data() + 14, mNumber);
+  store_big_u32(bytes.data() + 18, mSequence);
   std::uint8_t* out = bytes.data() + kHeaderBytes;
   for (const FlowKey& flow : mFlows) {
     EncodeFlow(flow, out);
@@ -54,11 +56,13 @@
   if (rest == 0 || rest % kFlowBytes != 0 || rest / kFlowBytes > kMaxFlows) {
     return Fail(ErrorCode::InvalidInput, "flow_message.decode", "",
                 "found " + std::to_string(aBytes.size()) +
-                  " bytes, expected 14 bytes and 1 to 80 flows of 12 bytes");
+                  " bytes, expected 22 bytes and 1 to 80 flows of 12 bytes");
   }
   FlowMessage message;
   message.mHolder = Endpoint::FromV4(load_big_u32(aBytes.data()), load_big_u16(aBytes.data() + 4));
   message.mAgentsDigest = load_big_u64(aBytes.data() + 6);
+  message.mNumber = load_big_u32(aBytes.data() + 14);
+  message.mSequence = load_big_u32(aBytes.data() + 18);
   for (std::size_t at = kHeaderBytes; at < aBytes.size(); at += kFlowBytes) {
     message.mFlows.push_back(DecodeFlow(aBytes.data() + at));
   }
--- a/lib/Packet/PacketAgentDirectory.cpp
+++ b/lib/Packet/PacketAgentDirectory.cpp
@@ -19,10 +19,10 @@
 }
 
 void PacketAgent::SendFlowAnswer(const Endpoint& aBalancer, NodeMessageType aType,
-                                 const FlowKey& aFlow, const Endpoint& aHolder,
-                                 PacketOutput& aOutput)
+                                 std::uint32_t aNumber, const FlowKey& aFlow,
+                                 const Endpoint& aHolder, PacketOutput& aOutput)
 {
-  const FlowMessage message{aHolder, {aFlow}, mDirectoryAgents.Digest()};
+  const FlowMessage message{aHolder, {aFlow}, mDirectoryAgents.Digest(), aNumber};
   aOutput.SendToNode(aBalancer, {aType, ReturnReason::None}, message.Encode());
 }
 
@@ -30,8 +30,8 @@
 void PacketAgent::AnswerProbe(const FlowKey& aFlow, PacketOutput& aOutput)
 {
   if (const auto probe = mProbes.find(aFlow); probe != mProbes.end()) {
-    SendFlowAnswer(probe->second.mBalancer, NodeMessageType::HolderFound, aFlow,
-                   mSettings.mEndpoint, aOutput);
+    SendFlowAnswer(probe->second.mBalancer, NodeMessageType::HolderFound, probe->second.mNumber,
+                   aFlow, mSettings.mEndpoint, aOutput);
     mProbes.erase(probe);
   }
 }
@@ -46,13 +46,14 @@
     return;
   }
   const FlowKey& key = message.value().mFlows.front();
-  if (mFlows.contains(key)) {
-    SendFlowAnswer(aFrom, NodeMessageType::HolderFound, key, mSettings.mEndpoint, aOutput);
+  const std::uint32_t number = message.value().mNumber;
+  if (Holds(key, message.value().mSequence)) {
+    SendFlowAnswer(aFrom, NodeMessageType::HolderFound, number, key, mSettings.mEndpoint, aOutput);
     return;
   }
   if (aType == NodeMessageType::Query) {
     if (const auto holder = mDirectory.Find(key)) {
-      SendFlowAnswer(aFrom, NodeMessageType::HolderFound, key, *holder, aOutput);
+      SendFlowAnswer(aFrom, NodeMessageType::HolderFound, number, key, *holder, aOutput);
       return;
     }
   }
@@ -61,7 +62,16 @@
     OnDenial(key, answer == NodeMessageType::NotFound ? "not_found" : "not_registered", aFrom,
              aNow);
   }
-  SendFlowAnswer(aFrom, answer, key, {}, aOutput);
+  SendFlowAnswer(aFrom, answer, number, key, {}, aOutput);
+}
+
+// Whether the table has the flow of the caller's packet with this sequence number. A copy of the
+// opening packet may come after more data than the window.
+bool PacketAgent::Holds(const FlowKey& aKey, std::uint32_t aSequence) const
+{
+  const auto found = mFlows.find(aKey);
+  return found != mFlows.end() &&
+         (!IsOfOtherFlow(found->second, aSequence) || found->second.mOpeningSequence == aSequence);
 }
 
 // The answer to a query for a flow that is neither in the table nor in the directory.
--- a/lib/Packet/PacketAgentFlows.cpp
+++ b/lib/Packet/PacketAgentFlows.cpp
@@ -1,10 +1,11 @@
 // Handling of callers' and upstream packets at a packet agent.
 #include "dandelionslip/Packet/PacketAgent.h"
 
+#include "SequenceWindow.h"
+
 #include "dandelionslip/Support/Durations.h"
 #include "dandelionslip/Support/Log.h"
 
-#include <algorithm>
 #include <utility>
 
 namespace dandelionslip {
@@ -18,20 +19,9 @@
   return static_cast<std::int32_t>(aFirst - aSecond) > 0;
 }
 
-// Four times the data that a caller has in flight. Sequence numbers that are further apart belong
-// to different flows, which used the same port one after the other.
-constexpr std::uint32_t kSequenceWindow = 76'800;
-
 // Limit of flow probes that await the upstream's reaction; each takes one exchange with it.
 constexpr std::size_t kMaxProbes = 10'000;
 
-bool IsNear(std::uint32_t aFirst, std::uint32_t aSecond)
-{
-  const std::uint32_t ahead = aFirst - aSecond;
-  const std::uint32_t behind = aSecond - aFirst;
-  return std::min(ahead, behind) <= kSequenceWindow;
-}
-
 } // namespace
 
 void PacketAgent::OnNodePacket(const Endpoint& aFrom, const NodeMessageHeader& aHeader,
@@ -96,7 +86,7 @@
   if (mUnansweredOpenings++ == 0) {
     mUnansweredSince = aNow;
   }
-  Deliver(aFrom, NodeMessageType::Deliver, aPacket, aOutput, aNow);
+  Deliver(aFrom, NodeMessageType::Deliver, 0, aPacket, aOutput, aNow);
 }
 
 void PacketAgent::LogOpening(const FlowKey& aFlow, ReturnReason aReason, TimePoint aNow) const
@@ -138,7 +128,12 @@
 // Whether the packet belongs to an earlier or later flow of the same caller port.
 bool PacketAgent::IsOfOtherFlow(const Flow& aFlow, const PacketHeader& aPacketHeader)
 {
-  return aFlow.mDeliveredEnd && !IsNear(aPacketHeader.mSequence, *aFlow.mDeliveredEnd);
+  return IsOfOtherFlow(aFlow, aPacketHeader.mSequence);
+}
+
+bool PacketAgent::IsOfOtherFlow(const Flow& aFlow, std::uint32_t aSequence)
+{
+  return aFlow.mDeliveredEnd && !IsNear(aSequence, *aFlow.mDeliveredEnd);
 }
 
 void PacketAgent::OnFlowPacket(const Endpoint& aFrom, NodeMessageType aType,
@@ -152,13 +147,14 @@
       found->second.mPortReused = true;
     }
     if (TableIsComplete(aNow)) {
-      ReportNotHeld({0, aFrom, aType, aNow}, aPacketHeader, aPacket, aOutput, aNow);
+      ReportNotHeld({0, aFrom, aType, aNow, aPacketHeader.mTag}, aPacketHeader, aPacket, aOutput,
+                    aNow);
       return;
     }
     if (aType == NodeMessageType::Probe && mProbes.size() < kMaxProbes) {
-      mProbes[aPacketHeader.mFlow] = {aFrom, aNow};
+      mProbes[aPacketHeader.mFlow] = {aFrom, aNow, aPacketHeader.mTag};
     }
-    Deliver(aFrom, aType, aPacket, aOutput, aNow);
+    Deliver(aFrom, aType, aPacketHeader.mTag, aPacket, aOutput, aNow);
     return;
   }
   Flow& flow = found->second;
@@ -167,10 +163,10 @@
   flow.mDeliveredAt = aNow;
   TrackRequest(flow, aPacketHeader, aNow);
   if (aType == NodeMessageType::Probe) {
-    SendFlowAnswer(aFrom, NodeMessageType::HolderFound, aPacketHeader.mFlow, mSettings.mEndpoint,
-                   aOutput);
+    SendFlowAnswer(aFrom, NodeMessageType::HolderFound, aPacketHeader.mTag, aPacketHeader.mFlow,
+                   mSettings.mEndpoint, aOutput);
   }
-  Deliver(aFrom, aType, aPacket, aOutput, aNow);
+  Deliver(aFrom, aType, aPacketHeader.mTag, aPacket, aOutput, aNow);
   if (aPacketHeader.mResets) {
     RemoveFlow(aPacketHeader.mFlow, RemovalReason::CallerReset, aNow);
     return;
@@ -280,12 +276,12 @@
   ReportNotHeld(delivery, *packetHeader, aPacket, aOutput, aNow);
 }
 
-void PacketAgent::Deliver(const Endpoint& aBalancer, NodeMessageType aType,
+void PacketAgent::Deliver(const Endpoint& aBalancer, NodeMessageType aType, std::uint32_t aNumber,
                           std::span<std::uint8_t> aPacket, PacketOutput& aOutput, TimePoint aNow)
 {
   mDelivered.Add();
   const std::uint32_t tag = mNextTag++;
-  mDeliveries[tag % kRememberedDeliveries] = {tag, aBalancer, aType, aNow};
+  mDeliveries[tag % kRememberedDeliveries] = {tag, aBalancer, aType, aNow, aNumber};
   mCodec.SetTag(aPacket, tag);
   aOutput.SendToUpstream(aPacket);
 }
@@ -304,8 +300,8 @@
   const bool probe = aDelivery.mType == NodeMessageType::Probe;
   OnDenial(aPacketHeader.mFlow, probe ? "not_found" : "not_held", aDelivery.mBalancer, aNow);
   if (probe) {
-    SendFlowAnswer(aDelivery.mBalancer, NodeMessageType::NotFound, aPacketHeader.mFlow, {},
-                   aOutput);
+    SendFlowAnswer(aDelivery.mBalancer, NodeMessageType::NotFound, aDelivery.mNumber,
+                   aPacketHeader.mFlow, {}, aOutput);
   } else {
     Return(aDelivery.mBalancer, ReturnReason::NotHeld, aPacket, aOutput);
   }
--- a/lib/Packet/PacketBalancer.cpp
+++ b/lib/Packet/PacketBalancer.cpp
@@ -2,6 +2,7 @@
 #include "dandelionslip/Packet/PacketBalancer.h"
 
 #include "RouteKey.h"
+#include "SequenceWindow.h"
 
 #include "dandelionslip/Support/Durations.h"
 #include "dandelionslip/Support/Hash.h"
@@ -49,6 +50,8 @@
   , mCodec(aCodec)
   , mRandom(aRandom)
   , mSearchBudget(aSettings.mCapacity, aNow)
+  // Start at another number in each process: answers to an earlier one must not count here.
+  , mNextNumber(static_cast<std::uint32_t>(aNow.time_since_epoch().count()))
   , mWaitSeconds(aRegistry.SummaryFor("dandelionslip_opening_wait_seconds"))
   , mForwarded(aRegistry.CounterFor("dandelionslip_packets_forwarded_total"))
   , mSearched(aRegistry.CounterFor("dandelionslip_flow_searches_total"))
@@ -201,7 +204,8 @@
     mFlowsFull.Add();
     return;
   }
-  CancelRefusal(packetHeader->mFlow);
+  // The caller goes on; answers that are still awaited may be older than the flow.
+  mPendingRefusals.erase(packetHeader->mFlow);
   if (packetHeader->mOpens) {
     OnOpening(*packetHeader, aPacket, aOutput, aNow);
     return;
@@ -219,10 +223,11 @@
     return;
   }
   Flow& flow = FindOrAddFlow(packetHeader->mFlow, aNow);
-  if (!flow.mHolder) {
+  if (!IsOfHeldFlow(flow, *packetHeader)) {
     SearchHolder(*packetHeader, flow, aPacket, aOutput, aNow);
     return;
   }
+  flow.mSequence = packetHeader->mSequence;
   mForwarded.Add();
   aOutput.SendToNode(*flow.mHolder, {NodeMessageType::Deliver, ReturnReason::None}, aPacket);
 }
@@ -255,7 +260,7 @@
     return;
   }
   Flow& flow = FindOrAddFlow(aPacketHeader.mFlow, aNow);
-  if (aPacketHeader.mRetransmission > 0 && flow.mHolder) {
+  if (aPacketHeader.mRetransmission > 0 && IsOfHeldFlow(flow, aPacketHeader)) {
     mForwarded.Add();
     aOutput.SendToNode(*flow.mHolder, {NodeMessageType::Deliver, ReturnReason::None}, aPacket);
     return;
@@ -279,6 +284,7 @@
     }
   }
   aFlow.mHolder = holder;
+  aFlow.mSequence = aPacketHeader.mSequence;
   if (!holder) {
     const bool waits = MayAcceptSoon(aRoute, aFlow, aNow);
     const auto returnedBy = std::move(aFlow.mOpeningReturnedBy);
@@ -441,12 +447,14 @@
     return;
   }
   Flow& flow = FindOrAddFlow(packetHeader->mFlow, aNow);
-  if (flow.mHolder && *flow.mHolder != aFrom) {
-    // The flow was found at another agent in the meantime.
-    aOutput.SendToNode(*flow.mHolder, {NodeMessageType::Deliver, ReturnReason::None}, aPacket);
-    return;
+  if (IsOfHeldFlow(flow, *packetHeader)) {
+    if (*flow.mHolder != aFrom) {
+      // The flow was found at another agent in the meantime.
+      aOutput.SendToNode(*flow.mHolder, {NodeMessageType::Deliver, ReturnReason::None}, aPacket);
+      return;
+    }
+    flow.mHolder.reset();
   }
-  flow.mHolder.reset();
   SearchAfterReturn(*packetHeader, flow, {aFrom, NodeMessageType::Returned, aReason, false, aNow},
                     aPacket, aOutput, aNow);
 }
@@ -462,9 +470,10 @@
   }
   const auto found = mFlows.find(aPacketHeader.mFlow);
   if (found == mFlows.end() || found->second.mHolder != aFrom ||
+      !IsOfHeldFlow(found->second, aPacketHeader) ||
       aNow - found->second.mFirstUsedAt > mSettings.mMaxPacketWait) {
-    // The flow is placed or open elsewhere, an earlier process placed it, or its caller has given
-    // up.
+    // The flow is placed or open elsewhere, an earlier process placed it, its caller has given up,
+    // or the port has another flow.
     return;
   }
   Flow& flow = found->second;
--- a/lib/Packet/PacketBalancerResets.cpp
+++ b/lib/Packet/PacketBalancerResets.cpp
@@ -33,8 +33,13 @@
                                    std::span<const FlowDenial> aReturnedBy, Counter& aCounter,
                                    PacketOutput& aOutput, TimePoint aArrivedAt, TimePoint aNow)
 {
-  PendingRefusal refusal{
-    aPacketHeader, {aReturnedBy.begin(), aReturnedBy.end()}, &aCounter, aArrivedAt, aNow, {}};
+  PendingRefusal refusal{aPacketHeader,
+                         {aReturnedBy.begin(), aReturnedBy.end()},
+                         &aCounter,
+                         aArrivedAt,
+                         aNow,
+                         mNextNumber++,
+                         {}};
   const bool mayBeOpen = aPacketHeader.mRetransmission > 0 || aNow - aArrivedAt > kFirstCopyAfter ||
                          MayHaveStoodStill(aNow);
   if (mayBeOpen) {
@@ -44,7 +49,12 @@
     ResetOpening(refusal, aOutput, aNow);
     return;
   }
-  const auto message = FlowMessage{{}, {aPacketHeader.mFlow}}.Encode();
+  const auto message = FlowMessage{{},
+                                   {aPacketHeader.mFlow},
+                                   mDirectoryAgents.Digest(),
+                                   refusal.mNumber,
+                                   aPacketHeader.mSequence}
+                         .Encode();
   for (const Endpoint& agent : refusal.mUnanswered) {
     aOutput.SendToNode(agent, {NodeMessageType::Query, ReturnReason::None}, message);
   }
@@ -65,29 +75,18 @@
   mTickedAt = aNow;
 }
 
-void PacketBalancer::CancelRefusal(const FlowKey& aKey)
-{
-  if (const auto found = mPendingRefusals.find(aKey); found != mPendingRefusals.end()) {
-    found->second.mCancelled = true;
-  }
-}
-
-bool PacketBalancer::AnswerPendingRefusal(const FlowKey& aKey, const Endpoint& aFrom,
-                                          NodeMessageType aType, PacketOutput& aOutput,
-                                          TimePoint aNow)
+bool PacketBalancer::AnswerPendingRefusal(const FlowKey& aKey, std::uint32_t aNumber,
+                                          const Endpoint& aFrom, NodeMessageType aType,
+                                          PacketOutput& aOutput, TimePoint aNow)
 {
   const auto found = mPendingRefusals.find(aKey);
-  if (found == mPendingRefusals.end()) {
+  if (found == mPendingRefusals.end() || found->second.mNumber != aNumber) {
     return false;
   }
   PendingRefusal& refusal = found->second;
   if (aType == NodeMessageType::HolderFound) {
-    const bool cancelled = refusal.mCancelled;
     mPendingRefusals.erase(found);
-    return !cancelled;
-  }
-  if (refusal.mCancelled) {
-    return aType != NodeMessageType::ProbeNeeded && std::erase(refusal.mUnanswered, aFrom) > 0;
+    return true;
   }
   // Other answers come from agents that do not know what was registered before they started.
   if (aType == NodeMessageType::NotRegistered && std::erase(refusal.mUnanswered, aFrom) > 0 &&
--- a/lib/Packet/PacketBalancerSearch.cpp
+++ b/lib/Packet/PacketBalancerSearch.cpp
@@ -1,6 +1,8 @@
 // Search for the holder of a flow that is not in the balancer's flow table.
 #include "dandelionslip/Packet/PacketBalancer.h"
 
+#include "SequenceWindow.h"
+
 #include "dandelionslip/Support/Log.h"
 
 #include <algorithm>
@@ -42,7 +44,9 @@
                                  PacketOutput& aOutput, TimePoint aNow)
 {
   const bool limited = aSearch.mStage == SearchStage::AllAgents;
-  const auto message = FlowMessage{{}, {aKey}}.Encode();
+  const auto message =
+    FlowMessage{{}, {aKey}, mDirectoryAgents.Digest(), aSearch.mDenialNumber, aSearch.mSequence}
+      .Encode();
   for (const Endpoint& agent : aSearch.mUnanswered) {
     if (limited && !mSearchBudget.TryTake(aNow)) {
       return;
@@ -102,6 +106,7 @@
     return;
   }
   aSearch.mStage = SearchStage::DirectoryAgentsAgain;
+  aSearch.mDenialNumber = mNextNumber++;
   aSearch.mDirectoryAgentsWithoutEntry.clear();
   aSearch.mUnanswered = mDirectoryAgents.AgentsFor(aKey);
   SendQueries(aKey, aSearch, NodeMessageType::Query, aOutput, aNow);
@@ -167,6 +172,16 @@
   SendQueries(aKey, aSearch, NodeMessageType::QueryLocal, aOutput, aNow);
 }
 
+bool PacketBalancer::IsOfHeldFlow(const Flow& aFlow, const PacketHeader& aPacketHeader)
+{
+  return aFlow.mHolder && IsNear(aFlow.mSequence, aPacketHeader.mSequence);
+}
+
+bool PacketBalancer::IsSearchedFor(const Search& aSearch, const PacketHeader& aPacketHeader)
+{
+  return IsNear(aSearch.mSequence, aPacketHeader.mSequence);
+}
+
 bool PacketBalancer::IsSearching(const Flow& aFlow, TimePoint aNow)
 {
   return aFlow.mSearch && aNow - aFlow.mSearch->mStartedAt <= kSearchLifetime;
@@ -176,7 +191,7 @@
                                   std::span<const std::uint8_t> aPacket, PacketOutput& aOutput,
                                   TimePoint aNow)
 {
-  if (IsSearching(aFlow, aNow)) {
+  if (IsSearching(aFlow, aNow) && IsSearchedFor(*aFlow.mSearch, aPacketHeader)) {
     ContinueSearch(aPacketHeader, aFlow, aPacket, aOutput, aNow);
   } else {
     StartSearch(aPacketHeader, aFlow, {}, aPacket, aOutput, aNow);
@@ -189,7 +204,13 @@
                                        TimePoint aNow)
 {
   if (!IsSearching(aFlow, aNow)) {
-    StartSearch(aPacketHeader, aFlow, {aDenial}, aPacket, aOutput, aNow);
+    // With a holder, the packet is a late one of another flow of the port.
+    if (!aFlow.mHolder) {
+      StartSearch(aPacketHeader, aFlow, {aDenial}, aPacket, aOutput, aNow);
+    }
+    return;
+  }
+  if (!IsSearchedFor(*aFlow.mSearch, aPacketHeader)) {
     return;
   }
   KeepPacket(*aFlow.mSearch, aPacket);
@@ -207,6 +228,8 @@
   aFlow.mSearch = std::make_unique<Search>();
   Search& search = *aFlow.mSearch;
   search.mStartedAt = search.mLastQueriedAt = aNow;
+  search.mNumber = search.mDenialNumber = mNextNumber++;
+  search.mSequence = aPacketHeader.mSequence;
   search.mRuledOut = std::move(aRuledOut);
   KeepPacket(search, aPacket);
   mSearched.Add();
@@ -274,7 +297,8 @@
   if (aType == NodeMessageType::NotRegistered && otherView) {
     aType = NodeMessageType::NotFound;
   }
-  if (AnswerPendingRefusal(key, aFrom, aType, aOutput, aNow)) {
+  const std::uint32_t number = message.value().mNumber;
+  if (AnswerPendingRefusal(key, number, aFrom, aType, aOutput, aNow)) {
     return;
   }
   const auto found = mFlows.find(key);
@@ -282,6 +306,10 @@
     return;
   }
   Flow& flow = found->second;
+  const bool denies = aType == NodeMessageType::NotFound || aType == NodeMessageType::NotRegistered;
+  if (number != flow.mSearch->mDenialNumber && (denies || number != flow.mSearch->mNumber)) {
+    return;
+  }
   if (aType == NodeMessageType::ProbeNeeded) {
     SendProbe(aFrom, *flow.mSearch, aOutput);
   } else if (aType == NodeMessageType::HolderFound) {
@@ -303,7 +331,9 @@
     return;
   }
   mProbesLeft -= limited ? 1 : 0;
-  aOutput.SendToNode(aAgent, {NodeMessageType::Probe, ReturnReason::None}, aSearch.mPackets.back());
+  auto packet = aSearch.mPackets.back();
+  mCodec.SetTag(packet, aSearch.mDenialNumber);
+  aOutput.SendToNode(aAgent, {NodeMessageType::Probe, ReturnReason::None}, packet);
 }
 
 void PacketBalancer::OnHolderFound(const FlowKey& aKey, Flow& aFlow, const Endpoint& aHolder,
@@ -317,6 +347,7 @@
   }
   const auto search = std::move(aFlow.mSearch);
   aFlow.mHolder = aHolder;
+  aFlow.mSequence = search->mSequence;
   LogEvent(LogLevel::Info, "flow_found")
     .With("flow", ToString(aKey))
     .With("agent", aHolder.ToString())
@@ -376,6 +407,12 @@
     ConfirmWithDirectory(aKey, search, aOutput, aNow);
     return;
   }
+  if (aFlow.mHolder) {
+    // The port has another flow, and a caller uses its port for one flow at a time: either the
+    // packet is a late one, or the holder is out of date.
+    aFlow.mSearch.reset();
+    return;
+  }
   if (const auto packetHeader = mCodec.DecodeFromCaller(search.mPackets.back());
       packetHeader && !packetHeader->mResets) {
     ResetFlow(*packetHeader, aFlow, aOutput, aNow);
--- a/unittests/Packet/PacketAgentTest.cpp
+++ b/unittests/Packet/PacketAgentTest.cpp
@@ -66,6 +66,9 @@
   CPPUNIT_TEST(RegistrationsAreConfirmed);
   CPPUNIT_TEST(AcknowledgementsOfARestartedDirectoryAgentDoNotConfirmLostRegistrations);
   CPPUNIT_TEST(AcknowledgementsNameTheRegistration);
+  CPPUNIT_TEST(AnswersNameTheQuery);
+  CPPUNIT_TEST(QueriesForTheNextFlowOfAPortAreNotAnsweredByTheEarlierOne);
+  CPPUNIT_TEST(CopiesOfTheOpeningOfALongFlowAreOfThatFlow);
   CPPUNIT_TEST(DirectoryAgentsAnswerNotRegisteredOnlyWhenInTheView);
   CPPUNIT_TEST_SUITE_END();
 
@@ -137,9 +140,10 @@
   }
 
   // Checks the type of the answer to a query; returns the holder that it names.
-  Endpoint AssertAnswer(NodeMessageType aExpected, NodeMessageType aQuery, const FlowKey& aFlow)
+  Endpoint AssertAnswer(NodeMessageType aExpected, NodeMessageType aQuery, const FlowKey& aFlow,
+                        std::uint32_t aSequence = 0)
   {
-    FromBalancer(FlowMessage{{}, {aFlow}}.Encode(), aQuery);
+    FromBalancer(FlowMessage{{}, {aFlow}, 0, 0, aSequence}.Encode(), aQuery);
     const auto& sent = mOutput.mToNodes.back();
     CPPUNIT_ASSERT(sent.mHeader.mType == aExpected);
     const auto message = FlowMessage::Decode(sent.mPacket);
@@ -292,6 +296,76 @@
     CPPUNIT_ASSERT_EQUAL(own.Digest(), answer.value().mAgentsDigest);
   }
 
+  FlowMessage AnswerTo(NodeMessageType aQuery, const FlowMessage& aMessage,
+                       NodeMessageType aExpected)
+  {
+    FromBalancer(aMessage.Encode(), aQuery);
+    CPPUNIT_ASSERT(mOutput.mToNodes.back().mHeader.mType == aExpected);
+    return FlowMessage::Decode(mOutput.mToNodes.back().mPacket).value();
+  }
+
+  // Guards against answers that count in another search.
+  void AnswersNameTheQuery()
+  {
+    constexpr std::uint32_t kNumber = 0x89abcdef;
+    const FlowMessage query{{}, {TestFlow(1)}, 0, kNumber, 5};
+    const auto numberOfAnswer = [&](NodeMessageType aQuery, NodeMessageType aExpected) {
+      return AnswerTo(aQuery, query, aExpected).mNumber;
+    };
+    CPPUNIT_ASSERT_EQUAL(kNumber,
+                         numberOfAnswer(NodeMessageType::Query, NodeMessageType::ProbeNeeded));
+    ApplyRoutesAndHeartbeat(7);
+    PacketBytes probe = CallerPacket(TestFlow(1), FlagAck, 5, 5);
+    mCodec.SetTag(probe, kNumber);
+    const auto numberOfProbe = [&] {
+      CPPUNIT_ASSERT(!mOutput.mToNodes.empty());
+      return FlowMessage::Decode(mOutput.mToNodes.back().mPacket).value().mNumber;
+    };
+    FromBalancer(probe, NodeMessageType::Probe);
+    Bounce();
+    CPPUNIT_ASSERT_EQUAL(kNumber, numberOfProbe());
+    FromBalancer(probe, NodeMessageType::Probe);
+    mOutput.Clear();
+    FromUpstream(UpstreamPacket(TestFlow(1), FlagAck, 2, 200));
+    CPPUNIT_ASSERT_EQUAL(kNumber, numberOfProbe());
+    mOutput.Clear();
+    FromBalancer(probe, NodeMessageType::Probe);
+    CPPUNIT_ASSERT_EQUAL(kNumber, numberOfProbe());
+    CPPUNIT_ASSERT_EQUAL(kNumber,
+                         numberOfAnswer(NodeMessageType::QueryLocal, NodeMessageType::HolderFound));
+  }
+
+  // Guards against the search for a flow that ends at the holder of the port's earlier flow.
+  void QueriesForTheNextFlowOfAPortAreNotAnsweredByTheEarlierOne()
+  {
+    constexpr std::uint32_t kNextSequence = 0x40000000;
+    ApplyRoutesAndHeartbeat();
+    Establish(1);
+    const FlowMessage query{{}, {TestFlow(1)}, 0, 1, kNextSequence};
+    AnswerTo(NodeMessageType::QueryLocal, query, NodeMessageType::NotFound);
+    AnswerTo(NodeMessageType::Query, query, NodeMessageType::NotFound);
+    FromBalancer(FlowMessage{{}, {TestFlow(1)}}.Encode(), NodeMessageType::Register);
+    const auto answer = AnswerTo(NodeMessageType::Query, query, NodeMessageType::HolderFound);
+    CPPUNIT_ASSERT(answer.mHolder == NodeEndpoint(9));
+    AssertAnswer(NodeMessageType::HolderFound, NodeMessageType::QueryLocal, TestFlow(1));
+  }
+
+  // Guards against the refusal of an opening whose flow has moved on by more than the window.
+  void CopiesOfTheOpeningOfALongFlowAreOfThatFlow()
+  {
+    ApplyRoutesAndHeartbeat();
+    Establish(1);
+    std::uint32_t sequence = 2;
+    for (int i = 0; i < 100; ++i) {
+      FromBalancer(CallerPacket(TestFlow(1), FlagAck, sequence, 2, 1'000));
+      sequence += 1'000;
+    }
+    AnswerTo(NodeMessageType::Query, {{}, {TestFlow(1)}, 0, 1, 1}, NodeMessageType::HolderFound);
+    AnswerTo(NodeMessageType::Query, {{}, {TestFlow(1)}, 0, 1, sequence},
+             NodeMessageType::HolderFound);
+    AnswerTo(NodeMessageType::Query, {{}, {TestFlow(1)}, 0, 1, 2}, NodeMessageType::NotFound);
+  }
+
   // Guards against a restarted directory agent that answers NotRegistered for flows which were
   // registered with its previous process, and against an agent that counts its flows as registered
   // although it does not know all of them.
@@ -610,7 +684,8 @@
     CPPUNIT_ASSERT_EQUAL(std::uint32_t{1}, mAgent.CurrentLoad(mNow).mFlows);
     mNow += Milliseconds{6'655};
     mAgent.OnTick(mNow);
-    AssertAnswer(NodeMessageType::HolderFound, NodeMessageType::QueryLocal, TestFlow(1));
+    AssertAnswer(NodeMessageType::HolderFound, NodeMessageType::QueryLocal, TestFlow(1),
+                 kOtherSequence + 1);
   }
 
   // The upstream still sends packets of the old flow, whose caller has fallen silent.
--- a/unittests/Packet/PacketBalancerLogTest.cpp
+++ b/unittests/Packet/PacketBalancerLogTest.cpp
@@ -61,7 +61,10 @@
 
   void Answer(const Endpoint& aAgent, NodeMessageType aType)
   {
-    auto bytes = FlowMessage{{}, {TestFlow(1)}, mDirectoryAgents.Digest()}.Encode();
+    auto bytes =
+      FlowMessage{
+        {}, {TestFlow(1)}, mDirectoryAgents.Digest(), mOutput.NumberForAnswer(aAgent, TestFlow(1))}
+        .Encode();
     mBalancer.OnNodePacket(aAgent, {aType, ReturnReason::None}, bytes, mOutput, mNow);
   }
 
--- a/unittests/Packet/PacketBalancerTest.cpp
+++ b/unittests/Packet/PacketBalancerTest.cpp
@@ -49,6 +49,13 @@
   CPPUNIT_TEST(LateReturnedOpeningsAreNotPlacedAgain);
   CPPUNIT_TEST(OpeningsReturnedAfterAnotherPlacementAreDropped);
   CPPUNIT_TEST(OpeningsReturnedDuringASearchAreDropped);
+  CPPUNIT_TEST(ReturnedPacketsOfAnEarlierFlowOfThePortRuleOutNoAgent);
+  CPPUNIT_TEST(DenialsOfAnEarlierFlowOfThePortDoNotCountForTheNextOne);
+  CPPUNIT_TEST(LateAnswersOfAnEarlierSearchDoNotCount);
+  CPPUNIT_TEST(DuplicateAnswersDoNotConfirmThemselves);
+  CPPUNIT_TEST(ReturnedOpeningsOfAnEarlierFlowOfThePortAreNotPlacedAgain);
+  CPPUNIT_TEST(LatePacketsOfAnEarlierFlowOfThePortDoNotEndTheNextOne);
+  CPPUNIT_TEST(NextFlowsOfAPortAreNotSentToTheHolderOfTheEarlierOne);
   CPPUNIT_TEST(ReturnedOpeningsOfForgottenFlowsAreNotResetWithoutAQuery);
   CPPUNIT_TEST(LateOpeningsAreNotResetWithoutAQuery);
   CPPUNIT_TEST(RestartedDirectoryAgentsDoNotRefuseAnOpening);
@@ -103,13 +110,22 @@
                            mOutput, mNow);
   }
 
-  // An agent's answer to a query for a flow.
+  // An agent's answer to the oldest query for a flow that it has not answered.
+  void AnswerFrom(const Endpoint& aAgent, NodeMessageType aType, const FlowKey& aFlow,
+                  const Endpoint& aHolder = {})
+  {
+    auto bytes = FlowMessage{aHolder,
+                             {aFlow},
+                             mDirectoryAgents.Digest() + mDigestDifference,
+                             mOutput.NumberForAnswer(aAgent, aFlow)}
+                   .Encode();
+    mBalancer.OnNodePacket(aAgent, {aType, ReturnReason::None}, bytes, mOutput, mNow);
+  }
+
   void Answer(unsigned aNode, NodeMessageType aType, const FlowKey& aFlow,
               const Endpoint& aHolder = {})
   {
-    auto bytes =
-      FlowMessage{aHolder, {aFlow}, mDirectoryAgents.Digest() + mDigestDifference}.Encode();
-    mBalancer.OnNodePacket(NodeEndpoint(aNode), {aType, ReturnReason::None}, bytes, mOutput, mNow);
+    AnswerFrom(NodeEndpoint(aNode), aType, aFlow, aHolder);
   }
 
   std::size_t Sent(NodeMessageType aType) const
@@ -217,8 +233,7 @@
   void DirectoryAgentsAnswer(NodeMessageType aType, const FlowKey& aFlow)
   {
     for (const Endpoint& agent : mDirectoryAgents.AgentsFor(aFlow)) {
-      auto bytes = FlowMessage{{}, {aFlow}, mDirectoryAgents.Digest() + mDigestDifference}.Encode();
-      mBalancer.OnNodePacket(agent, {aType, ReturnReason::None}, bytes, mOutput, mNow);
+      AnswerFrom(agent, aType, aFlow);
     }
   }
 
@@ -536,7 +551,9 @@
     Send(packet);
     Answer(1, NodeMessageType::ProbeNeeded, TestFlow(1));
     CPPUNIT_ASSERT(mOutput.mToNodes.back().mHeader.mType == NodeMessageType::Probe);
-    CPPUNIT_ASSERT(mOutput.mToNodes.back().mPacket == packet);
+    PacketBytes probe = mOutput.mToNodes.back().mPacket;
+    mCodec.ClearBounce(probe);
+    CPPUNIT_ASSERT(probe == packet);
   }
 
   // Guards against packets that are forwarded to the same agent again and again because a
@@ -582,7 +599,9 @@
         const bool holds = probe && sent.mNode == holder;
         foundAmongCandidates += holds ? 1 : 0;
         if (!holds && sent.mHeader.mType != NodeMessageType::Deliver) {
-          auto bytes = FlowMessage{{}, {TestFlow(i)}}.Encode();
+          const std::uint32_t number = probe ? mCodec.DecodeFromCaller(sent.mPacket)->mTag
+                                             : mOutput.NumberForAnswer(sent.mNode, TestFlow(i));
+          auto bytes = FlowMessage{{}, {TestFlow(i)}, 0, number}.Encode();
           restarted.OnNodePacket(
             sent.mNode,
             {probe ? NodeMessageType::NotFound : NodeMessageType::ProbeNeeded, ReturnReason::None},
@@ -796,6 +815,127 @@
     CPPUNIT_ASSERT(mOutput.mToCallers.empty());
   }
 
+  static constexpr std::uint32_t kNextSequence = 0x40000000; ///< Of a port's next flow.
+
+  static PacketBytes PacketOfNextFlow()
+  {
+    return CallerPacket(TestFlow(1), FlagAck, kNextSequence + 1, 90'009, 50);
+  }
+
+  // Opens the port's next flow; returns the node of its holder.
+  unsigned OpenNextFlow()
+  {
+    Settle();
+    Send(CallerPacket(TestFlow(1), FlagSyn, kNextSequence));
+    const unsigned holder = mOutput.mToNodes.back().mNode == NodeEndpoint(1) ? 1 : 2;
+    Send(PacketOfNextFlow());
+    mOutput.Clear();
+    return holder;
+  }
+
+  // The agent has delivered the next flow's packets meanwhile and holds it.
+  void ReturnedPacketsOfAnEarlierFlowOfThePortRuleOutNoAgent()
+  {
+    const unsigned holder = OpenNextFlow();
+    Return(holder, ReturnReason::NotHeld, CallerPacket(TestFlow(1), FlagAck, 7, 9, 50));
+    Send(PacketOfNextFlow());
+    Answer(3 - holder, NodeMessageType::NotFound, TestFlow(1));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, mOutput.Resets());
+    CPPUNIT_ASSERT(mOutput.mToNodes.back().mNode == NodeEndpoint(holder));
+    CPPUNIT_ASSERT(mOutput.mToNodes.back().mHeader.mType == NodeMessageType::Deliver);
+  }
+
+  // Agent 1 denies the earlier flow, and its upstream accepts the next one through another
+  // balancer before this one has the other answer.
+  void DenialsOfAnEarlierFlowOfThePortDoNotCountForTheNextOne()
+  {
+    Settle();
+    Send(CallerPacket(TestFlow(1), FlagAck, 7, 9, 50));
+    Answer(1, NodeMessageType::NotFound, TestFlow(1));
+    Send(PacketOfNextFlow());
+    Answer(2, NodeMessageType::NotFound, TestFlow(1));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, mOutput.Resets());
+    Answer(2, NodeMessageType::NotFound, TestFlow(1));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, mOutput.Resets());
+    Answer(1, NodeMessageType::HolderFound, TestFlow(1), NodeEndpoint(1));
+    CPPUNIT_ASSERT(mOutput.mToNodes.back().mNode == NodeEndpoint(1));
+    CPPUNIT_ASSERT(mOutput.mToNodes.back().mPacket == PacketOfNextFlow());
+  }
+
+  void LateAnswersOfAnEarlierSearchDoNotCount()
+  {
+    Settle();
+    Send(CallerPacket(TestFlow(1), FlagAck, 7, 9, 50));
+    mNow += Milliseconds{2'100};
+    Send(CallerPacket(TestFlow(1), FlagAck, 7, 9, 50));
+    for (const std::size_t resets : {0U, 1U}) {
+      Answer(1, NodeMessageType::NotFound, TestFlow(1));
+      CPPUNIT_ASSERT_EQUAL(std::size_t{0}, mOutput.Resets());
+      Answer(2, NodeMessageType::NotFound, TestFlow(1));
+      CPPUNIT_ASSERT_EQUAL(resets, mOutput.Resets());
+    }
+  }
+
+  // Guards against a second query that the duplicates of the first answers seem to answer.
+  void DuplicateAnswersDoNotConfirmThemselves()
+  {
+    SettleMany(60);
+    Send(CallerPacket(TestFlow(1), FlagAck, 7, 9, 50));
+    const auto agents = mDirectoryAgents.AgentsFor(TestFlow(1));
+    const std::uint32_t number =
+      FlowMessage::Decode(mOutput.mToNodes.back().mPacket).value().mNumber;
+    DirectoryAgentsAnswer(NodeMessageType::NotRegistered, TestFlow(1));
+    ReportRegisteredLater(60);
+    for (const Endpoint& agent : agents) {
+      auto bytes = FlowMessage{{}, {TestFlow(1)}, mDirectoryAgents.Digest(), number}.Encode();
+      mBalancer.OnNodePacket(agent, {NodeMessageType::NotRegistered, ReturnReason::None}, bytes,
+                             mOutput, mNow);
+    }
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, mOutput.Resets());
+    DirectoryAgentsAnswer(NodeMessageType::NotRegistered, TestFlow(1));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, mOutput.Resets());
+  }
+
+  void ReturnedOpeningsOfAnEarlierFlowOfThePortAreNotPlacedAgain()
+  {
+    const unsigned holder = OpenNextFlow();
+    Return(holder, ReturnReason::Refused, CallerPacket(TestFlow(1), FlagSyn));
+    CPPUNIT_ASSERT(mOutput.mToNodes.empty());
+  }
+
+  // Guards against a lost holder and against a reset of the port although its flow is open.
+  void LatePacketsOfAnEarlierFlowOfThePortDoNotEndTheNextOne()
+  {
+    const unsigned holder = OpenNextFlow();
+    Send(CallerPacket(TestFlow(1), FlagAck, 7, 9, 50));
+    Answer(holder, NodeMessageType::NotFound, TestFlow(1));
+    Answer(3 - holder, NodeMessageType::NotFound, TestFlow(1));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, mOutput.Resets());
+    mOutput.Clear();
+    Send(PacketOfNextFlow());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, mOutput.mToNodes.size());
+    CPPUNIT_ASSERT(mOutput.mToNodes.back().mNode == NodeEndpoint(holder));
+  }
+
+  // Another balancer has placed the next flow.
+  void NextFlowsOfAPortAreNotSentToTheHolderOfTheEarlierOne()
+  {
+    Settle();
+    Send(CallerPacket(TestFlow(1), FlagSyn));
+    const unsigned earlier = mOutput.mToNodes.back().mNode == NodeEndpoint(1) ? 1 : 2;
+    mOutput.Clear();
+    Send(PacketOfNextFlow());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, Sent(NodeMessageType::Deliver));
+    const auto query = FlowMessage::Decode(mOutput.mToNodes.back().mPacket);
+    CPPUNIT_ASSERT_EQUAL(kNextSequence + 1, query.value().mSequence);
+    Answer(1, NodeMessageType::HolderFound, TestFlow(1), NodeEndpoint(3 - earlier));
+    CPPUNIT_ASSERT(mOutput.mToNodes.back().mNode == NodeEndpoint(3 - earlier));
+    mOutput.Clear();
+    Send(PacketOfNextFlow());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, Sent(NodeMessageType::Deliver));
+    CPPUNIT_ASSERT(mOutput.mToNodes.back().mNode == NodeEndpoint(3 - earlier));
+  }
+
   static LoadReport Declining()
   {
     LoadReport report;
--- a/unittests/Packet/PacketCodecsTest.cpp
+++ b/unittests/Packet/PacketCodecsTest.cpp
@@ -21,7 +21,7 @@
   CPPUNIT_TEST(MessagesSurviveARoundTrip);
   CPPUNIT_TEST(DamagedMessagesAreRejected);
   CPPUNIT_TEST(FlowMessagesFitIntoADatagram);
-  CPPUNIT_TEST(FlowMessagesOfTheFirstFormatAreRejected);
+  CPPUNIT_TEST(FlowMessagesOfEarlierFormatsAreRejected);
   CPPUNIT_TEST(ReportsAreSmall);
   CPPUNIT_TEST(FewDirectoryAgentsChangeWhenAnAgentJoins);
   CPPUNIT_TEST(IdleTimeDoesNotLowerTheEstimate);
@@ -42,11 +42,14 @@
     const auto back = NodeMessageHeader::Decode(header.Encode());
     CPPUNIT_ASSERT(back && back.value().mType == NodeMessageType::Returned);
     CPPUNIT_ASSERT(back.value().mReason == ReturnReason::Cold);
-    const FlowMessage message{NodeEndpoint(3), {TestFlow(1), TestFlow(2)}, 0xfedcba9876543210};
+    const FlowMessage message{
+      NodeEndpoint(3), {TestFlow(1), TestFlow(2)}, 0xfedcba9876543210, 0x89abcdef, 0x98765432};
     const auto decoded = FlowMessage::Decode(message.Encode());
     CPPUNIT_ASSERT(decoded && decoded.value().mHolder == message.mHolder);
     CPPUNIT_ASSERT(decoded.value().mFlows == message.mFlows);
     CPPUNIT_ASSERT_EQUAL(message.mAgentsDigest, decoded.value().mAgentsDigest);
+    CPPUNIT_ASSERT_EQUAL(message.mNumber, decoded.value().mNumber);
+    CPPUNIT_ASSERT_EQUAL(message.mSequence, decoded.value().mSequence);
     const auto report = LoadReport::Decode(Report().Encode());
     CPPUNIT_ASSERT(report && report.value() == Report());
   }
@@ -95,15 +98,16 @@
   }
 
   // Guards against nodes of two versions that read each other's fields as addresses.
-  void FlowMessagesOfTheFirstFormatAreRejected()
+  void FlowMessagesOfEarlierFormatsAreRejected()
   {
-    constexpr std::size_t kFirstHeaderBytes = 6;
     constexpr std::size_t kFlowBytes = 12;
-    for (std::size_t flows = 1; flows <= FlowMessage::kMaxFlows; ++flows) {
-      CPPUNIT_ASSERT(!FlowMessage::Decode(Bytes(kFirstHeaderBytes + flows * kFlowBytes)));
-      FlowMessage message;
-      message.mFlows.resize(flows);
-      CPPUNIT_ASSERT((message.Encode().size() - kFirstHeaderBytes) % kFlowBytes != 0);
+    for (const std::size_t headerBytes : {6U, 14U}) {
+      for (std::size_t flows = 1; flows <= FlowMessage::kMaxFlows; ++flows) {
+        CPPUNIT_ASSERT(!FlowMessage::Decode(Bytes(headerBytes + flows * kFlowBytes)));
+        FlowMessage message;
+        message.mFlows.resize(flows);
+        CPPUNIT_ASSERT((message.Encode().size() - headerBytes) % kFlowBytes != 0);
+      }
     }
   }
 
--- a/unittests/Packet/PacketFixtures.cpp
+++ b/unittests/Packet/PacketFixtures.cpp
@@ -4,6 +4,7 @@
 #include <boost/endian/conversion.hpp>
 
 #include <algorithm>
+#include <utility>
 
 namespace dandelionslip {
 
@@ -96,6 +97,37 @@
   return view;
 }
 
+void RecordingOutput::SendToNode(const Endpoint& aNode, const NodeMessageHeader& aHeader,
+                                 std::span<const std::uint8_t> aPacket)
+{
+  mToNodes.push_back({aNode, aHeader, {aPacket.begin(), aPacket.end()}});
+  if (aHeader.mType == NodeMessageType::Query || aHeader.mType == NodeMessageType::QueryLocal) {
+    mQueries.push_back({aNode, FlowMessage::Decode(aPacket).value()});
+  }
+}
+
+void RecordingOutput::Clear()
+{
+  mToNodes.clear();
+  mToCallers.clear();
+  mToUpstream.clear();
+}
+
+std::uint32_t RecordingOutput::NumberForAnswer(const Endpoint& aNode, const FlowKey& aFlow)
+{
+  std::uint32_t newest = 0;
+  for (Query& query : mQueries) {
+    if (query.mMessage.mFlows.front() != aFlow) {
+      continue;
+    }
+    newest = query.mMessage.mNumber;
+    if (query.mNode == aNode && !std::exchange(query.mAnswered, true)) {
+      break;
+    }
+  }
+  return newest;
+}
+
 std::size_t RecordingOutput::Resets() const
 {
   return static_cast<std::size_t>(
--- a/unittests/Packet/PacketFixtures.h
+++ b/unittests/Packet/PacketFixtures.h
@@ -5,6 +5,7 @@
 
 #include "dandelionslip/Model/Configuration.h"
 #include "dandelionslip/Model/View.h"
+#include "dandelionslip/Packet/FlowMessage.h"
 #include "dandelionslip/Packet/LoadReport.h"
 #include "dandelionslip/Packet/PacketOutput.h"
 
@@ -59,10 +60,7 @@
   };
 
   void SendToNode(const Endpoint& aNode, const NodeMessageHeader& aHeader,
-                  std::span<const std::uint8_t> aPacket) override
-  {
-    mToNodes.push_back({aNode, aHeader, {aPacket.begin(), aPacket.end()}});
-  }
+                  std::span<const std::uint8_t> aPacket) override;
   void SendToCaller(const FlowKey& /*aFlow*/, std::span<const std::uint8_t> aPacket) override
   {
     mToCallers.emplace_back(aPacket.begin(), aPacket.end());
@@ -71,7 +69,11 @@
   {
     mToUpstream.emplace_back(aPacket.begin(), aPacket.end());
   }
-  void Clear() { *this = {}; }
+  /// Forgets what was sent, except the queries that have no answer yet.
+  void Clear();
+  /// Number of the query that the node's next answer is to: of the queries for the flow, the oldest
+  /// one to the node without an answer, or else the newest one.
+  std::uint32_t NumberForAnswer(const Endpoint& aNode, const FlowKey& aFlow);
 
   /// Number of resets among the packets to callers.
   std::size_t Resets() const;
@@ -79,6 +81,16 @@
   std::vector<ToNode> mToNodes;
   std::vector<PacketBytes> mToCallers;
   std::vector<PacketBytes> mToUpstream;
+
+private:
+  struct Query
+  {
+    Endpoint mNode;
+    FlowMessage mMessage;
+    bool mAnswered = false;
+  };
+
+  std::vector<Query> mQueries;
 };
 
 } // namespace dandelionslip
