Keep an open flow when an opening of another flow of its port arrives

Callers that use a port again within seconds got a reset of the open flow. A balancer that had been frozen sent the opening packet of the port's earlier flow. The next flow's agent took any opening packet with another sequence number for a later flow and removed its open flow, also if the upstream ignored or bounced the packet. Then it denied the flow, and all other agents did too.

Only the upstream knows which flow is the later one. The agent delivers the opening and keeps an accepted flow until the upstream accepts the other opening. An answer that acknowledges the known opening is a repetition. A bounced opening removes only a flow that the upstream has not accepted.

Evidence: LateOpeningsOfAnEarlierFlowOfThePortDoNotRemoveTheNextOne failed before ("sent.mHeader.mType == aExpected", the flow was not found); AcceptedOpeningsReplaceAnOpenFlowOfThePort shows the other case.

--- a/include/dandelionslip/Packet/PacketAgent.h
+++ b/include/dandelionslip/Packet/PacketAgent.h
@@ -131,6 +131,9 @@
     TimePoint mRequestSince;
     /// Of the opening packet; empty if this process has not seen it.
     std::optional<std::uint32_t> mOpeningSequence;
+    /// Of the last opening packet of another flow of the port, until the upstream answers it. It may
+    /// be a late one of an earlier flow.
+    std::optional<std::uint32_t> mOtherOpeningSequence;
     /// Sequence number that follows the caller's last delivered byte.
     std::optional<std::uint32_t> mDeliveredEnd;
   };
@@ -180,6 +183,7 @@
   bool IsOpen(const FlowKey& aKey) const;
   bool Holds(const FlowKey& aKey, std::uint32_t aSequence) const;
   static bool IsOpeningOf(const Flow& aFlow, const PacketHeader& aPacketHeader);
+  void OnOpeningAccepted(const PacketHeader& aPacketHeader, TimePoint aNow);
   static bool IsOfOtherFlow(const Flow& aFlow, const PacketHeader& aPacketHeader);
   static bool IsOfOtherFlow(const Flow& aFlow, std::uint32_t aSequence);
   void LogOpening(const FlowKey& aFlow, ReturnReason aReason, TimePoint aNow) const;
--- a/lib/Packet/PacketAgentFlows.cpp
+++ b/lib/Packet/PacketAgentFlows.cpp
@@ -58,8 +58,13 @@
                             std::span<std::uint8_t> aPacket, PacketOutput& aOutput, TimePoint aNow)
 {
   auto found = mFlows.find(aPacketHeader.mFlow);
-  if (found != mFlows.end() && !IsOpeningOf(found->second, aPacketHeader)) {
+  const bool ofOtherFlow = found != mFlows.end() && !IsOpeningOf(found->second, aPacketHeader);
+  // The upstream decides whether the packet or the flow is the earlier one.
+  const bool replaces = ofOtherFlow && (!found->second.mAccepted || found->second.mClosed);
+  if (replaces) {
     RemoveFlow(aPacketHeader.mFlow, RemovalReason::Opening, aNow);
+  }
+  if (ofOtherFlow) {
     found = mFlows.end();
   }
   if (found != mFlows.end() && found->second.mEstablished) {
@@ -78,17 +83,41 @@
     return;
   }
   LogOpening(aPacketHeader.mFlow, ReturnReason::None, aNow);
-  Flow& flow = FindOrAddFlow(aPacketHeader.mFlow, aNow);
-  flow.mKnownByOpening = flow.mKnownByOpening || !flow.mAnsweredAt;
-  flow.mDeliveredAt = aNow;
-  flow.mOpeningSequence = flow.mDeliveredEnd = aPacketHeader.mSequence;
-  flow.mOpenedAt = flow.mOpenedAt.value_or(aNow);
+  if (ofOtherFlow && !replaces) {
+    mFlows.at(aPacketHeader.mFlow).mOtherOpeningSequence = aPacketHeader.mSequence;
+  } else {
+    Flow& flow = FindOrAddFlow(aPacketHeader.mFlow, aNow);
+    flow.mKnownByOpening = flow.mKnownByOpening || !flow.mAnsweredAt;
+    flow.mDeliveredAt = aNow;
+    flow.mOpeningSequence = flow.mDeliveredEnd = aPacketHeader.mSequence;
+    flow.mOpenedAt = flow.mOpenedAt.value_or(aNow);
+  }
   if (mUnansweredOpenings++ == 0) {
     mUnansweredSince = aNow;
   }
   Deliver(aFrom, NodeMessageType::Deliver, 0, aPacket, aOutput, aNow);
 }
 
+// If the upstream has accepted the opening packet of another flow of the port, it no longer holds
+// the one in the table. It may also have repeated its answer to that one's opening packet.
+void PacketAgent::OnOpeningAccepted(const PacketHeader& aPacketHeader, TimePoint aNow)
+{
+  const auto found = mFlows.find(aPacketHeader.mFlow);
+  if (found == mFlows.end() || !found->second.mOtherOpeningSequence) {
+    return;
+  }
+  const std::optional<std::uint32_t> known = found->second.mOpeningSequence;
+  if (known && aPacketHeader.mAcknowledged == *known + 1) {
+    return;
+  }
+  const std::uint32_t sequence = *found->second.mOtherOpeningSequence;
+  RemoveFlow(aPacketHeader.mFlow, RemovalReason::Opening, aNow);
+  Flow& flow = FindOrAddFlow(aPacketHeader.mFlow, aNow);
+  flow.mKnownByOpening = true;
+  flow.mDeliveredAt = aNow;
+  flow.mOpeningSequence = flow.mDeliveredEnd = sequence;
+}
+
 void PacketAgent::LogOpening(const FlowKey& aFlow, ReturnReason aReason, TimePoint aNow) const
 {
   const auto age =
@@ -208,6 +237,9 @@
     RemoveFlow(packetHeader->mFlow, RemovalReason::UpstreamReset, aNow);
     return;
   }
+  if (packetHeader->mAcceptsOpening) {
+    OnOpeningAccepted(*packetHeader, aNow);
+  }
   Flow& flow = FindOrAddFlow(packetHeader->mFlow, aNow);
   flow.mAnsweredAt = aNow;
   AnswerProbe(packetHeader->mFlow, aOutput);
@@ -248,8 +280,7 @@
   const auto found = mFlows.find(packetHeader->mFlow);
   if (packetHeader->mOpens) {
     // The bounce of a copy does not end what the upstream has accepted.
-    if (found == mFlows.end() || !found->second.mAccepted ||
-        !IsOpeningOf(found->second, *packetHeader)) {
+    if (found != mFlows.end() && !found->second.mAccepted) {
       RemoveFlow(packetHeader->mFlow, RemovalReason::Bounced, aNow);
     }
     Return(delivery.mBalancer, ReturnReason::Refused, aPacket, aOutput);
--- a/unittests/Packet/PacketAgentTest.cpp
+++ b/unittests/Packet/PacketAgentTest.cpp
@@ -69,6 +69,8 @@
   CPPUNIT_TEST(AnswersNameTheQuery);
   CPPUNIT_TEST(QueriesForTheNextFlowOfAPortAreNotAnsweredByTheEarlierOne);
   CPPUNIT_TEST(CopiesOfTheOpeningOfALongFlowAreOfThatFlow);
+  CPPUNIT_TEST(LateOpeningsOfAnEarlierFlowOfThePortDoNotRemoveTheNextOne);
+  CPPUNIT_TEST(AcceptedOpeningsReplaceAnOpenFlowOfThePort);
   CPPUNIT_TEST(DirectoryAgentsAnswerNotRegisteredOnlyWhenInTheView);
   CPPUNIT_TEST_SUITE_END();
 
@@ -350,6 +352,58 @@
     AssertAnswer(NodeMessageType::HolderFound, NodeMessageType::QueryLocal, TestFlow(1));
   }
 
+  // A balancer that was frozen sends the opening. The upstream bounces or ignores it.
+  void LateOpeningsOfAnEarlierFlowOfThePortDoNotRemoveTheNextOne()
+  {
+    ApplyRoutesAndHeartbeat();
+    constexpr std::uint32_t kEarlierSequence = 0x40000000;
+    std::uint16_t caller = 0;
+    for (const std::size_t packets : {0U, 1U}) {
+      for (const bool bounces : {true, false}) {
+        ++caller;
+        Open(caller);
+        std::uint32_t sequence = 2;
+        for (std::size_t i = 0; i < packets; ++i) {
+          FromBalancer(CallerPacket(TestFlow(caller), FlagAck, sequence, 2, 100));
+          FromUpstream(UpstreamPacket(TestFlow(caller), FlagAck, 2, 200));
+          sequence += 100;
+        }
+        for (std::uint32_t copy = 0; copy < 3; ++copy) {
+          FromBalancer(CallerPacket(TestFlow(caller), FlagSyn, kEarlierSequence, copy));
+          if (bounces) {
+            Bounce();
+          }
+        }
+        AssertAnswer(NodeMessageType::HolderFound, NodeMessageType::QueryLocal, TestFlow(caller));
+        // Its answer to the opening packet, again.
+        PacketBytes answer = UpstreamPacket(TestFlow(caller), FlagSyn | FlagAck);
+        boost::endian::store_big_u32(answer.data() + 28, 2);
+        FromUpstream(answer);
+        const std::size_t delivered = mOutput.mToUpstream.size();
+        FromBalancer(CallerPacket(TestFlow(caller), FlagAck, sequence, 2, 100));
+        CPPUNIT_ASSERT_EQUAL(delivered + 1, mOutput.mToUpstream.size());
+      }
+    }
+  }
+
+  // The caller has given up the first flow without a packet that says so.
+  void AcceptedOpeningsReplaceAnOpenFlowOfThePort()
+  {
+    ApplyRoutesAndHeartbeat();
+    Establish(1);
+    constexpr std::uint32_t kNextSequence = 0x40000000;
+    FromBalancer(CallerPacket(TestFlow(1), FlagSyn, kNextSequence));
+    FromUpstream(UpstreamPacket(TestFlow(1), FlagSyn | FlagAck, 700));
+    AssertAnswer(NodeMessageType::NotFound, NodeMessageType::QueryLocal, TestFlow(1));
+    AssertAnswer(NodeMessageType::HolderFound, NodeMessageType::QueryLocal, TestFlow(1),
+                 kNextSequence);
+    CPPUNIT_ASSERT_EQUAL(std::uint32_t{1}, mAgent.CurrentLoad(mNow).mFlows);
+    mOutput.Clear();
+    FromBalancer(CallerPacket(TestFlow(1), FlagAck, kNextSequence + 1, 701, 100));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, mOutput.mToUpstream.size());
+    CPPUNIT_ASSERT(mOutput.mToNodes.empty());
+  }
+
   // Guards against the refusal of an opening whose flow has moved on by more than the window.
   void CopiesOfTheOpeningOfALongFlowAreOfThatFlow()
   {
