--- a/unittests/Packet/PacketFlowSimulationTest.cpp
+++ b/unittests/Packet/PacketFlowSimulationTest.cpp
@@ -71,7 +71,8 @@
           firstText = violation.mText;
         }
         if (SelectedSeeds() != nullptr) {
-          std::cout << (violation.mInTouch ? "VIOLATION " : "out of touch ") << violation.mText
+          std::cout << (violation.mInTouch ? "VIOLATION " : "out of touch ")
+                    << (violation.mFits ? "" : "(callers ignore it) ") << violation.mText
                     << std::endl;
         }
       }
