--- a/include/dandelionslip/Packet/PacketAgent.h
+++ b/include/dandelionslip/Packet/PacketAgent.h
@@ -145,6 +145,9 @@
     TimePoint mRequestSince;
     /// Of the opening packet; empty if this process has not seen it.
     std::optional<std::uint32_t> mOpeningSequence;
+    /// Of the last opening packet of another flow of the port, until the upstream answers it. It
+    /// may be a late one of an earlier flow.
+    std::optional<std::uint32_t> mOtherOpeningSequence;
     /// Sequence number that follows the caller's last delivered byte.
     std::optional<std::uint32_t> mDeliveredEnd;
   };
@@ -156,6 +159,7 @@
     Endpoint mBalancer;
     NodeMessageType mType = NodeMessageType::Deliver;
     TimePoint mDeliveredAt;
+    std::uint32_t mNumber = 0; ///< Of the search that a probe belongs to.
   };
 
   /// A flow probe that the upstream has not reacted to yet.
@@ -163,6 +167,7 @@
   {
     Endpoint mBalancer;
     TimePoint mSentAt;
+    std::uint32_t mNumber = 0; ///< Of the search that it belongs to.
   };
 
   /// Registrations to send, batched by directory agent.
@@ -182,15 +187,18 @@
   bool IsFinished() const;
   std::size_t ColdLimit() const;
   bool TableIsComplete(TimePoint aNow) const;
-  void Deliver(const Endpoint& aBalancer, NodeMessageType aType, std::span<std::uint8_t> aPacket,
-               PacketOutput& aOutput, TimePoint aNow);
+  void Deliver(const Endpoint& aBalancer, NodeMessageType aType, std::uint32_t aNumber,
+               std::span<std::uint8_t> aPacket, PacketOutput& aOutput, TimePoint aNow);
   void Return(const Endpoint& aBalancer, ReturnReason aReason,
               std::span<const std::uint8_t> aPacket, PacketOutput& aOutput);
   void OnOpening(const Endpoint& aFrom, const PacketHeader& aPacketHeader,
                  std::span<std::uint8_t> aPacket, PacketOutput& aOutput, TimePoint aNow);
   bool IsOpen(const FlowKey& aKey) const;
+  bool Holds(const FlowKey& aKey, std::uint32_t aSequence) const;
   static bool IsOpeningOf(const Flow& aFlow, const PacketHeader& aPacketHeader);
+  void OnOpeningAccepted(const PacketHeader& aPacketHeader, TimePoint aNow);
   static bool IsOfOtherFlow(const Flow& aFlow, const PacketHeader& aPacketHeader);
+  static bool IsOfOtherFlow(const Flow& aFlow, std::uint32_t aSequence);
   void LogOpening(const FlowKey& aFlow, ReturnReason aReason, TimePoint aNow) const;
   /// Handles a packet that is not an opening packet.
   void OnFlowPacket(const Endpoint& aFrom, NodeMessageType aType, const PacketHeader& aPacketHeader,
@@ -208,8 +216,9 @@
   bool AllFlowsConfirmed() const;
   std::vector<Endpoint> UnseenHolders(TimePoint aNow) const;
   NodeMessageType NegativeAnswer(NodeMessageType aQuery, TimePoint aNow) const;
-  void SendFlowAnswer(const Endpoint& aBalancer, NodeMessageType aType, const FlowKey& aFlow,
-                      const Endpoint& aHolder, PacketOutput& aOutput);
+  /// aNumber: of the query or, for a probe, of its search.
+  void SendFlowAnswer(const Endpoint& aBalancer, NodeMessageType aType, std::uint32_t aNumber,
+                      const FlowKey& aFlow, const Endpoint& aHolder, PacketOutput& aOutput);
   void ReportNotHeld(const Delivery& aDelivery, const PacketHeader& aPacketHeader,
                      std::span<const std::uint8_t> aPacket, PacketOutput& aOutput, TimePoint aNow);
   void AnswerProbe(const FlowKey& aFlow, PacketOutput& aOutput);
--- a/lib/Packet/PacketBalancerResets.cpp
+++ b/lib/Packet/PacketBalancerResets.cpp
@@ -37,8 +37,13 @@
                                    std::span<const FlowDenial> aReturnedBy, Counter& aCounter,
                                    PacketOutput& aOutput, TimePoint aArrivedAt, TimePoint aNow)
 {
-  PendingRefusal refusal{
-    aPacketHeader, {aReturnedBy.begin(), aReturnedBy.end()}, &aCounter, aArrivedAt, aNow, {}, {}};
+  PendingRefusal refusal{aPacketHeader,
+                         {aReturnedBy.begin(), aReturnedBy.end()},
+                         &aCounter,
+                         aArrivedAt,
+                         aNow,
+                         mNextNumber++,
+                         {}};
   const bool mayBeOpen = aPacketHeader.mRetransmission > 0 || aNow - aArrivedAt > kFirstCopyAfter ||
                          MayHaveStoodStill(aNow);
   if (!mayBeOpen) {
@@ -62,13 +67,15 @@
 void PacketBalancer::QueryForRefusal(PendingRefusal& aRefusal, PacketOutput& aOutput,
                                      TimePoint aNow)
 {
-  const auto message = FlowMessage{{}, {aRefusal.mPacketHeader.mFlow}}.Encode();
+  const PacketHeader& header = aRefusal.mPacketHeader;
+  const auto message =
+    FlowMessage{{}, {header.mFlow}, mDirectoryAgents.Digest(), aRefusal.mNumber, header.mSequence}
+      .Encode();
   for (const Endpoint& agent : aRefusal.mUnanswered) {
     if (!mSearchBudget.TryTake(aNow)) {
       return;
     }
     aOutput.SendToNode(agent, {NodeMessageType::Query, ReturnReason::None}, message);
-    aRefusal.mAwaited.push_back(agent);
   }
   aRefusal.mAllQueried = true;
 }
@@ -87,46 +94,27 @@
   mTickedAt = aNow;
 }
 
-void PacketBalancer::CancelRefusal(const FlowKey& aKey)
-{
-  if (const auto found = mPendingRefusals.find(aKey); found != mPendingRefusals.end()) {
-    found->second.mCancelled = true;
-  }
-}
-
-bool PacketBalancer::AnswerPendingRefusal(const FlowKey& aKey, const Endpoint& aFrom,
-                                          NodeMessageType aType, PacketOutput& aOutput,
-                                          TimePoint aNow)
+bool PacketBalancer::AnswerPendingRefusal(const FlowKey& aKey, std::uint32_t aNumber,
+                                          const Endpoint& aFrom, NodeMessageType aType,
+                                          PacketOutput& aOutput, TimePoint aNow)
 {
   const auto found = mPendingRefusals.find(aKey);
-  if (found == mPendingRefusals.end()) {
+  if (found == mPendingRefusals.end() || found->second.mNumber != aNumber) {
     return false;
   }
   PendingRefusal& refusal = found->second;
-  const bool cancelled = refusal.mCancelled;
-  if (cancelled && aType == NodeMessageType::ProbeNeeded) {
-    return false;
-  }
-  const auto awaited = std::find(refusal.mAwaited.begin(), refusal.mAwaited.end(), aFrom);
-  const bool isAwaited = awaited != refusal.mAwaited.end();
-  if (isAwaited) {
-    refusal.mAwaited.erase(awaited);
-  }
-  if (cancelled) {
-    return isAwaited && aType != NodeMessageType::HolderFound;
+  if (aType == NodeMessageType::HolderFound) {
+    mPendingRefusals.erase(found);
+    return true;
   }
   // Other answers come from agents that do not know what was registered before they started.
-  if (aType == NodeMessageType::NotRegistered) {
-    std::erase(refusal.mUnanswered, aFrom);
-  } else {
+  if (aType != NodeMessageType::NotRegistered) {
     refusal.mUnsure = true;
+    return true;
   }
+  std::erase(refusal.mUnanswered, aFrom);
   if (refusal.mUnanswered.empty()) {
     ResetOpening(refusal, aOutput, aNow);
-  }
-  // The answers that are still awaited must not count in a later search.
-  refusal.mCancelled = refusal.mUnanswered.empty() || aType == NodeMessageType::HolderFound;
-  if (refusal.mCancelled && refusal.mAwaited.empty()) {
     mPendingRefusals.erase(found);
   }
   return true;
@@ -139,19 +127,16 @@
     PendingRefusal& refusal = item->second;
     const auto age = aNow - refusal.mQueriedAt;
     if (age > kRefusalTimeout) {
-      if (!refusal.mCancelled) {
-        DropRefusal(refusal,
-                    refusal.mUnsure       ? RefusalDropReason::Unsure
-                    : refusal.mAllQueried ? RefusalDropReason::NoAnswer
-                                          : RefusalDropReason::NoBudget,
-                    aNow);
-      }
+      DropRefusal(refusal,
+                  refusal.mUnsure       ? RefusalDropReason::Unsure
+                  : refusal.mAllQueried ? RefusalDropReason::NoAnswer
+                                        : RefusalDropReason::NoBudget,
+                  aNow);
       item = mPendingRefusals.erase(item);
       continue;
     }
     // An agent that is unsure stays so.
-    if (age >= kRefusalRepeatAfter && !refusal.mCancelled && !refusal.mUnsure &&
-        !refusal.mRepeated) {
+    if (age >= kRefusalRepeatAfter && !refusal.mUnsure && !refusal.mRepeated) {
       refusal.mRepeated = true;
       QueryForRefusal(refusal, aOutput, aNow);
     }
--- a/unittests/Packet/PacketAgentTest.cpp
+++ b/unittests/Packet/PacketAgentTest.cpp
@@ -70,6 +70,11 @@
   CPPUNIT_TEST(RegistrationsAreConfirmed);
   CPPUNIT_TEST(AcknowledgementsOfARestartedDirectoryAgentDoNotConfirmLostRegistrations);
   CPPUNIT_TEST(AcknowledgementsNameTheRegistration);
+  CPPUNIT_TEST(AnswersNameTheQuery);
+  CPPUNIT_TEST(QueriesForTheNextFlowOfAPortAreNotAnsweredByTheEarlierOne);
+  CPPUNIT_TEST(CopiesOfTheOpeningOfALongFlowAreOfThatFlow);
+  CPPUNIT_TEST(LateOpeningsOfAnEarlierFlowOfThePortDoNotRemoveTheNextOne);
+  CPPUNIT_TEST(AcceptedOpeningsReplaceAnOpenFlowOfThePort);
   CPPUNIT_TEST(DirectoryAgentsAnswerNotRegisteredOnlyWhenInTheView);
   CPPUNIT_TEST(HoldersThatTheViewLacksAreReported);
   CPPUNIT_TEST_SUITE_END();
@@ -142,9 +147,10 @@
   }
 
   // Checks the type of the answer to a query; returns the holder that it names.
-  Endpoint AssertAnswer(NodeMessageType aExpected, NodeMessageType aQuery, const FlowKey& aFlow)
+  Endpoint AssertAnswer(NodeMessageType aExpected, NodeMessageType aQuery, const FlowKey& aFlow,
+                        std::uint32_t aSequence = 0)
   {
-    FromBalancer(FlowMessage{{}, {aFlow}}.Encode(), aQuery);
+    FromBalancer(FlowMessage{{}, {aFlow}, 0, 0, aSequence}.Encode(), aQuery);
     const auto& sent = mOutput.mToNodes.back();
     CPPUNIT_ASSERT(sent.mHeader.mType == aExpected);
     const auto message = FlowMessage::Decode(sent.mPacket);
@@ -297,6 +303,128 @@
     CPPUNIT_ASSERT_EQUAL(own.Digest(), answer.value().mAgentsDigest);
   }
 
+  FlowMessage AnswerTo(NodeMessageType aQuery, const FlowMessage& aMessage,
+                       NodeMessageType aExpected)
+  {
+    FromBalancer(aMessage.Encode(), aQuery);
+    CPPUNIT_ASSERT(mOutput.mToNodes.back().mHeader.mType == aExpected);
+    return FlowMessage::Decode(mOutput.mToNodes.back().mPacket).value();
+  }
+
+  // Guards against answers that count in another search.
+  void AnswersNameTheQuery()
+  {
+    constexpr std::uint32_t kNumber = 0x89abcdef;
+    const FlowMessage query{{}, {TestFlow(1)}, 0, kNumber, 5};
+    const auto numberOfAnswer = [&](NodeMessageType aQuery, NodeMessageType aExpected) {
+      return AnswerTo(aQuery, query, aExpected).mNumber;
+    };
+    CPPUNIT_ASSERT_EQUAL(kNumber,
+                         numberOfAnswer(NodeMessageType::Query, NodeMessageType::ProbeNeeded));
+    ApplyRoutesAndHeartbeat(7);
+    PacketBytes probe = CallerPacket(TestFlow(1), FlagAck, 5, 5);
+    mCodec.SetTag(probe, kNumber);
+    const auto numberOfProbe = [&] {
+      CPPUNIT_ASSERT(!mOutput.mToNodes.empty());
+      return FlowMessage::Decode(mOutput.mToNodes.back().mPacket).value().mNumber;
+    };
+    FromBalancer(probe, NodeMessageType::Probe);
+    Bounce();
+    CPPUNIT_ASSERT_EQUAL(kNumber, numberOfProbe());
+    FromBalancer(probe, NodeMessageType::Probe);
+    mOutput.Clear();
+    FromUpstream(UpstreamPacket(TestFlow(1), FlagAck, 2, 200));
+    CPPUNIT_ASSERT_EQUAL(kNumber, numberOfProbe());
+    mOutput.Clear();
+    FromBalancer(probe, NodeMessageType::Probe);
+    CPPUNIT_ASSERT_EQUAL(kNumber, numberOfProbe());
+    CPPUNIT_ASSERT_EQUAL(kNumber,
+                         numberOfAnswer(NodeMessageType::QueryLocal, NodeMessageType::HolderFound));
+  }
+
+  // Guards against the search for a flow that ends at the holder of the port's earlier flow.
+  void QueriesForTheNextFlowOfAPortAreNotAnsweredByTheEarlierOne()
+  {
+    constexpr std::uint32_t kNextSequence = 0x40000000;
+    ApplyRoutesAndHeartbeat();
+    Establish(1);
+    const FlowMessage query{{}, {TestFlow(1)}, 0, 1, kNextSequence};
+    AnswerTo(NodeMessageType::QueryLocal, query, NodeMessageType::NotFound);
+    AnswerTo(NodeMessageType::Query, query, NodeMessageType::NotFound);
+    FromBalancer(FlowMessage{{}, {TestFlow(1)}}.Encode(), NodeMessageType::Register);
+    const auto answer = AnswerTo(NodeMessageType::Query, query, NodeMessageType::HolderFound);
+    CPPUNIT_ASSERT(answer.mHolder == NodeEndpoint(9));
+    AssertAnswer(NodeMessageType::HolderFound, NodeMessageType::QueryLocal, TestFlow(1));
+  }
+
+  // A balancer that was frozen sends the opening. The upstream bounces or ignores it.
+  void LateOpeningsOfAnEarlierFlowOfThePortDoNotRemoveTheNextOne()
+  {
+    ApplyRoutesAndHeartbeat();
+    constexpr std::uint32_t kEarlierSequence = 0x40000000;
+    std::uint16_t caller = 0;
+    for (const std::size_t packets : {0U, 1U}) {
+      for (const bool bounces : {true, false}) {
+        ++caller;
+        Open(caller);
+        std::uint32_t sequence = 2;
+        for (std::size_t i = 0; i < packets; ++i) {
+          FromBalancer(CallerPacket(TestFlow(caller), FlagAck, sequence, 2, 100));
+          FromUpstream(UpstreamPacket(TestFlow(caller), FlagAck, 2, 200));
+          sequence += 100;
+        }
+        for (std::uint32_t copy = 0; copy < 3; ++copy) {
+          FromBalancer(CallerPacket(TestFlow(caller), FlagSyn, kEarlierSequence, copy));
+          if (bounces) {
+            Bounce();
+          }
+        }
+        AssertAnswer(NodeMessageType::HolderFound, NodeMessageType::QueryLocal, TestFlow(caller));
+        // Its answer to the opening packet, again.
+        PacketBytes answer = UpstreamPacket(TestFlow(caller), FlagSyn | FlagAck);
+        boost::endian::store_big_u32(answer.data() + 28, 2);
+        FromUpstream(answer);
+        const std::size_t delivered = mOutput.mToUpstream.size();
+        FromBalancer(CallerPacket(TestFlow(caller), FlagAck, sequence, 2, 100));
+        CPPUNIT_ASSERT_EQUAL(delivered + 1, mOutput.mToUpstream.size());
+      }
+    }
+  }
+
+  // The caller has given up the first flow without a packet that says so.
+  void AcceptedOpeningsReplaceAnOpenFlowOfThePort()
+  {
+    ApplyRoutesAndHeartbeat();
+    Establish(1);
+    constexpr std::uint32_t kNextSequence = 0x40000000;
+    FromBalancer(CallerPacket(TestFlow(1), FlagSyn, kNextSequence));
+    FromUpstream(UpstreamPacket(TestFlow(1), FlagSyn | FlagAck, 700));
+    AssertAnswer(NodeMessageType::NotFound, NodeMessageType::QueryLocal, TestFlow(1));
+    AssertAnswer(NodeMessageType::HolderFound, NodeMessageType::QueryLocal, TestFlow(1),
+                 kNextSequence);
+    CPPUNIT_ASSERT_EQUAL(std::uint32_t{1}, mAgent.CurrentLoad(mNow).mFlows);
+    mOutput.Clear();
+    FromBalancer(CallerPacket(TestFlow(1), FlagAck, kNextSequence + 1, 701, 100));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, mOutput.mToUpstream.size());
+    CPPUNIT_ASSERT(mOutput.mToNodes.empty());
+  }
+
+  // Guards against the refusal of an opening whose flow has moved on by more than the window.
+  void CopiesOfTheOpeningOfALongFlowAreOfThatFlow()
+  {
+    ApplyRoutesAndHeartbeat();
+    Establish(1);
+    std::uint32_t sequence = 2;
+    for (int i = 0; i < 100; ++i) {
+      FromBalancer(CallerPacket(TestFlow(1), FlagAck, sequence, 2, 1'000));
+      sequence += 1'000;
+    }
+    AnswerTo(NodeMessageType::Query, {{}, {TestFlow(1)}, 0, 1, 1}, NodeMessageType::HolderFound);
+    AnswerTo(NodeMessageType::Query, {{}, {TestFlow(1)}, 0, 1, sequence},
+             NodeMessageType::HolderFound);
+    AnswerTo(NodeMessageType::Query, {{}, {TestFlow(1)}, 0, 1, 2}, NodeMessageType::NotFound);
+  }
+
   // Guards against a restarted directory agent that answers NotRegistered for flows which were
   // registered with its previous process, and against an agent that counts its flows as registered
   // although it does not know all of them.
@@ -656,7 +784,8 @@
     CPPUNIT_ASSERT_EQUAL(std::uint32_t{1}, mAgent.CurrentLoad(mNow).mFlows);
     mNow += Milliseconds{6'655};
     mAgent.OnTick(mNow);
-    AssertAnswer(NodeMessageType::HolderFound, NodeMessageType::QueryLocal, TestFlow(1));
+    AssertAnswer(NodeMessageType::HolderFound, NodeMessageType::QueryLocal, TestFlow(1),
+                 kOtherSequence + 1);
   }
 
   // The upstream still sends packets of the old flow, whose caller has fallen silent.
--- a/unittests/Packet/PacketBalancerLogTest.cpp
+++ b/unittests/Packet/PacketBalancerLogTest.cpp
@@ -62,7 +62,10 @@
 
   void Answer(const Endpoint& aAgent, NodeMessageType aType)
   {
-    auto bytes = FlowMessage{{}, {TestFlow(1)}, mDirectoryAgents.Digest()}.Encode();
+    auto bytes =
+      FlowMessage{
+        {}, {TestFlow(1)}, mDirectoryAgents.Digest(), mOutput.NumberForAnswer(aAgent, TestFlow(1))}
+        .Encode();
     mBalancer.OnNodePacket(aAgent, {aType, ReturnReason::None}, bytes, mOutput, mNow);
   }
 
@@ -111,7 +114,8 @@
       ++flow.mServicePort;
       Send(CallerPacket(flow, FlagSyn, 1, 2));
       if (restarted) {
-        auto bytes = FlowMessage{{}, {flow}}.Encode();
+        // The answer has the number of the query.
+        auto bytes = mOutput.mToNodes.back().mPacket;
         mBalancer.OnNodePacket(NodeEndpoint(1), {NodeMessageType::ProbeNeeded, ReturnReason::None},
                                bytes, mOutput, mNow);
       }
