Keep a holder that was confirmed after a flow ended

Callers could see: unknown_flow on an open session. A holder tells the bucket's owner that a flow ended, and later that it holds the flow, when the caller has used its port again for the same holder. The two messages are separate HTTP/2 requests and may arrive in the other order. The owner ignored a message of an end for two seconds after the holder was first recorded; the second session confirmed the old record and did not start that time again. So the late message removed the record of the open flow, and the owner answered its next packet with unknown_flow (FlowCore::HandleByDirectory, complete bucket).

Change: the two seconds run from the last confirmation. A right message that comes within them is sent again by the holder when a packet of the flow is redirected to it, as before.

Test: ALateEndOfAnEarlierSessionKeepsTheHolder failed before ("directory.Holder(kFlow) != nullptr").

--- a/include/dandelionslip/Agent/BucketDirectory.h
+++ b/include/dandelionslip/Agent/BucketDirectory.h
@@ -27,13 +27,12 @@
 struct FlowHolder
 {
   std::string mName;
-  TimePoint mRecordedAt;  ///< When the holder was recorded.
   TimePoint mConfirmedAt; ///< When the holder last confirmed that it holds the flow.
 };
 
-/// A message that a flow ended is ignored for this long after the flow's holder was recorded,
-/// because it may have been sent before the flow was opened again. If the message was right, the
-/// recorded agent sends it again when a packet of the flow is redirected to it.
+/// A message that a flow ended is ignored for this long after the flow's holder was recorded
+/// or confirmed, because it may have been sent before the flow was opened again. If the message was
+/// right, the recorded agent sends it again when a packet of the flow is redirected to it.
 inline constexpr Milliseconds kHolderGracePeriod{2'000};
 
 /// A holder with a newer view may report its flows to an agent that does not know yet that it owns
--- a/lib/Agent/BucketDirectory.cpp
+++ b/lib/Agent/BucketDirectory.cpp
@@ -46,11 +46,7 @@
 
 void BucketDirectory::Record(FlowId aFlow, const std::string& aHolder, TimePoint aNow)
 {
-  FlowHolder& holder = Of(aFlow).mHolders[aFlow];
-  if (holder.mName != aHolder) {
-    holder = {aHolder, aNow, aNow};
-  }
-  holder.mConfirmedAt = aNow;
+  Of(aFlow).mHolders[aFlow] = {aHolder, aNow};
 }
 
 void BucketDirectory::RemoveHolder(FlowId aFlow, const std::string& aHolder, TimePoint aNow)
@@ -58,7 +54,7 @@
   auto& holders = Of(aFlow).mHolders;
   if (const auto found = holders.find(aFlow);
       found != holders.end() && found->second.mName == aHolder &&
-      aNow - found->second.mRecordedAt >= kHolderGracePeriod) {
+      aNow - found->second.mConfirmedAt >= kHolderGracePeriod) {
     holders.erase(found);
   }
 }
