Ask an agent itself when its registration names a ruled-out holder

What callers could see: a reset of an open flow. Found by reading, not seen in a run.

Cause: in the last stage of a search, agents outside the view get a Query. One that answers with a registration for an agent that has denied the flow counted as denying it too. But an agent that has restarted answers with the registration before it looks whether its upstream may hold the flow, so the answer says nothing about the agent itself.

Change: it gets a QueryLocal, whose answer is about its own upstream alone. A registration that is out of date is still not followed twice.

Evidence: AgentsOutsideTheViewAnswerAsDirectoryAgents now also requires that there is no reset before that answer; it failed before ("Expected: 0, Actual: 1") and passes now, with the other 54 tests of PacketBalancerTest.

--- a/include/dandelionslip/Packet/PacketBalancer.h
+++ b/include/dandelionslip/Packet/PacketBalancer.h
@@ -234,6 +234,7 @@
   void ContinueSearch(const PacketHeader& aPacketHeader, Flow& aFlow,
                       std::span<const std::uint8_t> aPacket, PacketOutput& aOutput, TimePoint aNow);
   void ForwardEarlyPackets(PacketOutput& aOutput, TimePoint aNow);
+  Bytes QueryOf(const FlowKey& aKey, const Search& aSearch) const;
   void SendQueries(const FlowKey& aKey, Search& aSearch, NodeMessageType aType,
                    PacketOutput& aOutput, TimePoint aNow);
   void AddAgentsNotRuledOut(Search& aSearch, TimePoint aNow);
--- a/lib/Packet/PacketBalancerSearch.cpp
+++ b/lib/Packet/PacketBalancerSearch.cpp
@@ -39,6 +39,13 @@
 
 } // namespace
 
+Bytes PacketBalancer::QueryOf(const FlowKey& aKey, const Search& aSearch) const
+{
+  return FlowMessage{
+    {}, {aKey}, mDirectoryAgents.Digest(), aSearch.mDenialNumber, aSearch.mSequence}
+    .Encode();
+}
+
 // Queries all agents that have not answered. In stage AllAgents, the search budget limits the
 // number of queries. Agents outside the view may be the directory agents of a holder outside the
 // view, and are queried as such.
@@ -46,9 +53,7 @@
                                  PacketOutput& aOutput, TimePoint aNow)
 {
   const bool limited = aSearch.mStage == SearchStage::AllAgents;
-  const auto message =
-    FlowMessage{{}, {aKey}, mDirectoryAgents.Digest(), aSearch.mDenialNumber, aSearch.mSequence}
-      .Encode();
+  const Bytes message = QueryOf(aKey, aSearch);
   for (const Endpoint& agent : aSearch.mUnanswered) {
     if (limited && !mSearchBudget.TryTake(aNow)) {
       return;
@@ -364,8 +369,9 @@
     return;
   }
   if (outdated && aFlow.mSearch->mStage == SearchStage::AllAgents && aHolder != aFrom) {
-    OnDenied(aKey, aFlow, {aFrom, NodeMessageType::NotFound, ReturnReason::None, false, aNow},
-             aOutput, aNow);
+    // The registration is out of date, and does not say whether aFrom holds the flow itself.
+    aOutput.SendToNode(aFrom, {NodeMessageType::QueryLocal, ReturnReason::None},
+                       QueryOf(aKey, *aFlow.mSearch));
     return;
   }
   const auto search = std::move(aFlow.mSearch);
--- a/unittests/Packet/PacketBalancerTest.cpp
+++ b/unittests/Packet/PacketBalancerTest.cpp
@@ -647,6 +647,11 @@
     Answer(2, NodeMessageType::NotFound, TestFlow(1));
     Answer(8, NodeMessageType::HolderFound, TestFlow(1), NodeEndpoint(9));
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, Sent(NodeMessageType::Deliver));
+    // It may hold the flow itself: an agent that has restarted answers with the registration too.
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, mOutput.Resets());
+    CPPUNIT_ASSERT(mOutput.mToNodes.back().mNode == NodeEndpoint(8));
+    CPPUNIT_ASSERT(mOutput.mToNodes.back().mHeader.mType == NodeMessageType::QueryLocal);
+    Answer(8, NodeMessageType::NotFound, TestFlow(1));
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, mOutput.Resets());
   }
 
