Show that a refused opening's reset may meet a flow that its copy has just opened

What callers see: nothing. The reset of a refused opening reaches a caller whose flow a copy of the opening has opened within the same milliseconds; it has the copy's number as sequence number, and the caller of an open flow ignores it.

Asking again makes the time shorter, never zero; without resets, callers that cannot be served would wait for their own timeout.

--- a/unittests/Packet/PacketFlowSimulationTest.cpp
+++ b/unittests/Packet/PacketFlowSimulationTest.cpp
@@ -46,6 +46,7 @@
   CPPUNIT_TEST(OpenFlowsAreNotResetUnderFaults);
   CPPUNIT_TEST(OpenFlowsAreNotResetUnderFaultsOfUpstreams);
   CPPUNIT_TEST(OpenFlowsAreNotResetUnderFaultsOfMembership);
+  CPPUNIT_TEST(OpeningsAreNotRefusedWhileACopyOpensTheFlow);
   CPPUNIT_TEST(OpenFlowsOfPortsThatAreUsedAgainAreNotReset);
   CPPUNIT_TEST(RunsContainWhatTheyTest);
   CPPUNIT_TEST(MostDeadFlowsAreReset);
@@ -99,6 +100,11 @@
   {
     CheckSeeds(PacketFlowFaults::Upstreams, SeedsToRun({5784}));
   }
+  // The reset has the sequence number of an opening, which the caller of an open flow ignores.
+  void OpeningsAreNotRefusedWhileACopyOpensTheFlow()
+  {
+    CheckSeeds(PacketFlowFaults::Upstreams, {95});
+  }
   void OpenFlowsAreNotResetUnderFaultsOfMembership()
   {
     CheckSeeds(PacketFlowFaults::Membership, SeedsToRun({}));
