Add failing tests from a review of resets of open flows

An agent outside the view gets a Query in stage AllAgents. If it has restarted, it names the holder of its registration and does not ask for a probe. The balancer takes this as its denial, and resets a flow that only its upstream knows.

An agent that has reported that it is finished is added again when another agent names it as an unseen holder. No search ends until its registrations have expired; callers of dead flows wait.

A caller's packet that acknowledges another upstream's answer makes the half-open flow count as open, so that this upstream's reset reaches the caller.

A repeated packet of the earlier flow marks the next one as established here; the bounce of its packet then resets it although it is open at another upstream.

--- a/unittests/Packet/PacketAgentTest.cpp
+++ b/unittests/Packet/PacketAgentTest.cpp
@@ -37,6 +37,8 @@
   CPPUNIT_TEST(FlowsThatTheUpstreamLostAreReset);
   CPPUNIT_TEST(ReusedPortsAreNotTakenForTheOldFlow);
   CPPUNIT_TEST(ResetsOfHalfOpenFlowsAreDropped);
+  CPPUNIT_TEST(ResetsOfHalfOpenFlowsAreDroppedAfterPacketsForAnotherUpstream);
+  CPPUNIT_TEST(PacketsOfAnEndedFlowDoNotEstablishTheNextFlowOfThePort);
   CPPUNIT_TEST(LateOpeningsDoNotRemoveAnOpenFlow);
   CPPUNIT_TEST(BouncedOpeningsDoNotRemoveAnAcceptedFlow);
   CPPUNIT_TEST(PacketsWithAnotherSequenceDoNotRemoveAnOpenFlow);
@@ -685,6 +687,37 @@
   }
 
   // An opening packet that was queued at a frozen VM comes while its flow is open.
+  // A balancer that remembers the half-open flow sends the packets of the open one here, and the
+  // upstream has given up.
+  void ResetsOfHalfOpenFlowsAreDroppedAfterPacketsForAnotherUpstream()
+  {
+    ApplyRoutesAndHeartbeat();
+    Open(1);
+    mNow += Milliseconds{11'200};
+    mOutput.Clear();
+    mOutput.mToCallers.clear();
+    constexpr std::uint32_t kOtherUpstreamSequence = 0x70000000;
+    FromBalancer(CallerPacket(TestFlow(1), FlagAck, 2, kOtherUpstreamSequence, 100));
+    FromUpstream(UpstreamPacket(TestFlow(1), FlagRst, 2));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, mOutput.Resets());
+  }
+
+  // The upstream repeats the end of the earlier flow; the next one is open at another upstream.
+  void PacketsOfAnEndedFlowDoNotEstablishTheNextFlowOfThePort()
+  {
+    ApplyRoutesAndHeartbeat();
+    Establish(1);
+    FromBalancer(CallerPacket(TestFlow(1), FlagFin | FlagAck, 102, 202));
+    FromUpstream(UpstreamPacket(TestFlow(1), FlagFin | FlagAck, 202));
+    constexpr std::uint32_t kOtherSequence = 0x40000000;
+    FromBalancer(CallerPacket(TestFlow(1), FlagSyn, kOtherSequence, 1));
+    FromUpstream(UpstreamPacket(TestFlow(1), FlagSyn | FlagAck, 0x60000000));
+    FromUpstream(UpstreamPacket(TestFlow(1), FlagAck, 102, 100));
+    FromBalancer(CallerPacket(TestFlow(1), FlagAck, kOtherSequence + 1, 7, 100));
+    Bounce();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, mOutput.Resets());
+  }
+
   void LateOpeningsDoNotRemoveAnOpenFlow()
   {
     ApplyRoutesAndHeartbeat();
--- a/unittests/Packet/PacketBalancerTest.cpp
+++ b/unittests/Packet/PacketBalancerTest.cpp
@@ -1,6 +1,7 @@
 // Tests of PacketBalancer.
 #include "PacketFixtures.h"
 
+#include "dandelionslip/Packet/PacketAgent.h"
 #include "dandelionslip/Packet/PacketBalancer.h"
 
 #include <cppunit/extensions/HelperMacros.h>
@@ -38,6 +39,8 @@
   CPPUNIT_TEST(AgentsThatBecomeKnownDuringASearchAreQueriedBeforeAReset);
   CPPUNIT_TEST(AgentsThatOnlyOtherAgentsKnowAreQueriedBeforeAReset);
   CPPUNIT_TEST(AgentsOutsideTheViewAnswerAsDirectoryAgents);
+  CPPUNIT_TEST(RestartedAgentsOutsideTheViewAreProbedBeforeAReset);
+  CPPUNIT_TEST(FinishedAgentsThatOtherAgentsNameDoNotPreventAReset);
   CPPUNIT_TEST(AgentsThatNeedAProbeGetThePacket);
   CPPUNIT_TEST(OutdatedRegistrationsAreNotFollowedTwice);
   CPPUNIT_TEST(ProbesStayFewWhenAllNodesRestart);
@@ -650,6 +653,51 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, mOutput.Resets());
   }
 
+  // Node 8 has restarted, and a copy of the opening packet was registered with it by node 2.
+  void RestartedAgentsOutsideTheViewAreProbedBeforeAReset()
+  {
+    Settle();
+    PacketAgentSettings settings;
+    settings.mService = "web";
+    settings.mEndpoint = NodeEndpoint(8);
+    PacketAgent agent(settings, mCodec, mRegistry, mNow);
+    agent.OnUpstreamHeartbeat({"i-8", "web", false, Milliseconds{0}, 4, 1'000, 57}, mNow);
+    RecordingOutput fromAgent;
+    PacketBytes registration = FlowMessage{{}, {TestFlow(1)}}.Encode();
+    agent.OnNodePacket(NodeEndpoint(2), {NodeMessageType::Register, ReturnReason::None},
+                       registration, fromAgent, mNow);
+    fromAgent.mToNodes.clear();
+
+    LoadReport report = Accepting();
+    report.mUnseenHolders = {NodeEndpoint(8)};
+    Report(1, report);
+    Send(CallerPacket(TestFlow(1), FlagAck, 7, 9, 50));
+    Answer(1, NodeMessageType::NotFound, TestFlow(1));
+    Answer(2, NodeMessageType::NotFound, TestFlow(1));
+    auto query = mOutput.mToNodes.back();
+    CPPUNIT_ASSERT(query.mNode == NodeEndpoint(8));
+    agent.OnNodePacket(NodeEndpoint(100), query.mHeader, query.mPacket, fromAgent, mNow);
+    auto answer = fromAgent.mToNodes.back();
+    mBalancer.OnNodePacket(NodeEndpoint(8), answer.mHeader, answer.mPacket, mOutput, mNow);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, mOutput.Resets());
+  }
+
+  // Control has restarted and forgotten the agent; its registrations expire after 65 s.
+  void FinishedAgentsThatOtherAgentsNameDoNotPreventAReset()
+  {
+    Settle();
+    LoadReport finished;
+    finished.mFinished = true;
+    Report(8, finished);
+    LoadReport report = Accepting();
+    report.mUnseenHolders = {NodeEndpoint(8)};
+    Report(1, report);
+    Send(CallerPacket(TestFlow(1), FlagAck, 7, 9, 50));
+    Answer(1, NodeMessageType::NotFound, TestFlow(1));
+    Answer(2, NodeMessageType::NotFound, TestFlow(1));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, mOutput.Resets());
+  }
+
   // Guards against a flow that is not found because its agent has restarted and only the upstream
   // knows that it holds the flow.
   void AgentsThatNeedAProbeGetThePacket()
