Tell an upstream's flows of one port apart by its own sequence numbers

What callers could see: a reset of an open flow.

Cause: an agent told the flows of a caller's port apart by the caller's sequence numbers only. - A packet that acknowledges another upstream's answer made a half-open flow count as open, so this upstream's reset was passed on to the caller. - A packet that the upstream repeats of the port's earlier flow marked the next flow as established, and a bounce then reset it. - A late reset of the earlier flow removed the next one from the table (found while fixing the second; LateResetsOfAnEndedFlowDoNotRemoveTheNextFlowOfThePort fails without the change).

Change: the agent remembers the upstream's last sequence number of a flow whose opening it has seen. Packets and resets of the upstream that are not near it, and acknowledgements that are not near it, are passed on as before (resets are dropped) but change nothing of the flow.

Balancers remember agents that have finished for as long as their registrations last, so that other agents that name them do not make them known again: callers of dead flows waited for up to 75 s. A report of another process at the endpoint, or the view, ends this (NewAgentsAtTheEndpointOfAFinishedOnePreventAReset).

--- a/include/dandelionslip/Packet/PacketAgent.h
+++ b/include/dandelionslip/Packet/PacketAgent.h
@@ -137,7 +137,8 @@
     bool mEstablished = false;
     /// A packet of another flow of the caller's port has come; a reset could reach that flow.
     bool mPortReused = false;
-    bool mCallerSent = false; ///< The caller has sent a packet after the opening packet.
+    /// The caller has sent a packet that acknowledges this upstream's answer to the opening packet.
+    bool mCallerSent = false;
     bool mCallerEnded = false;
     bool mUpstreamEnded = false;
     bool mClosed = false;         ///< Both sides have ended the flow; kept for late packets.
@@ -150,6 +151,7 @@
     std::optional<std::uint32_t> mOtherOpeningSequence;
     /// Sequence number that follows the caller's last delivered byte.
     std::optional<std::uint32_t> mDeliveredEnd;
+    std::optional<std::uint32_t> mUpstreamSequence; ///< Of the upstream's last packet.
   };
 
   /// A delivered packet, remembered in case the upstream bounces it.
@@ -194,6 +196,9 @@
   void OnOpening(const Endpoint& aFrom, const PacketHeader& aPacketHeader,
                  std::span<std::uint8_t> aPacket, PacketOutput& aOutput, TimePoint aNow);
   bool IsOpen(const FlowKey& aKey) const;
+  static bool IsOfOtherAnswer(const Flow& aFlow, std::uint32_t aSequence);
+  void OnUpstreamReset(const PacketHeader& aPacketHeader, std::span<const std::uint8_t> aPacket,
+                       PacketOutput& aOutput, TimePoint aNow);
   bool Holds(const FlowKey& aKey, std::uint32_t aSequence) const;
   static bool IsOpeningOf(const Flow& aFlow, const PacketHeader& aPacketHeader);
   void OnOpeningAccepted(const PacketHeader& aPacketHeader, TimePoint aNow);
--- a/include/dandelionslip/Packet/PacketBalancer.h
+++ b/include/dandelionslip/Packet/PacketBalancer.h
@@ -247,6 +247,8 @@
   void ConfirmWithDirectory(const FlowKey& aKey, Search& aSearch, PacketOutput& aOutput,
                             TimePoint aNow);
   void ContinueAwaitingSearches(PacketOutput& aOutput, TimePoint aNow);
+  /// Starts the searches in mAwaitingAgents over once all agents are known.
+  void RestartAwaitingSearches(PacketOutput& aOutput, TimePoint aNow);
   std::vector<Endpoint> PreferredAgentsFor(const std::string& aService, const FlowKey& aKey) const;
   bool ViewMayBeComplete(TimePoint aNow) const;
   bool KnowsAllAgents(TimePoint aNow) const;
@@ -307,6 +309,9 @@
   TimePoint mViewAppliedAt;
   std::uint64_t mConfigurationRevision = 0;
   AgentMap mAgents; ///< By datagram endpoint.
+  /// Agents that reported that no flow is left there, and when. Registrations of their flows may
+  /// still name them. Another process at the endpoint reports itself or is in the view.
+  std::map<Endpoint, TimePoint> mFinishedAgents;
   DirectoryAgents mDirectoryAgents;
   std::optional<TimePoint> mFirstAgentAt;
   TimePoint mLeaseEnd; ///< Until then, control counts this balancer as live.
--- a/lib/Packet/PacketAgentFlows.cpp
+++ b/lib/Packet/PacketAgentFlows.cpp
@@ -154,6 +154,15 @@
          (found->second.mEstablished || found->second.mCallerSent);
 }
 
+// Whether an upstream's packet, or a caller's acknowledgement, with this sequence number belongs to
+// another flow of the port or to another upstream's answer. An agent that has not seen the opening
+// packet does not know which flow the upstream's first packet belonged to.
+bool PacketAgent::IsOfOtherAnswer(const Flow& aFlow, std::uint32_t aSequence)
+{
+  return aFlow.mOpeningSequence && aFlow.mUpstreamSequence &&
+         !IsNear(aSequence, *aFlow.mUpstreamSequence);
+}
+
 // Whether the packet belongs to an earlier or later flow of the same caller port.
 bool PacketAgent::IsOfOtherFlow(const Flow& aFlow, const PacketHeader& aPacketHeader)
 {
@@ -188,9 +197,11 @@
   }
   Flow& flow = found->second;
   flow.mUsedAt = aNow;
-  flow.mCallerSent = true;
   flow.mDeliveredAt = aNow;
-  TrackRequest(flow, aPacketHeader, aNow);
+  if (!IsOfOtherAnswer(flow, aPacketHeader.mAcknowledged)) {
+    flow.mCallerSent = true;
+    TrackRequest(flow, aPacketHeader, aNow);
+  }
   if (aType == NodeMessageType::Probe) {
     SendFlowAnswer(aFrom, NodeMessageType::HolderFound, aPacketHeader.mTag, aPacketHeader.mFlow,
                    mSettings.mEndpoint, aOutput);
@@ -221,29 +232,26 @@
     mMalformed.Add();
     return;
   }
-  // A reset of a flow that is not open here is a reaction to a flow probe, or ends an opening whose
-  // caller took another upstream's answer. It must not reach the caller, because the flow may be
-  // open at another upstream.
-  if (packetHeader->mResets && !IsOpen(packetHeader->mFlow)) {
-    mProbeResetsDropped.Add();
-    LogProbeReset(packetHeader->mFlow, aNow);
-    RemoveFlow(packetHeader->mFlow, RemovalReason::UpstreamReset, aNow);
+  if (packetHeader->mResets) {
+    OnUpstreamReset(*packetHeader, aPacket, aOutput, aNow);
     return;
   }
   mReplies.Add();
   aOutput.SendToCaller(packetHeader->mFlow, aPacket);
-  if (packetHeader->mResets) {
-    mResetsPassedOn.Add();
-    LogUpstreamReset(packetHeader->mFlow, mFlows.at(packetHeader->mFlow), aNow);
-    RemoveFlow(packetHeader->mFlow, RemovalReason::UpstreamReset, aNow);
-    return;
-  }
   if (packetHeader->mAcceptsOpening) {
     OnOpeningAccepted(*packetHeader, aNow);
   }
   Flow& flow = FindOrAddFlow(packetHeader->mFlow, aNow);
-  flow.mAnsweredAt = aNow;
   AnswerProbe(packetHeader->mFlow, aOutput);
+  // An upstream that has started again repeats nothing, so a new answer replaces the known one.
+  const bool answersOpening = packetHeader->mAcceptsOpening && flow.mOpeningSequence &&
+                              packetHeader->mAcknowledged == *flow.mOpeningSequence + 1;
+  if (!answersOpening && IsOfOtherAnswer(flow, packetHeader->mSequence)) {
+    // The upstream repeats a packet of an earlier flow of the port.
+    return;
+  }
+  flow.mUpstreamSequence = packetHeader->mSequence;
+  flow.mAnsweredAt = aNow;
   if (const auto opened = std::exchange(flow.mOpenedAt, std::nullopt)) {
     mOpeningSeconds.Observe(Seconds(aNow - *opened));
   }
@@ -264,6 +272,34 @@
   }
 }
 
+// A reset of a flow that is not open here is a reaction to a flow probe, or ends an opening whose
+// caller took another upstream's answer. It must not reach the caller, because the flow may be open
+// at another upstream. A reset with a sequence number far from the flow's is about an earlier flow
+// of the port.
+void PacketAgent::OnUpstreamReset(const PacketHeader& aPacketHeader,
+                                  std::span<const std::uint8_t> aPacket, PacketOutput& aOutput,
+                                  TimePoint aNow)
+{
+  const FlowKey& key = aPacketHeader.mFlow;
+  if (!IsOpen(key)) {
+    mProbeResetsDropped.Add();
+    LogProbeReset(key, aNow);
+    RemoveFlow(key, RemovalReason::UpstreamReset, aNow);
+    return;
+  }
+  const Flow& flow = mFlows.at(key);
+  if (IsOfOtherAnswer(flow, aPacketHeader.mSequence)) {
+    mProbeResetsDropped.Add();
+    LogProbeReset(key, aNow);
+    return;
+  }
+  mReplies.Add();
+  mResetsPassedOn.Add();
+  aOutput.SendToCaller(key, aPacket);
+  LogUpstreamReset(key, flow, aNow);
+  RemoveFlow(key, RemovalReason::UpstreamReset, aNow);
+}
+
 void PacketAgent::OnBounced(std::span<std::uint8_t> aPacket, PacketOutput& aOutput, TimePoint aNow)
 {
   mBounced.Add();
--- a/lib/Packet/PacketBalancer.cpp
+++ b/lib/Packet/PacketBalancer.cpp
@@ -4,6 +4,7 @@
 #include "RouteKey.h"
 #include "SequenceWindow.h"
 
+#include "dandelionslip/Packet/FlowDirectory.h"
 #include "dandelionslip/Support/Durations.h"
 #include "dandelionslip/Support/Hash.h"
 #include "dandelionslip/Support/Log.h"
@@ -20,6 +21,10 @@
 // reported that it holds flows, for this long. Until then its upstream may hold flows.
 constexpr Milliseconds kAgentRetention{10'000};
 
+// Other agents may name an agent that has finished until its registrations have expired; its last
+// ones may be a second old.
+constexpr Milliseconds kFinishedRetention = FlowDirectory::kLifetime + Milliseconds{10'000};
+
 // Limit of flow probes in searches among all agents. At 1,200 bytes each, they take a quarter of
 // the smallest link, 1.9 Mbit/s.
 constexpr std::uint32_t kProbesPerSecond = 50;
@@ -162,6 +167,10 @@
     agent.mLostAt = agent.mLostAt.value_or(aNow);
     return;
   }
+  if (aMember.mState != MemberState::Draining) {
+    // The view may still show the last state before the agent finished, which is Draining.
+    mFinishedAgents.erase(endpoint.value());
+  }
   agent.mLostAt.reset();
   agent.mInView = true;
   agent.mTakesNewWork = TakesNewWork(aMember.mState);
@@ -507,8 +516,10 @@
   }
   if (report.value().mFinished) {
     mAgents.erase(aFrom);
+    mFinishedAgents[aFrom] = aNow;
     return;
   }
+  mFinishedAgents.erase(aFrom);
   AddUnseenHolders(report.value().mUnseenHolders, aNow);
   Agent& agent = mAgents[aFrom];
   agent.mEndpointHash = HashOf(aFrom);
@@ -529,6 +540,9 @@
 void PacketBalancer::AddUnseenHolders(std::span<const Endpoint> aHolders, TimePoint aNow)
 {
   for (const Endpoint& holder : aHolders) {
+    if (mFinishedAgents.contains(holder)) {
+      continue;
+    }
     Agent& agent = mAgents[holder];
     agent.mEndpointHash = HashOf(holder);
     agent.mNamedAt = aNow;
@@ -544,6 +558,8 @@
   std::erase_if(mFlows, [&](const auto& aItem) {
     return aNow - aItem.second.mUsedAt > mSettings.mFlowRetention;
   });
+  std::erase_if(mFinishedAgents,
+                [&](const auto& aItem) { return aNow - aItem.second > kFinishedRetention; });
   std::erase_if(mAgents, [&](const auto& aItem) {
     const Agent& agent = aItem.second;
     const bool mayHoldFlows = agent.mLostAt && aNow - *agent.mLostAt <= mSettings.mMaxFlowAge;
--- a/unittests/Packet/PacketAgentTest.cpp
+++ b/unittests/Packet/PacketAgentTest.cpp
@@ -39,6 +39,7 @@
   CPPUNIT_TEST(ResetsOfHalfOpenFlowsAreDropped);
   CPPUNIT_TEST(ResetsOfHalfOpenFlowsAreDroppedAfterPacketsForAnotherUpstream);
   CPPUNIT_TEST(PacketsOfAnEndedFlowDoNotEstablishTheNextFlowOfThePort);
+  CPPUNIT_TEST(LateResetsOfAnEndedFlowDoNotRemoveTheNextFlowOfThePort);
   CPPUNIT_TEST(LateOpeningsDoNotRemoveAnOpenFlow);
   CPPUNIT_TEST(BouncedOpeningsDoNotRemoveAnAcceptedFlow);
   CPPUNIT_TEST(PacketsWithAnotherSequenceDoNotRemoveAnOpenFlow);
@@ -718,6 +719,25 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{0}, mOutput.Resets());
   }
 
+  // A late packet of the earlier flow has reached the upstream, which answers it with a reset.
+  void LateResetsOfAnEndedFlowDoNotRemoveTheNextFlowOfThePort()
+  {
+    ApplyRoutesAndHeartbeat();
+    constexpr std::uint32_t kSequence = 0x40000000;
+    constexpr std::uint32_t kUpstreamSequence = 0x60000000;
+    FromBalancer(CallerPacket(TestFlow(1), FlagSyn, kSequence));
+    FromUpstream(UpstreamPacket(TestFlow(1), FlagSyn | FlagAck, kUpstreamSequence));
+    FromBalancer(CallerPacket(TestFlow(1), FlagAck, kSequence + 1, kUpstreamSequence + 1, 100));
+    FromUpstream(UpstreamPacket(TestFlow(1), FlagAck, kUpstreamSequence + 1, 200));
+    FromUpstream(UpstreamPacket(TestFlow(1), FlagRst, 2));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, mOutput.Resets());
+    mOutput.Clear();
+    PacketBytes query = FlowMessage{{}, {TestFlow(1)}, 0, 1, kSequence + 101}.Encode();
+    mAgent.OnNodePacket(NodeEndpoint(9), {NodeMessageType::QueryLocal, ReturnReason::None}, query,
+                        mOutput, mNow);
+    CPPUNIT_ASSERT(mOutput.mToNodes.back().mHeader.mType == NodeMessageType::HolderFound);
+  }
+
   void LateOpeningsDoNotRemoveAnOpenFlow()
   {
     ApplyRoutesAndHeartbeat();
--- a/unittests/Packet/PacketBalancerTest.cpp
+++ b/unittests/Packet/PacketBalancerTest.cpp
@@ -41,6 +41,7 @@
   CPPUNIT_TEST(AgentsOutsideTheViewAnswerAsDirectoryAgents);
   CPPUNIT_TEST(RestartedAgentsOutsideTheViewAreProbedBeforeAReset);
   CPPUNIT_TEST(FinishedAgentsThatOtherAgentsNameDoNotPreventAReset);
+  CPPUNIT_TEST(NewAgentsAtTheEndpointOfAFinishedOnePreventAReset);
   CPPUNIT_TEST(AgentsThatNeedAProbeGetThePacket);
   CPPUNIT_TEST(OutdatedRegistrationsAreNotFollowedTwice);
   CPPUNIT_TEST(ProbesStayFewWhenAllNodesRestart);
@@ -703,6 +704,26 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, mOutput.Resets());
   }
 
+  // The view still shows the finished agent; the next process reports, and is then only named.
+  void NewAgentsAtTheEndpointOfAFinishedOnePreventAReset()
+  {
+    Settle();
+    LoadReport finished;
+    finished.mFinished = true;
+    Report(8, finished);
+    Report(8, Accepting());
+    mNow += Milliseconds{11'000};
+    mBalancer.OnTick(mOutput, mNow);
+    LoadReport report = Accepting();
+    Report(1, report);
+    report.mUnseenHolders = {NodeEndpoint(8)};
+    Report(2, report);
+    Send(CallerPacket(TestFlow(1), FlagAck, 7, 9, 50));
+    Answer(1, NodeMessageType::NotFound, TestFlow(1));
+    Answer(2, NodeMessageType::NotFound, TestFlow(1));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, mOutput.Resets());
+  }
+
   // Guards against a flow that is not found because its agent has restarted and only the upstream
   // knows that it holds the flow.
   void AgentsThatNeedAProbeGetThePacket()
