Learn at once that a restarted agent has no upstream

Cause: agents whose upstream had been removed shortly before started again with the others. They tried a connection only after three heartbeats, most were gone by then, and a bounced packet counted as a sign of a running upstream, which undid the refused connection. An agent that stopped as planned then counted as lost, which holds searches up for 60 s.

Change: an agent that has heard nothing tries the connection when a balancer first asks for an unknown flow; a bounce does not show that an upstream runs; an agent that stops and whose upstream's VM refuses a connection reports that it is finished.

Tests: SearchesDoNotWaitForHeartbeatsOfAnAbsentUpstream, BouncesDoNotShowThatAnAbsentUpstreamRuns, AgentsThatStopAfterTheirUpstreamsEndAreFinished.

--- a/include/dandelionslip/Packet/PacketAgent.h
+++ b/include/dandelionslip/Packet/PacketAgent.h
@@ -71,8 +71,9 @@
   /// aStartedMs: as in UpstreamHeartbeat; empty if the upstream did not state it.
   void OnUpstreamLeft(const std::string& aId, std::optional<std::int64_t> aStartedMs);
   /// Whether to try a connection to the upstream now: no heartbeat has come since the start, and
-  /// nothing else for three intervals, which does not show whether the upstream runs and holds
-  /// flows. True at most once, because new connections load an upstream.
+  /// either a balancer has asked for an unknown flow or nothing else has come for three intervals.
+  /// Silence does not show whether the upstream runs and holds flows. True at most once for each of
+  /// the two, because new connections load an upstream.
   bool TakeConnectionCheck(TimePoint aNow);
   /// The upstream's VM has refused the connection, so the upstream does not run and holds no flow.
   /// Other outcomes show nothing.
@@ -87,10 +88,13 @@
   void RegisterFlows(PacketOutput& aOutput, TimePoint aNow);
   /// Removes idle flows and expired registrations. Must be called every second.
   void OnTick(TimePoint aNow);
-  /// Begins a planned stop: new flows are refused from now on.
+  /// Begins a planned stop: new flows are refused from now on. A connection that the upstream's VM
+  /// refuses afterwards shows that no flow is left.
   void StopAccepting() { mStopping = true; }
 
   /// The first load report for a balancer.
+  /// Whether the agent stops and it is not known that its upstream has ended.
+  bool StopsBesideUpstream() const { return mStopping && !IsFinished(); }
   LoadReport CurrentLoad(TimePoint aNow) const;
   /// The load report for balancers that have got one. Names one unseen holder in every
   /// kReportsPerName, so that reports stay small.
@@ -249,7 +253,9 @@
   TimePoint mStartedAt;
   std::optional<Upstream> mUpstream;
   std::optional<StaleHeartbeats> mStaleHeartbeats;
-  bool mConnectionChecked = false;
+  bool mCheckedAfterSilence = false;
+  bool mCheckedForQuery = false;
+  bool mUnknownFlowQueried = false; ///< While this process did not know its upstream's flows.
   /// The upstream refused a connection and has sent nothing since. One that starts later sends a
   /// heartbeat before it gets flows.
   bool mUpstreamAbsent = false;
--- a/lib/Daemon/PacketAgentDaemon.cpp
+++ b/lib/Daemon/PacketAgentDaemon.cpp
@@ -8,6 +8,7 @@
 #include "dandelionslip/Packet/PacketAgent.h"
 #include "dandelionslip/Support/Log.h"
 
+#include <functional>
 #include <map>
 
 namespace dandelionslip {
@@ -173,18 +174,23 @@
 
   void CheckConnection()
   {
-    const std::string& endpoint = mSettings.mUpstreamConnectionEndpoint;
-    if (endpoint.empty() || !mCore.TakeConnectionCheck(RuntimeClock::now())) {
-      return;
+    if (!mSettings.mUpstreamConnectionEndpoint.empty() &&
+        mCore.TakeConnectionCheck(RuntimeClock::now())) {
+      TryUpstream([] {});
     }
-    TryConnection(mNode.Loop(), Endpoint::Parse(endpoint).value(),
-                  [this](ConnectionOutcome aOutcome) {
+  }
+
+  void TryUpstream(std::function<void()> aOnRefused)
+  {
+    TryConnection(mNode.Loop(), Endpoint::Parse(mSettings.mUpstreamConnectionEndpoint).value(),
+                  [this, onRefused = std::move(aOnRefused)](ConnectionOutcome aOutcome) {
                     LogEvent(LogLevel::Info, "upstream_silent")
                       .With("upstream", mSettings.mUpstreamConnectionEndpoint)
                       .With("connection", ToString(aOutcome));
                     if (aOutcome == ConnectionOutcome::Refused) {
                       mCore.OnConnectionRefused();
                     }
+                      onRefused();
                   });
   }
 
@@ -227,6 +233,13 @@
     mCore.StopAccepting();
     SendLoadReports();
     mNode.AnnounceAndExit(kStopDelay);
+    if (mCore.StopsBesideUpstream() && !mSettings.mUpstreamConnectionEndpoint.empty()) {
+      // Balancers would search for flows at an agent that has not reported that it is finished.
+      TryUpstream([this] {
+        SendLoadReports();
+        mNode.Link().AnnounceNow([](bool) {});
+      });
+    }
   }
 
   PacketAgentNodeSettings mSettings;
--- a/lib/Packet/PacketAgent.cpp
+++ b/lib/Packet/PacketAgent.cpp
@@ -242,23 +242,28 @@
 bool PacketAgent::TakeConnectionCheck(TimePoint aNow)
 {
   const TimePoint heardAt = std::max(mStartedAt, mUpstreamSentAt.value_or(mStartedAt));
-  if (mConnectionChecked || mUpstream ||
-      aNow - heardAt <= kMaxMissedHeartbeats * mSettings.mHeartbeat) {
+  const bool silent = aNow - heardAt > kMaxMissedHeartbeats * mSettings.mHeartbeat;
+  bool& checked = silent ? mCheckedAfterSilence : mCheckedForQuery;
+  const bool queried = mUnknownFlowQueried && !mUpstreamSentAt;
+  if ((!silent && !queried) || checked) {
     return false;
   }
-  mConnectionChecked = true;
+  checked = true;
   return true;
 }
 
 void PacketAgent::OnConnectionRefused()
 {
-  mUpstreamAbsent = !mUpstream;
+  mUpstreamAbsent = !mUpstream || mStopping;
 }
 
 LoadReport PacketAgent::CurrentLoad(TimePoint aNow) const
 {
   LoadReport report;
   report.mService = mSettings.mService;
+  if (mUpstream || mUpstreamAbsent) {
+    return false;
+  }
   report.mDataCentre = mSettings.mDataCentre;
   report.mAccepts = ReasonForNoNewFlows(aNow) == ReturnReason::None;
   report.mCold = IsCold(aNow);
@@ -292,10 +297,10 @@
   return report;
 }
 
-// Whether both the agent and its upstream stop as planned, so that no flow is left here.
+// Whether the agent stops as planned and its upstream has ended, so that no flow is left here.
 bool PacketAgent::IsFinished() const
 {
-  return mStopping && mUpstream && mUpstream->mLeft;
+  return mStopping && (mUpstreamAbsent || (mUpstream && mUpstream->mLeft));
 }
 
 MemberState PacketAgent::State(TimePoint aNow) const
--- a/lib/Packet/PacketAgentDirectory.cpp
+++ b/lib/Packet/PacketAgentDirectory.cpp
@@ -74,7 +74,9 @@
     }
   }
   const NodeMessageType answer = NegativeAnswer(aType, aNow);
-  if (answer != NodeMessageType::ProbeNeeded) {
+  if (answer == NodeMessageType::ProbeNeeded) {
+    mUnknownFlowQueried = true;
+  } else {
     OnDenial(key, answer == NodeMessageType::NotFound ? "not_found" : "not_registered", aFrom,
              aNow);
   }
--- a/lib/Packet/PacketAgentFlows.cpp
+++ b/lib/Packet/PacketAgentFlows.cpp
@@ -221,12 +221,13 @@
                                    TimePoint aNow)
 {
   mUnansweredOpenings = 0;
-  mUpstreamSentAt = aNow;
-  mUpstreamAbsent = false;
   if (mCodec.IsBounced(aPacket)) {
+    // Does not show that an upstream runs: packets to a removed one come back too.
     OnBounced(aPacket, aOutput, aNow);
     return;
   }
+  mUpstreamSentAt = aNow;
+  mUpstreamAbsent = false;
   const auto packetHeader = mCodec.DecodeFromUpstream(aPacket);
   if (!packetHeader) {
     mMalformed.Add();
--- a/unittests/Packet/PacketAgentTest.cpp
+++ b/unittests/Packet/PacketAgentTest.cpp
@@ -54,6 +54,9 @@
   CPPUNIT_TEST(AnUpstreamThatFailsAfterTheAgentsStartIsTakenAsAbsent);
   CPPUNIT_TEST(NoConnectionIsTriedToAnUpstreamThatWasHeardOf);
   CPPUNIT_TEST(AgentsWithoutAnUpstreamAnswerNotFound);
+  CPPUNIT_TEST(SearchesDoNotWaitForHeartbeatsOfAnAbsentUpstream);
+  CPPUNIT_TEST(BouncesDoNotShowThatAnAbsentUpstreamRuns);
+  CPPUNIT_TEST(AgentsThatStopAfterTheirUpstreamsEndAreFinished);
   CPPUNIT_TEST(ARestartedAgentDoesNotTakeItsTableAsCompleteAfterAHeartbeatOfAnotherStart);
   CPPUNIT_TEST(OneFirstHeartbeatOfAnotherStartDoesNotMakeTheTableComplete);
   CPPUNIT_TEST(LateFirstHeartbeatDoesNotMakeTheTableComplete);
@@ -925,6 +928,42 @@
     AssertAnswer(NodeMessageType::ProbeNeeded, NodeMessageType::QueryLocal, TestFlow(1));
   }
 
+  // Callers of dead flows would wait for three heartbeats more.
+  void SearchesDoNotWaitForHeartbeatsOfAnAbsentUpstream()
+  {
+    mNow += Milliseconds{200};
+    CPPUNIT_ASSERT(!mAgent.TakeConnectionCheck(mNow));
+    AssertAnswer(NodeMessageType::ProbeNeeded, NodeMessageType::QueryLocal, TestFlow(1));
+    CPPUNIT_ASSERT(mAgent.TakeConnectionCheck(mNow));
+    CPPUNIT_ASSERT(!mAgent.TakeConnectionCheck(mNow));
+    AssertAnswer(NodeMessageType::ProbeNeeded, NodeMessageType::QueryLocal, TestFlow(1));
+    mAgent.OnConnectionRefused();
+    AssertAnswer(NodeMessageType::NotFound, NodeMessageType::QueryLocal, TestFlow(1));
+  }
+
+  // A probe that was sent before the connection was refused comes back after it.
+  void BouncesDoNotShowThatAnAbsentUpstreamRuns()
+  {
+    FromBalancer(CallerPacket(TestFlow(1), FlagAck, 5, 5, 10), NodeMessageType::Probe);
+    AssertAnswer(NodeMessageType::ProbeNeeded, NodeMessageType::QueryLocal, TestFlow(1));
+    mAgent.OnConnectionRefused();
+    Bounce();
+    AssertAnswer(NodeMessageType::NotFound, NodeMessageType::QueryLocal, TestFlow(2));
+  }
+
+  // Balancers would count the agent as lost, and reset no flow that they do not know for 60 s.
+  void AgentsThatStopAfterTheirUpstreamsEndAreFinished()
+  {
+    ApplyRoutesAndHeartbeat();
+    mAgent.StopAccepting();
+    CPPUNIT_ASSERT(mAgent.StopsBesideUpstream());
+    CPPUNIT_ASSERT(!mAgent.CurrentLoad(mNow).mFinished);
+    mAgent.OnConnectionRefused();
+    CPPUNIT_ASSERT(!mAgent.StopsBesideUpstream());
+    CPPUNIT_ASSERT(mAgent.CurrentLoad(mNow).mFinished);
+    CPPUNIT_ASSERT(mAgent.State(mNow) == MemberState::Left);
+  }
+
   void ApplyDirectoryAgents()
   {
     mAgent.OnView(TestView(1, {TestAgentMember(20, "web"), TestAgentMember(21, "web")}), 1);
