Take no new flows on a lease that ran out while the agent stood still

It could happen here: an agent that was frozen for some seconds admitted opening packets at once, by the routes and the state of its data centre from before the freeze. Balancers check the age of load reports and their own lease; the agent checked nothing.

Change: after a gap between ticks of more than two seconds the agent declines openings until its lease is renewed, for one second at most. Without control it then serves callers by the last state, as before. The check is made for each opening, not only at the tick.

Test: AgentsThatStoodStillTakeNoFlowsBeforeTheirLeaseIsRenewed.

--- a/include/dandelionslip/Packet/PacketAgent.h
+++ b/include/dandelionslip/Packet/PacketAgent.h
@@ -66,6 +66,8 @@
   void OnConfiguration(const Configuration& aConfiguration);
   /// aOwnIncarnation: the incarnation that this process announces.
   void OnView(const View& aView, std::uint64_t aOwnIncarnation);
+  /// Until aLeaseEnd, the configuration that control has given to this agent is in force.
+  void OnLease(TimePoint aLeaseEnd) { mLeaseEnd = aLeaseEnd; }
   HeartbeatOutcome OnUpstreamHeartbeat(const UpstreamHeartbeat& aHeartbeat, TimePoint aNow);
   /// The upstream has announced that it exits. An announcement of another start is ignored.
   /// aStartedMs: as in UpstreamHeartbeat; empty if the upstream did not state it.
@@ -91,10 +93,10 @@
   /// Begins a planned stop: new flows are refused from now on. A connection that the upstream's VM
   /// refuses afterwards shows that no flow is left.
   void StopAccepting() { mStopping = true; }
-
-  /// The first load report for a balancer.
   /// Whether the agent stops and it is not known that its upstream has ended.
   bool StopsBesideUpstream() const { return mStopping && !IsFinished(); }
+
+  /// The first load report for a balancer.
   LoadReport CurrentLoad(TimePoint aNow) const;
   /// The load report for balancers that have got one. Names one unseen holder in every
   /// kReportsPerName, so that reports stay small.
@@ -188,6 +190,7 @@
   /// Notes a stale heartbeat; returns whether its start replaces the known one, which is silent.
   bool ReplacesSilentStart(const UpstreamHeartbeat& aHeartbeat, TimePoint aNow);
   ReturnReason ReasonForNoNewFlows(TimePoint aNow) const;
+  bool MayActOnOldState(TimePoint aNow) const;
   bool RouteTargetsService(const FlowKey& aFlow) const;
   bool IsCold(TimePoint aNow) const;
   bool IsFinished() const;
@@ -263,6 +266,9 @@
   /// Whether this process ran when the upstream started, and so opened all of its flows.
   bool mSawUpstreamStart = false;
   bool mStopping = false;
+  TimePoint mLeaseEnd = TimePoint::max();
+  std::optional<TimePoint> mTickedAt;
+  TimePoint mResumedAt; ///< When the first tick came after the process had stood still.
   bool mDataCentreOutOfService = false;
   /// Set when the data centre returns to service, until the next heartbeat shows whether the
   /// upstream is cold.
--- a/lib/Daemon/PacketAgentDaemon.cpp
+++ b/lib/Daemon/PacketAgentDaemon.cpp
@@ -150,6 +150,7 @@
   void OnState(const NodeState& aState)
   {
     mCore.OnConfiguration(aState.CurrentConfiguration());
+    mCore.OnLease(mNode.LeaseEnd());
     mCore.OnView(aState.CurrentView(), mNode.Incarnation());
     for (const auto& [name, member] : aState.CurrentView().mMembers) {
       const auto endpoint = Endpoint::Parse(member.mDatagramEndpoint);
@@ -189,8 +190,8 @@
                       .With("connection", ToString(aOutcome));
                     if (aOutcome == ConnectionOutcome::Refused) {
                       mCore.OnConnectionRefused();
-                    }
                       onRefused();
+                    }
                   });
   }
 
@@ -232,7 +233,6 @@
     mStopping = true;
     mCore.StopAccepting();
     SendLoadReports();
-    mNode.AnnounceAndExit(kStopDelay);
     if (mCore.StopsBesideUpstream() && !mSettings.mUpstreamConnectionEndpoint.empty()) {
       // Balancers would search for flows at an agent that has not reported that it is finished.
       TryUpstream([this] {
@@ -240,6 +240,7 @@
         mNode.Link().AnnounceNow([](bool) {});
       });
     }
+    mNode.AnnounceAndExit(kStopDelay);
   }
 
   PacketAgentNodeSettings mSettings;
--- a/lib/Packet/PacketAgent.cpp
+++ b/lib/Packet/PacketAgent.cpp
@@ -37,6 +37,13 @@
 constexpr Milliseconds kIdleMargin{2'000};
 constexpr Milliseconds kDefaultIdleTimeout{15'000};
 
+// OnTick is called every second. After a longer interval the process has stood still.
+constexpr Milliseconds kMaxTickInterval{2'000};
+
+// How long an agent that has stood still waits for control. Nodes announce themselves every 500 ms;
+// without control, agents serve callers by the last state that they have.
+constexpr Milliseconds kResumeTime{1'000};
+
 constexpr double kMilli = 1000.0;
 
 } // namespace
@@ -193,6 +200,16 @@
   return static_cast<std::size_t>(std::clamp(bound, 1.0, kMost));
 }
 
+// Whether the process has stood still until now, and its lease has run out meanwhile: its data
+// centre may be out of service, or the route gone.
+bool PacketAgent::MayActOnOldState(TimePoint aNow) const
+{
+  const bool resumed =
+    mTickedAt && (aNow - *mTickedAt > kMaxTickInterval ||
+                  (mResumedAt != TimePoint{} && aNow - mResumedAt < kResumeTime));
+  return resumed && aNow >= mLeaseEnd;
+}
+
 // Why the upstream takes no new flows; ReturnReason::None if it takes them.
 ReturnReason PacketAgent::ReasonForNoNewFlows(TimePoint aNow) const
 {
@@ -200,7 +217,8 @@
       aNow - mUpstream->mHeardAt > kMaxMissedHeartbeats * mSettings.mHeartbeat) {
     return ReturnReason::NoUpstream;
   }
-  if (mStopping || mDataCentreOutOfService || mUpstream->mLastHeartbeat.mDraining) {
+  if (mStopping || mDataCentreOutOfService || mUpstream->mLastHeartbeat.mDraining ||
+      MayActOnOldState(aNow)) {
     return ReturnReason::Draining;
   }
   if (mUnansweredOpenings >= kMaxUnansweredOpenings &&
@@ -241,6 +259,9 @@
 
 bool PacketAgent::TakeConnectionCheck(TimePoint aNow)
 {
+  if (mUpstream || mUpstreamAbsent) {
+    return false;
+  }
   const TimePoint heardAt = std::max(mStartedAt, mUpstreamSentAt.value_or(mStartedAt));
   const bool silent = aNow - heardAt > kMaxMissedHeartbeats * mSettings.mHeartbeat;
   bool& checked = silent ? mCheckedAfterSilence : mCheckedForQuery;
@@ -261,9 +282,6 @@
 {
   LoadReport report;
   report.mService = mSettings.mService;
-  if (mUpstream || mUpstreamAbsent) {
-    return false;
-  }
   report.mDataCentre = mSettings.mDataCentre;
   report.mAccepts = ReasonForNoNewFlows(aNow) == ReturnReason::None;
   report.mCold = IsCold(aNow);
@@ -316,6 +334,10 @@
 
 void PacketAgent::OnTick(TimePoint aNow)
 {
+  if (mTickedAt && aNow - *mTickedAt > kMaxTickInterval) {
+    mResumedAt = aNow;
+  }
+  mTickedAt = aNow;
   mDirectory.Expire(aNow);
   std::erase_if(mProbes,
                 [&](const auto& aItem) { return aNow - aItem.second.mSentAt > kProbeTimeout; });
--- a/unittests/Packet/PacketAgentTest.cpp
+++ b/unittests/Packet/PacketAgentTest.cpp
@@ -56,6 +56,7 @@
   CPPUNIT_TEST(AgentsWithoutAnUpstreamAnswerNotFound);
   CPPUNIT_TEST(SearchesDoNotWaitForHeartbeatsOfAnAbsentUpstream);
   CPPUNIT_TEST(BouncesDoNotShowThatAnAbsentUpstreamRuns);
+  CPPUNIT_TEST(AgentsThatStoodStillTakeNoFlowsBeforeTheirLeaseIsRenewed);
   CPPUNIT_TEST(AgentsThatStopAfterTheirUpstreamsEndAreFinished);
   CPPUNIT_TEST(ARestartedAgentDoesNotTakeItsTableAsCompleteAfterAHeartbeatOfAnotherStart);
   CPPUNIT_TEST(OneFirstHeartbeatOfAnotherStartDoesNotMakeTheTableComplete);
@@ -951,6 +952,31 @@
     AssertAnswer(NodeMessageType::NotFound, NodeMessageType::QueryLocal, TestFlow(2));
   }
 
+  // The data centre was taken out of service while the process was paused.
+  void AgentsThatStoodStillTakeNoFlowsBeforeTheirLeaseIsRenewed()
+  {
+    ApplyRoutesAndHeartbeat();
+    mAgent.OnLease(mNow + Milliseconds{3'000});
+    mAgent.OnTick(mNow);
+    mNow += Milliseconds{9'000};
+    Heartbeat(8);
+    FromBalancer(CallerPacket(TestFlow(1), FlagSyn));
+    AssertReturned(ReturnReason::Draining);
+    mAgent.OnTick(mNow);
+    FromBalancer(CallerPacket(TestFlow(2), FlagSyn));
+    AssertReturned(ReturnReason::Draining);
+    CPPUNIT_ASSERT(mOutput.mToUpstream.empty());
+    mAgent.OnLease(mNow + Milliseconds{3'000});
+    FromBalancer(CallerPacket(TestFlow(3), FlagSyn));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, mOutput.mToUpstream.size());
+    // Without control, callers are served by the last known state.
+    mAgent.OnLease(mNow);
+    mNow += Milliseconds{1'100};
+    mAgent.OnTick(mNow);
+    FromBalancer(CallerPacket(TestFlow(4), FlagSyn));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, mOutput.mToUpstream.size());
+  }
+
   // Balancers would count the agent as lost, and reset no flow that they do not know for 60 s.
   void AgentsThatStopAfterTheirUpstreamsEndAreFinished()
   {
