End searches for dead flows after a loss of power

Balancers remember twelve earlier views; one by which the flow has the same directory agents, in the same processes, counts like the present.

Tests, which failed before: DeadFlowsAreResetOnceAllAgentsAreKnownWithoutAnotherPacket, SearchesBeforeAllAgentsAreKnownLeaveTheBudget, LostAgentsThatReportedNoFlowsDoNotPreventAReset, AgentsThatFinishDuringASearchDoNotPreventAReset, AgentsWithAnEarlierViewAreNotQueriedForFlowsWithTheSameDirectoryAgents.

--- a/include/dandelionslip/Packet/DirectoryAgents.h
+++ b/include/dandelionslip/Packet/DirectoryAgents.h
@@ -5,6 +5,7 @@
 #include "dandelionslip/Model/View.h"
 #include "dandelionslip/Packet/FlowKey.h"
 
+#include <array>
 #include <cstdint>
 #include <vector>
 
@@ -27,6 +28,9 @@
   /// agents. 0 without agents.
   std::uint64_t Digest() const { return mDigest; }
 
+  /// Whether the flow has the same directory agents, in the same processes, in both.
+  bool HasSameAgentsFor(const FlowKey& aFlow, const DirectoryAgents& aOther) const;
+
   /// The directory agents of a flow, at most kDirectoryAgentsPerFlow, in descending order of score.
   std::vector<Endpoint> AgentsFor(const FlowKey& aFlow) const;
 
@@ -40,6 +44,10 @@
     bool operator==(const Agent&) const = default;
   };
 
+  using BestAgents = std::array<const Agent*, kDirectoryAgentsPerFlow>;
+
+  BestAgents BestFor(const FlowKey& aFlow) const;
+
   std::vector<Agent> mAgents; ///< Ordered by member name.
   std::uint64_t mDigest = 0;
 };
--- a/include/dandelionslip/Packet/PacketBalancer.h
+++ b/include/dandelionslip/Packet/PacketBalancer.h
@@ -14,9 +14,11 @@
 #include "dandelionslip/Support/Metrics.h"
 
 #include <array>
+#include <deque>
 #include <map>
 #include <memory>
 #include <unordered_map>
+#include <unordered_set>
 
 namespace dandelionslip {
 
@@ -237,18 +239,21 @@
   Bytes QueryOf(const FlowKey& aKey, const Search& aSearch) const;
   void SendQueries(const FlowKey& aKey, Search& aSearch, NodeMessageType aType,
                    PacketOutput& aOutput, TimePoint aNow);
-  void AddAgentsNotRuledOut(Search& aSearch, TimePoint aNow);
+  void QueryDirectory(const FlowKey& aKey, Search& aSearch, PacketOutput& aOutput, TimePoint aNow);
+  void AddAgentsNotRuledOut(const FlowKey& aKey, Search& aSearch, TimePoint aNow);
   void QueryNextStage(const FlowKey& aKey, Search& aSearch, PacketOutput& aOutput, TimePoint aNow);
   void SendProbe(const Endpoint& aAgent, const Search& aSearch, PacketOutput& aOutput);
   void FinishSearch(const FlowKey& aKey, Flow& aFlow, PacketOutput& aOutput, TimePoint aNow);
-  bool IsCoveredByDirectory(const Agent& aAgent, TimePoint aNow) const;
+  std::vector<std::uint64_t> AgreeingDigests(const FlowKey& aKey) const;
+  bool IsCoveredByDirectory(const Agent& aAgent, std::span<const std::uint64_t> aDigests,
+                            TimePoint aNow) const;
+  bool MayHoldFlows(const Endpoint& aEndpoint) const;
   bool DirectoryRulesOut(const FlowKey& aKey, const Search& aSearch, TimePoint aNow) const;
-  TimePoint OldestCoveringReport(TimePoint aNow) const;
+  TimePoint OldestCoveringReport(const FlowKey& aKey, TimePoint aNow) const;
   void ConfirmWithDirectory(const FlowKey& aKey, Search& aSearch, PacketOutput& aOutput,
                             TimePoint aNow);
   void ContinueAwaitingSearches(PacketOutput& aOutput, TimePoint aNow);
-  /// Starts the searches in mAwaitingAgents over once all agents are known.
-  void RestartAwaitingSearches(PacketOutput& aOutput, TimePoint aNow);
+  void ContinueSearchesAwaitingAgents(PacketOutput& aOutput, TimePoint aNow);
   std::vector<Endpoint> PreferredAgentsFor(const std::string& aService, const FlowKey& aKey) const;
   bool ViewMayBeComplete(TimePoint aNow) const;
   bool KnowsAllAgents(TimePoint aNow) const;
@@ -313,13 +318,16 @@
   /// still name them. Another process at the endpoint reports itself or is in the view.
   std::map<Endpoint, TimePoint> mFinishedAgents;
   DirectoryAgents mDirectoryAgents;
+  std::deque<DirectoryAgents> mEarlierDirectoryAgents; ///< Of earlier views, newest last.
   std::optional<TimePoint> mFirstAgentAt;
   TimePoint mLeaseEnd; ///< Until then, control counts this balancer as live.
   SearchBudget mSearchBudget;
   std::uint32_t mProbesLeft = 0; ///< Flow probes still allowed this second in stage AllAgents.
   std::unordered_map<FlowKey, Flow, FlowKeyHash> mFlows;
-  std::vector<FlowKey> mAwaitingReports;  ///< Flows whose search waits for load reports.
-  TimePoint mReportsCheckedAt;            ///< When these searches were last continued.
+  std::vector<FlowKey> mAwaitingReports; ///< Flows whose search waits for load reports.
+  TimePoint mReportsCheckedAt;           ///< When these searches were last continued.
+  /// Flows that no known agent holds, whose search waits until all agents are known.
+  std::unordered_set<FlowKey, FlowKeyHash> mAwaitingAgents;
   std::vector<EarlyPacket> mEarlyPackets; ///< In order of arrival.
   OpeningQueue mWaiting;
   std::unordered_map<FlowKey, PendingRefusal, FlowKeyHash> mPendingRefusals;
--- a/lib/Packet/DirectoryAgents.cpp
+++ b/lib/Packet/DirectoryAgents.cpp
@@ -3,6 +3,7 @@
 
 #include "dandelionslip/Support/Hash.h"
 
+#include <algorithm>
 #include <array>
 
 namespace dandelionslip {
@@ -28,7 +29,8 @@
   return true;
 }
 
-std::vector<Endpoint> DirectoryAgents::AgentsFor(const FlowKey& aFlow) const
+// In descending order of score; null pointers at the end if there are fewer agents.
+DirectoryAgents::BestAgents DirectoryAgents::BestFor(const FlowKey& aFlow) const
 {
   const std::uint64_t hash = HashOf(aFlow);
   std::array<std::pair<std::uint64_t, const Agent*>, kDirectoryAgentsPerFlow> best{};
@@ -43,8 +45,16 @@
       }
     }
   }
+  BestAgents agents{};
+  std::transform(best.begin(), best.end(), agents.begin(),
+                 [](const auto& aEntry) { return aEntry.second; });
+  return agents;
+}
+
+std::vector<Endpoint> DirectoryAgents::AgentsFor(const FlowKey& aFlow) const
+{
   std::vector<Endpoint> directoryAgents;
-  for (const auto& [score, agent] : best) {
+  for (const Agent* agent : BestFor(aFlow)) {
     if (agent != nullptr) {
       directoryAgents.push_back(agent->mEndpoint);
     }
@@ -52,4 +62,14 @@
   return directoryAgents;
 }
 
+bool DirectoryAgents::HasSameAgentsFor(const FlowKey& aFlow, const DirectoryAgents& aOther) const
+{
+  const BestAgents own = BestFor(aFlow);
+  const BestAgents other = aOther.BestFor(aFlow);
+  return std::equal(
+    own.begin(), own.end(), other.begin(), [](const Agent* aLeft, const Agent* aRight) {
+      return aLeft == aRight || (aLeft != nullptr && aRight != nullptr && *aLeft == *aRight);
+    });
+}
+
 } // namespace dandelionslip
--- a/lib/Packet/PacketBalancer.cpp
+++ b/lib/Packet/PacketBalancer.cpp
@@ -25,6 +25,10 @@
 // ones may be a second old.
 constexpr Milliseconds kFinishedRetention = FlowDirectory::kLifetime + Milliseconds{10'000};
 
+// Earlier views that agents may still have. Nodes get views within 500 ms; after a start of all
+// nodes some ten follow each other in that time.
+constexpr std::size_t kEarlierDirectories = 12;
+
 // Limit of flow probes in searches among all agents. At 1,200 bytes each, they take a quarter of
 // the smallest link, 1.9 Mbit/s.
 constexpr std::uint32_t kProbesPerSecond = 50;
@@ -144,7 +148,12 @@
       }
     }
   }
-  mDirectoryAgents.Update(aView);
+  if (DirectoryAgents before = mDirectoryAgents; mDirectoryAgents.Update(aView)) {
+    mEarlierDirectoryAgents.push_back(std::move(before));
+    if (mEarlierDirectoryAgents.size() > kEarlierDirectories) {
+      mEarlierDirectoryAgents.pop_front();
+    }
+  }
   if (!mFirstAgentAt && !mAgents.empty()) {
     mFirstAgentAt = aNow;
   }
@@ -530,6 +539,7 @@
   agent.mPlacedSinceReport = 0;
   PlaceWaitingForServiceOf(agent, aOutput, aNow);
   ContinueAwaitingSearches(aOutput, aNow);
+  ContinueSearchesAwaitingAgents(aOutput, aNow);
   if (aNow - mExpiryCheckedAt >= kExpiryInterval) {
     ResetExpiredOpenings(aOutput, aNow);
   }
@@ -555,6 +565,11 @@
   mProbesLeft = kProbesPerSecond;
   ResetExpiredOpenings(aOutput, aNow);
   ContinueAwaitingSearches(aOutput, aNow);
+  ContinueSearchesAwaitingAgents(aOutput, aNow);
+  std::erase_if(mAwaitingAgents, [&](const FlowKey& aKey) {
+    const auto found = mFlows.find(aKey);
+    return found == mFlows.end() || !IsSearching(found->second, aNow);
+  });
   std::erase_if(mFlows, [&](const auto& aItem) {
     return aNow - aItem.second.mUsedAt > mSettings.mFlowRetention;
   });
--- a/lib/Packet/PacketBalancerSearch.cpp
+++ b/lib/Packet/PacketBalancerSearch.cpp
@@ -65,38 +65,74 @@
   }
 }
 
+// Digests of the present and earlier agents by which the flow has the present directory agents. An
+// agent with such a view has registered the flow with them, and a directory agent with such a view
+// is the process that this balancer knows.
+std::vector<std::uint64_t> PacketBalancer::AgreeingDigests(const FlowKey& aKey) const
+{
+  std::vector<std::uint64_t> digests;
+  if (mDirectoryAgents.Digest() == 0) {
+    return digests;
+  }
+  digests.push_back(mDirectoryAgents.Digest());
+  for (const DirectoryAgents& earlier : mEarlierDirectoryAgents) {
+    if (earlier.Digest() != 0 && mDirectoryAgents.HasSameAgentsFor(aKey, earlier)) {
+      digests.push_back(earlier.Digest());
+    }
+  }
+  return digests;
+}
+
 // Whether the directory agents know all flows of the agent, so that it need not be queried itself.
-bool PacketBalancer::IsCoveredByDirectory(const Agent& aAgent, TimePoint aNow) const
+bool PacketBalancer::IsCoveredByDirectory(const Agent& aAgent,
+                                          std::span<const std::uint64_t> aDigests,
+                                          TimePoint aNow) const
 {
   return aAgent.mReportedAt && aNow - *aAgent.mReportedAt <= mSettings.mReportLifetime &&
-         mDirectoryAgents.Digest() != 0 &&
-         aAgent.mReport.mConfirmedAgentsDigest == mDirectoryAgents.Digest();
+         std::find(aDigests.begin(), aDigests.end(), aAgent.mReport.mConfirmedAgentsDigest) !=
+           aDigests.end();
+}
+
+// Whether the agent is known and may hold flows. A lost agent does not if it last reported that it
+// knew all flows of its upstream, had none and took none: it reports before it takes any again.
+bool PacketBalancer::MayHoldFlows(const Endpoint& aEndpoint) const
+{
+  const auto found = mAgents.find(aEndpoint);
+  if (found == mAgents.end()) {
+    return false;
+  }
+  const Agent& agent = found->second;
+  const LoadReport& report = agent.mReport;
+  return !agent.mLostAt || !agent.mReportedAt || report.mConfirmedAgentsDigest == 0 ||
+         report.mFlows > 0 || report.mAccepts;
 }
 
 // Whether the directory agents show that no covered agent holds the flow. Each of them must have
 // answered NotRegistered, which shows that its view contains its current incarnation. Each must
-// also be covered itself, which shows that it knows the same agents as this balancer.
+// also be covered itself, which shows that it knows the flow's directory agents as this balancer.
 bool PacketBalancer::DirectoryRulesOut(const FlowKey& aKey, const Search& aSearch,
                                        TimePoint aNow) const
 {
   const bool queried = aSearch.mStage == SearchStage::DirectoryAgents ||
                        aSearch.mStage == SearchStage::DirectoryAgentsAgain;
   const auto directoryAgents = mDirectoryAgents.AgentsFor(aKey);
+  const auto digests = AgreeingDigests(aKey);
   return queried && !directoryAgents.empty() &&
          std::all_of(directoryAgents.begin(), directoryAgents.end(), [&](const Endpoint& aAgent) {
            const auto agent = mAgents.find(aAgent);
            return Contains(aSearch.mDirectoryAgentsWithoutEntry, aAgent) &&
-                  agent != mAgents.end() && IsCoveredByDirectory(agent->second, aNow);
+                  agent != mAgents.end() && IsCoveredByDirectory(agent->second, digests, aNow);
          });
 }
 
 // Time of the oldest load report among the covered agents. Each of them reports that all of its
 // flows were registered at that time.
-TimePoint PacketBalancer::OldestCoveringReport(TimePoint aNow) const
+TimePoint PacketBalancer::OldestCoveringReport(const FlowKey& aKey, TimePoint aNow) const
 {
+  const auto digests = AgreeingDigests(aKey);
   TimePoint oldest = TimePoint::max();
   for (const auto& [endpoint, agent] : mAgents) {
-    if (IsCoveredByDirectory(agent, aNow)) {
+    if (IsCoveredByDirectory(agent, digests, aNow)) {
       oldest = std::min(oldest, *agent.mReportedAt);
     }
   }
@@ -109,7 +145,7 @@
 void PacketBalancer::ConfirmWithDirectory(const FlowKey& aKey, Search& aSearch,
                                           PacketOutput& aOutput, TimePoint aNow)
 {
-  if (OldestCoveringReport(aNow) < aSearch.mStartedAt + kMaxReportDelay) {
+  if (OldestCoveringReport(aKey, aNow) < aSearch.mStartedAt + kMaxReportDelay) {
     if (!std::exchange(aSearch.mAwaitsReports, true)) {
       mAwaitingReports.push_back(aKey);
     }
@@ -129,13 +165,12 @@
     return;
   }
   mReportsCheckedAt = aNow;
-  const TimePoint oldest = OldestCoveringReport(aNow);
   for (const FlowKey& key : std::exchange(mAwaitingReports, {})) {
     const auto found = mFlows.find(key);
     if (found == mFlows.end() || !found->second.mSearch || !found->second.mSearch->mAwaitsReports) {
       continue;
     }
-    if (oldest < found->second.mSearch->mStartedAt + kMaxReportDelay) {
+    if (OldestCoveringReport(key, aNow) < found->second.mSearch->mStartedAt + kMaxReportDelay) {
       mAwaitingReports.push_back(key);
       continue;
     }
@@ -144,13 +179,36 @@
   }
 }
 
+// Continues the searches that all known agents have denied, with the directory agents that the
+// balancer knows now; a flow may have been registered since. Otherwise callers of dead flows would
+// wait for their next retransmission, up to 1.6 s.
+void PacketBalancer::ContinueSearchesAwaitingAgents(PacketOutput& aOutput, TimePoint aNow)
+{
+  if (mAwaitingAgents.empty() || !KnowsAllAgents(aNow)) {
+    return;
+  }
+  for (const FlowKey& key : std::exchange(mAwaitingAgents, {})) {
+    const auto found = mFlows.find(key);
+    if (found == mFlows.end() || !IsSearching(found->second, aNow)) {
+      continue;
+    }
+    Search& search = *found->second.mSearch;
+    search.mNumber = search.mDenialNumber = mNextNumber++;
+    search.mLastQueriedAt = aNow;
+    QueryDirectory(key, search, aOutput, aNow);
+    FinishSearch(key, found->second, aOutput, aNow);
+  }
+}
+
 // Adds the agents that may hold the flow: all that are not ruled out and, if the directory rules
 // out the agents that it covers, not covered.
-void PacketBalancer::AddAgentsNotRuledOut(Search& aSearch, TimePoint aNow)
+void PacketBalancer::AddAgentsNotRuledOut(const FlowKey& aKey, Search& aSearch, TimePoint aNow)
 {
+  const auto digests = AgreeingDigests(aKey);
   for (const auto& [endpoint, agent] : mAgents) {
-    const bool ruledOut = (aSearch.mDirectoryRulesOut && IsCoveredByDirectory(agent, aNow)) ||
-                          IsDeniedBy(aSearch.mRuledOut, endpoint);
+    const bool ruledOut =
+      (aSearch.mDirectoryRulesOut && IsCoveredByDirectory(agent, digests, aNow)) ||
+      IsDeniedBy(aSearch.mRuledOut, endpoint) || !MayHoldFlows(endpoint);
     if (!ruledOut) {
       aSearch.mUnanswered.push_back(endpoint);
     }
@@ -174,11 +232,22 @@
         }
       }
     }
+    SendQueries(aKey, aSearch, NodeMessageType::QueryLocal, aOutput, aNow);
+    // The last stage queries lost agents again; an answer is not to be expected.
+    std::erase_if(aSearch.mUnanswered,
+                  [&](const Endpoint& aAgent) { return mAgents.at(aAgent).mLostAt.has_value(); });
+    if (!aSearch.mUnanswered.empty()) {
+      return;
+    }
   }
-  if (aSearch.mUnanswered.empty()) {
-    aSearch.mStage = SearchStage::AllAgents;
-    AddAgentsNotRuledOut(aSearch, aNow);
+  aSearch.mStage = SearchStage::AllAgents;
+  if (!ViewMayBeComplete(aNow)) {
+    // The search goes on with more agents and a settled directory. Queries to all agents now would
+    // leave no budget for it.
+    mAwaitingAgents.insert(aKey);
+    return;
   }
+  AddAgentsNotRuledOut(aKey, aSearch, aNow);
   SendQueries(aKey, aSearch, NodeMessageType::QueryLocal, aOutput, aNow);
 }
 
@@ -243,15 +312,28 @@
   search.mRuledOut = std::move(aRuledOut);
   KeepPacket(search, aPacket);
   mSearched.Add();
-  search.mUnanswered = mDirectoryAgents.AgentsFor(aPacketHeader.mFlow);
-  if (search.mUnanswered.empty() || !search.mRuledOut.empty()) {
-    QueryNextStage(aPacketHeader.mFlow, search, aOutput, aNow);
+  if (search.mRuledOut.empty()) {
+    QueryDirectory(aPacketHeader.mFlow, search, aOutput, aNow);
   } else {
-    SendQueries(aPacketHeader.mFlow, search, NodeMessageType::Query, aOutput, aNow);
+    QueryNextStage(aPacketHeader.mFlow, search, aOutput, aNow);
   }
   FinishSearch(aPacketHeader.mFlow, aFlow, aOutput, aNow);
 }
 
+// Queries the flow's directory agents or, if none is known, the next stage's agents.
+void PacketBalancer::QueryDirectory(const FlowKey& aKey, Search& aSearch, PacketOutput& aOutput,
+                                    TimePoint aNow)
+{
+  aSearch.mStage = SearchStage::DirectoryAgents;
+  aSearch.mDirectoryAgentsWithoutEntry.clear();
+  aSearch.mUnanswered = mDirectoryAgents.AgentsFor(aKey);
+  if (aSearch.mUnanswered.empty()) {
+    QueryNextStage(aKey, aSearch, aOutput, aNow);
+  } else {
+    SendQueries(aKey, aSearch, NodeMessageType::Query, aOutput, aNow);
+  }
+}
+
 void PacketBalancer::KeepPacket(Search& aSearch, std::span<const std::uint8_t> aPacket)
 {
   if (aSearch.mPackets.size() < kMaxKeptPackets) {
@@ -276,6 +358,8 @@
     return;
   }
   search.mLastQueriedAt = aNow;
+  // Some may have finished since they were queried.
+  std::erase_if(search.mUnanswered, [&](const Endpoint& aAgent) { return !MayHoldFlows(aAgent); });
   if (search.mStage == SearchStage::AllAgents) {
     SendQueries(aPacketHeader.mFlow, search, NodeMessageType::QueryLocal, aOutput, aNow);
   } else if (search.mStage == SearchStage::DirectoryAgentsAgain) {
@@ -310,9 +394,11 @@
   }
   const FlowKey& key = message.value().mFlows.front();
   // A directory agent speaks only for the registrations by the agents of its own view.
-  const bool otherView = message.value().mAgentsDigest != mDirectoryAgents.Digest();
-  if (aType == NodeMessageType::NotRegistered && otherView) {
-    aType = NodeMessageType::NotFound;
+  if (aType == NodeMessageType::NotRegistered) {
+    const auto digests = AgreeingDigests(key);
+    if (std::find(digests.begin(), digests.end(), message.value().mAgentsDigest) == digests.end()) {
+      aType = NodeMessageType::NotFound;
+    }
   }
   const std::uint32_t number = message.value().mNumber;
   if (AnswerPendingRefusal(key, number, aFrom, aType, aOutput, aNow)) {
@@ -418,14 +504,17 @@
                                   TimePoint aNow)
 {
   Search& search = *aFlow.mSearch;
-  if (search.mStage < SearchStage::AllAgents || !search.mUnanswered.empty() ||
-      !KnowsAllAgents(aNow)) {
+  if (search.mStage < SearchStage::AllAgents || !search.mUnanswered.empty()) {
+    return;
+  }
+  if (!KnowsAllAgents(aNow)) {
+    mAwaitingAgents.insert(aKey);
     return;
   }
   const bool again = search.mStage == SearchStage::DirectoryAgentsAgain;
   search.mDirectoryRulesOut =
     search.mDirectoryRulesOut && (!again || DirectoryRulesOut(aKey, search, aNow));
-  AddAgentsNotRuledOut(search, aNow);
+  AddAgentsNotRuledOut(aKey, search, aNow);
   if (!search.mUnanswered.empty()) {
     search.mStage = SearchStage::AllAgents;
     SendQueries(aKey, search, NodeMessageType::QueryLocal, aOutput, aNow);
--- a/unittests/Packet/PacketBalancerTest.cpp
+++ b/unittests/Packet/PacketBalancerTest.cpp
@@ -21,7 +21,10 @@
   CPPUNIT_TEST(FlowsStayWithTheirHolder);
   CPPUNIT_TEST(UnknownFlowsAreSearched);
   CPPUNIT_TEST(FlowsThatNobodyHoldsAreReset);
+  CPPUNIT_TEST(DeadFlowsAreResetOnceAllAgentsAreKnownWithoutAnotherPacket);
+  CPPUNIT_TEST(SearchesBeforeAllAgentsAreKnownLeaveTheBudget);
   CPPUNIT_TEST(AgentsWithConfirmedRegistrationsAreNotQueried);
+  CPPUNIT_TEST(AgentsWithAnEarlierViewAreNotQueriedForFlowsWithTheSameDirectoryAgents);
   CPPUNIT_TEST(LoadReportsFromBeforeTheFlowDoNotEndASearch);
   CPPUNIT_TEST(SecondQueriesWaitForLaterLoadReports);
   CPPUNIT_TEST(DirectoryAgentsThatRestartedDuringASearchDoNotEndIt);
@@ -34,6 +37,8 @@
   CPPUNIT_TEST(SilentAgentsPreventAReset);
   CPPUNIT_TEST(LateAnswersDoNotEndASearch);
   CPPUNIT_TEST(LostAgentsPreventAReset);
+  CPPUNIT_TEST(LostAgentsThatReportedNoFlowsDoNotPreventAReset);
+  CPPUNIT_TEST(AgentsThatFinishDuringASearchDoNotPreventAReset);
   CPPUNIT_TEST(FlowsOfAgentsThatJoinWithoutALeaseAreNotReset);
   CPPUNIT_TEST(AgentsThatReturnedTheOpeningAreQueriedBeforeAReset);
   CPPUNIT_TEST(AgentsThatBecomeKnownDuringASearchAreQueriedBeforeAReset);
@@ -210,6 +215,54 @@
     CPPUNIT_ASSERT(reset && reset->mFlow == TestFlow(1) && reset->mSequence == 9);
   }
 
+  // All nodes have just started. The caller's next retransmission comes 1.6 s after this one.
+  void DeadFlowsAreResetOnceAllAgentsAreKnownWithoutAnotherPacket()
+  {
+    const View view = TestView(1, {TestAgentMember(1, "web"), TestAgentMember(2, "web")});
+    mDirectoryAgents.Update(view);
+    mBalancer.OnState(TestConfiguration(1, {"web"}), view, mOutput, mNow);
+    Report(1, Accepting());
+    Report(2, Accepting());
+    mNow += Milliseconds{100};
+    Send(CallerPacket(TestFlow(1), FlagAck, 7, 9, 50));
+    Answer(1, NodeMessageType::NotFound, TestFlow(1));
+    Answer(2, NodeMessageType::NotFound, TestFlow(1));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, mOutput.Resets());
+    mNow += Milliseconds{1'000};
+    Report(1, Accepting());
+    // Answers from before all agents were known do not count.
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, mOutput.Resets());
+    Answer(1, NodeMessageType::NotFound, TestFlow(1));
+    Answer(2, NodeMessageType::NotFound, TestFlow(1));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, mOutput.Resets());
+  }
+
+  // 60 agents have restarted with empty tables, and 40 flows are searched for at one balancer.
+  void SearchesBeforeAllAgentsAreKnownLeaveTheBudget()
+  {
+    constexpr std::uint16_t kAgents = 60;
+    constexpr std::uint16_t kFlows = 40;
+    std::vector<Member> members;
+    for (unsigned node = 1; node <= kAgents; ++node) {
+      members.push_back(TestAgentMember(node, "web"));
+    }
+    const View view = TestView(1, members);
+    mDirectoryAgents.Update(view);
+    mBalancer.OnState(TestConfiguration(1, {"web"}), view, mOutput, mNow);
+    ReportRegistered(kAgents, 0);
+    for (std::uint16_t flow = 1; flow <= kFlows; ++flow) {
+      Send(CallerPacket(TestFlow(flow), FlagAck, 7, 9, 50));
+      for (int stage = 0; stage < 2; ++stage) {
+        for (unsigned node = 1; node <= kAgents; ++node) {
+          Answer(node, NodeMessageType::NotFound, TestFlow(flow));
+        }
+      }
+    }
+    // Two directory agents and six preferred agents for each flow.
+    CPPUNIT_ASSERT(Sent(NodeMessageType::Query) + Sent(NodeMessageType::QueryLocal) <= kFlows * 8U);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, mOutput.Resets());
+  }
+
   // aAgents agents of "web" whose flows are registered with the directory agents of the same view.
   void SettleMany(unsigned aAgents)
   {
@@ -288,6 +341,44 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, Sent(NodeMessageType::QueryLocal));
   }
 
+  // After a loss of power the view changes often, and each change made 60 agents uncovered. If the
+  // changed agent is a directory agent of the flow, the earlier view says nothing.
+  void AgentsWithAnEarlierViewAreNotQueriedForFlowsWithTheSameDirectoryAgents()
+  {
+    SettleMany(60);
+    const auto own = mDirectoryAgents.AgentsFor(TestFlow(1));
+    std::vector<Member> members;
+    for (unsigned node = 1; node <= 60; ++node) {
+      members.push_back(TestAgentMember(node, "web"));
+    }
+    for (unsigned node = 1, changed = 0; changed == 0; ++node) {
+      if (std::find(own.begin(), own.end(), NodeEndpoint(node)) == own.end()) {
+        members[node - 1].mIncarnation = changed = 2;
+      }
+    }
+    mBalancer.OnState(TestConfiguration(1, {"web"}), TestView(2, members), mOutput, mNow);
+    const PacketBytes packet = CallerPacket(TestFlow(1), FlagAck, 7, 9, 50);
+    Send(packet);
+    DirectoryAgentsAnswer(NodeMessageType::NotRegistered, TestFlow(1));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, Sent(NodeMessageType::QueryLocal));
+    ReportRegisteredLater(60);
+    DirectoryAgentsAnswer(NodeMessageType::NotRegistered, TestFlow(1));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, mOutput.Resets());
+
+    const auto directoryAgent =
+      std::find_if(members.begin(), members.end(), [&](const Member& aMember) {
+        return aMember.mDatagramEndpoint == own.front().ToString();
+      });
+    directoryAgent->mIncarnation = 3;
+    mBalancer.OnState(TestConfiguration(1, {"web"}), TestView(3, members), mOutput, mNow);
+    Send(packet);
+    DirectoryAgentsAnswer(NodeMessageType::NotRegistered, TestFlow(1));
+    ReportRegisteredLater(60);
+    DirectoryAgentsAnswer(NodeMessageType::NotRegistered, TestFlow(1));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, mOutput.Resets());
+    CPPUNIT_ASSERT(Sent(NodeMessageType::QueryLocal) > 0);
+  }
+
   // A registration is in flight: the directory agents do not know the flow yet, and its agent's
   // last load report is older than the flow.
   void LoadReportsFromBeforeTheFlowDoNotEndASearch()
@@ -600,6 +691,45 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, mOutput.Resets());
   }
 
+  // The VM of a removed upstream lost power and started again for a moment.
+  void LostAgentsThatReportedNoFlowsDoNotPreventAReset()
+  {
+    Settle();
+    LoadReport report;
+    report.mConfirmedAgentsDigest = mDirectoryAgents.Digest();
+    report.mFlows = 1;
+    Report(2, report);
+    const View view =
+      TestView(2, {TestAgentMember(1, "web"), TestAgentMember(2, "web", MemberState::Lost)});
+    mBalancer.OnState(TestConfiguration(1, {"web"}), view, mOutput, mNow);
+    mDirectoryAgents.Update(view);
+    mNow += kSettled;
+    const PacketBytes packet = CallerPacket(TestFlow(1), FlagAck, 7, 9, 50);
+    Send(packet);
+    Answer(1, NodeMessageType::NotFound, TestFlow(1));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, mOutput.Resets());
+    report.mFlows = 0;
+    Report(2, report);
+    mNow += Milliseconds{200};
+    Send(packet);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, mOutput.Resets());
+  }
+
+  void AgentsThatFinishDuringASearchDoNotPreventAReset()
+  {
+    Settle();
+    const PacketBytes packet = CallerPacket(TestFlow(1), FlagAck, 7, 9, 50);
+    Send(packet);
+    Answer(1, NodeMessageType::NotFound, TestFlow(1));
+    LoadReport finished;
+    finished.mFinished = true;
+    Report(2, finished);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, mOutput.Resets());
+    mNow += Milliseconds{200};
+    Send(packet);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, mOutput.Resets());
+  }
+
   // A view from after a restart of control lacks an agent that control does not reach.
   void AgentsThatOnlyOtherAgentsKnowAreQueriedBeforeAReset()
   {
