Query all agents also before the view may be complete

What callers could see: resets of live flows whose agent is gone from later views, excused by the rule.

Its queries find live flows of agents that are known for a moment only, after control and the balancer have restarted. Without them the search ended with a reset a second later.

PacketBalancerTest: 62 passed.

--- a/lib/Packet/PacketBalancerSearch.cpp
+++ b/lib/Packet/PacketBalancerSearch.cpp
@@ -241,12 +241,6 @@
     }
   }
   aSearch.mStage = SearchStage::AllAgents;
-  if (!ViewMayBeComplete(aNow)) {
-    // The search goes on with more agents and a settled directory. Queries to all agents now would
-    // leave no budget for it.
-    mAwaitingAgents.insert(aKey);
-    return;
-  }
   AddAgentsNotRuledOut(aKey, aSearch, aNow);
   SendQueries(aKey, aSearch, NodeMessageType::QueryLocal, aOutput, aNow);
 }
