--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -9,6 +9,7 @@
 import os
 import random
 import re
+import shutil
 import signal
 import socket
 import struct
@@ -157,10 +158,15 @@
         # Each machine has a metrics port of its own there; here it may be in use.
         return text.replace(f"{self.address}:9464", f"{self.address}:{d.ports['metrics']}")
 
-    def start(self):
+    def write_settings(self):
         path = os.path.join(self.deployment.folder, self.name + ".conf")
-        with open(path, "w", encoding="utf-8") as file:
+        with open(path + ".new", "w", encoding="utf-8") as file:
             file.write(self.settings())
+        os.replace(path + ".new", path)
+        return path
+
+    def start(self):
+        path = self.write_settings()
         environment = {key: os.environ[key] for key in ("PATH", "HOME", "LANG") if key in os.environ}
         environment["DANDELIONSLIP_NODE_FILE"] = path
         with open(os.path.join(self.deployment.folder, self.name + ".log"), "ab") as log:
@@ -176,6 +182,10 @@
             self.child.kill()
             self.child.wait()
 
+    def wipe(self):
+        """The machine loses its disk; its process has ended."""
+        shutil.rmtree(os.path.join(self.deployment.folder, self.name), ignore_errors=True)
+
     def log(self):
         with open(os.path.join(self.deployment.folder, self.name + ".log"), encoding="utf-8",
                   errors="replace") as file:
@@ -463,6 +473,22 @@
         connection.close()
 
 
+def read_configuration(endpoint):
+    """The version of the configuration that a control machine answers a read with, or the reason
+    why there is none."""
+    host, port = endpoint.rsplit(":", 1)
+    connection = http.client.HTTPConnection(host, int(port), timeout=1.0)
+    try:
+        connection.request("GET", "/Config.Read")
+        response = connection.getresponse()
+        body = response.read()
+        return json.loads(body)["version"] if response.status == 200 else f"status {response.status}"
+    except (OSError, http.client.HTTPException, ValueError) as error:
+        return type(error).__name__
+    finally:
+        connection.close()
+
+
 class Deployment:
     """Five control machines, two balancers, and the agents that a case adds."""
 
@@ -521,6 +547,24 @@
         for node in self.controls + self.balancers:
             node.start()
 
+    def add_control(self):
+        """Adds an empty control machine at an address of its own."""
+        number = len(self.controls) + 1
+        node = Node(self, f"core-{number}", "control", self.address(1, number),
+                    ZONES[number % 3])
+        node.first = False
+        self.controls.append(node)
+        node.start()
+        return node
+
+    def change_seeds(self, nodes):
+        """The settings name other seeds: rewrites the files, and signals the processes."""
+        self.seeds = [f"{node.address}:{self.ports['control']}" for node in nodes]
+        for node in self.controls + self.balancers + self.agents:
+            if node.child.poll() is None:
+                node.write_settings()
+                node.signal(signal.SIGHUP)
+
     def configuration(self, version, service):
         return {"version": version, "routes": [
             {"name": "r-work", "host": self.address(8, 1), "path_prefix": "/8443/",
@@ -534,7 +578,7 @@
     def order(self, path, body=None, first=None, limit_s=10):
         """Sends an order until it is acknowledged, as the operator does. Returns when it was."""
         start = time.monotonic()
-        turn = list(self.controls)
+        turn = [node for node in self.controls if node.child.poll() is None]
         random.shuffle(turn)
         if first is not None:
             turn.remove(first)
@@ -600,7 +644,7 @@
             if os.environ.get("KEEP_LOGS"):
                 print(deployment.folder)
             else:
-                subprocess.run(["rm", "-r", deployment.folder], check=False)
+                shutil.rmtree(deployment.folder, ignore_errors=True)
     print({0: "rule held", 1: "rule broken", 2: "could not run"}[code])
     sys.stdout.flush()
     os._exit(code)
