--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -495,9 +495,7 @@
     def __init__(self, record):
         self.record = record
         self.folder = tempfile.mkdtemp(prefix="dandelionslip-review-")
-        self.net = self._free_net()
-        self.ports = {"udp": 8172, "ready": 8167, "control": 8166, "outbound": 8170, "app": 8080,
-                      "internal": 7720, "metrics": 9464}
+        self.net, self.ports = self._reserve()
         with open(os.path.join(ROOT, "deploy", "system.toml"), "rb") as file:
             roles = tomllib.load(file)["roles"].values()
         self.commands = {role["run"].split()[1]: role["run"].split() for role in roles}
@@ -516,20 +514,39 @@
             self.balancers.append(Node(self, f"front-{i + 1}", "balancer", self.address(2, i + 1),
                                        ZONES[i % 3]))
 
-    # A second and third byte of loopback addresses on which none of the ports is in use.
-    def _free_net(self):
-        for _ in range(50):
+    # Takes a range of loopback addresses for this deployment, and ports that are free there. The
+    # range stays reserved until the process ends.
+    def _reserve(self):
+        for _ in range(100):
             net = f"127.{random.randrange(20, 250)}"
-            probe = socket.socket()
+            reservation = socket.socket()
             try:
-                probe.bind((f"{net}.1.1", 8166))
-                return net
+                reservation.bind((f"{net}.255.1", 9999))
             except OSError:
+                reservation.close()
                 continue
-            finally:
-                probe.close()
+            self.reservation = reservation
+            ports = {}
+            for name in ("udp", "ready", "control", "outbound", "app", "metrics", "internal"):
+                ports[name] = self._free_port(net, ports.values())
+            return net, ports
         raise CannotRun("no free loopback addresses")
 
+    @staticmethod
+    def _free_port(net, taken):
+        for _ in range(100):
+            port = random.randrange(10000, 30000)
+            if port in taken:
+                continue
+            try:
+                for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
+                    with socket.socket(socket.AF_INET, kind) as probe:
+                        probe.bind((f"{net}.1.1", port))
+                return port
+            except OSError:
+                continue
+        raise CannotRun("no free ports")
+
     def address(self, kind, number):
         return f"{self.net}.{kind}.{number}"
 
