--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -578,7 +578,7 @@
         """The settings name other seeds: rewrites the files, and signals the processes."""
         self.seeds = [f"{node.address}:{self.ports['control']}" for node in nodes]
         for node in self.controls + self.balancers + self.agents:
-            if node.child.poll() is None:
+            if node.child is not None and node.child.poll() is None:
                 node.write_settings()
                 node.signal(signal.SIGHUP)
 
