Make interrupted and failed review scripts exit with 2

An unexpected exception ended a script with 1, which reads as a broken rule, and a signal left its processes running. Both now end all processes and exit with 2, as does a run of more than 115 s.

--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -33,6 +33,7 @@
     "max_flow_s": 60,
 }
 HEARTBEAT_MS = 770
+MAX_RUN_S = 115
 ZONES = ("zone-a", "zone-b", "zone-c")
 FLAG_FIN, FLAG_RST, FLAG_BOUNCED, FLAG_SYN, FLAG_ACK = 2, 16, 32, 64, 128
 HEADER = struct.Struct(">IIBBHHHIIII")
@@ -647,15 +648,24 @@
     record = Record(os.path.join(folder, "record.txt"))
     deployment = None
     code = 2
+
+    def interrupted(number, _frame):
+        raise CannotRun(f"ended by signal {number}")
+
+    # An interrupted or overlong run ends its processes too.
+    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP, signal.SIGALRM):
+        signal.signal(number, interrupted)
+    signal.alarm(MAX_RUN_S)
     try:
         deployment = Deployment(record)
         broken = case(deployment, trouble)
         code = 1 if broken else 0
         record.write("rule broken" if broken else "rule held")
-    except (CannotRun, OSError, subprocess.SubprocessError) as error:
-        record.write(f"could not run: {error}")
-        print(f"could not run: {error}", file=sys.stderr)
+    except Exception as error:  # Whatever went wrong, it doesn't show that a rule was broken.
+        record.write(f"could not run: {error!r}")
+        print(f"could not run: {error!r}", file=sys.stderr)
     finally:
+        signal.alarm(0)
         if deployment is not None:
             deployment.stop()
             if os.environ.get("KEEP_LOGS"):
