Let a replaced control replica find its group when its seeds are gone

Cause: a replica that was replaced while it could not be reached discards its log, and with it all members that it knew. It then asked only the seeds of its process's start to join. When these VMs were gone it stayed outside for good, and the next planned replacement left a voter that no longer existed.

JoinEndpoints keeps the members that were last known over the discard, and the replica reads the seeds of its settings again at SIGHUP and every two seconds while it knows no leader. Balancers and agents had a form of the same fault: without a lease they added the seeds again only if these had changed, though a list from control had replaced them.

The simulation of supervised replicas now asks only endpoints that a replica can know.

--- a/include/dandelionslip/Daemon/ControlDaemon.h
+++ b/include/dandelionslip/Daemon/ControlDaemon.h
@@ -5,8 +5,16 @@
 #include "dandelionslip/Daemon/ControlInterface.h"
 #include "dandelionslip/Support/Error.h"
 
+#include <functional>
+#include <string>
+#include <vector>
+
 namespace dandelionslip {
 
+/// Reads the seeds (endpoints of control replicas) of the settings again, because the settings may
+/// have changed. Returns an empty list on an error.
+using SeedReader = std::function<std::vector<std::string>()>;
+
 /// Options for starting a control replica.
 struct ControlStart
 {
@@ -14,6 +22,7 @@
   /// a replica that lost its disk must join as a learner under a new identity.
   bool mBootstrap = false;
   ControlAdapterFactory mAdapter; ///< Empty for none.
+  SeedReader mReadSeeds;          ///< Empty if the seeds never change.
 };
 
 /// Runs a control replica until it is stopped by a signal. Returns the exit code of the process;
--- a/lib/Daemon/ControlDaemon.cpp
+++ b/lib/Daemon/ControlDaemon.cpp
@@ -4,6 +4,7 @@
 #include "HttpResponses.h"
 #include "RaftRuntime.h"
 
+#include "dandelionslip/Control/JoinEndpoints.h"
 #include "dandelionslip/Control/JoinRequest.h"
 #include "dandelionslip/Control/MembershipCore.h"
 #include "dandelionslip/Control/PosixFileSystem.h"
@@ -147,12 +148,16 @@
   , public ControlInterface
 {
 public:
-  ControlDaemon(const ControlSettings& aSettings, std::unique_ptr<LogStore> aStore, Random aRandom)
+  /// aJoinEndpoints outlives the daemon, and so the identity of its store.
+  ControlDaemon(const ControlSettings& aSettings, std::unique_ptr<LogStore> aStore, Random aRandom,
+                JoinEndpoints& aJoinEndpoints, SeedReader aReadSeeds)
     : mSettings(aSettings)
+    , mReadSeeds(std::move(aReadSeeds))
     , mPool(aSettings.mWorkers)
     , mClients(mPool.Loop())
     , mRaft(mPool.Loop(), mClients, *this, aSettings.mEndpoint, std::move(aStore),
             RaftSettingsFrom(aSettings), aSettings.mSnapshotEntries, aRandom)
+    , mJoinEndpoints(aJoinEndpoints)
     , mMembershipCore(mRaft.Self(), MembershipSettingsFrom(aSettings))
     , mRepairPlanner(RepairSettingsFrom(aSettings))
   {
@@ -186,6 +191,7 @@
                                                        [this] { MaintainReplicas(); });
     }
     mPool.OnStop([this] { Stop(); });
+    mPool.OnReload([this] { ReloadSeeds(); });
     LogEvent(LogLevel::Info, "started")
       .With("replica", mRaft.Self())
       .With("endpoint", mSettings.mEndpoint)
@@ -433,22 +439,40 @@
 
   void SendJoin(const RaftMembership& aMembers)
   {
-    const JoinRequest request{mRaft.Self(), mSettings.mEndpoint, false};
     if (mRaft.IsLeader()) {
       return;
     }
-    std::set<std::string> endpoints(mSettings.mInitialReplicas.begin(),
-                                    mSettings.mInitialReplicas.end());
-    if (const std::string leader = mRaft.LeaderAddress(); !leader.empty()) {
-      endpoints = {leader};
-    } else {
-      for (const auto& [id, info] : aMembers.mReplicas) {
-        endpoints.insert(info.mAddress);
-      }
+    const std::string leader = mRaft.LeaderAddress();
+    bool seedsAreDue = false;
+    {
+      const std::lock_guard lock(mMutex);
+      seedsAreDue = mJoinEndpoints.SeedsAreDue(!leader.empty(), RuntimeClock::now());
+    }
+    if (seedsAreDue) {
+      ReloadSeeds();
+    }
+    std::set<std::string> targets;
+    {
+      const std::lock_guard lock(mMutex);
+      mJoinEndpoints.OnMembers(aMembers);
+      targets = mJoinEndpoints.Targets(leader);
     }
-    endpoints.erase(mSettings.mEndpoint);
-    for (const std::string& endpoint : endpoints) {
-      mClients.Post(endpoint, "/v1/join", ToCbor(request), kPeerTimeout, [](const auto&) {});
+    const Bytes body = ToCbor(JoinRequest{mRaft.Self(), mSettings.mEndpoint, false});
+    for (const std::string& endpoint : targets) {
+      mClients.Post(endpoint, "/v1/join", body, kPeerTimeout, [](const auto&) {});
+    }
+  }
+
+  void ReloadSeeds()
+  {
+    if (!mReadSeeds) {
+      return;
+    }
+    std::vector<std::string> seeds = mReadSeeds();
+    const std::string first = seeds.empty() ? "" : seeds.front();
+    const std::lock_guard lock(mMutex);
+    if (mJoinEndpoints.SetSeeds(std::move(seeds))) {
+      LogEvent(LogLevel::Info, "seeds_changed").With("first", first);
     }
   }
 
@@ -702,13 +726,15 @@
   }
 
   ControlSettings mSettings;
+  SeedReader mReadSeeds;
   WorkerPool mPool;
   Http2ClientPool mClients;
   MetricsRegistry mRegistry;
   RaftRuntime mRaft;
-  /// Guards mMembershipCore, mLastAnswer, mRepairPlanner and mNewestLedTerm; taken after the mutex
-  /// of the Raft core.
+  /// Guards mMembershipCore, mLastAnswer, mRepairPlanner, mNewestLedTerm and mJoinEndpoints; taken
+  /// after the mutex of the Raft core.
   std::mutex mMutex;
+  JoinEndpoints& mJoinEndpoints;
   MembershipCore mMembershipCore;
   CommandAnswer mLastAnswer; ///< Of the newest applied command.
   std::unique_ptr<Http2Server> mServer;
@@ -730,12 +756,14 @@
   PosixFileSystem files;
   Random random(SystemSeed());
   ControlStart start = aStart;
+  JoinEndpoints joinEndpoints(aSettings.mEndpoint, aSettings.mInitialReplicas);
   while (true) {
     auto store = OpenStore(files, aSettings, start, random);
     if (!store) {
       return store.as_failure();
     }
-    ControlDaemon daemon(aSettings, std::move(store.value()), Random(random.Next()));
+    ControlDaemon daemon(aSettings, std::move(store.value()), Random(random.Next()), joinEndpoints,
+                         start.mReadSeeds);
     auto code = daemon.Run(start.mAdapter);
     if (!code || !daemon.IdentityRefused() || !aSettings.mJoin) {
       return code;
--- a/lib/Daemon/PacketNode.cpp
+++ b/lib/Daemon/PacketNode.cpp
@@ -105,11 +105,17 @@
 
 void PacketNode::ReloadSeeds()
 {
-  if (auto seeds = mHandlers.mReadSeeds(); !seeds.empty() && seeds != mSeeds) {
+  auto seeds = mHandlers.mReadSeeds();
+  if (seeds.empty()) {
+    return;
+  }
+  if (seeds != mSeeds) {
     mSeeds = seeds;
     LogEvent(LogLevel::Info, "seeds_changed").With("first", mSeeds.front());
-    mLink.AddSeeds(std::move(seeds));
   }
+  // Unchanged seeds are added too: a list from control has replaced them meanwhile, and none of its
+  // replicas may exist any more.
+  mLink.AddSeeds(std::move(seeds));
 }
 
 Result<std::unique_ptr<UdpSocket>> PacketNode::BindNodeSocket(NodeHandler aHandler)
--- a/unittests/Control/SupervisedCluster.cpp
+++ b/unittests/Control/SupervisedCluster.cpp
@@ -15,6 +15,7 @@
 constexpr Milliseconds kVoterJoinInterval{800};
 constexpr Milliseconds kSubmitTimeout{900};
 constexpr Milliseconds kResubmitDelay{40};
+constexpr std::size_t kSeeds = 3;         // In the settings file at first.
 constexpr LogIndex kSnapshotEntries = 25; // Small, so that a run takes and installs snapshots.
 
 RaftSettings ReplicaSettings()
@@ -45,10 +46,14 @@
   , mCluster(aVoters + aLearners, aVoters, aSeed, ReplicaSettings())
   , mProcesses(aVoters + aLearners)
 {
+  for (std::size_t i = 0; i < std::min(aVoters, kSeeds); ++i) {
+    mSeeds.push_back(Address(i));
+  }
   for (std::size_t i = 0; i < Size(); ++i) {
     At(i).SetAfterFailedWrite(AfterFailedWrite::KeepFiles);
     mIndexes[At(i).Id()] = i;
     mProcesses[i].mPlanner.emplace(RepairSettings(aVoters));
+    mProcesses[i].mJoinEndpoints.emplace(Address(i), mSeeds);
     mProcesses[i].mJoinAt = Now();
   }
   mCluster.ObserveMessages([this](const SimulatedReplica& aTo, const RaftMessage& aMessage) {
@@ -87,11 +92,58 @@
   return allMembers && members.VoterCount() >= mVoters && members.VoterCount() <= mVoters + 1;
 }
 
+void SupervisedCluster::WriteSeeds(const std::vector<std::size_t>& aReplicas)
+{
+  mSeeds.clear();
+  for (const std::size_t index : aReplicas) {
+    mSeeds.push_back(Address(index));
+  }
+}
+
+void SupervisedCluster::RemoveVm(std::size_t aIndex)
+{
+  At(aIndex).End();
+  mProcesses[aIndex].mRunning = false;
+  mProcesses[aIndex].mRestartAt = TimePoint::max();
+}
+
+void SupervisedCluster::AddVm(std::size_t aIndex)
+{
+  StartWithSeeds(aIndex);
+}
+
+void SupervisedCluster::Isolate(std::size_t aIndex)
+{
+  mIsolated.insert(aIndex);
+  mCluster.Isolate(aIndex);
+}
+
+void SupervisedCluster::Heal()
+{
+  mIsolated.clear();
+  mCluster.Heal();
+}
+
+bool SupervisedCluster::AllVotersRun()
+{
+  const auto leader = Leader();
+  if (!leader) {
+    return false;
+  }
+  const RaftMembership& members = At(*leader).Core().Members();
+  const bool allRun =
+    std::all_of(members.mReplicas.begin(), members.mReplicas.end(), [this](const auto& aItem) {
+      const auto index = IndexOf(aItem.first);
+      return !aItem.second.mVoter || (index && mProcesses[*index].mRunning);
+    });
+  return allRun && members.VoterCount() == mVoters;
+}
+
 void SupervisedCluster::LosePower()
 {
   for (std::size_t i = 0; i < Size(); ++i) {
     At(i).Crash();
-    StartProcess(i);
+    StartWithSeeds(i);
   }
 }
 
@@ -142,7 +194,7 @@
   }
   const bool mayStart = mRestart == RestartRule::AfterDelay || !At(aIndex).Files().Full();
   if (!process.mRunning && Now() >= process.mRestartAt && mayStart) {
-    StartProcess(aIndex);
+    StartWithSeeds(aIndex);
   }
   if (process.mRunning) {
     MaybeSnapshot(aIndex);
@@ -168,6 +220,12 @@
   mEnds.push_back({aIndex, Now()});
 }
 
+void SupervisedCluster::StartWithSeeds(std::size_t aIndex)
+{
+  mProcesses[aIndex].mJoinEndpoints.emplace(Address(aIndex), mSeeds);
+  StartProcess(aIndex);
+}
+
 void SupervisedCluster::StartProcess(std::size_t aIndex)
 {
   Process& process = mProcesses[aIndex];
@@ -203,10 +261,7 @@
     process.mLedTerm = core.CurrentTerm();
     process.mPlanner->OnBecameLeader(Now());
   }
-  RaftMembership members = core.Members();
-  for (auto& [id, info] : members.mReplicas) {
-    info.mAddress = AddressOf(id);
-  }
+  const RaftMembership members = MembersOf(aIndex);
   const auto change =
     process.mPlanner->Next({members, replica.Id(), core.CommitIndex(),
                             [&core](const ReplicaId& aId) { return core.MatchIndexOf(aId); }},
@@ -220,10 +275,16 @@
 void SupervisedCluster::SendJoin(std::size_t aIndex)
 {
   const auto leader = At(aIndex).Core().Leader();
+  JoinEndpoints& endpoints = *mProcesses[aIndex].mJoinEndpoints;
+  if (endpoints.SeedsAreDue(leader.has_value(), Now())) {
+    endpoints.SetSeeds(mSeeds);
+  }
+  endpoints.OnMembers(MembersOf(aIndex));
+  // The leader's address counts: another identity may answer there now.
+  const auto targets = endpoints.Targets(leader ? AddressOf(*leader) : "");
   for (std::size_t i = 0; i < Size(); ++i) {
-    // The leader's address counts: another identity may answer there now.
-    const bool asked = i != aIndex && At(i).Running() && (!leader || mIndexes.at(*leader) == i);
-    if (asked) {
+    const bool cut = mIsolated.contains(i) || mIsolated.contains(aIndex);
+    if (targets.contains(Address(i)) && At(i).Running() && !cut) {
       ReceiveJoin(i, At(aIndex).Id(), true);
     }
   }
@@ -235,7 +296,8 @@
   const auto leader = At(aIndex).Core().Leader();
   if (At(aIndex).IsLeader()) {
     mProcesses[aIndex].mPlanner->OnJoinRequest(aFrom, AddressOf(aFrom), Now());
-  } else if (aMayForward && leader && At(mIndexes.at(*leader)).Running()) {
+  } else if (aMayForward && leader && At(mIndexes.at(*leader)).Running() &&
+             !mIsolated.contains(mIndexes.at(*leader))) {
     ReceiveJoin(mIndexes.at(*leader), aFrom, false);
   }
 }
@@ -323,7 +385,21 @@
 
 std::string SupervisedCluster::AddressOf(const ReplicaId& aId)
 {
-  return "10.0.0." + std::to_string(mIndexes.at(aId)) + ":7720";
+  return Address(mIndexes.at(aId));
+}
+
+std::string SupervisedCluster::Address(std::size_t aIndex)
+{
+  return "10.0.0." + std::to_string(aIndex) + ":7720";
+}
+
+RaftMembership SupervisedCluster::MembersOf(std::size_t aIndex)
+{
+  RaftMembership members = At(aIndex).Core().Members();
+  for (auto& [id, info] : members.mReplicas) {
+    info.mAddress = AddressOf(id);
+  }
+  return members;
 }
 
 std::optional<std::size_t> SupervisedCluster::IndexOf(const ReplicaId& aId)
--- a/unittests/Control/SupervisedCluster.h
+++ b/unittests/Control/SupervisedCluster.h
@@ -4,6 +4,7 @@
 
 #include "Control/SimulatedCluster.h"
 
+#include "dandelionslip/Control/JoinEndpoints.h"
 #include "dandelionslip/Control/ReplicaRepairPlanner.h"
 
 #include <optional>
@@ -51,6 +52,17 @@
   /// and the voters are as many as at first, or one more, because a voter came back after its
   /// replacement was promoted.
   bool Settled();
+  /// Names other seeds in the settings file that every process can read.
+  void WriteSeeds(const std::vector<std::size_t>& aReplicas);
+  /// Ends a process; it is started again only by AddVm.
+  void RemoveVm(std::size_t aIndex);
+  /// Starts the process on an empty disk, with the seeds of the settings file.
+  void AddVm(std::size_t aIndex);
+  /// Cuts all connections of a replica until Heal.
+  void Isolate(std::size_t aIndex);
+  void Heal();
+  /// Whether there is a leader and all voters that it knows run, as many as at first.
+  bool AllVotersRun();
   /// Cuts the power of all replicas at the same time and starts them again.
   void LosePower();
 
@@ -76,6 +88,7 @@
     TimePoint mJoinAt;
     Term mLedTerm = 0;
     std::optional<ReplicaRepairPlanner> mPlanner;
+    std::optional<JoinEndpoints> mJoinEndpoints;
   };
 
   /// One attempt of the operator to have a change acknowledged by one replica.
@@ -94,6 +107,9 @@
   void Step();
   void Supervise(std::size_t aIndex);
   void OnEnded(std::size_t aIndex);
+  /// Starts a process that reads the settings file.
+  void StartWithSeeds(std::size_t aIndex);
+  /// Starts a process, or lets it go on under a new identity.
   void StartProcess(std::size_t aIndex);
   void Maintain(std::size_t aIndex);
   void SendJoin(std::size_t aIndex);
@@ -104,6 +120,9 @@
   void StartAttempt(Attempt& aAttempt);
   bool Runs(std::size_t aIndex, std::size_t aStarts);
   std::string AddressOf(const ReplicaId& aId);
+  static std::string Address(std::size_t aIndex);
+  /// The members that the replica knows, with their addresses.
+  RaftMembership MembersOf(std::size_t aIndex);
   std::optional<std::size_t> IndexOf(const ReplicaId& aId);
 
   RestartRule mRestart;
@@ -111,6 +130,8 @@
   Random mRandom;
   SimulatedCluster mCluster;
   std::vector<Process> mProcesses;
+  std::vector<std::string> mSeeds; ///< In the settings file.
+  std::set<std::size_t> mIsolated;
   std::map<ReplicaId, std::size_t> mIndexes; ///< Of all identities that were ever used.
   std::vector<ProcessEnd> mEnds;
   std::vector<OperatorChange> mChanges;
