Let no evacuation order that waited undo a newer one

Cause: the adapter gives each order that it reads a new publication id and the present time, and evacuations carry no version. An order that waited in the socket of a control replica that stood still, or on its way between two replicas, looked like a new one and was applied after newer orders.

SubmittedCommand adds the version that the replica knows of the data centre, so that a copy conflicts once another order was applied, and counts the timeout from the earliest time at which the order may have arrived (InputAge). The HTTP/1.1 server notices that a client has closed its connection; an order whose operator has left is not sent. Attempts after the deadline are no longer made, and an order with a copy of unknown outcome is not reported as not applied.

--- /dev/null
+++ b/include/dandelionslip/Control/SubmittedCommand.h
@@ -0,0 +1,43 @@
+// A command that an adapter has submitted, until it is decided.
+#pragma once
+
+#include "dandelionslip/Model/Command.h"
+#include "dandelionslip/Support/RuntimeClock.h"
+
+namespace dandelionslip {
+
+/// Bounds how late a copy of a command can act. A route table carries a version, so a late copy of
+/// it changes nothing. A change of a data centre may carry none: its sender may have sent it to
+/// another replica meanwhile, and a newer one after that, which a late copy would undo. Such a
+/// command is sent to the leader only while its sender still waits, and expects the version that
+/// the data centre had when the command was read.
+class SubmittedCommand
+{
+public:
+  /// aState is the newest configuration of this replica. aArrivedAt is the earliest time at which
+  /// the command may have arrived, and aReadAt is the time at which it was read.
+  SubmittedCommand(Command aCommand, const Configuration& aState, TimePoint aArrivedAt,
+                   TimePoint aReadAt);
+
+  /// The command as it is sent to the leader; a publication id is applied once.
+  const Bytes& Encoded() const { return mEncoded; }
+
+  /// Whether the command carried no version, so that it must not be sent once its sender has left.
+  bool MayBeOvertaken() const { return mMayBeOvertaken; }
+
+  /// Whether no further copy may be sent, because the sender no longer waits for the answer.
+  bool Expired(TimePoint aNow) const { return aNow >= mDeadline; }
+
+  /// Whether the answer leaves the command undecided, so that it may be sent again.
+  static bool Undecided(const CommandAnswer& aAnswer);
+
+  /// Senders try another replica after a second.
+  static constexpr Milliseconds kTimeout{900};
+
+private:
+  Bytes mEncoded;
+  TimePoint mDeadline;
+  bool mMayBeOvertaken = false;
+};
+
+} // namespace dandelionslip
--- a/include/dandelionslip/Daemon/ControlInterface.h
+++ b/include/dandelionslip/Daemon/ControlInterface.h
@@ -21,9 +21,12 @@
   virtual ~ControlInterface() = default;
 
   /// Proposes the command at this replica if it leads, else at the leader, and resends it under the
-  /// same publication id until it is decided or the submit timeout (900 ms) has passed. The
+  /// same publication id until it is decided or SubmittedCommand::kTimeout has passed. A command
+  /// that a newer one may have overtaken (SubmittedCommand::MayBeOvertaken) is not sent when
+  /// aSenderWaits returns false, or when it may have waited in the process for that long. The
   /// callback runs once.
-  virtual void Submit(Command aCommand, std::function<void(const CommandAnswer&)> aCallback) = 0;
+  virtual void Submit(Command aCommand, std::function<bool()> aSenderWaits,
+                      std::function<void(const CommandAnswer&)> aCallback) = 0;
 
   /// The published text of the newest route table. Errors: Unavailable when no quorum has confirmed
   /// recently that this replica's state is the newest; NotFound before the first publication.
--- a/include/dandelionslip/Net/Http2Server.h
+++ b/include/dandelionslip/Net/Http2Server.h
@@ -29,7 +29,8 @@
   virtual void Respond(HttpResponse aResponse) = 0;
 
   /// Calls the function once if the client resets the stream or the connection is lost before
-  /// Respond. Calls it immediately if that has already happened. HTTP/1.1 servers never call it.
+  /// Respond. Calls it immediately if that has already happened. For HTTP/1.1 the client's end of
+  /// the connection counts as lost once it is shut down. Call it from the handler.
   virtual void OnCancel(std::function<void()> aFunction) = 0;
 };
 
--- /dev/null
+++ b/lib/Control/SubmittedCommand.cpp
@@ -0,0 +1,34 @@
+// A command that an adapter has submitted, until it is decided.
+#include "dandelionslip/Control/SubmittedCommand.h"
+
+namespace dandelionslip {
+
+namespace {
+
+std::uint64_t VersionOf(const Configuration& aState, const std::string& aDataCentre)
+{
+  const auto found = aState.mDataCentres.find(aDataCentre);
+  return found == aState.mDataCentres.end() ? 0 : found->second.mVersion;
+}
+
+} // namespace
+
+SubmittedCommand::SubmittedCommand(Command aCommand, const Configuration& aState,
+                                   TimePoint aArrivedAt, TimePoint aReadAt)
+  : mDeadline(aReadAt + kTimeout)
+{
+  if (auto& change = aCommand.mDataCentre; change && !change->mExpectedVersion) {
+    change->mExpectedVersion = VersionOf(aState, change->mName);
+    mDeadline = aArrivedAt + kTimeout;
+    mMayBeOvertaken = true;
+  }
+  mEncoded = ToCbor(aCommand);
+}
+
+bool SubmittedCommand::Undecided(const CommandAnswer& aAnswer)
+{
+  return aAnswer.mOutcome == CommandOutcome::NotApplied ||
+         aAnswer.mOutcome == CommandOutcome::OutcomeUnknown;
+}
+
+} // namespace dandelionslip
--- a/lib/Daemon/ControlDaemon.cpp
+++ b/lib/Daemon/ControlDaemon.cpp
@@ -9,10 +9,12 @@
 #include "dandelionslip/Control/MembershipCore.h"
 #include "dandelionslip/Control/PosixFileSystem.h"
 #include "dandelionslip/Control/ReplicaRepairPlanner.h"
+#include "dandelionslip/Control/SubmittedCommand.h"
 #include "dandelionslip/Daemon/WorkerPool.h"
 #include "dandelionslip/Net/MetricsEndpoint.h"
 #include "dandelionslip/Net/Timer.h"
 #include "dandelionslip/Support/Hash.h"
+#include "dandelionslip/Support/InputAge.h"
 #include "dandelionslip/Support/Log.h"
 
 #include <algorithm>
@@ -29,9 +31,6 @@
 // An operator's command that no quorum has committed is answered with outcome_unknown after this
 // time.
 constexpr Milliseconds kCommandTimeout{5'000};
-// An adapter's command is decided or given up within this time, because the adapter's clients try
-// another replica after one second.
-constexpr Milliseconds kSubmitTimeout{900};
 constexpr Milliseconds kResubmitDelay{40};   // Before an undecided command is submitted again.
 constexpr Milliseconds kForwardTimeout{500}; // For the leader's answer to a forwarded command.
 // Interval of the join requests of a replica that has no vote yet.
@@ -270,12 +269,18 @@
   /// Whether the replica stopped because the group no longer accepts its identity.
   bool IdentityRefused() const { return mIdentityRefused; }
 
-  void Submit(Command aCommand, std::function<void(const CommandAnswer&)> aCallback) override
+  void Submit(Command aCommand, std::function<bool()> aSenderWaits,
+              std::function<void(const CommandAnswer&)> aCallback) override
   {
-    auto call = std::make_shared<SubmitCall>();
-    call->mBody = ToCbor(aCommand);
-    call->mCallback = std::move(aCallback);
-    call->mDeadline = RuntimeClock::now() + kSubmitTimeout;
+    std::shared_ptr<SubmitCall> call;
+    {
+      const std::lock_guard lock(mMutex);
+      call = std::make_shared<SubmitCall>(
+        SubmitCall{{std::move(aCommand), mMembershipCore.Store().Current(),
+                    mInputAge.EarliestArrival(), RuntimeClock::now()},
+                   std::move(aSenderWaits),
+                   std::move(aCallback)});
+    }
     TrySubmit(call);
   }
 
@@ -300,9 +305,12 @@
   /// A command of the adapter that is not decided yet.
   struct SubmitCall
   {
-    Bytes mBody;
+    SubmittedCommand mCommand;
+    std::function<bool()> mSenderWaits;
     std::function<void(const CommandAnswer&)> mCallback;
-    TimePoint mDeadline;
+    CommandAnswer mLastAnswer{CommandOutcome::NotApplied, 0,
+                              "the command may have waited here while its sender sent it to "
+                              "another replica; send it again if it still holds"};
   };
 
   struct PathHandler
@@ -348,6 +356,7 @@
     std::vector<MembershipAction> actions;
     {
       const std::lock_guard lock(mMutex);
+      mInputAge.NoteTurn(RuntimeClock::now());
       actions = mMembershipCore.OnTick(RuntimeClock::now());
     }
     for (auto& action : actions) {
@@ -355,11 +364,17 @@
     }
   }
 
-  // Proposes the command here or passes it to the leader.
+  // Proposes the command here or passes it to the leader, unless its sender no longer waits.
   void TrySubmit(const std::shared_ptr<SubmitCall>& aCall)
   {
+    const SubmittedCommand& command = aCall->mCommand;
+    if (command.Expired(RuntimeClock::now()) ||
+        (command.MayBeOvertaken() && !aCall->mSenderWaits())) {
+      aCall->mCallback(aCall->mLastAnswer);
+      return;
+    }
     if (mRaft.IsLeader()) {
-      ProposeCommand(aCall->mBody,
+      ProposeCommand(command.Encoded(),
                      [this, aCall](const auto& aAnswer) { OnSubmitAnswer(aCall, aAnswer); });
       return;
     }
@@ -368,7 +383,7 @@
       OnSubmitAnswer(aCall, {CommandOutcome::NotApplied, 0, "no leader is known"});
       return;
     }
-    mClients.Post(leader, "/v1/command", aCall->mBody, kForwardTimeout,
+    mClients.Post(leader, "/v1/command", command.Encoded(), kForwardTimeout,
                   [this, aCall, leader](const Result<Bytes>& aResult) {
                     const auto answer = aResult ? FromCbor<CommandAnswer>(aResult.value(), leader)
                                                 : Result<CommandAnswer>(aResult.as_failure());
@@ -382,10 +397,13 @@
   // state machine applies a publication id once.
   void OnSubmitAnswer(const std::shared_ptr<SubmitCall>& aCall, const CommandAnswer& aAnswer)
   {
-    const bool undecided = aAnswer.mOutcome == CommandOutcome::NotApplied ||
-                           aAnswer.mOutcome == CommandOutcome::OutcomeUnknown;
-    if (!undecided || RuntimeClock::now() + kResubmitDelay >= aCall->mDeadline) {
-      aCall->mCallback(aAnswer);
+    const bool undecided = SubmittedCommand::Undecided(aAnswer);
+    // A copy whose outcome is unknown may still be applied, also if a later copy was not.
+    if (!undecided || aCall->mLastAnswer.mOutcome != CommandOutcome::OutcomeUnknown) {
+      aCall->mLastAnswer = aAnswer;
+    }
+    if (!undecided || aCall->mCommand.Expired(RuntimeClock::now() + kResubmitDelay)) {
+      aCall->mCallback(aCall->mLastAnswer);
       return;
     }
     CallAfter(mPool.Loop(), kResubmitDelay, [this, aCall] { TrySubmit(aCall); });
@@ -731,9 +749,10 @@
   Http2ClientPool mClients;
   MetricsRegistry mRegistry;
   RaftRuntime mRaft;
-  /// Guards mMembershipCore, mLastAnswer, mRepairPlanner, mNewestLedTerm and mJoinEndpoints; taken
-  /// after the mutex of the Raft core.
+  /// Guards mInputAge, mMembershipCore, mLastAnswer, mRepairPlanner, mNewestLedTerm and
+  /// mJoinEndpoints; taken after the mutex of the Raft core.
   std::mutex mMutex;
+  InputAge mInputAge{RuntimeClock::now()};
   JoinEndpoints& mJoinEndpoints;
   MembershipCore mMembershipCore;
   CommandAnswer mLastAnswer; ///< Of the newest applied command.
--- a/lib/Net/Http1Server.cpp
+++ b/lib/Net/Http1Server.cpp
@@ -9,8 +9,11 @@
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
 
+#include <sys/socket.h>
+
 #include <algorithm>
 #include <atomic>
+#include <cerrno>
 
 namespace dandelionslip {
 
@@ -59,6 +62,10 @@
 
   void Read();
   void Write(HttpResponse aResponse);
+  /// Whether the client has shut down or lost the connection.
+  bool IsClosedByClient();
+  /// Calls the function once the client closes the connection; not after the next response.
+  void NotifyClosed(std::function<void()> aFunction);
   void Close()
   {
     boost::system::error_code ignored;
@@ -110,9 +117,10 @@
                    });
   }
 
-  // Not supported: the connection is not read while a request is handled, so a client that
-  // disconnects is noticed only when the response is written.
-  void OnCancel(std::function<void()> /*aFunction*/) override {}
+  void OnCancel(std::function<void()> aFunction) override
+  {
+    mConnection->NotifyClosed(std::move(aFunction));
+  }
 
 private:
   std::shared_ptr<Connection> mConnection;
@@ -139,6 +147,29 @@
                    });
 }
 
+bool Connection::IsClosedByClient()
+{
+  std::uint8_t byte = 0;
+  const auto count =
+    ::recv(mStream.socket().native_handle(), &byte, sizeof(byte), MSG_PEEK | MSG_DONTWAIT);
+  return count == 0 || (count < 0 && errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR);
+}
+
+void Connection::NotifyClosed(std::function<void()> aFunction)
+{
+  if (IsClosedByClient()) {
+    aFunction();
+    return;
+  }
+  mStream.socket().async_wait(tcp::socket::wait_read,
+                              [self = shared_from_this(), function = std::move(aFunction)](
+                                const boost::system::error_code& aError) {
+                                if (!aError && self->IsClosedByClient()) {
+                                  function();
+                                }
+                              });
+}
+
 void Connection::Write(HttpResponse aResponse)
 {
   mResponse = {};
@@ -157,6 +188,9 @@
                         self->Close();
                         return;
                       }
+                      // Ends the wait of NotifyClosed.
+                      boost::system::error_code ignored;
+                      self->mStream.socket().cancel(ignored);
                       self->Read();
                     });
 }
