--- a/include/dandelionslip/Config/ControlSettings.h
+++ b/include/dandelionslip/Config/ControlSettings.h
@@ -37,7 +37,9 @@
   Milliseconds mElectionTimeoutMax{1'000};
   /// Longest election timeout just after a start; 0 means mElectionTimeoutMax.
   Milliseconds mFirstElectionTimeout{0};
-  std::uint32_t mSnapshotEntries = 4'096; ///< Log entries between two snapshots.
+  std::uint32_t mSnapshotEntries = 4'096; ///< Log entries between two snapshots, at most.
+  /// Payload bytes of log entries between two snapshots, at most; see RaftSettings.
+  std::uint32_t mSnapshotBytes = 16U << 20U;
   Milliseconds mLease{2'000};
   /// Interval at which a replica sends the leader a summary of the announcements that it received.
   Milliseconds mSummaryInterval{250};
@@ -65,6 +67,7 @@
   aVisitor.Optional("election_timeout_max_ms", aValue.mElectionTimeoutMax, {50, 120'000});
   aVisitor.Optional("first_election_ms", aValue.mFirstElectionTimeout, {0, 10'000});
   aVisitor.Optional("snapshot_entries", aValue.mSnapshotEntries, {16, 1'000'000});
+  aVisitor.Optional("snapshot_bytes", aValue.mSnapshotBytes, {1 << 16, 1 << 30});
   aVisitor.Optional("lease_ms", aValue.mLease, {500, 60'000});
   aVisitor.Optional("summary_interval_ms", aValue.mSummaryInterval, {10, 5'000});
   aVisitor.Optional("join", aValue.mJoin);
--- a/include/dandelionslip/Control/RaftCore.h
+++ b/include/dandelionslip/Control/RaftCore.h
@@ -28,6 +28,9 @@
   std::size_t mMaxPayloadBytes = 1U << 20U;
   std::size_t mSnapshotChunkBytes = 64U << 10U;
   LogIndex mSnapshotEntries = 4096; ///< Applied entries after which a snapshot is due.
+  /// Payload bytes of applied entries after which a snapshot is due, unless the last snapshot is
+  /// large: then four times its size.
+  std::uint64_t mSnapshotBytes = 16U << 20U;
 };
 
 /// Raft with pre-vote, check-quorum, learners, single-server membership changes and snapshots.
@@ -70,7 +73,7 @@
   /// empty, once that voter has the whole log. For use before a planned stop. Proposals are refused
   /// until the transfer succeeds or one election timeout has passed.
   Status TransferLeadership(TimePoint aNow, const ReplicaId& aTarget, RaftActions& aActions);
-  /// Whether enough entries were applied since the last snapshot.
+  /// Whether enough entries, or bytes of entries, were applied since the last snapshot.
   bool SnapshotDue() const;
   /// Builds a snapshot of the applied entries. Call it only when every ApplyAction returned so far
   /// is carried out; aState is the state machine's state at that time.
--- a/lib/Control/RaftCoreImpl.cpp
+++ b/lib/Control/RaftCoreImpl.cpp
@@ -23,6 +23,18 @@
   }
 }
 
+std::uint64_t PayloadBytes(std::span<const LogEntry> aEntries)
+{
+  std::uint64_t bytes = 0;
+  for (const LogEntry& entry : aEntries) {
+    bytes += entry.mPayload.size();
+  }
+  return bytes;
+}
+
+// Bounds the share of a snapshot's cost in the cost of the entries before it.
+constexpr std::uint64_t kSnapshotShare = 4;
+
 // How long after the start RaftSettings::mFirstElectionTimeout applies.
 constexpr Milliseconds kFirstElectionPeriod{1'000};
 
@@ -111,12 +123,17 @@
 {
   if (aSnapshot->mIndex > mLog.SnapshotId().mIndex && aSnapshot->mIndex <= mAppliedIndex) {
     mLog.Compact(std::move(aSnapshot));
+    mAppliedBytes = PayloadBytes(mLog.Range(mLog.SnapshotId().mIndex + 1, mAppliedIndex));
   }
 }
 
 bool RaftCore::Impl::SnapshotDue() const
 {
-  return mAppliedIndex - mLog.SnapshotId().mIndex >= mSettings.mSnapshotEntries;
+  const auto& last = mLog.LastSnapshot();
+  const std::uint64_t enough =
+    std::max(mSettings.mSnapshotBytes, kSnapshotShare * (last ? last->mState.size() : 0));
+  return mAppliedIndex - mLog.SnapshotId().mIndex >= mSettings.mSnapshotEntries ||
+         mAppliedBytes >= enough;
 }
 
 bool RaftCore::Impl::Confirmed(TimePoint aNow) const
@@ -136,8 +153,10 @@
   RaftActions actions;
   CollectMessages(actions);
   if (mAppliedIndex < mCommitIndex) {
-    actions.emplace_back(ApplyAction{mLog.Range(mAppliedIndex + 1, mCommitIndex)});
+    ApplyAction apply{mLog.Range(mAppliedIndex + 1, mCommitIndex)};
+    mAppliedBytes += PayloadBytes(apply.mEntries);
     mAppliedIndex = mCommitIndex;
+    actions.emplace_back(std::move(apply));
   }
   const RoleChangedAction current{Role(), mHardState.mTerm, mLeader};
   if (current.mRole != mReportedRole.mRole || current.mTerm != mReportedRole.mTerm ||
--- a/lib/Control/RaftCoreImpl.h
+++ b/lib/Control/RaftCoreImpl.h
@@ -140,6 +140,7 @@
   LogIndex mPersistedIndex; ///< The local log is synced up to here.
   LogIndex mCommitIndex;
   LogIndex mAppliedIndex;
+  std::uint64_t mAppliedBytes = 0; ///< Payloads of the applied entries after the snapshot.
   std::optional<ReplicaId> mLeader;
   TimePoint mElectionDeadline;
   bool mOwnIdentityChecked = false;
--- a/lib/Control/RaftFollower.cpp
+++ b/lib/Control/RaftFollower.cpp
@@ -177,6 +177,7 @@
     mInstallKeepsSuffix ? std::max(mPersistedIndex, snapshot->mIndex) : snapshot->mIndex;
   mSnapshotToInstall = snapshot;
   mAppliedIndex = snapshot->mIndex;
+  mAppliedBytes = 0;
   AdvanceCommit(snapshot->mIndex);
 }
 
--- a/lib/Daemon/ControlDaemon.cpp
+++ b/lib/Daemon/ControlDaemon.cpp
@@ -79,6 +79,8 @@
   settings.mElectionMin = aSettings.mElectionTimeoutMin;
   settings.mElectionMax = aSettings.mElectionTimeoutMax;
   settings.mFirstElectionTimeout = aSettings.mFirstElectionTimeout;
+  settings.mSnapshotEntries = aSettings.mSnapshotEntries;
+  settings.mSnapshotBytes = aSettings.mSnapshotBytes;
   return settings;
 }
 
@@ -155,7 +157,7 @@
     , mPool(aSettings.mWorkers)
     , mClients(mPool.Loop())
     , mRaft(mPool.Loop(), mClients, *this, aSettings.mEndpoint, std::move(aStore),
-            RaftSettingsFrom(aSettings), aSettings.mSnapshotEntries, aRandom)
+            RaftSettingsFrom(aSettings), aRandom)
     , mJoinEndpoints(aJoinEndpoints)
     , mMembershipCore(mRaft.Self(), MembershipSettingsFrom(aSettings))
     , mRepairPlanner(RepairSettingsFrom(aSettings))
--- a/lib/Daemon/RaftRuntime.cpp
+++ b/lib/Daemon/RaftRuntime.cpp
@@ -15,13 +15,11 @@
 
 RaftRuntime::RaftRuntime(boost::asio::io_context& aLoop, Http2ClientPool& aClients,
                          RaftStateMachine& aStateMachine, std::string aEndpoint,
-                         std::unique_ptr<LogStore> aStore, RaftSettings aSettings,
-                         std::uint32_t aSnapshotEntries, Random aRandom)
+                         std::unique_ptr<LogStore> aStore, RaftSettings aSettings, Random aRandom)
   : mClients(aClients)
   , mStateMachine(aStateMachine)
   , mEndpoint(std::move(aEndpoint))
   , mStore(std::move(aStore))
-  , mSnapshotEntries(aSnapshotEntries)
   , mStrand(boost::asio::make_strand(aLoop))
 {
   RecoveredState recovered = mStore->TakeRecovered();
@@ -35,7 +33,6 @@
   if (!mRecoveredSnapshot) {
     return Ok();
   }
-  mSnapshotIndex = mRecoveredSnapshot->mIndex;
   mLastApplied = mRecoveredSnapshot->Id();
   const bool hasState = !mRecoveredSnapshot->mState.empty();
   auto loaded = hasState ? mStateMachine.LoadState(mRecoveredSnapshot->mState) : Ok();
@@ -237,7 +234,6 @@
       return;
     }
   }
-  mSnapshotIndex = snapshot.mIndex;
   mLastApplied = snapshot.Id();
   Resolve(mTracker.OnSnapshotInstalled(snapshot.mIndex));
   for (const auto& message : aAction.mMessagesAfterSync) {
@@ -295,22 +291,23 @@
 
 void RaftRuntime::MaybeSnapshot()
 {
-  if (mLastApplied.mIndex - mSnapshotIndex < mSnapshotEntries) {
-    return;
-  }
   auto snapshot = std::make_shared<Snapshot>();
   snapshot->mIndex = mLastApplied.mIndex;
   snapshot->mTerm = mLastApplied.mTerm;
   {
     const std::lock_guard lock(mMutex);
+    if (!mCore->SnapshotDue()) {
+      return;
+    }
     snapshot->mMembership = mCore->CommittedMembers();
   }
   snapshot->mState = mStateMachine.EncodeState();
   if (!CheckStorage(mStore->SaveSnapshot(*snapshot))) {
     return;
   }
-  mSnapshotIndex = snapshot->mIndex;
-  LogEvent(LogLevel::Info, "snapshot_saved").With("index", snapshot->mIndex);
+  LogEvent(LogLevel::Info, "snapshot_saved")
+    .With("index", snapshot->mIndex)
+    .With("bytes", snapshot->mState.size());
   const std::lock_guard lock(mMutex);
   mCore->Compact(snapshot);
 }
--- a/lib/Daemon/RaftRuntime.h
+++ b/lib/Daemon/RaftRuntime.h
@@ -44,8 +44,7 @@
   /// aEndpoint is the address and port at which peers reach this replica.
   RaftRuntime(boost::asio::io_context& aLoop, Http2ClientPool& aClients,
               RaftStateMachine& aStateMachine, std::string aEndpoint,
-              std::unique_ptr<LogStore> aStore, RaftSettings aSettings,
-              std::uint32_t aSnapshotEntries, Random aRandom);
+              std::unique_ptr<LogStore> aStore, RaftSettings aSettings, Random aRandom);
 
   /// Loads the state machine from the newest snapshot. Call once before any other event.
   Result<void> Start();
@@ -96,7 +95,6 @@
   RaftStateMachine& mStateMachine;
   std::string mEndpoint;
   std::unique_ptr<LogStore> mStore;
-  std::uint32_t mSnapshotEntries;
   ReplicaId mSelf;
   boost::asio::strand<boost::asio::io_context::executor_type> mStrand;
   std::mutex mMutex;                         ///< Guards mCore and mSenders.
@@ -106,7 +104,6 @@
   // The members below are used on the strand only.
   ProposalTracker mTracker;
   std::map<EntryId, ProposalCallback> mCallbacks;
-  LogIndex mSnapshotIndex = 0;
   EntryId mLastApplied;
   bool mFailed = false;
 };
--- a/unittests/Control/FakeFileSystem.h
+++ b/unittests/Control/FakeFileSystem.h
@@ -51,6 +51,8 @@
   /// Makes the files usable again after a crash of the process only: changes that were not synced
   /// stay, and stay unsynced.
   void RestartProcess();
+  /// Size of all files.
+  std::size_t UsedBytes() const;
   /// Removes all files.
   void Wipe();
   /// Contents of a file, to damage it.
@@ -86,7 +88,6 @@
 
   static void DropUnsynced(File& aFile);
   static void WriteAt(File& aFile, std::size_t aAt, std::span<const std::uint8_t> aBytes);
-  std::size_t UsedBytes() const;
   std::size_t RoomForBytes() const;
   Status Refuse(const std::string& aPath);
   Status CheckChangeAllowed(const std::string& aPath);
--- a/unittests/Control/RaftCoreTest.cpp
+++ b/unittests/Control/RaftCoreTest.cpp
@@ -14,6 +14,7 @@
   CPPUNIT_TEST(ThreeReplicasElectAndCommit);
   CPPUNIT_TEST(IsolatedLeaderStepsDownAndIsNotConfirmed);
   CPPUNIT_TEST(IsolatedFollowerDoesNotDisturbTheLeader);
+  CPPUNIT_TEST(LargeEntriesDoNotFillTheDisk);
   CPPUNIT_TEST(LongIsolatedReplicaCatchesUpBySnapshot);
   CPPUNIT_TEST(LeaderLostBeforeAnswerLeavesOneOutcome);
   CPPUNIT_TEST(RefusedProposalIsNotAppended);
@@ -114,6 +115,34 @@
     CPPUNIT_ASSERT(cluster.At(leader).IsLeader());
   }
 
+  // Guards against a log of few large entries that fills the disk before a snapshot is due by the
+  // number of entries.
+  void LargeEntriesDoNotFillTheDisk()
+  {
+    constexpr std::size_t kNumbers = 1'000; // Some 3 kB encoded.
+    RaftSettings settings;
+    settings.mSnapshotBytes = 64U << 10U;
+    SimulatedCluster cluster(3, 3, 5, settings);
+    cluster.AwaitLeader();
+    std::size_t peak = 0;
+    for (std::uint64_t i = 0; i < 300; ++i) {
+      SimulatedReplica* leader = cluster.Leader();
+      CPPUNIT_ASSERT(leader != nullptr);
+      CPPUNIT_ASSERT(
+        leader->Propose(cluster.Now(), ToCbor(std::vector<std::uint64_t>(kNumbers, 1'000 + i))));
+      cluster.RunFor(Milliseconds(30));
+      for (std::size_t replica = 0; replica < cluster.Size(); ++replica) {
+        if (cluster.At(replica).Core().SnapshotDue()) {
+          cluster.At(replica).TakeSnapshot();
+        }
+        peak = std::max(peak, cluster.At(replica).Files().UsedBytes());
+      }
+    }
+    AwaitConverged(cluster);
+    CPPUNIT_ASSERT(peak > settings.mSnapshotBytes);
+    CPPUNIT_ASSERT_MESSAGE(std::to_string(peak), peak < 2 * settings.mSnapshotBytes);
+  }
+
   // Guards against a replica that cannot return once the entries it needs are compacted.
   void LongIsolatedReplicaCatchesUpBySnapshot()
   {
