--- a/unittests/Control/ReplicaReplacementTest.cpp
+++ b/unittests/Control/ReplicaReplacementTest.cpp
@@ -17,7 +17,7 @@
 {
   CPPUNIT_TEST_SUITE(ReplicaReplacementTest);
   CPPUNIT_TEST(ReplacedReplicasJoinAgainAfterAllSeedsAreGone);
-  CPPUNIT_TEST(RestartedReplicasJoinThroughNewSeeds);
+  CPPUNIT_TEST(ReplicasThatKnowNoLivingMemberReadTheSeedsAgain);
   CPPUNIT_TEST_SUITE_END();
 
   // Replaces VM i by VM kVoters + i, for the first three.
@@ -76,7 +76,7 @@
 
   // Guards against a replica that knows no member that still exists, because it was cut off while
   // all others were replaced, and that does not read the seeds again.
-  void RestartedReplicasJoinThroughNewSeeds()
+  void ReplicasThatKnowNoLivingMemberReadTheSeedsAgain()
   {
     SupervisedCluster cluster(kVoters, kSuccessors, RestartRule::AfterDelay, 1);
     for (std::size_t i = 0; i < kSuccessors; ++i) {
