--- /dev/null
+++ b/include/dandelionslip/Packet/FailureDetector.h
@@ -0,0 +1,72 @@
+// Detects an upstream that fails although its heartbeats say that it is ready.
+#pragma once
+
+#include "dandelionslip/Support/RuntimeClock.h"
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <string>
+#include <string_view>
+
+namespace dandelionslip {
+
+/// How a flow of an upstream failed.
+enum class FlowFailure
+{
+  Reset,             ///< The upstream reset the flow before it answered the request.
+  Rejected,          ///< A short answer at once although the upstream had free slots.
+  Overdue,           ///< No answer for OverdueAfter().
+  OpeningUnanswered, ///< No answer to the opening packet.
+};
+
+inline constexpr std::size_t kFlowFailures = 4;
+
+std::string_view ToString(FlowFailure aFailure);
+
+/// What an agent knows of its upstream's ability to answer.
+enum class UpstreamVerdict : std::uint8_t
+{
+  Healthy,
+  Failing,   ///< Gets trial flows only.
+  Returning, ///< Trial flows were answered; gets a growing share of its flows.
+};
+
+std::string_view ToString(UpstreamVerdict aVerdict);
+
+/// An answer, as the agent sees it at the first data.
+struct UpstreamAnswer
+{
+  RuntimeClock::duration mDuration{}; ///< Since the request was delivered.
+  std::uint32_t mBytes = 0;           ///< Data of the first packet.
+  bool mHadFreeSlot = false;          ///< When the request was delivered.
+};
+
+/// Judges one upstream by the flows that its agent delivered, separately for callers of each data
+/// centre. Compares recent outcomes with what is usual for this upstream. Not thread-safe.
+class FailureDetector
+{
+public:
+  /// Forgets everything: another process of the upstream may behave differently.
+  void OnUpstreamStarted(TimePoint aNow);
+  void OnAnswered(const std::string& aCallerDataCentre, const UpstreamAnswer& aAnswer,
+                  TimePoint aNow);
+  void OnFailure(const std::string& aCallerDataCentre, FlowFailure aFailure, TimePoint aNow);
+
+  /// How long a request may run before OnFailure(Overdue) is due, if the upstream had a free slot
+  /// or has answered later requests.
+  RuntimeClock::duration OverdueAfter() const;
+
+  /// Whether an offered opening may be delivered. Counts it as a trial flow if the upstream is
+  /// failing. Requests that may run only once are no trials.
+  bool Admits(const std::string& aCallerDataCentre, bool aRepeatable, TimePoint aNow);
+
+  /// The verdict for callers of all data centres together.
+  UpstreamVerdict Verdict(TimePoint aNow) const;
+  /// Time since the verdict last changed; zero if it never did.
+  Milliseconds VerdictAge(TimePoint aNow) const;
+  /// Share of its usual flows that the upstream may get, 0 to 1.
+  double AdmittedShare(TimePoint aNow) const;
+};
+
+} // namespace dandelionslip
--- /dev/null
+++ b/include/dandelionslip/Packet/FlowLengthEstimator.h
@@ -0,0 +1,24 @@
+// Learns whether the flows of an upstream carry one request each.
+#pragma once
+
+#include "dandelionslip/Support/RuntimeClock.h"
+
+namespace dandelionslip {
+
+/// Counts opened and ended flows and the answers on them, with a decaying weight. Not thread-safe.
+class FlowLengthEstimator
+{
+public:
+  void OnOpened(TimePoint aNow);
+  /// A flow that both sides have ended; aAnswers: requests answered on it.
+  void OnEnded(unsigned aAnswers, TimePoint aNow);
+
+  /// Whether at least kMinEnded flows have ended, at least half of those that were opened, with
+  /// kMaxAnswers answers each on average. False while too little is known.
+  bool OneRequestPerFlow() const;
+
+  static constexpr double kMinEnded = 3;
+  static constexpr double kMaxAnswers = 1.5;
+};
+
+} // namespace dandelionslip
