Add decision classes for admission, costs and failing upstreams

Placement needs to know what an upstream still has to do, what a request is likely to cost, and whether an upstream fails although it says that it is ready.

Each decision is a class without input or output.

--- a/include/dandelionslip/Packet/FailureDetector.h
+++ b/include/dandelionslip/Packet/FailureDetector.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <deque>
 #include <map>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -67,6 +68,46 @@
   Milliseconds VerdictAge(TimePoint aNow) const;
   /// Share of its usual flows that the upstream may get, 0 to 1.
   double AdmittedShare(TimePoint aNow) const;
+
+private:
+  /// The verdict for one group of callers, from the outcomes of their last flows.
+  class Judge
+  {
+  public:
+    void OnOutcome(bool aFailed, TimePoint aNow);
+    bool Admits(bool aRepeatable, TimePoint aNow);
+    UpstreamVerdict Verdict() const { return mVerdict; }
+    std::optional<TimePoint> ChangedAt() const { return mChangedAt; }
+    double Share() const;
+
+  private:
+    struct Outcome
+    {
+      bool mFailed = false;
+      TimePoint mAt;
+    };
+
+    void Change(UpstreamVerdict aVerdict, TimePoint aNow);
+
+    UpstreamVerdict mVerdict = UpstreamVerdict::Healthy;
+    std::optional<TimePoint> mChangedAt;
+    std::deque<Outcome> mOutcomes;
+    unsigned mAnsweredTrials = 0; ///< In a row, while failing.
+    TimePoint mTriedAt;
+    Milliseconds mTrialInterval{0};
+    double mShare = 1.0;         ///< While returning.
+    double mAdmissionCredit = 0; ///< While returning: an opening is admitted when it reaches 1.
+  };
+
+  void OnOutcome(const std::string& aCallerDataCentre, bool aFailed, TimePoint aNow);
+  bool IsRejection(const UpstreamAnswer& aAnswer) const;
+
+  Judge mAll;
+  std::map<std::string, Judge> mByDataCentre;
+  // Usual answers, as exponentially weighted means.
+  double mMeanSeconds = 0;
+  double mMeanBytes = 0;
+  std::uint64_t mAnswers = 0;
 };
 
 } // namespace dandelionslip
--- a/include/dandelionslip/Packet/FlowLengthEstimator.h
+++ b/include/dandelionslip/Packet/FlowLengthEstimator.h
@@ -19,6 +19,17 @@
 
   static constexpr double kMinEnded = 3;
   static constexpr double kMaxAnswers = 1.5;
+
+private:
+  /// Time after which the weight of an observation has halved.
+  static constexpr double kHalfLifeSeconds = 10;
+
+  void Decay(TimePoint aNow);
+
+  double mOpened = 0;
+  double mEnded = 0;
+  double mAnswers = 0; ///< On ended flows.
+  TimePoint mDecayedAt;
 };
 
 } // namespace dandelionslip
--- a/include/dandelionslip/Packet/OpeningAdmission.h
+++ b/include/dandelionslip/Packet/OpeningAdmission.h
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <optional>
 #include <unordered_map>
+#include <vector>
 
 namespace dandelionslip {
 
@@ -50,7 +51,35 @@
   std::uint32_t Ahead() const;
   /// Whether a request that is delivered now finds a free slot.
   bool HasFreeSlot() const;
-  const RequestCostModel& Costs() const;
+  const RequestCostModel& Costs() const { return mCosts; }
+  /// Requests and expected requests that the upstream accepts at once, learned from its rejections.
+  std::uint32_t QueueLimit() const { return mQueueLimit; }
+
+private:
+  struct Entry
+  {
+    std::uint64_t mRoute = 0;
+    TimePoint mOpenedAt;
+    std::optional<TimePoint> mRequestedAt; ///< Empty while the opening awaits its request.
+    std::optional<TimePoint> mStartedAt;   ///< When the request got a slot.
+    std::uint32_t mAheadOfRequest = 0;     ///< Requests in progress when it was delivered.
+  };
+
+  void Remove(const FlowKey& aFlow, TimePoint aNow);
+  void StartNext(TimePoint aNow);
+  void LearnQueueLimit(const Entry& aEntry, TimePoint aNow);
+  /// Time until a request that is behind all others gets a slot; empty if costs are unknown.
+  std::optional<RuntimeClock::duration> TimeToFreeSlot(TimePoint aNow) const;
+
+  std::uint32_t mSlots = 1;
+  RequestCostModel mCosts;
+  std::unordered_map<FlowKey, Entry, FlowKeyHash> mEntries;
+  std::vector<FlowKey> mInProgress; ///< Flows whose request runs or waits, in order of delivery.
+  std::uint32_t mRunning = 0;
+  std::uint32_t mQueueLimit = 0;
+  TimePoint mLimitChangedAt;
+  /// Mean time from an opening to its request, the caller's round trip.
+  RuntimeClock::duration mRoundTrip = Milliseconds(8);
 };
 
 } // namespace dandelionslip
--- a/include/dandelionslip/Packet/RequestCostModel.h
+++ b/include/dandelionslip/Packet/RequestCostModel.h
@@ -3,7 +3,8 @@
 
 #include "dandelionslip/Support/RuntimeClock.h"
 
-#include <array>
+#include <boost/histogram.hpp>
+
 #include <cstdint>
 #include <optional>
 #include <unordered_map>
@@ -31,6 +32,39 @@
   std::optional<Duration> Remaining(std::uint64_t aRoute, Duration aElapsed) const;
   /// The shortest run time seen recently, over all routes; empty if unknown.
   std::optional<Duration> Shortest() const;
+
+private:
+  /// Run times in milliseconds, in bins whose widths grow by about a fifth.
+  using Histogram = decltype(boost::histogram::make_weighted_histogram(
+    boost::histogram::axis::regular<double, boost::histogram::axis::transform::log>()));
+
+  class Distribution
+  {
+  public:
+    Distribution();
+
+    void Add(double aMs);
+    bool IsKnown() const { return mCount >= kMinSamples; }
+    double Mean() const { return mSum / mCount; }
+    double Quantile(double aLevel) const;
+    double Remaining(double aElapsedMs) const;
+
+  private:
+    Histogram mBins;
+    double mCount = 0;
+    double mSum = 0;
+  };
+
+  /// Samples before a distribution is used. With a relative deviation of 0.5, the mean of eight
+  /// samples has a standard error of 18%.
+  static constexpr double kMinSamples = 8;
+  /// When a distribution has this many samples, the weight of all is halved.
+  static constexpr double kMaxSamples = 1'000;
+
+  const Distribution* Find(std::uint64_t aRoute) const;
+
+  std::unordered_map<std::uint64_t, Distribution> mRoutes;
+  Distribution mService; ///< All routes.
 };
 
 } // namespace dandelionslip
--- a/include/dandelionslip/Packet/UpstreamSelector.h
+++ b/include/dandelionslip/Packet/UpstreamSelector.h
@@ -34,7 +34,11 @@
 
   /// Above this share of busy slots in the near data centre, all upstreams are considered, so that
   /// flows spill over before requests queue.
-  static constexpr double kNearBusyShare = 0.6;
+  static constexpr double kNearBusyShare = 0.4;
+
+private:
+  Random mRandom;
+  std::unordered_map<std::uint64_t, double> mCredits; ///< By mIdentity.
 };
 
 } // namespace dandelionslip
--- /dev/null
+++ b/lib/Packet/FlowLengthEstimator.cpp
@@ -0,0 +1,45 @@
+// Number of requests on a flow, from flows that ended.
+#include "dandelionslip/Packet/FlowLengthEstimator.h"
+
+#include "dandelionslip/Support/Durations.h"
+
+#include <cmath>
+
+namespace dandelionslip {
+
+namespace {
+
+// Part of the opened flows that must have ended. Flows with many requests rarely end.
+constexpr double kMinEndedShare = 0.5;
+
+} // namespace
+
+void FlowLengthEstimator::Decay(TimePoint aNow)
+{
+  const double kept = std::exp2(-Seconds(aNow - mDecayedAt) / kHalfLifeSeconds);
+  mDecayedAt = aNow;
+  mOpened *= kept;
+  mEnded *= kept;
+  mAnswers *= kept;
+}
+
+void FlowLengthEstimator::OnOpened(TimePoint aNow)
+{
+  Decay(aNow);
+  mOpened += 1;
+}
+
+void FlowLengthEstimator::OnEnded(unsigned aAnswers, TimePoint aNow)
+{
+  Decay(aNow);
+  mEnded += 1;
+  mAnswers += aAnswers;
+}
+
+bool FlowLengthEstimator::OneRequestPerFlow() const
+{
+  return mEnded >= kMinEnded && mEnded >= mOpened * kMinEndedShare &&
+         mAnswers <= mEnded * kMaxAnswers;
+}
+
+} // namespace dandelionslip
