Let nodes fetch the terms of routes from control

Balancers and agents need a route's response-time goal and whether its requests may be repeated. The route table can't carry them: decoders of the last release refuse unknown keys, also in the log.

Control derives the terms from the published document, and nodes ask for them after a new route version, at most every 500 ms. A replica of the last release answers with an error, and the node works without terms.

--- a/include/dandelionslip/Daemon/ControlDaemon.h
+++ b/include/dandelionslip/Daemon/ControlDaemon.h
@@ -3,10 +3,12 @@
 
 #include "dandelionslip/Config/ControlSettings.h"
 #include "dandelionslip/Daemon/ControlInterface.h"
+#include "dandelionslip/Model/RouteTerms.h"
 #include "dandelionslip/Support/Error.h"
 
 #include <functional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace dandelionslip {
@@ -15,6 +17,9 @@
 /// have changed. Returns an empty list on an error.
 using SeedReader = std::function<std::vector<std::string>()>;
 
+/// Reads the terms of routes from a published route document.
+using RouteTermsReader = std::function<Result<RouteTerms>(std::string_view aDocument)>;
+
 /// Options for starting a control replica.
 struct ControlStart
 {
@@ -23,6 +28,7 @@
   bool mBootstrap = false;
   ControlAdapterFactory mAdapter; ///< Empty for none.
   SeedReader mReadSeeds;          ///< Empty if the seeds never change.
+  RouteTermsReader mReadTerms;    ///< Empty if routes have no terms.
 };
 
 /// Runs a control replica until it is stopped by a signal. Returns the exit code of the process;
--- a/lib/Daemon/ControlDaemon.cpp
+++ b/lib/Daemon/ControlDaemon.cpp
@@ -151,9 +151,10 @@
 public:
   /// aJoinEndpoints outlives the daemon, and so the identity of its store.
   ControlDaemon(const ControlSettings& aSettings, std::unique_ptr<LogStore> aStore, Random aRandom,
-                JoinEndpoints& aJoinEndpoints, SeedReader aReadSeeds)
+                JoinEndpoints& aJoinEndpoints, const ControlStart& aStart)
     : mSettings(aSettings)
-    , mReadSeeds(std::move(aReadSeeds))
+    , mReadSeeds(aStart.mReadSeeds)
+    , mReadTerms(aStart.mReadTerms)
     , mPool(aSettings.mWorkers)
     , mClients(mPool.Loop())
     , mRaft(mPool.Loop(), mClients, *this, aSettings.mEndpoint, std::move(aStore),
@@ -551,13 +552,14 @@
 
   void OnRequest(const std::shared_ptr<HttpExchange>& aExchange)
   {
-    static constexpr std::array<PathHandler, 9> kPathHandlers{{
+    static constexpr std::array<PathHandler, 10> kPathHandlers{{
       {"/v1/announce", &ControlDaemon::OnAnnounce},
       {"/v1/raft", &ControlDaemon::OnRaft},
       {"/v1/join", &ControlDaemon::OnJoin},
       {"/v1/summary", &ControlDaemon::OnSummary},
       {"/v1/view", &ControlDaemon::OnView},
       {"/v1/state", &ControlDaemon::OnStateRequest},
+      {"/v1/route-terms", &ControlDaemon::OnRouteTermsRequest},
       {"/v1/command", &ControlDaemon::OnCommandRequest},
       {"/v1/replica", &ControlDaemon::OnReplicaRequest},
       {"/v1/status", &ControlDaemon::OnStatusRequest},
@@ -604,6 +606,28 @@
     RespondCbor(*aExchange, answer);
   }
 
+  // The terms come from the document, because the route table keeps the format of the last release.
+  void OnRouteTermsRequest(const std::shared_ptr<HttpExchange>& aExchange)
+  {
+    const auto document = ConfirmedRouteDocument();
+    if (!document || !mReadTerms) {
+      RespondError(*aExchange, document ? kStatusNotFound : kStatusUnavailable,
+                   document ? "routes have no terms" : document.error().Message());
+      return;
+    }
+    const std::lock_guard lock(mTermsMutex);
+    if (!mTerms || mTermsDocument != document.value()) {
+      auto terms = mReadTerms(document.value());
+      if (!terms) {
+        RespondError(*aExchange, kStatusUnavailable, terms.error().Message());
+        return;
+      }
+      mTermsDocument = document.value();
+      mTerms = std::move(terms.value());
+    }
+    RespondCbor(*aExchange, *mTerms);
+  }
+
   void OnRaft(const std::shared_ptr<HttpExchange>& aExchange)
   {
     auto message = DecodeRaftMessage(aExchange->Request().mBody, aExchange->Peer());
@@ -747,6 +771,10 @@
 
   ControlSettings mSettings;
   SeedReader mReadSeeds;
+  RouteTermsReader mReadTerms;
+  std::mutex mTermsMutex; ///< Guards the two members below.
+  std::string mTermsDocument;
+  std::optional<RouteTerms> mTerms; ///< Of mTermsDocument.
   WorkerPool mPool;
   Http2ClientPool mClients;
   MetricsRegistry mRegistry;
@@ -784,7 +812,7 @@
       return store.as_failure();
     }
     ControlDaemon daemon(aSettings, std::move(store.value()), Random(random.Next()), joinEndpoints,
-                         start.mReadSeeds);
+                         start);
     auto code = daemon.Run(start.mAdapter);
     if (!code || !daemon.IdentityRefused() || !aSettings.mJoin) {
       return code;
--- a/lib/Daemon/ControlLink.cpp
+++ b/lib/Daemon/ControlLink.cpp
@@ -67,6 +67,13 @@
   return mLastLeaseTime && RuntimeClock::now() - *mLastLeaseTime <= aDuration;
 }
 
+void ControlLink::Post(const std::string& aPath, Milliseconds aTimeout,
+                       std::function<void(const Result<Bytes>&)> aDone)
+{
+  mClients.Post(CurrentEndpoint(), aPath, {}, aTimeout,
+                [done = std::move(aDone)](auto aResult) { done(aResult); });
+}
+
 void ControlLink::SwitchReplica(const Error& aReason)
 {
   std::size_t index = 0;
--- a/lib/Daemon/ControlLink.h
+++ b/lib/Daemon/ControlLink.h
@@ -45,6 +45,10 @@
   /// the settings file has changed. The next list from control replaces all endpoints.
   void AddSeeds(std::vector<std::string> aSeeds);
 
+  /// Sends an empty request to the current replica.
+  void Post(const std::string& aPath, Milliseconds aTimeout,
+            std::function<void(const Result<Bytes>&)> aDone);
+
   /// Whether a replica has granted a lease within the last aDuration.
   bool HadLeaseWithin(Milliseconds aDuration);
 
--- a/lib/Daemon/PacketNode.cpp
+++ b/lib/Daemon/PacketNode.cpp
@@ -23,6 +23,11 @@
 constexpr Milliseconds kStartupAnnounceInterval{100};
 constexpr Milliseconds kStartupAnnounceTime{3'000};
 
+// Shortest interval between two requests for the terms of routes: configurations may follow each
+// other every 60 ms, and the terms of all routes take some 3 KB.
+constexpr Milliseconds kTermsInterval{500};
+constexpr Milliseconds kTermsTimeout{400};
+
 } // namespace
 
 PacketNode::PacketNode(const PacketNodeSettings& aSettings, Handlers aHandlers)
@@ -57,7 +62,7 @@
 {
   OpenMetrics();
   mLink.FetchState([this](const NodeState& aState) {
-    mHandlers.mOnState(aState);
+    ApplyState(aState);
     mLink.Start();
     mStartupTimer = std::make_unique<RepeatingTimer>(mPool.Loop(), kStartupAnnounceInterval,
                                                      [this] { mLink.AnnounceNow(); });
@@ -93,7 +98,35 @@
     mIncarnation += kIncarnationStepMs;
     LogEvent(LogLevel::Info, "incarnation_raised").With("incarnation", mIncarnation);
   }
+  ApplyState(aState);
+}
+
+void PacketNode::ApplyState(const NodeState& aState)
+{
   mHandlers.mOnState(aState);
+  FetchTerms(aState.CurrentConfiguration().mRoutes.mVersion);
+}
+
+// A replica of a release without terms answers with an error. The node asks again, because the next
+// replica may have them.
+void PacketNode::FetchTerms(std::uint64_t aRouteVersion)
+{
+  const TimePoint now = RuntimeClock::now();
+  if (aRouteVersion <= mTermsVersion || mFetchingTerms ||
+      (mTermsFetchedAt && now - *mTermsFetchedAt < kTermsInterval)) {
+    return;
+  }
+  mFetchingTerms = true;
+  mTermsFetchedAt = now;
+  mLink.Post("/v1/route-terms", kTermsTimeout, [this](const Result<Bytes>& aResult) {
+    mFetchingTerms = false;
+    const auto terms = aResult ? FromCbor<RouteTerms>(aResult.value(), "route terms")
+                               : Result<RouteTerms>(aResult.as_failure());
+    if (terms && terms.value().mVersion > mTermsVersion) {
+      mTermsVersion = terms.value().mVersion;
+      mHandlers.mOnTerms(terms.value());
+    }
+  });
 }
 
 void PacketNode::ReloadSeedsWithoutLease()
--- a/lib/Daemon/PacketNode.h
+++ b/lib/Daemon/PacketNode.h
@@ -6,6 +6,7 @@
 
 #include "dandelionslip/Config/PacketSettings.h"
 #include "dandelionslip/Daemon/WorkerPool.h"
+#include "dandelionslip/Model/RouteTerms.h"
 #include "dandelionslip/Net/MetricsEndpoint.h"
 #include "dandelionslip/Net/UdpSocket.h"
 #include "dandelionslip/Packet/PacketOutput.h"
@@ -26,6 +27,7 @@
     std::function<void(Member&)> mFillMember; ///< Fills in kind, service and state.
     std::function<void(const NodeState&)> mOnState;
     std::function<std::vector<std::string>()> mReadSeeds; ///< As PacketPlatform::mReadSeeds.
+    std::function<void(const RouteTerms&)> mOnTerms;
   };
 
   PacketNode(const PacketNodeSettings& aSettings, Handlers aHandlers);
@@ -55,6 +57,9 @@
   void OnAnnouncementAnswer(const AnnouncementAnswer& aAnswer, const NodeState& aState,
                             TimePoint aSentAt);
   void OpenMetrics();
+  void ApplyState(const NodeState& aState);
+  /// Fetches the terms of the routes if those that the node has are of another route table.
+  void FetchTerms(std::uint64_t aRouteVersion);
   /// Reloads the seeds if no replica has granted a lease recently.
   void ReloadSeedsWithoutLease();
   void ReloadSeeds();
@@ -67,6 +72,9 @@
   std::unique_ptr<MetricsEndpoint> mMetrics;
   std::uint64_t mIncarnation;
   TimePoint mLeaseEnd;
+  std::uint64_t mTermsVersion = 0; ///< Of the route table whose terms the node has.
+  bool mFetchingTerms = false;
+  std::optional<TimePoint> mTermsFetchedAt; ///< When they were last requested.
   std::vector<std::string> mSeeds;
   ControlLink mLink;
   std::unique_ptr<RepeatingTimer> mSeedTimer;
--- a/tools/dandelionslip-control/main.cpp
+++ b/tools/dandelionslip-control/main.cpp
@@ -31,7 +31,7 @@
   return dandelionslip::ProgramMain<ControlSettings>(
     kUsage, "dandelionslip-control", aArgc, aArgv,
     [](const ControlSettings& aSettings, const dandelionslip::ProgramArguments& aArguments) {
-      const dandelionslip::ControlStart start{aArguments.at("--bootstrap").asBool(), {}, {}};
+      const dandelionslip::ControlStart start{aArguments.at("--bootstrap").asBool(), {}, {}, {}};
       return dandelionslip::RunControl(aSettings, start);
     });
 }
--- a/unittests/Daemon/PacketNodeTest.cpp
+++ b/unittests/Daemon/PacketNodeTest.cpp
@@ -29,8 +29,9 @@
     settings.mNode = "balancer-1";
     settings.mDataCentre = "a";
     settings.mControlEndpoints = {kSeed};
-    PacketNode node(settings, {[](Member&) {}, [](const NodeState&) {},
-                               [] { return std::vector<std::string>{kSeed}; }});
+    PacketNode node(settings,
+                    {[](Member&) {}, [](const NodeState&) {},
+                     [] { return std::vector<std::string>{kSeed}; }, [](const RouteTerms&) {}});
     std::atomic<int> announcements{0};
     auto server =
       Http2Server::Listen(node.Loop(), Endpoint::Parse(kSeed).value(), [&](const auto& aExchange) {
