--- a/include/dandelionslip/Packet/NodeMessageHeader.h
+++ b/include/dandelionslip/Packet/NodeMessageHeader.h
@@ -29,6 +29,10 @@
   /// To a balancer: like NotFound, from an agent whose view contains its current incarnation. A
   /// holder would have registered the flow with it. Counts only at balancers with the same agents.
   NotRegistered,
+  // Types below are sent only to nodes that have shown that they know them.
+  Offer,        ///< To an agent: like Deliver for an opening, which may be returned as busy.
+  LastOffer,    ///< To an agent: like Offer; the balancer will offer it to no other agent.
+  ReportFormat, ///< To an agent: one byte, the highest format of load reports that is understood.
 };
 
 /// Why an agent returned a packet.
@@ -42,9 +46,12 @@
   Cold,         ///< The upstream is cold and has reached its limit of new flows per second.
   WrongService, ///< No target of the route is the upstream's service.
   NoUpstream,   ///< The agent has had no recent heartbeat, or the upstream has exited.
+  // Reasons below are given only for offers.
+  Busy,    ///< The request would wait too long at this upstream.
+  Failing, ///< The upstream fails although its heartbeats are good.
 };
 
-inline constexpr std::size_t kReturnReasons = 8;
+inline constexpr std::size_t kReturnReasons = 10;
 
 std::string_view ToString(ReturnReason aReason);
 
--- a/include/dandelionslip/Packet/PacketAgent.h
+++ b/include/dandelionslip/Packet/PacketAgent.h
@@ -3,11 +3,15 @@
 
 #include "dandelionslip/Model/Configuration.h"
 #include "dandelionslip/Model/Member.h"
+#include "dandelionslip/Model/RouteTerms.h"
 #include "dandelionslip/Model/View.h"
 #include "dandelionslip/Packet/DirectoryAgents.h"
+#include "dandelionslip/Packet/FailureDetector.h"
 #include "dandelionslip/Packet/FlowDirectory.h"
+#include "dandelionslip/Packet/FlowLengthEstimator.h"
 #include "dandelionslip/Packet/FlowMessage.h"
 #include "dandelionslip/Packet/LoadReport.h"
+#include "dandelionslip/Packet/OpeningAdmission.h"
 #include "dandelionslip/Packet/OpeningLimiter.h"
 #include "dandelionslip/Packet/PacketOutput.h"
 #include "dandelionslip/Packet/RemovedFlows.h"
@@ -39,6 +43,8 @@
   double mColdExcessFactor = 1.0;
   std::uint32_t mColdSlack = 0;
   std::size_t mMaxFlows = 50'000;
+  /// The upstream's heartbeats may say that it is ready although it fails; see FailureDetector.
+  bool mHealthMayBeWrong = false;
 };
 
 /// Outcome of an upstream's heartbeat.
@@ -64,6 +70,7 @@
               MetricsRegistry& aRegistry, TimePoint aNow);
 
   void OnConfiguration(const Configuration& aConfiguration);
+  void OnRouteTerms(const RouteTerms& aTerms);
   /// aOwnIncarnation: the incarnation that this process announces.
   void OnView(const View& aView, std::uint64_t aOwnIncarnation);
   /// Until aLeaseEnd, the configuration that control has given to this agent is in force.
@@ -88,6 +95,9 @@
   /// Registers new and unconfirmed flows, and all flows after a change of the directory agents or
   /// when their refresh is due. Must be called every 250 ms.
   void RegisterFlows(PacketOutput& aOutput, TimePoint aNow);
+  /// Reports requests and openings that are unanswered for too long to the failure detector. Must
+  /// be called every 250 ms.
+  void CheckUnanswered(TimePoint aNow);
   /// Removes idle flows and expired registrations. Must be called every second.
   void OnTick(TimePoint aNow);
   /// Begins a planned stop: new flows are refused from now on. A connection that the upstream's VM
@@ -96,11 +106,11 @@
   /// Whether the agent stops and it is not known that its upstream has ended.
   bool StopsBesideUpstream() const { return mStopping && !IsFinished(); }
 
-  /// The first load report for a balancer.
+  /// The first load report for a balancer, in format 1.
   LoadReport CurrentLoad(TimePoint aNow) const;
-  /// The load report for balancers that have got one. Names one unseen holder in every
-  /// kReportsPerName, so that reports stay small.
-  LoadReport NextLoad(TimePoint aNow);
+  /// The load report for balancers that have got one, in format 2. Names one unseen holder in every
+  /// kReportsPerName, so that reports stay small. aInterval: time until the next one.
+  LoadReport NextLoad(Milliseconds aInterval, TimePoint aNow);
   /// The state that this agent announces to control.
   MemberState State(TimePoint aNow) const;
 
@@ -150,6 +160,10 @@
     bool mClosed = false;         ///< Both sides have ended the flow; kept for late packets.
     bool mRequestPending = false; ///< A request was delivered and is not answered yet.
     TimePoint mRequestSince;
+    bool mHadFreeSlot = false;  ///< The upstream had a free slot when the request was delivered.
+    bool mOverdue = false;      ///< Reported to the failure detector as unanswered.
+    std::uint32_t mAnswers = 0; ///< Requests that were answered.
+    Endpoint mOpenedBy;         ///< The balancer that sent the opening packet.
     /// Of the opening packet; empty if this process has not seen it.
     std::optional<std::uint32_t> mOpeningSequence;
     /// Of the last opening packet of another flow of the port, until the upstream answers it. It
@@ -186,7 +200,13 @@
 
   /// Returns why the opening packet is refused; empty if it is admitted. Counts an admitted flow
   /// against the limit of a cold upstream.
-  std::optional<ReturnReason> AdmitOpening(const PacketHeader& aPacketHeader, TimePoint aNow);
+  std::optional<ReturnReason> AdmitOpening(const Endpoint& aFrom, NodeMessageType aType,
+                                           const PacketHeader& aPacketHeader, TimePoint aNow);
+  /// Why an offered opening is returned; empty if it is accepted.
+  std::optional<ReturnReason> DeclineOffer(const Endpoint& aFrom, NodeMessageType aType,
+                                           const FlowKey& aFlow, TimePoint aNow);
+  const std::string& DataCentreOf(const Endpoint& aBalancer) const;
+  void OnFailure(const Flow& aFlow, FlowFailure aFailure, TimePoint aNow);
   /// Notes a stale heartbeat; returns whether its start replaces the known one, which is silent.
   bool ReplacesSilentStart(const UpstreamHeartbeat& aHeartbeat, TimePoint aNow);
   ReturnReason ReasonForNoNewFlows(TimePoint aNow) const;
@@ -200,7 +220,7 @@
                std::span<std::uint8_t> aPacket, PacketOutput& aOutput, TimePoint aNow);
   void Return(const Endpoint& aBalancer, ReturnReason aReason,
               std::span<const std::uint8_t> aPacket, PacketOutput& aOutput);
-  void OnOpening(const Endpoint& aFrom, const PacketHeader& aPacketHeader,
+  void OnOpening(const Endpoint& aFrom, NodeMessageType aType, const PacketHeader& aPacketHeader,
                  std::span<std::uint8_t> aPacket, PacketOutput& aOutput, TimePoint aNow);
   bool IsOpen(const FlowKey& aKey) const;
   static bool IsOfOtherAnswer(const Flow& aFlow, std::uint32_t aSequence);
@@ -237,8 +257,9 @@
   void OnBounced(std::span<std::uint8_t> aPacket, PacketOutput& aOutput, TimePoint aNow);
   Flow& FindOrAddFlow(const FlowKey& aFlow, TimePoint aNow);
   void TrackRequest(Flow& aFlow, const PacketHeader& aPacketHeader, TimePoint aNow);
+  void OnRequestAnswered(const PacketHeader& aPacketHeader, Flow& aFlow, TimePoint aNow);
   void SetRequestPending(Flow& aFlow, bool aPending, TimePoint aNow);
-  void Close(Flow& aFlow, TimePoint aNow);
+  void Close(const FlowKey& aKey, Flow& aFlow, TimePoint aNow);
   void RemoveFlow(const FlowKey& aFlow, RemovalReason aReason, TimePoint aNow);
   void AddUpstream(LogEvent& aEvent, TimePoint aNow) const;
   static void AddFlow(LogEvent& aEvent, const Flow& aFlow, TimePoint aNow);
@@ -247,6 +268,8 @@
                    TimePoint aNow) const;
   void LogUpstreamReset(const FlowKey& aKey, const Flow& aFlow, TimePoint aNow) const;
   void LogProbeReset(const FlowKey& aKey, TimePoint aNow) const;
+  /// Logs the failure detector's verdict if it has changed.
+  void LogVerdict(TimePoint aNow);
   /// Counts a statement that the flow is not held here, and logs it if the flow was held earlier.
   void OnDenial(const FlowKey& aKey, std::string_view aAnswer, const Endpoint& aBalancer,
                 TimePoint aNow);
@@ -274,7 +297,17 @@
   /// upstream is cold.
   bool mColdUntilHeartbeat = false;
   RouteTable mRoutes;
-  std::unordered_map<std::uint64_t, bool> mRouteTargetsService; ///< By route address and port.
+  /// What this agent needs of a route.
+  struct RouteEntry
+  {
+    bool mTargetsService = false;
+    std::uint32_t mPriority = 0;
+    Milliseconds mTimeout{0};
+  };
+
+  std::unordered_map<std::uint64_t, RouteEntry> mRouteEntries; ///< By route address and port.
+  std::unordered_map<std::uint64_t, RouteTerm> mRouteTerms;    ///< By route address and port.
+  std::map<Endpoint, std::string> mBalancerDataCentres;
   std::unordered_map<FlowKey, Flow, FlowKeyHash> mFlows;
   std::unordered_map<FlowKey, PendingProbe, FlowKeyHash>
     mProbes; ///< For flows that are not in mFlows.
@@ -291,6 +324,12 @@
   std::uint32_t mNextLoads = 0; ///< Load reports for balancers that had got one.
   OpeningLimiter mColdLimiter;
   SpeedEstimator mSpeedEstimator;
+  OpeningAdmission mAdmission;
+  FlowLengthEstimator mFlowLength;
+  FailureDetector mFailureDetector;
+  UpstreamVerdict mLoggedVerdict = UpstreamVerdict::Healthy;
+  /// When the last delivered one of the requests that are answered was delivered.
+  TimePoint mLatestAnsweredSince;
   std::uint32_t mOpenFlows = 0; ///< Flows in mFlows that are not closed.
   std::uint32_t mPendingRequests = 0;
   std::uint32_t mUnansweredOpenings = 0; ///< Opening packets since the upstream last sent anything.
@@ -306,6 +345,7 @@
   Counter& mMalformed;
   Counter& mLateOpenings;   ///< Copies of opening packets that came after the flow was open.
   Counter& mResetsPassedOn; ///< Resets that the upstream sent for flows in the table.
+  std::array<Counter*, kFlowFailures> mFlowFailures{};
   /// By RemovalReason of the flow; the last one for flows of which no removal is remembered.
   std::array<Counter*, kRemovalReasons + 1> mDenied{};
   std::array<Counter*, kReturnReasons> mReturned{};
--- a/include/dandelionslip/Packet/PacketBalancer.h
+++ b/include/dandelionslip/Packet/PacketBalancer.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "dandelionslip/Model/Configuration.h"
+#include "dandelionslip/Model/RouteTerms.h"
 #include "dandelionslip/Model/View.h"
 #include "dandelionslip/Packet/DirectoryAgents.h"
 #include "dandelionslip/Packet/FlowDenial.h"
@@ -11,6 +12,8 @@
 #include "dandelionslip/Packet/PacketOutput.h"
 #include "dandelionslip/Packet/Placement.h"
 #include "dandelionslip/Packet/SearchBudget.h"
+#include "dandelionslip/Packet/UpstreamSelector.h"
+#include "dandelionslip/Packet/WaitingForecast.h"
 #include "dandelionslip/Support/Metrics.h"
 
 #include <array>
@@ -25,6 +28,7 @@
 /// Timeouts and limits of a packet balancer.
 struct PacketBalancerSettings
 {
+  std::string mDataCentre; ///< In which the balancer runs; its upstreams are near.
   /// An agent without a load report for this long gets no new flows. Agents report every 200 ms, so
   /// this is five reports.
   Milliseconds mReportLifetime{1'000};
@@ -61,6 +65,8 @@
   /// aLeaseEnd, control counts this balancer as live, so that agents that join learn of it.
   void OnState(const Configuration& aConfiguration, const View& aView, PacketOutput& aOutput,
                TimePoint aNow, TimePoint aLeaseEnd = TimePoint::max());
+  /// Applies the terms of routes. Routes without a term are served without offers.
+  void OnRouteTerms(const RouteTerms& aTerms);
   /// Handles a packet of a caller; may modify it.
   void OnCallerPacket(std::span<std::uint8_t> aPacket, PacketOutput& aOutput, TimePoint aNow);
   /// Handles a message from an agent; aPacket is what follows the header.
@@ -91,6 +97,10 @@
     /// When another agent last reported that this one has registered flows.
     std::optional<TimePoint> mNamedAt;
     std::uint32_t mPlacedSinceReport = 0; ///< Flows that this balancer placed since mReport.
+    /// Of the last report of format 2, or of an earlier process of the agent; see KeepsVerdict().
+    std::optional<LoadDetails> mDetails;
+    TimePoint mDetailsAt;
+    std::optional<TimePoint> mFormatStatedAt; ///< When it was last sent a ReportFormat.
   };
 
   struct RouteEntry
@@ -100,6 +110,8 @@
     std::uint64_t mTotalWeight = 0;
     std::uint32_t mPriority = 0; ///< 0 is the highest.
     Milliseconds mMaxWait{0};    ///< Longest time that an opening packet waits for an upstream.
+    Milliseconds mTimeout{0};    ///< Maximum duration of a request.
+    RouteTerm mTerm;             ///< Without a goal if the route states none.
 
     /// Whether the route sends new flows to the service.
     bool HasTarget(const std::string& aService) const;
@@ -160,9 +172,17 @@
     std::vector<FlowDenial> mOpeningReturnedBy;
     TimePoint mFirstUsedAt;
     TimePoint mUsedAt;
+    std::uint32_t mOffers = 0; ///< Times that the opening packet was offered.
     std::unique_ptr<Search> mSearch;
   };
 
+  /// Where an opening packet is sent, and with which type of message.
+  struct PlacementChoice
+  {
+    Endpoint mAgent;
+    NodeMessageType mType = NodeMessageType::Deliver;
+  };
+
   /// An opening that is reset unless a directory agent answers that the flow is open.
   struct PendingRefusal
   {
@@ -199,16 +219,33 @@
                  PacketOutput& aOutput, TimePoint aNow);
   void PlaceFlow(const PacketHeader& aPacketHeader, Flow& aFlow, const RouteEntry& aRoute,
                  std::span<const std::uint8_t> aPacket, PacketOutput& aOutput, TimePoint aNow);
-  void EnqueueOpening(const PacketHeader& aPacketHeader, std::uint32_t aPriority,
-                      Milliseconds aWait, std::span<const std::uint8_t> aPacket, TimePoint aNow);
+  void EnqueueOpening(const PacketHeader& aPacketHeader, const RouteEntry& aRoute,
+                      TimePoint aArrivedAt, std::span<const std::uint8_t> aPacket);
   void PlaceWaitingOpenings(std::size_t aCount, const OpeningQueue::Condition& aCondition,
                             PacketOutput& aOutput, TimePoint aNow);
-  void PlaceWaitingForServiceOf(const Agent& aAgent, PacketOutput& aOutput, TimePoint aNow);
+  void PlaceWaitingForServiceOf(const Endpoint& aEndpoint, const Agent& aAgent,
+                                PacketOutput& aOutput, TimePoint aNow);
   void ResetExpiredOpenings(PacketOutput& aOutput, TimePoint aNow);
   bool MayAcceptSoon(const RouteEntry& aRoute, const Flow& aFlow, TimePoint aNow) const;
   std::uint32_t ColdOpeningsLeft(const Agent& aAgent) const;
+  std::optional<PlacementChoice> Choose(const RouteEntry& aRoute, const std::string& aService,
+                                        const FlowKey& aKey, const Flow& aFlow, TimePoint aNow);
   std::optional<Endpoint> ChooseAgent(const std::string& aService, const FlowKey& aKey,
                                       const Flow& aFlow, TimePoint aNow);
+  using ServiceAgents = std::vector<std::pair<Endpoint, Agent*>>;
+  const ServiceAgents& AgentsOf(const std::string& aService);
+  /// Whether the flows of the service carry one request each, as far as its agents know.
+  bool IsOfShortFlows(const std::string& aService);
+  /// Whether openings of the route are offered to the service's agents, which may return them.
+  bool UsesOffers(const RouteEntry& aRoute, const std::string& aService);
+  /// The agent to offer the opening to; empty if none accepts, or it was offered often enough.
+  std::optional<PlacementChoice> ChooseOffer(const RouteEntry& aRoute, const std::string& aService,
+                                             const Flow& aFlow, TimePoint aNow);
+  /// Whether an opening that cannot be placed now can be within the route's timeout.
+  bool WillHaveRoomInTime(const RouteEntry& aRoute, const Flow& aFlow, TimePoint aArrivedAt,
+                          TimePoint aNow);
+  static bool KeepsVerdict(const Agent& aAgent, const LoadDetails& aDetails, TimePoint aNow);
+  void NoteDetails(const Endpoint& aEndpoint, Agent& aAgent, PacketOutput& aOutput, TimePoint aNow);
   std::optional<Endpoint> ChooseAmong(std::span<const Endpoint> aAgents, const Flow& aFlow,
                                       TimePoint aNow);
   /// Whether the agent is eligible and accepts a new flow now, as far as its last report or, before
@@ -274,7 +311,8 @@
   void AddUnseenHolders(std::span<const Endpoint> aHolders, TimePoint aNow);
   void ApplyView(const View& aView, TimePoint aNow);
   void ApplyAgent(const Member& aMember, TimePoint aNow);
-  void LogPlacement(const PacketHeader& aPacketHeader, const Endpoint& aHolder, TimePoint aNow);
+  void LogPlacement(const PacketHeader& aPacketHeader, const PlacementChoice& aChoice,
+                    std::uint32_t aOffers, TimePoint aNow);
   /// Resets an opening that cannot be placed. If the caller may have sent a copy of the packet in
   /// the meantime, which may have opened the flow through another balancer, resets it only after
   /// all directory agents have answered that they do not know the flow; without directory agents,
@@ -314,6 +352,10 @@
   TimePoint mViewAppliedAt;
   std::uint64_t mConfigurationRevision = 0;
   AgentMap mAgents; ///< By datagram endpoint.
+  /// Index of mAgents by service; empty after mAgents has changed.
+  std::unordered_map<std::string, ServiceAgents> mServiceAgents;
+  std::unordered_map<std::uint64_t, RouteTerm> mRouteTerms; ///< By address and port.
+  UpstreamSelector mSelector;
   /// Agents that reported that no flow is left there, and when. Registrations of their flows may
   /// still name them. Another process at the endpoint reports itself or is in the view.
   std::map<Endpoint, TimePoint> mFinishedAgents;
@@ -338,6 +380,8 @@
   /// Set while a waiting opening is placed again: its time of arrival, which keeps its position in
   /// the queue if it has to wait again.
   std::optional<TimePoint> mRetriedArrival;
+  /// Set while a waiting opening is placed at an agent that has reported room for it.
+  std::optional<Endpoint> mGrantedBy;
   std::size_t mBalancers = 1; ///< In the view, including this one.
   /// Waiting time of openings that were placed or refused before they expired.
   Summary& mWaitSeconds;
@@ -350,6 +394,8 @@
   // The flows of mNotFound by the weakest statement that ruled out an agent.
   Counter& mResetByDirectory; ///< The directory agents spoke for an agent.
   Counter& mResetByDenials;   ///< All agents denied the flow themselves.
+  Counter& mNoRoom;           ///< Openings that all upstreams which were asked returned as busy.
+  Counter& mOffered;
   Counter& mPlaced;
   Counter& mFlowsFull;
   Counter& mWaited;
--- a/lib/Daemon/PacketAgentDaemon.cpp
+++ b/lib/Daemon/PacketAgentDaemon.cpp
@@ -40,6 +40,7 @@
   settings.mMaxFlowAge = aSettings.mMaxFlowAge;
   settings.mColdExcessFactor = aSettings.mColdExcessFactor;
   settings.mColdSlack = aSettings.mColdSlack;
+  settings.mHealthMayBeWrong = aSettings.mHealthMayBeWrong;
   return settings;
 }
 
@@ -50,7 +51,8 @@
                     const PacketPlatform<PacketAgentInterface>& aPlatform)
     : mSettings(aSettings)
     , mNode(aSettings, {[this](Member& aMember) { FillMember(aMember); },
-                        [this](const NodeState& aState) { OnState(aState); }, aPlatform.mReadSeeds})
+                        [this](const NodeState& aState) { OnState(aState); }, aPlatform.mReadSeeds,
+                        [this](const RouteTerms& aTerms) { mCore.OnRouteTerms(aTerms); }})
     , mCore(CoreSettings(aSettings), aPlatform.mCodec, mNode.Registry(), RuntimeClock::now())
     , mOutput(aSettings.mCallerReceivePort, mNode.Registry())
     , mAdapterFactory(aPlatform.mAdapter)
@@ -66,6 +68,7 @@
                                               [this] { mCore.OnTick(RuntimeClock::now()); });
     mRegisterTimer = std::make_unique<RepeatingTimer>(mNode.Loop(), kRegisterInterval, [this] {
       mCore.RegisterFlows(mOutput, RuntimeClock::now());
+      mCore.CheckUnanswered(RuntimeClock::now());
       CheckConnection();
     });
     mLoadReportTimer = std::make_unique<RepeatingTimer>(mNode.Loop(), kLoadReportInterval,
@@ -100,6 +103,12 @@
   }
 
 private:
+  struct Balancer
+  {
+    TimePoint mSeenAt; ///< When it was last in a view or sent a packet.
+    std::uint8_t mReportFormat = 1;
+  };
+
   Result<void> Open()
   {
     auto nodes =
@@ -137,6 +146,10 @@
         aHeader.mType != NodeMessageType::RegisterAck) {
       OnBalancerSeen(aFrom);
     }
+    if (aHeader.mType == NodeMessageType::ReportFormat) {
+      mBalancers[aFrom].mReportFormat = aPacket.empty() ? 1 : aPacket.front();
+      return;
+    }
     mCore.OnNodePacket(aFrom, aHeader, aPacket, mOutput, RuntimeClock::now());
   }
 
@@ -165,7 +178,7 @@
   void OnBalancerSeen(const Endpoint& aBalancer)
   {
     const auto [item, isNew] = mBalancers.try_emplace(aBalancer);
-    item->second = RuntimeClock::now();
+    item->second.mSeenAt = RuntimeClock::now();
     if (isNew) {
       LoadReport report = mCore.CurrentLoad(RuntimeClock::now());
       report.mOpeningsAllowed = mShares.ShareForNewBalancer();
@@ -204,18 +217,26 @@
   {
     const TimePoint now = RuntimeClock::now();
     std::erase_if(mBalancers,
-                  [&](const auto& aItem) { return now - aItem.second > kBalancerTimeout; });
-    LoadReport report = mCore.NextLoad(now);
-    Bytes encoded = report.Encode();
+                  [&](const auto& aItem) { return now - aItem.second.mSeenAt > kBalancerTimeout; });
+    LoadReport report = mCore.NextLoad(kLoadReportInterval, now);
+    const LoadDetails details = *report.mDetails;
     const auto shares = mShares.Split(report.mOpeningsAllowed, mBalancers.size());
-    auto share = shares.begin();
-    for (const auto& [balancer, lastSeen] : mBalancers) {
-      if (*share != report.mOpeningsAllowed) {
-        report.mOpeningsAllowed = *share;
+    const auto rooms = mRoomShares.Split(details.mRoom, mBalancers.size());
+    Bytes encoded;
+    std::optional<LoadReport> last;
+    for (std::size_t i = 0; const auto& [balancer, state] : mBalancers) {
+      report.mOpeningsAllowed = shares[i];
+      report.mDetails.reset();
+      if (state.mReportFormat >= LoadReport::kFormatWithDetails) {
+        report.mDetails = details;
+        report.mDetails->mRoom = rooms[i];
+      }
+      if (last != report) {
+        last = report;
         encoded = report.Encode();
       }
       SendLoadReport(balancer, encoded);
-      ++share;
+      ++i;
     }
   }
 
@@ -248,8 +269,9 @@
   PacketAgent mCore;
   SocketOutput mOutput;
   PacketAdapterFactory<PacketAgentInterface> mAdapterFactory;
-  std::map<Endpoint, TimePoint> mBalancers; ///< When each was last in a view or sent a packet.
+  std::map<Endpoint, Balancer> mBalancers;
   OpeningShares mShares;
+  OpeningShares mRoomShares; ///< Of the room of a warm upstream.
   std::unique_ptr<UdpSocket> mNodeSocket;
   std::unique_ptr<UdpSocket> mUpstreamSocket;
   std::unique_ptr<RepeatingTimer> mTimer;
--- a/lib/Daemon/PacketBalancerDaemon.cpp
+++ b/lib/Daemon/PacketBalancerDaemon.cpp
@@ -20,6 +20,7 @@
 PacketBalancerSettings CoreSettings(const PacketBalancerNodeSettings& aSettings)
 {
   PacketBalancerSettings settings;
+  settings.mDataCentre = aSettings.mDataCentre;
   settings.mCapacity = {aSettings.mProcessorShare, aSettings.mLinkMbps};
   return settings;
 }
@@ -31,7 +32,8 @@
                        const PacketPlatform<PacketNodeInterface>& aPlatform)
     : mSettings(aSettings)
     , mNode(aSettings, {[this](Member& aMember) { FillMember(aMember); },
-                        [this](const NodeState& aState) { OnState(aState); }, aPlatform.mReadSeeds})
+                        [this](const NodeState& aState) { OnState(aState); }, aPlatform.mReadSeeds,
+                        [this](const RouteTerms& aTerms) { mCore.OnRouteTerms(aTerms); }})
     , mCore(CoreSettings(aSettings), aPlatform.mCodec, mNode.Registry(), Random(SystemSeed()))
     , mOutput(aSettings.mCallerReceivePort, mNode.Registry())
     , mAdapterFactory(aPlatform.mAdapter)
--- a/lib/Packet/LoadReport.cpp
+++ b/lib/Packet/LoadReport.cpp
@@ -41,6 +41,47 @@
   return aValue.is_number_unsigned() && aValue.get<std::uint64_t>() <= aLimit;
 }
 
+// Fields of the details: flags, room, busy share, verdict, its age, admitted share, start time.
+constexpr std::size_t kDetailFields = 7;
+constexpr std::uint64_t kMaxVerdict = static_cast<std::uint64_t>(UpstreamVerdict::Returning);
+
+Json EncodeDetails(const LoadDetails& aDetails)
+{
+  return Json::array({aDetails.mOneRequestPerFlow ? 1U : 0U, aDetails.mRoom, aDetails.mBusyPermille,
+                      static_cast<std::uint32_t>(aDetails.mVerdict),
+                      static_cast<std::uint32_t>(aDetails.mVerdictAge.count()),
+                      aDetails.mAdmittedPermille,
+                      static_cast<std::uint64_t>(aDetails.mUpstreamStartedMs)});
+}
+
+// Empty if the details are malformed. Further fields, of later formats, are ignored.
+std::optional<LoadDetails> DecodeDetails(const Json& aFields)
+{
+  constexpr std::uint64_t kMax32 = std::numeric_limits<std::uint32_t>::max();
+  constexpr std::uint64_t kMaxStart = std::numeric_limits<std::int64_t>::max();
+  if (!aFields.is_array() || aFields.size() < kDetailFields) {
+    return std::nullopt;
+  }
+  for (std::size_t i = 0; i < kDetailFields; ++i) {
+    if (!IsNumber(aFields[i], i + 1 == kDetailFields ? kMaxStart : kMax32)) {
+      return std::nullopt;
+    }
+  }
+  const auto verdict = aFields[3].get<std::uint64_t>();
+  if (verdict > kMaxVerdict) {
+    return std::nullopt;
+  }
+  LoadDetails details;
+  details.mOneRequestPerFlow = (aFields[0].get<std::uint32_t>() & 1U) != 0;
+  details.mRoom = aFields[1].get<std::uint32_t>();
+  details.mBusyPermille = aFields[2].get<std::uint32_t>();
+  details.mVerdict = static_cast<UpstreamVerdict>(verdict);
+  details.mVerdictAge = Milliseconds(aFields[4].get<std::uint32_t>());
+  details.mAdmittedPermille = aFields[5].get<std::uint32_t>();
+  details.mUpstreamStartedMs = aFields[6].get<std::int64_t>();
+  return details;
+}
+
 } // namespace
 
 Bytes LoadReport::Encode() const
@@ -58,6 +99,9 @@
   for (const Endpoint& holder : mUnseenHolders) {
     fields.push_back(ToNumber(holder));
   }
+  if (mDetails) {
+    fields.push_back(EncodeDetails(*mDetails));
+  }
   return EncodeCbor(fields);
 }
 
@@ -68,21 +112,25 @@
     return fields.as_failure();
   }
   const Json& json = fields.value();
-  bool valid = json.is_array() && json.size() >= kFields &&
-               json.size() <= kFields + kMaxUnseenHolders && json[0].is_string() &&
-               json[1].is_string();
+  const bool hasDetails = json.is_array() && !json.empty() && json.back().is_array();
+  const std::optional<LoadDetails> details =
+    hasDetails ? DecodeDetails(json.back()) : std::optional<LoadDetails>();
+  const std::size_t size = json.size() - (hasDetails ? 1 : 0);
+  bool valid = json.is_array() && hasDetails == details.has_value() && size >= kFields &&
+               size <= kFields + kMaxUnseenHolders && json[0].is_string() && json[1].is_string();
   for (std::size_t i = kTexts; valid && i < kFields; ++i) {
     valid = IsNumber(json[i], i + 1 == kFields ? std::numeric_limits<std::uint64_t>::max()
                                                : std::numeric_limits<std::uint32_t>::max());
   }
-  for (std::size_t i = kFields; valid && i < json.size(); ++i) {
+  for (std::size_t i = kFields; valid && i < size; ++i) {
     valid = IsNumber(json[i], kMaxEndpoint);
   }
   if (!valid) {
     return Fail(ErrorCode::InvalidInput, "load_report.decode", "",
                 "expected an array of two strings and " + std::to_string(kFields - kTexts) +
-                  " unsigned numbers, and up to " + std::to_string(kMaxUnseenHolders) +
-                  " endpoints");
+                  " unsigned numbers, up to " + std::to_string(kMaxUnseenHolders) +
+                  " endpoints, and in format 2 an array of " + std::to_string(kDetailFields) +
+                  " unsigned numbers");
   }
   LoadReport report;
   report.mService = json[0].get<std::string>();
@@ -96,9 +144,10 @@
   }
   report.mColdLeft = Milliseconds(json[kFields - 2].get<std::uint32_t>());
   report.mConfirmedAgentsDigest = json[kFields - 1].get<std::uint64_t>();
-  for (std::size_t i = kFields; i < json.size(); ++i) {
+  for (std::size_t i = kFields; i < size; ++i) {
     report.mUnseenHolders.push_back(ToEndpoint(json[i].get<std::uint64_t>()));
   }
+  report.mDetails = details;
   return report;
 }
 
--- a/lib/Packet/NodeMessageHeader.cpp
+++ b/lib/Packet/NodeMessageHeader.cpp
@@ -15,8 +15,8 @@
 std::string_view ToString(ReturnReason aReason)
 {
   static constexpr std::array<std::string_view, kReturnReasons> kNames{
-    "none",     "not_held", "refused",       "unresponsive",
-    "draining", "cold",     "wrong_service", "no_upstream"};
+    "none", "not_held",      "refused",     "unresponsive", "draining",
+    "cold", "wrong_service", "no_upstream", "busy",         "failing"};
   return kNames[static_cast<std::size_t>(aReason)];
 }
 
@@ -37,7 +37,7 @@
     return invalid("found an unknown magic number or version, expected 213 and 1");
   }
   constexpr auto first = static_cast<std::uint8_t>(NodeMessageType::Deliver);
-  constexpr auto last = static_cast<std::uint8_t>(NodeMessageType::NotRegistered);
+  constexpr auto last = static_cast<std::uint8_t>(NodeMessageType::ReportFormat);
   if (aBytes[2] < first || aBytes[2] > last || aBytes[3] >= kReturnReasons) {
     return invalid("found an unknown kind or reason: kind " + std::to_string(aBytes[2]) +
                    ", reason " + std::to_string(aBytes[3]));
--- a/lib/Packet/PacketAgent.cpp
+++ b/lib/Packet/PacketAgent.cpp
@@ -72,6 +72,11 @@
     mReturned[i] = &aRegistry.CounterFor("dandelionslip_packets_returned_total",
                                          "reason=\"" + std::string(reason) + "\"");
   }
+  for (std::size_t i = 0; i < kFlowFailures; ++i) {
+    mFlowFailures[i] = &aRegistry.CounterFor(
+      "dandelionslip_flow_failures_total",
+      "reason=\"" + std::string(ToString(static_cast<FlowFailure>(i))) + "\"");
+  }
   for (std::size_t i = 0; i <= kRemovalReasons; ++i) {
     const auto removed = i == kRemovalReasons ? "unknown" : ToString(static_cast<RemovalReason>(i));
     mDenied[i] = &aRegistry.CounterFor("dandelionslip_flows_denied_total",
@@ -94,19 +99,30 @@
     return;
   }
   mRoutes = aConfiguration.mRoutes;
-  mRouteTargetsService.clear();
+  mRouteEntries.clear();
   for (const Route& route : mRoutes.mRoutes) {
     const bool targetsService =
       std::any_of(route.mTargets.begin(), route.mTargets.end(), [&](const RouteTarget& aTarget) {
         return aTarget.mService == mSettings.mService && aTarget.mWeight > 0;
       });
-    mRouteTargetsService[RouteKeyOf(Endpoint::Parse(route.mAddress).value())] = targetsService;
+    mRouteEntries[RouteKeyOf(Endpoint::Parse(route.mAddress).value())] = {
+      targetsService, route.mPriority, route.mTimeout};
   }
   LogEvent(LogLevel::Info, "routes_in_force")
     .With("version", mRoutes.mVersion)
     .With("revision", aConfiguration.mRevision);
 }
 
+void PacketAgent::OnRouteTerms(const RouteTerms& aTerms)
+{
+  mRouteTerms.clear();
+  for (const RouteTerm& term : aTerms.mTerms) {
+    if (const auto address = Endpoint::Parse(term.mAddress)) {
+      mRouteTerms[RouteKeyOf(address.value())] = term;
+    }
+  }
+}
+
 // A heartbeat from another writer, or a clock that was set back before the upstream started again,
 // makes the heartbeats of the running upstream stale. Late heartbeats of an earlier start come in a
 // burst.
@@ -163,6 +179,14 @@
       .With("cold_left_ms", aHeartbeat.mColdLeft.count());
     mSawUpstreamStart = sawFirst;
   }
+  const bool newStart = !mUpstream || mUpstream->mLastHeartbeat.mId != aHeartbeat.mId ||
+                        mUpstream->mLastHeartbeat.mStartedMs != aHeartbeat.mStartedMs;
+  if (newStart) {
+    mAdmission.OnUpstreamStarted(std::max<std::uint32_t>(aHeartbeat.mSlots, 1));
+    mFailureDetector.OnUpstreamStarted(aNow);
+  } else {
+    mAdmission.SetSlots(std::max<std::uint32_t>(aHeartbeat.mSlots, 1));
+  }
   if (!sawFirst) {
     // An earlier process of this agent may have opened flows, also in the limiter's current window.
     mColdLimiter.Block(mStartedAt);
@@ -230,11 +254,42 @@
 
 bool PacketAgent::RouteTargetsService(const FlowKey& aFlow) const
 {
-  const auto found = mRouteTargetsService.find(RouteKeyOf(aFlow));
-  return found != mRouteTargetsService.end() && found->second;
+  const auto found = mRouteEntries.find(RouteKeyOf(aFlow));
+  return found != mRouteEntries.end() && found->second.mTargetsService;
+}
+
+const std::string& PacketAgent::DataCentreOf(const Endpoint& aBalancer) const
+{
+  static const std::string kUnknown;
+  const auto found = mBalancerDataCentres.find(aBalancer);
+  return found == mBalancerDataCentres.end() ? kUnknown : found->second;
 }
 
-std::optional<ReturnReason> PacketAgent::AdmitOpening(const PacketHeader& aPacketHeader,
+std::optional<ReturnReason> PacketAgent::DeclineOffer(const Endpoint& aFrom, NodeMessageType aType,
+                                                      const FlowKey& aFlow, TimePoint aNow)
+{
+  const std::uint64_t route = RouteKeyOf(aFlow);
+  const auto term = mRouteTerms.find(route);
+  const RouteEntry& entry = mRouteEntries.at(route);
+  OfferedOpening opening;
+  opening.mRoute = route;
+  opening.mLast = aType == NodeMessageType::LastOffer;
+  opening.mGoal = term == mRouteTerms.end() ? Milliseconds{0} : term->second.mGoal;
+  opening.mTimeout = entry.mTimeout;
+  opening.mPriority = entry.mPriority;
+  if (!mAdmission.Accepts(opening, aNow)) {
+    return ReturnReason::Busy;
+  }
+  const bool repeatable = term != mRouteTerms.end() && term->second.mRepeatable;
+  if (mSettings.mHealthMayBeWrong &&
+      !mFailureDetector.Admits(DataCentreOf(aFrom), repeatable, aNow)) {
+    return ReturnReason::Failing;
+  }
+  return std::nullopt;
+}
+
+std::optional<ReturnReason> PacketAgent::AdmitOpening(const Endpoint& aFrom, NodeMessageType aType,
+                                                      const PacketHeader& aPacketHeader,
                                                       TimePoint aNow)
 {
   if (const auto condition = ReasonForNoNewFlows(aNow); condition != ReturnReason::None) {
@@ -246,9 +301,18 @@
   if (mFlows.size() >= mSettings.mMaxFlows) {
     return ReturnReason::Refused;
   }
-  if (IsCold(aNow) && !mColdLimiter.TryOpen(ColdLimit(), aNow)) {
+  const bool cold = IsCold(aNow);
+  if (cold && mColdLimiter.Remaining(ColdLimit(), aNow) == 0) {
     return ReturnReason::Cold;
   }
+  if (aType != NodeMessageType::Deliver) {
+    if (const auto reason = DeclineOffer(aFrom, aType, aPacketHeader.mFlow, aNow)) {
+      return reason;
+    }
+  }
+  if (cold) {
+    mColdLimiter.TryOpen(ColdLimit(), aNow);
+  }
   return std::nullopt;
 }
 
@@ -305,9 +369,22 @@
   return report;
 }
 
-LoadReport PacketAgent::NextLoad(TimePoint aNow)
+LoadReport PacketAgent::NextLoad(Milliseconds aInterval, TimePoint aNow)
 {
   LoadReport report = CurrentLoad(aNow);
+  LoadDetails& details = report.mDetails.emplace();
+  details.mOneRequestPerFlow = mFlowLength.OneRequestPerFlow();
+  details.mRoom = report.mAccepts && !report.mCold ? mAdmission.Room(aInterval, aNow) : 0;
+  details.mBusyPermille =
+    static_cast<std::uint32_t>(std::lround(kMilli * mAdmission.Ahead() / report.mSlots));
+  if (mSettings.mHealthMayBeWrong) {
+    details.mVerdict = mFailureDetector.Verdict(aNow);
+    details.mVerdictAge = mFailureDetector.VerdictAge(aNow);
+    details.mAdmittedPermille =
+      static_cast<std::uint32_t>(std::lround(kMilli * mFailureDetector.AdmittedShare(aNow)));
+  }
+  details.mUpstreamStartedMs =
+    mUpstream ? std::max<std::int64_t>(mUpstream->mLastHeartbeat.mStartedMs, 0) : 0;
   const bool names = mNextLoads++ % kReportsPerName == 0;
   if (report.mUnseenHolders.size() > (names ? 1 : 0)) {
     report.mUnseenHolders.resize(names ? 1 : 0);
@@ -347,13 +424,14 @@
   for (auto item = mFlows.begin(); item != mFlows.end();) {
     Flow& flow = item->second;
     if (flow.mRequestPending && aNow - flow.mRequestSince > kMaxRequestTime) {
+      mAdmission.OnGone(item->first, aNow);
       SetRequestPending(flow, false, aNow);
     }
     const Milliseconds kept = flow.mClosed ? kClosedFlowRetention : idleTimeout;
     if (aNow - flow.mUsedAt > kept) {
       mRemovedFlows.Add({item->first, flow.mClosed ? RemovalReason::Closed : RemovalReason::Idle,
                          flow.mEstablished, flow.mFirstUsedAt, flow.mUsedAt, aNow});
-      Close(flow, aNow);
+      Close(item->first, flow, aNow);
       item = mFlows.erase(item);
     } else {
       ++item;
--- a/lib/Packet/PacketAgentDirectory.cpp
+++ b/lib/Packet/PacketAgentDirectory.cpp
@@ -18,10 +18,13 @@
   mDirectoryAgentsChanged = mDirectoryAgents.Update(aView) || mDirectoryAgentsChanged;
   if (aView.mRevision != mViewRevision) {
     mAgentsInView.clear();
+    mBalancerDataCentres.clear();
     for (const auto& [name, member] : aView.mMembers) {
-      if (const auto endpoint = Endpoint::Parse(member.mDatagramEndpoint);
-          endpoint && member.mKind == MemberKind::Agent) {
+      const auto endpoint = Endpoint::Parse(member.mDatagramEndpoint);
+      if (endpoint && member.mKind == MemberKind::Agent) {
         mAgentsInView.insert(endpoint.value());
+      } else if (endpoint) {
+        mBalancerDataCentres[endpoint.value()] = member.mDataCentre;
       }
     }
   }
--- a/lib/Packet/PacketAgentFlows.cpp
+++ b/lib/Packet/PacketAgentFlows.cpp
@@ -1,6 +1,7 @@
 // Handling of callers' and upstream packets at a packet agent.
 #include "dandelionslip/Packet/PacketAgent.h"
 
+#include "RouteKey.h"
 #include "SequenceWindow.h"
 
 #include "dandelionslip/Support/Durations.h"
@@ -19,6 +20,9 @@
   return static_cast<std::int32_t>(aFirst - aSecond) > 0;
 }
 
+// An upstream answers an opening packet within milliseconds unless it is saturated.
+constexpr Milliseconds kOpeningOverdue{250};
+
 // Limit of flow probes that await the upstream's reaction; each takes one exchange with it.
 constexpr std::size_t kMaxProbes = 10'000;
 
@@ -41,21 +45,26 @@
     return;
   }
   const auto packetHeader = mCodec.DecodeFromCaller(aPacket);
+  const bool offer =
+    aHeader.mType == NodeMessageType::Offer || aHeader.mType == NodeMessageType::LastOffer;
   const bool carriesPacket =
-    aHeader.mType == NodeMessageType::Deliver || aHeader.mType == NodeMessageType::Probe;
-  if (!packetHeader || !carriesPacket || packetHeader->mBounced) {
+    aHeader.mType == NodeMessageType::Deliver || aHeader.mType == NodeMessageType::Probe || offer;
+  if (!packetHeader || !carriesPacket || packetHeader->mBounced ||
+      (offer && !packetHeader->mOpens)) {
     mMalformed.Add();
     return;
   }
   if (packetHeader->mOpens) {
-    OnOpening(aFrom, *packetHeader, aPacket, aOutput, aNow);
+    OnOpening(aFrom, offer ? aHeader.mType : NodeMessageType::Deliver, *packetHeader, aPacket,
+              aOutput, aNow);
     return;
   }
   OnFlowPacket(aFrom, aHeader.mType, *packetHeader, aPacket, aOutput, aNow);
 }
 
-void PacketAgent::OnOpening(const Endpoint& aFrom, const PacketHeader& aPacketHeader,
-                            std::span<std::uint8_t> aPacket, PacketOutput& aOutput, TimePoint aNow)
+void PacketAgent::OnOpening(const Endpoint& aFrom, NodeMessageType aType,
+                            const PacketHeader& aPacketHeader, std::span<std::uint8_t> aPacket,
+                            PacketOutput& aOutput, TimePoint aNow)
 {
   auto found = mFlows.find(aPacketHeader.mFlow);
   const bool ofOtherFlow = found != mFlows.end() && !IsOpeningOf(found->second, aPacketHeader);
@@ -73,11 +82,12 @@
     return;
   }
   if (found != mFlows.end() && aPacketHeader.mRetransmission > 0 && !found->second.mAccepted) {
+    OnFailure(found->second, FlowFailure::OpeningUnanswered, aNow);
     RemoveFlow(aPacketHeader.mFlow, RemovalReason::Unanswered, aNow);
     Return(aFrom, ReturnReason::Unresponsive, aPacket, aOutput);
     return;
   }
-  if (const auto reason = AdmitOpening(aPacketHeader, aNow)) {
+  if (const auto reason = AdmitOpening(aFrom, aType, aPacketHeader, aNow)) {
     LogOpening(aPacketHeader.mFlow, *reason, aNow);
     Return(aFrom, *reason, aPacket, aOutput);
     return;
@@ -91,6 +101,9 @@
     flow.mDeliveredAt = aNow;
     flow.mOpeningSequence = flow.mDeliveredEnd = aPacketHeader.mSequence;
     flow.mOpenedAt = flow.mOpenedAt.value_or(aNow);
+    flow.mOpenedBy = aFrom;
+    mAdmission.OnOpened(aPacketHeader.mFlow, RouteKeyOf(aPacketHeader.mFlow), aNow);
+    mFlowLength.OnOpened(aNow);
   }
   if (mUnansweredOpenings++ == 0) {
     mUnansweredSince = aNow;
@@ -213,7 +226,7 @@
   }
   flow.mCallerEnded = flow.mCallerEnded || aPacketHeader.mEnds;
   if (flow.mCallerEnded && flow.mUpstreamEnded) {
-    Close(flow, aNow);
+    Close(aPacketHeader.mFlow, flow, aNow);
   }
 }
 
@@ -263,13 +276,59 @@
   }
   flow.mEstablished = flow.mEstablished || !packetHeader->mAcceptsOpening;
   if (packetHeader->mDataBytes > 0 && flow.mRequestPending) {
-    mSpeedEstimator.OnCompleted();
-    mRequestSeconds.Observe(Seconds(aNow - flow.mRequestSince));
-    SetRequestPending(flow, false, aNow);
+    OnRequestAnswered(*packetHeader, flow, aNow);
   }
   flow.mUpstreamEnded = flow.mUpstreamEnded || packetHeader->mEnds;
   if (flow.mCallerEnded && flow.mUpstreamEnded) {
-    Close(flow, aNow);
+    Close(packetHeader->mFlow, flow, aNow);
+  }
+}
+
+void PacketAgent::OnRequestAnswered(const PacketHeader& aPacketHeader, Flow& aFlow, TimePoint aNow)
+{
+  const auto duration = aNow - aFlow.mRequestSince;
+  mSpeedEstimator.OnCompleted();
+  mRequestSeconds.Observe(Seconds(duration));
+  mAdmission.OnAnswered(aPacketHeader.mFlow, aNow);
+  mLatestAnsweredSince = std::max(mLatestAnsweredSince, aFlow.mRequestSince);
+  ++aFlow.mAnswers;
+  if (mSettings.mHealthMayBeWrong) {
+    mFailureDetector.OnAnswered(DataCentreOf(aFlow.mOpenedBy),
+                                {duration, aPacketHeader.mDataBytes, aFlow.mHadFreeSlot}, aNow);
+    LogVerdict(aNow);
+  }
+  SetRequestPending(aFlow, false, aNow);
+}
+
+void PacketAgent::OnFailure(const Flow& aFlow, FlowFailure aFailure, TimePoint aNow)
+{
+  if (!mSettings.mHealthMayBeWrong) {
+    return;
+  }
+  mFlowFailures[static_cast<std::size_t>(aFailure)]->Add();
+  mFailureDetector.OnFailure(DataCentreOf(aFlow.mOpenedBy), aFailure, aNow);
+  LogVerdict(aNow);
+}
+
+void PacketAgent::CheckUnanswered(TimePoint aNow)
+{
+  mAdmission.Expire(aNow);
+  if (!mSettings.mHealthMayBeWrong) {
+    return;
+  }
+  const auto overdueAfter = mFailureDetector.OverdueAfter();
+  for (auto& [key, flow] : mFlows) {
+    if (flow.mOverdue || flow.mClosed) {
+      continue;
+    }
+    if (flow.mOpenedAt && !flow.mAccepted && aNow - *flow.mOpenedAt > kOpeningOverdue) {
+      flow.mOverdue = true;
+      OnFailure(flow, FlowFailure::OpeningUnanswered, aNow);
+    } else if (flow.mRequestPending && aNow - flow.mRequestSince > overdueAfter &&
+               (flow.mHadFreeSlot || mLatestAnsweredSince > flow.mRequestSince)) {
+      flow.mOverdue = true;
+      OnFailure(flow, FlowFailure::Overdue, aNow);
+    }
   }
 }
 
@@ -298,6 +357,10 @@
   mResetsPassedOn.Add();
   aOutput.SendToCaller(key, aPacket);
   LogUpstreamReset(key, flow, aNow);
+  // An upstream that has more connections than it can hold resets some; that is no failure.
+  if (flow.mRequestPending && flow.mHadFreeSlot) {
+    OnFailure(flow, FlowFailure::Reset, aNow);
+  }
   RemoveFlow(key, RemovalReason::UpstreamReset, aNow);
 }
 
@@ -400,6 +463,10 @@
     return;
   }
   aFlow.mDeliveredEnd = end;
+  if (!aFlow.mRequestPending) {
+    aFlow.mHadFreeSlot = mAdmission.HasFreeSlot();
+    mAdmission.OnRequest(aPacketHeader.mFlow, RouteKeyOf(aPacketHeader.mFlow), aNow);
+  }
   SetRequestPending(aFlow, true, aNow);
 }
 
@@ -415,10 +482,14 @@
                                   mUpstream ? mUpstream->mLastHeartbeat.mSlots : 1, aNow);
 }
 
-void PacketAgent::Close(Flow& aFlow, TimePoint aNow)
+void PacketAgent::Close(const FlowKey& aKey, Flow& aFlow, TimePoint aNow)
 {
+  mAdmission.OnGone(aKey, aNow);
   SetRequestPending(aFlow, false, aNow);
   if (!aFlow.mClosed) {
+    if (aFlow.mCallerEnded && aFlow.mUpstreamEnded) {
+      mFlowLength.OnEnded(aFlow.mAnswers, aNow);
+    }
     aFlow.mClosed = true;
     --mOpenFlows;
   }
@@ -429,7 +500,7 @@
   if (const auto found = mFlows.find(aFlow); found != mFlows.end()) {
     const Flow& flow = found->second;
     mRemovedFlows.Add({aFlow, aReason, flow.mEstablished, flow.mFirstUsedAt, flow.mUsedAt, aNow});
-    Close(found->second, aNow);
+    Close(aFlow, found->second, aNow);
     mFlows.erase(found);
   }
 }
--- a/lib/Packet/PacketAgentResets.cpp
+++ b/lib/Packet/PacketAgentResets.cpp
@@ -78,6 +78,25 @@
   AddUpstream(event, aNow);
 }
 
+void PacketAgent::LogVerdict(TimePoint aNow)
+{
+  const UpstreamVerdict verdict = mFailureDetector.Verdict(aNow);
+  if (verdict == mLoggedVerdict) {
+    return;
+  }
+  LogEvent event(LogLevel::Info, "upstream_verdict", LogPriority::High);
+  event.With("verdict", ToString(verdict))
+    .With("before", ToString(mLoggedVerdict))
+    .With("overdue_after_ms",
+          std::chrono::duration_cast<Milliseconds>(mFailureDetector.OverdueAfter()).count())
+    .With("requests", mPendingRequests);
+  for (std::size_t i = 0; i < kFlowFailures; ++i) {
+    event.With(ToString(static_cast<FlowFailure>(i)), mFlowFailures[i]->Value());
+  }
+  AddUpstream(event, aNow);
+  mLoggedVerdict = verdict;
+}
+
 void PacketAgent::OnDenial(const FlowKey& aKey, std::string_view aAnswer, const Endpoint& aBalancer,
                            TimePoint aNow)
 {
--- a/lib/Packet/PacketBalancer.cpp
+++ b/lib/Packet/PacketBalancer.cpp
@@ -58,6 +58,7 @@
   : mSettings(aSettings)
   , mCodec(aCodec)
   , mRandom(aRandom)
+  , mSelector(aRandom)
   , mSearchBudget(aSettings.mCapacity, aNow)
   // Start at another number in each process: answers to an earlier one must not count here.
   , mNextNumber(static_cast<std::uint32_t>(aNow.time_since_epoch().count()))
@@ -71,6 +72,8 @@
   , mResetByDirectory(
       aRegistry.CounterFor("dandelionslip_flows_reset_total", "reason=\"not_registered\""))
   , mResetByDenials(aRegistry.CounterFor("dandelionslip_flows_reset_total", "reason=\"denied\""))
+  , mNoRoom(aRegistry.CounterFor("dandelionslip_flows_refused_total", "reason=\"no_room\""))
+  , mOffered(aRegistry.CounterFor("dandelionslip_openings_offered_total"))
   , mPlaced(aRegistry.CounterFor("dandelionslip_flows_placed_total"))
   , mFlowsFull(aRegistry.CounterFor("dandelionslip_packets_dropped_total", "reason=\"flows_full\""))
   , mWaited(aRegistry.CounterFor("dandelionslip_openings_waited_total"))
@@ -103,12 +106,21 @@
     mRouteVersion = aConfiguration.mRoutes.mVersion;
     mRoutes.clear();
     for (const Route& route : aConfiguration.mRoutes.mRoutes) {
-      RouteEntry entry{route.mName, route.mTargets, 0, route.mPriority,
-                       MaxWait(route.mTimeout, mSettings)};
+      RouteEntry entry{route.mName,
+                       route.mTargets,
+                       0,
+                       route.mPriority,
+                       MaxWait(route.mTimeout, mSettings),
+                       route.mTimeout,
+                       {}};
       for (const RouteTarget& target : route.mTargets) {
         entry.mTotalWeight += target.mWeight;
       }
-      mRoutes[RouteKeyOf(Endpoint::Parse(route.mAddress).value())] = std::move(entry);
+      const std::uint64_t key = RouteKeyOf(Endpoint::Parse(route.mAddress).value());
+      if (const auto term = mRouteTerms.find(key); term != mRouteTerms.end()) {
+        entry.mTerm = term->second;
+      }
+      mRoutes[key] = std::move(entry);
     }
     LogEvent(LogLevel::Info, "routes_in_force")
       .With("version", mRouteVersion)
@@ -131,6 +143,7 @@
 
 void PacketBalancer::ApplyView(const View& aView, TimePoint aNow)
 {
+  mServiceAgents.clear();
   for (auto& [endpoint, agent] : mAgents) {
     agent.mInView = false;
     agent.mTakesNewWork = false;
@@ -272,7 +285,9 @@
                                TimePoint aNow)
 {
   if (mRouteVersion == 0) {
-    EnqueueOpening(aPacketHeader, 0, mSettings.mMaxPacketWait, aPacket, aNow);
+    RouteEntry unknown;
+    unknown.mMaxWait = mSettings.mMaxPacketWait;
+    EnqueueOpening(aPacketHeader, unknown, mRetriedArrival.value_or(aNow), aPacket);
     return;
   }
   const RouteEntry* route = FindRoute(aPacketHeader.mFlow);
@@ -298,39 +313,63 @@
                                const RouteEntry& aRoute, std::span<const std::uint8_t> aPacket,
                                PacketOutput& aOutput, TimePoint aNow)
 {
-  auto holder =
-    ChooseAgent(ServiceFor(aRoute, aPacketHeader.mFlow), aPacketHeader.mFlow, aFlow, aNow);
+  const std::string& service = ServiceFor(aRoute, aPacketHeader.mFlow);
+  auto choice = Choose(aRoute, service, aPacketHeader.mFlow, aFlow, aNow);
   // If the chosen service has no upstream for the flow, try the other targets of the route.
-  for (auto target = aRoute.mTargets.begin(); !holder && target != aRoute.mTargets.end();
+  for (auto target = aRoute.mTargets.begin(); !choice && target != aRoute.mTargets.end();
        ++target) {
     if (target->mWeight > 0) {
-      holder = ChooseAgent(target->mService, aPacketHeader.mFlow, aFlow, aNow);
+      choice = Choose(aRoute, target->mService, aPacketHeader.mFlow, aFlow, aNow);
     }
   }
-  aFlow.mHolder = holder;
   aFlow.mSequence = aPacketHeader.mSequence;
-  if (!holder) {
-    const bool waits = MayAcceptSoon(aRoute, aFlow, aNow);
-    const auto returnedBy = std::move(aFlow.mOpeningReturnedBy);
+  if (!choice) {
     const TimePoint arrivedAt = mRetriedArrival.value_or(aFlow.mFirstUsedAt);
+    const bool offers = UsesOffers(aRoute, service);
+    const bool waits = offers ? WillHaveRoomInTime(aRoute, aFlow, arrivedAt, aNow)
+                              : MayAcceptSoon(aRoute, aFlow, aNow);
+    Counter& refused = aFlow.mOffers > 0 ? mNoRoom : mNoUpstream;
+    const auto returnedBy = std::move(aFlow.mOpeningReturnedBy);
     mFlows.erase(aPacketHeader.mFlow);
     if (waits) {
-      EnqueueOpening(aPacketHeader, aRoute.mPriority, aRoute.mMaxWait, aPacket, aNow);
+      EnqueueOpening(aPacketHeader, aRoute, offers ? arrivedAt : mRetriedArrival.value_or(aNow),
+                     aPacket);
     } else {
-      RefuseOpening(aPacketHeader, returnedBy, mNoUpstream, aOutput, arrivedAt, aNow);
+      RefuseOpening(aPacketHeader, returnedBy, refused, aOutput, arrivedAt, aNow);
     }
     return;
   }
+  aFlow.mHolder = choice->mAgent;
+  if (choice->mType != NodeMessageType::Deliver) {
+    mOffered.Add();
+    ++aFlow.mOffers;
+  }
   mPlaced.Add();
-  LogPlacement(aPacketHeader, *holder, aNow);
-  ++mAgents[*holder].mPlacedSinceReport;
-  aOutput.SendToNode(*holder, {NodeMessageType::Deliver, ReturnReason::None}, aPacket);
+  LogPlacement(aPacketHeader, *choice, aFlow.mOffers, aNow);
+  ++mAgents[choice->mAgent].mPlacedSinceReport;
+  aOutput.SendToNode(choice->mAgent, {choice->mType, ReturnReason::None}, aPacket);
 }
 
-void PacketBalancer::LogPlacement(const PacketHeader& aPacketHeader, const Endpoint& aHolder,
-                                  TimePoint aNow)
+std::optional<PacketBalancer::PlacementChoice> PacketBalancer::Choose(const RouteEntry& aRoute,
+                                                                      const std::string& aService,
+                                                                      const FlowKey& aKey,
+                                                                      const Flow& aFlow,
+                                                                      TimePoint aNow)
 {
-  const Agent& agent = mAgents[aHolder];
+  if (mGrantedBy) {
+    return PlacementChoice{*mGrantedBy};
+  }
+  if (UsesOffers(aRoute, aService)) {
+    return ChooseOffer(aRoute, aService, aFlow, aNow);
+  }
+  const auto agent = ChooseAgent(aService, aKey, aFlow, aNow);
+  return agent ? std::optional(PlacementChoice{*agent}) : std::nullopt;
+}
+
+void PacketBalancer::LogPlacement(const PacketHeader& aPacketHeader, const PlacementChoice& aChoice,
+                                  std::uint32_t aOffers, TimePoint aNow)
+{
+  const Agent& agent = mAgents[aChoice.mAgent];
   const auto age = agent.mReportedAt
                      ? std::chrono::duration_cast<Milliseconds>(aNow - *agent.mReportedAt).count()
                      : -1;
@@ -338,7 +377,8 @@
     .With("flow", ToString(aPacketHeader.mFlow))
     .With("copy", aPacketHeader.mRetransmission)
     .With("service", agent.mService)
-    .With("agent", aHolder.ToString())
+    .With("agent", aChoice.mAgent.ToString())
+    .With("offers", aOffers)
     .With("report_age_ms", age)
     .With("flows", agent.mReport.mFlows + agent.mPlacedSinceReport)
     .With("requests", agent.mReport.mRequests)
@@ -524,6 +564,7 @@
     return;
   }
   if (report.value().mFinished) {
+    mServiceAgents.clear();
     mAgents.erase(aFrom);
     mFinishedAgents[aFrom] = aNow;
     return;
@@ -531,13 +572,17 @@
   mFinishedAgents.erase(aFrom);
   AddUnseenHolders(report.value().mUnseenHolders, aNow);
   Agent& agent = mAgents[aFrom];
+  if (agent.mService != report.value().mService) {
+    mServiceAgents.clear();
+  }
   agent.mEndpointHash = HashOf(aFrom);
   agent.mService = report.value().mService;
   agent.mDataCentre = report.value().mDataCentre;
   agent.mReport = std::move(report.value());
   agent.mReportedAt = aNow;
   agent.mPlacedSinceReport = 0;
-  PlaceWaitingForServiceOf(agent, aOutput, aNow);
+  NoteDetails(aFrom, agent, aOutput, aNow);
+  PlaceWaitingForServiceOf(aFrom, agent, aOutput, aNow);
   ContinueAwaitingSearches(aOutput, aNow);
   ContinueSearchesAwaitingAgents(aOutput, aNow);
   if (aNow - mExpiryCheckedAt >= kExpiryInterval) {
@@ -553,6 +598,7 @@
     if (mFinishedAgents.contains(holder)) {
       continue;
     }
+    mServiceAgents.clear();
     Agent& agent = mAgents[holder];
     agent.mEndpointHash = HashOf(holder);
     agent.mNamedAt = aNow;
@@ -575,6 +621,7 @@
   });
   std::erase_if(mFinishedAgents,
                 [&](const auto& aItem) { return aNow - aItem.second > kFinishedRetention; });
+  mServiceAgents.clear();
   std::erase_if(mAgents, [&](const auto& aItem) {
     const Agent& agent = aItem.second;
     const bool mayHoldFlows = agent.mLostAt && aNow - *agent.mLostAt <= mSettings.mMaxFlowAge;
--- /dev/null
+++ b/lib/Packet/PacketBalancerOffers.cpp
@@ -0,0 +1,197 @@
+// Openings that a balancer offers to agents, which may return them.
+#include "RouteKey.h"
+#include "dandelionslip/Packet/EjectionPolicy.h"
+#include "dandelionslip/Packet/PacketBalancer.h"
+
+#include "dandelionslip/Support/Hash.h"
+#include "dandelionslip/Support/Log.h"
+
+#include <algorithm>
+
+namespace dandelionslip {
+
+namespace {
+
+// Offers that an agent may return for any wait; the next one is the last. Of upstreams that are
+// busy with probability p, a request waits at one with probability p^3.
+constexpr std::uint32_t kFirstOffers = 2;
+
+// Part of a service's agents that must have seen short flows. Agents that have just started have
+// not, and those of services with long flows never do.
+constexpr std::size_t kShortFlowShare = 4;
+
+// How long the verdict of an agent's earlier process counts.
+constexpr Milliseconds kVerdictLifetime{5'000};
+
+// Shortest interval between two ReportFormat messages to an agent.
+constexpr Milliseconds kStateFormatInterval{1'000};
+
+constexpr double kMilli = 1000.0;
+
+// Factor on the weight of a cold upstream.
+constexpr double kColdWeight = 0.5;
+
+} // namespace
+
+void PacketBalancer::OnRouteTerms(const RouteTerms& aTerms)
+{
+  mRouteTerms.clear();
+  for (const RouteTerm& term : aTerms.mTerms) {
+    if (const auto address = Endpoint::Parse(term.mAddress)) {
+      mRouteTerms[RouteKeyOf(address.value())] = term;
+    }
+  }
+  for (auto& [key, route] : mRoutes) {
+    const auto found = mRouteTerms.find(key);
+    route.mTerm = found == mRouteTerms.end() ? RouteTerm{} : found->second;
+  }
+  LogEvent(LogLevel::Info, "route_terms_in_force")
+    .With("version", aTerms.mVersion)
+    .With("terms", aTerms.mTerms.size());
+}
+
+const PacketBalancer::ServiceAgents& PacketBalancer::AgentsOf(const std::string& aService)
+{
+  if (mServiceAgents.empty()) {
+    for (auto& [endpoint, agent] : mAgents) {
+      mServiceAgents[agent.mService].emplace_back(endpoint, &agent);
+    }
+  }
+  return mServiceAgents[aService];
+}
+
+bool PacketBalancer::IsOfShortFlows(const std::string& aService)
+{
+  std::size_t known = 0;
+  std::size_t shortFlows = 0;
+  for (const auto& [endpoint, agent] : AgentsOf(aService)) {
+    known += agent->mDetails ? 1 : 0;
+    shortFlows += agent->mDetails && agent->mDetails->mOneRequestPerFlow ? 1 : 0;
+  }
+  return shortFlows > 0 && shortFlows * kShortFlowShare >= known;
+}
+
+bool PacketBalancer::UsesOffers(const RouteEntry& aRoute, const std::string& aService)
+{
+  return aRoute.mTerm.mGoal.count() > 0 && IsOfShortFlows(aService);
+}
+
+// The verdict of an agent's earlier process stays, for as long as the same upstream runs, until the
+// new process has a verdict of its own.
+bool PacketBalancer::KeepsVerdict(const Agent& aAgent, const LoadDetails& aDetails, TimePoint aNow)
+{
+  return aAgent.mDetails && aAgent.mDetails->mVerdict == UpstreamVerdict::Failing &&
+         aDetails.mVerdict == UpstreamVerdict::Healthy && aDetails.mVerdictAge.count() == 0 &&
+         aDetails.mUpstreamStartedMs == aAgent.mDetails->mUpstreamStartedMs &&
+         aNow - aAgent.mDetailsAt <= kVerdictLifetime;
+}
+
+void PacketBalancer::NoteDetails(const Endpoint& aEndpoint, Agent& aAgent, PacketOutput& aOutput,
+                                 TimePoint aNow)
+{
+  if (aAgent.mReport.mDetails) {
+    LoadDetails& details = *aAgent.mReport.mDetails;
+    if (KeepsVerdict(aAgent, details, aNow)) {
+      details.mVerdict = aAgent.mDetails->mVerdict;
+      details.mAdmittedPermille = aAgent.mDetails->mAdmittedPermille;
+    } else {
+      aAgent.mDetailsAt = aNow;
+    }
+    aAgent.mDetails = details;
+    return;
+  }
+  if (mRouteTerms.empty() ||
+      (aAgent.mFormatStatedAt && aNow - *aAgent.mFormatStatedAt < kStateFormatInterval)) {
+    return;
+  }
+  aAgent.mFormatStatedAt = aNow;
+  const std::array<std::uint8_t, 1> format{LoadReport::kFormatWithDetails};
+  aOutput.SendToNode(aEndpoint, {NodeMessageType::ReportFormat, ReturnReason::None}, format);
+}
+
+std::optional<PacketBalancer::PlacementChoice> PacketBalancer::ChooseOffer(
+  const RouteEntry& aRoute, const std::string& aService, const Flow& aFlow, TimePoint aNow)
+{
+  if (aFlow.mOffers > kFirstOffers) {
+    return std::nullopt;
+  }
+  static const LoadReport kUnreported;
+  const ServiceAgents& agents = AgentsOf(aService);
+  std::vector<EjectionCandidate> ejectionCandidates;
+  std::vector<PlacementCandidate> placementCandidates;
+  for (const auto& [endpoint, agent] : agents) {
+    const bool failing = agent->mDetails && agent->mDetails->mVerdict == UpstreamVerdict::Failing;
+    ejectionCandidates.push_back({agent->mDataCentre, AcceptsNow(endpoint, *agent, {}, aNow),
+                                  failing,
+                                  failing ? agent->mDetails->mVerdictAge : Milliseconds{0}});
+    placementCandidates.push_back({placementCandidates.size(),
+                                   agent->mReportedAt ? &agent->mReport : &kUnreported,
+                                   agent->mPlacedSinceReport});
+  }
+  const std::vector<bool> ejected = ChooseEjected(ejectionCandidates);
+  const double meanSpeed = MeanSlotSpeed(placementCandidates);
+  std::vector<SelectorCandidate> candidates;
+  for (std::size_t i = 0; i < agents.size(); ++i) {
+    const auto& [endpoint, agent] = agents[i];
+    if (!ejectionCandidates[i].mAccepts || !IsEligible(endpoint, *agent, aFlow)) {
+      continue;
+    }
+    const LoadReport& report = *placementCandidates[i].mReport;
+    const double speed = report.mMilliRequestsPerSlotSecond == 0
+                           ? meanSpeed
+                           : report.mMilliRequestsPerSlotSecond / kMilli;
+    double weight = std::max<std::uint32_t>(report.mSlots, 1) * speed;
+    weight *= report.mCold ? kColdWeight : 1.0;
+    if (agent->mDetails && (!ejectionCandidates[i].mFailing || ejected[i])) {
+      weight *= agent->mDetails->mAdmittedPermille / kMilli;
+    }
+    if (ejected[i] && !aRoute.mTerm.mRepeatable) {
+      weight = 0;
+    }
+    candidates.push_back({i, agent->mEndpointHash, weight,
+                          agent->mDataCentre == mSettings.mDataCentre,
+                          agent->mDetails ? agent->mDetails->mBusyPermille / kMilli : 0.0});
+  }
+  const auto chosen = mSelector.Choose(candidates);
+  if (!chosen) {
+    return std::nullopt;
+  }
+  const auto& [endpoint, agent] = agents[*chosen];
+  // An agent that has not stated that it understands offers gets the packet as before; so does one
+  // that fails but may not be ejected.
+  const bool deliver =
+    !agent->mDetails || (ejectionCandidates[*chosen].mFailing && !ejected[*chosen]);
+  const bool last = aFlow.mOffers == kFirstOffers || candidates.size() == 1;
+  return PlacementChoice{endpoint, deliver ? NodeMessageType::Deliver
+                                   : last  ? NodeMessageType::LastOffer
+                                           : NodeMessageType::Offer};
+}
+
+bool PacketBalancer::WillHaveRoomInTime(const RouteEntry& aRoute, const Flow& aFlow,
+                                        TimePoint aArrivedAt, TimePoint aNow)
+{
+  if (!ViewMayBeComplete(aNow)) {
+    return true;
+  }
+  std::vector<ForecastUpstream> upstreams;
+  for (const auto& [endpoint, agent] : mAgents) {
+    if (!aRoute.HasTarget(agent.mService)) {
+      continue;
+    }
+    const LoadReport& report = agent.mReport;
+    const bool silent = !agent.mReportedAt || aNow - *agent.mReportedAt > mSettings.mReportLifetime;
+    ForecastUpstream upstream;
+    upstream.mUnknown =
+      silent ? agent.mInView && IsEligible(endpoint, agent, aFlow) : report.mStarting;
+    upstream.mAccepts = !silent && report.mAccepts;
+    upstream.mCold = report.mCold;
+    upstream.mColdLeft = report.mColdLeft;
+    upstream.mColdPerSecond = report.mOpeningsPerSecond;
+    upstream.mWarmPerSecond = report.mMilliRequestsPerSlotSecond / kMilli * report.mSlots;
+    upstreams.push_back(upstream);
+  }
+  const auto wait = ForecastWait(upstreams, mBalancers, mWaiting.Size());
+  return wait && aNow + *wait <= aArrivedAt + aRoute.mTimeout;
+}
+
+} // namespace dandelionslip
--- a/lib/Packet/PacketBalancerWaiting.cpp
+++ b/lib/Packet/PacketBalancerWaiting.cpp
@@ -8,9 +8,8 @@
 
 namespace dandelionslip {
 
-void PacketBalancer::EnqueueOpening(const PacketHeader& aPacketHeader, std::uint32_t aPriority,
-                                    Milliseconds aWait, std::span<const std::uint8_t> aPacket,
-                                    TimePoint aNow)
+void PacketBalancer::EnqueueOpening(const PacketHeader& aPacketHeader, const RouteEntry& aRoute,
+                                    TimePoint aArrivedAt, std::span<const std::uint8_t> aPacket)
 {
   if (mWaiting.Size() >= mSettings.mMaxWaiting) {
     mFlowsFull.Add();
@@ -18,16 +17,16 @@
   }
   const bool isNew = mWaiting.Add({aPacketHeader.mFlow,
                                    {aPacket.begin(), aPacket.end()},
-                                   aPriority,
-                                   mRetriedArrival.value_or(aNow),
-                                   aWait});
+                                   aRoute.mPriority,
+                                   aArrivedAt,
+                                   aRoute.mMaxWait});
   if (!isNew || mRetriedArrival) {
     return;
   }
   mWaited.Add();
   LogEvent(LogLevel::Info, "flow_waits")
     .With("flow", ToString(aPacketHeader.mFlow))
-    .With("wait_ms", aWait.count())
+    .With("wait_ms", aRoute.mMaxWait.count())
     .With("waiting", mWaiting.Size())
     .With("routes", mRouteVersion)
     .With("view", mViewRevision);
@@ -52,24 +51,32 @@
 }
 
 // Places the waiting openings of routes to the agent's service if the agent accepts flows: as many
-// as it allows while its upstream is cold, otherwise all.
-void PacketBalancer::PlaceWaitingForServiceOf(const Agent& aAgent, PacketOutput& aOutput,
-                                              TimePoint aNow)
+// as it allows while its upstream is cold or if the flows carry one request each, otherwise all.
+void PacketBalancer::PlaceWaitingForServiceOf(const Endpoint& aEndpoint, const Agent& aAgent,
+                                              PacketOutput& aOutput, TimePoint aNow)
 {
-  const std::size_t room = !aAgent.mReport.mAccepts ? 0
-                           : aAgent.mReport.mCold   ? ColdOpeningsLeft(aAgent)
-                                                    : mWaiting.Size();
-  if (room == 0 || mRouteVersion == 0) {
+  if (mWaiting.Size() == 0 || mRouteVersion == 0 || !aAgent.mReport.mAccepts) {
     return;
   }
   const std::string service = aAgent.mService;
+  const bool grants = !aAgent.mReport.mCold && aAgent.mDetails && IsOfShortFlows(service);
+  const std::size_t room = aAgent.mReport.mCold ? ColdOpeningsLeft(aAgent)
+                           : !grants            ? mWaiting.Size()
+                           : aAgent.mDetails->mVerdict == UpstreamVerdict::Healthy
+                             ? aAgent.mDetails->mRoom
+                             : 0;
+  if (room == 0) {
+    return;
+  }
+  mGrantedBy = grants ? std::optional(aEndpoint) : std::nullopt;
   PlaceWaitingOpenings(
     room,
     [&](const WaitingOpening& aOpening) {
       const RouteEntry* route = FindRoute(aOpening.mFlow);
-      return route == nullptr || route->HasTarget(service);
+      return (route == nullptr && !mGrantedBy) || (route != nullptr && route->HasTarget(service));
     },
     aOutput, aNow);
+  mGrantedBy.reset();
 }
 
 // Resets openings that have waited too long, so that their callers do not wait for their own
--- a/unittests/Packet/PacketAgentTest.cpp
+++ b/unittests/Packet/PacketAgentTest.cpp
@@ -479,7 +479,7 @@
     named.clear();
     std::size_t names = 0;
     for (int i = 0; i < 28; ++i) {
-      const LoadReport report = mAgent.NextLoad(mNow);
+      const LoadReport report = mAgent.NextLoad(Milliseconds(200), mNow);
       names += report.mUnseenHolders.size();
       named.insert(report.mUnseenHolders.begin(), report.mUnseenHolders.end());
       mNow += Milliseconds{200};
--- a/unittests/Packet/PacketFlowSimulation.cpp
+++ b/unittests/Packet/PacketFlowSimulation.cpp
@@ -48,6 +48,12 @@
       return "register ack";
     case NodeMessageType::NotRegistered:
       return "not registered";
+    case NodeMessageType::Offer:
+      return "offer";
+    case NodeMessageType::LastOffer:
+      return "last offer";
+    case NodeMessageType::ReportFormat:
+      return "report format";
   }
   return "";
 }
@@ -55,7 +61,8 @@
 bool CarriesPacket(NodeMessageType aType)
 {
   return aType == NodeMessageType::Deliver || aType == NodeMessageType::Probe ||
-         aType == NodeMessageType::Returned;
+         aType == NodeMessageType::Returned || aType == NodeMessageType::Offer ||
+         aType == NodeMessageType::LastOffer;
 }
 
 std::string PacketText(const PacketHeader& aHeader)
--- a/unittests/Packet/PacketFlowSimulationNodes.cpp
+++ b/unittests/Packet/PacketFlowSimulationNodes.cpp
@@ -174,7 +174,7 @@
   const TimePoint now = NodeTime(aAgent);
   std::erase_if(aAgent.mBalancers,
                 [&](const auto& aItem) { return now - aItem.second > kBalancerTimeout; });
-  LoadReport report = aAgent.mAgent->NextLoad(now);
+  LoadReport report = aAgent.mAgent->NextLoad(Milliseconds(200), now);
   const auto shares = aAgent.mShares.Split(report.mOpeningsAllowed, aAgent.mBalancers.size());
   auto share = shares.begin();
   for (const auto& [balancer, lastSeen] : aAgent.mBalancers) {
