Offer an opening once while others wait for room

After a loss of power upstreams turn warm with a few thousand openings waiting. Each new opening was offered to three agents, returned as busy, and then waited: 5,500 returns in a second saturated the balancers' processors.

While openings wait because all agents that were asked are busy, a new one gets a single last offer. Agents also report as soon as their upstream is warm, not at the next interval.

--- a/include/dandelionslip/Packet/PacketBalancer.h
+++ b/include/dandelionslip/Packet/PacketBalancer.h
@@ -241,6 +241,8 @@
   /// The agent to offer the opening to; empty if none accepts, or it was offered often enough.
   std::optional<PlacementChoice> ChooseOffer(const RouteEntry& aRoute, const std::string& aService,
                                              const Flow& aFlow, TimePoint aNow);
+  /// Whether openings to the service wait for room, so that a new one is offered only once.
+  bool IsSaturated(const std::string& aService, TimePoint aNow) const;
   /// Whether an opening that cannot be placed now can be within the route's timeout.
   bool WillHaveRoomInTime(const RouteEntry& aRoute, const Flow& aFlow, TimePoint aArrivedAt,
                           TimePoint aNow);
@@ -356,6 +358,8 @@
   std::unordered_map<std::string, ServiceAgents> mServiceAgents;
   std::unordered_map<std::uint64_t, RouteTerm> mRouteTerms; ///< By address and port.
   UpstreamSelector mSelector;
+  /// When all offers of an opening to the service were last returned as busy.
+  std::unordered_map<std::string, TimePoint> mSaturatedAt;
   /// Agents that reported that no flow is left there, and when. Registrations of their flows may
   /// still name them. Another process at the endpoint reports itself or is in the view.
   std::map<Endpoint, TimePoint> mFinishedAgents;
--- a/lib/Daemon/PacketAgentDaemon.cpp
+++ b/lib/Daemon/PacketAgentDaemon.cpp
@@ -92,6 +92,14 @@
     const MemberState before = mCore.State(RuntimeClock::now());
     const HeartbeatOutcome outcome = mCore.OnUpstreamHeartbeat(aHeartbeat, RuntimeClock::now());
     ReportStateChange(before);
+    if (mCore.State(RuntimeClock::now()) == MemberState::Cold && !mReportsWhenWarm) {
+      // Openings that wait for the upstream need not wait for the next interval as well.
+      mReportsWhenWarm = true;
+      CallAfter(mNode.Loop(), aHeartbeat.mColdLeft, [this] {
+        mReportsWhenWarm = false;
+        SendLoadReports();
+      });
+    }
     return outcome;
   }
 
@@ -278,6 +286,7 @@
   std::unique_ptr<RepeatingTimer> mLoadReportTimer;
   std::unique_ptr<RepeatingTimer> mRegisterTimer;
   std::unique_ptr<PacketNodeAdapter> mAdapter;
+  bool mReportsWhenWarm = false; ///< A report is due when the upstream turns warm.
   bool mStopping = false;
 };
 
--- a/lib/Packet/PacketBalancer.cpp
+++ b/lib/Packet/PacketBalancer.cpp
@@ -329,6 +329,9 @@
     const bool waits = offers ? WillHaveRoomInTime(aRoute, aFlow, arrivedAt, aNow)
                               : MayAcceptSoon(aRoute, aFlow, aNow);
     Counter& refused = aFlow.mOffers > 0 ? mNoRoom : mNoUpstream;
+    if (aFlow.mOffers > 0) {
+      mSaturatedAt[service] = aNow;
+    }
     const auto returnedBy = std::move(aFlow.mOpeningReturnedBy);
     mFlows.erase(aPacketHeader.mFlow);
     if (waits) {
--- a/lib/Packet/PacketBalancerOffers.cpp
+++ b/lib/Packet/PacketBalancerOffers.cpp
@@ -26,6 +26,10 @@
 // Shortest interval between two ReportFormat messages to an agent.
 constexpr Milliseconds kStateFormatInterval{1'000};
 
+// A service counts as saturated for this long after the offers of an opening were returned as busy:
+// one interval of load reports.
+constexpr Milliseconds kSaturationTime{200};
+
 constexpr double kMilli = 1000.0;
 
 // Factor on the weight of a cold upstream.
@@ -112,7 +116,8 @@
 std::optional<PacketBalancer::PlacementChoice> PacketBalancer::ChooseOffer(
   const RouteEntry& aRoute, const std::string& aService, const Flow& aFlow, TimePoint aNow)
 {
-  if (aFlow.mOffers > kFirstOffers) {
+  const bool saturated = IsSaturated(aService, aNow);
+  if (aFlow.mOffers > (saturated ? 0 : kFirstOffers)) {
     return std::nullopt;
   }
   static const LoadReport kUnreported;
@@ -161,12 +166,21 @@
   // that fails but may not be ejected.
   const bool deliver =
     !agent->mDetails || (ejectionCandidates[*chosen].mFailing && !ejected[*chosen]);
-  const bool last = aFlow.mOffers == kFirstOffers || candidates.size() == 1;
+  const bool last = saturated || aFlow.mOffers == kFirstOffers || candidates.size() == 1;
   return PlacementChoice{endpoint, deliver ? NodeMessageType::Deliver
                                    : last  ? NodeMessageType::LastOffer
                                            : NodeMessageType::Offer};
 }
 
+// While openings wait because all upstreams that were asked are busy, first offers of further ones
+// would only cost messages and come back.
+bool PacketBalancer::IsSaturated(const std::string& aService, TimePoint aNow) const
+{
+  const auto found = mSaturatedAt.find(aService);
+  return found != mSaturatedAt.end() && mWaiting.Size() > 0 &&
+         aNow - found->second <= kSaturationTime;
+}
+
 bool PacketBalancer::WillHaveRoomInTime(const RouteEntry& aRoute, const Flow& aFlow,
                                         TimePoint aArrivedAt, TimePoint aNow)
 {
