Order waiting openings by whether they can meet their goal

After a loss of power, the queue gave places to openings whose goal had passed although others could still meet theirs, and a route of lesser priority got none while more urgent openings kept coming.

--- a/lib/Packet/PacketBalancerWaiting.cpp
+++ b/lib/Packet/PacketBalancerWaiting.cpp
@@ -19,7 +19,8 @@
                                    {aPacket.begin(), aPacket.end()},
                                    aRoute.mPriority,
                                    aArrivedAt,
-                                   aRoute.mMaxWait});
+                                   aRoute.mMaxWait,
+                                   aRoute.mTerm.mGoal});
   if (!isNew || mRetriedArrival) {
     return;
   }
@@ -38,7 +39,7 @@
                                           const OpeningQueue::Condition& aCondition,
                                           PacketOutput& aOutput, TimePoint aNow)
 {
-  for (const WaitingOpening& opening : mWaiting.Take(aCount, aCondition)) {
+  for (const WaitingOpening& opening : mWaiting.Take(aCount, aCondition, aNow)) {
     if (const auto packetHeader = mCodec.DecodeFromCaller(opening.mPacket)) {
       mRetriedArrival = opening.mArrivedAt;
       OnOpening(*packetHeader, opening.mPacket, aOutput, aNow);
