Count an opening's wait from its original, not its first copy seen

While no balancer runs, callers' first opening packets are lost. An opening whose second copy arrives first has 800 ms left, but was held for 1.3 s and then took room from callers that still wait.

Openings of routes with a goal are taken to be as old as the number of their copy shows.

--- a/lib/Packet/PacketBalancerWaiting.cpp
+++ b/lib/Packet/PacketBalancerWaiting.cpp
@@ -5,9 +5,25 @@
 #include "dandelionslip/Support/Log.h"
 
 #include <algorithm>
+#include <array>
 
 namespace dandelionslip {
 
+namespace {
+
+// When callers send the original and the copies of an opening packet, after the original.
+constexpr std::array<Milliseconds, 3> kCopyDelays{Milliseconds{0}, Milliseconds{200},
+                                                  Milliseconds{600}};
+
+// How long ago the caller sent the original of this opening packet. If earlier ones were lost, for
+// example while no balancer ran, the caller gives up that much earlier.
+Milliseconds SentBefore(const PacketHeader& aPacketHeader)
+{
+  return kCopyDelays[std::min<std::size_t>(aPacketHeader.mRetransmission, kCopyDelays.size() - 1)];
+}
+
+} // namespace
+
 void PacketBalancer::EnqueueOpening(const PacketHeader& aPacketHeader, const RouteEntry& aRoute,
                                     TimePoint aArrivedAt, std::span<const std::uint8_t> aPacket)
 {
@@ -15,6 +31,9 @@
     mFlowsFull.Add();
     return;
   }
+  if (aRoute.mTerm.mGoal.count() > 0 && !mRetriedArrival) {
+    aArrivedAt -= SentBefore(aPacketHeader);
+  }
   const bool isNew = mWaiting.Add({aPacketHeader.mFlow,
                                    {aPacket.begin(), aPacket.end()},
                                    aRoute.mPriority,
@@ -41,7 +60,11 @@
 {
   for (const WaitingOpening& opening : mWaiting.Take(aCount, aCondition, aNow)) {
     if (const auto packetHeader = mCodec.DecodeFromCaller(opening.mPacket)) {
-      mRetriedArrival = opening.mArrivedAt;
+      const RouteEntry* route = FindRoute(opening.mFlow);
+      const bool learnedGoal =
+        opening.mGoal.count() == 0 && route != nullptr && route->mTerm.mGoal.count() > 0;
+      mRetriedArrival =
+        opening.mArrivedAt - (learnedGoal ? SentBefore(*packetHeader) : Milliseconds{0});
       OnOpening(*packetHeader, opening.mPacket, aOutput, aNow);
       mRetriedArrival.reset();
       if (!mWaiting.Contains(opening.mFlow)) {
