Estimate the length of flows from their first answer on

Right after a loss of power an agent has opened ten flows, of which five still wait.

A flow counts from its first answer on.

--- a/include/dandelionslip/Packet/FlowLengthEstimator.h
+++ b/include/dandelionslip/Packet/FlowLengthEstimator.h
@@ -5,15 +5,17 @@
 
 namespace dandelionslip {
 
-/// Counts opened and ended flows and the answers on them, with a decaying weight. Not thread-safe.
+/// Counts the flows that got an answer, those that ended, and the answers on them, with a decaying
+/// weight. A flow that carries one request ends right after its answer. Not thread-safe.
 class FlowLengthEstimator
 {
 public:
-  void OnOpened(TimePoint aNow);
+  /// The first request of a flow was answered.
+  void OnFirstAnswer(TimePoint aNow);
   /// A flow that both sides have ended; aAnswers: requests answered on it.
   void OnEnded(unsigned aAnswers, TimePoint aNow);
 
-  /// Whether at least kMinEnded flows have ended, at least half of those that were opened, with
+  /// Whether at least kMinEnded flows have ended, at least half of those that got an answer, with
   /// kMaxAnswers answers each on average. False while too little is known.
   bool OneRequestPerFlow() const;
 
@@ -26,7 +28,7 @@
 
   void Decay(TimePoint aNow);
 
-  double mOpened = 0;
+  double mAnswered = 0;
   double mEnded = 0;
   double mAnswers = 0; ///< On ended flows.
   TimePoint mDecayedAt;
--- a/lib/Packet/FlowLengthEstimator.cpp
+++ b/lib/Packet/FlowLengthEstimator.cpp
@@ -9,7 +9,7 @@
 
 namespace {
 
-// Part of the opened flows that must have ended. Flows with many requests rarely end.
+// Part of the answered flows that must have ended. Flows with many requests rarely end.
 constexpr double kMinEndedShare = 0.5;
 
 } // namespace
@@ -18,15 +18,15 @@
 {
   const double kept = std::exp2(-Seconds(aNow - mDecayedAt) / kHalfLifeSeconds);
   mDecayedAt = aNow;
-  mOpened *= kept;
+  mAnswered *= kept;
   mEnded *= kept;
   mAnswers *= kept;
 }
 
-void FlowLengthEstimator::OnOpened(TimePoint aNow)
+void FlowLengthEstimator::OnFirstAnswer(TimePoint aNow)
 {
   Decay(aNow);
-  mOpened += 1;
+  mAnswered += 1;
 }
 
 void FlowLengthEstimator::OnEnded(unsigned aAnswers, TimePoint aNow)
@@ -38,7 +38,7 @@
 
 bool FlowLengthEstimator::OneRequestPerFlow() const
 {
-  return mEnded >= kMinEnded && mEnded >= mOpened * kMinEndedShare &&
+  return mEnded >= kMinEnded && mEnded >= mAnswered * kMinEndedShare &&
          mAnswers <= mEnded * kMaxAnswers;
 }
 
--- a/lib/Packet/PacketAgentFlows.cpp
+++ b/lib/Packet/PacketAgentFlows.cpp
@@ -103,7 +103,6 @@
     flow.mOpenedAt = flow.mOpenedAt.value_or(aNow);
     flow.mOpenedBy = aFrom;
     mAdmission.OnOpened(aPacketHeader.mFlow, RouteKeyOf(aPacketHeader.mFlow), aNow);
-    mFlowLength.OnOpened(aNow);
   }
   if (mUnansweredOpenings++ == 0) {
     mUnansweredSince = aNow;
@@ -291,7 +290,9 @@
   mRequestSeconds.Observe(Seconds(duration));
   mAdmission.OnAnswered(aPacketHeader.mFlow, aNow);
   mLatestAnsweredSince = std::max(mLatestAnsweredSince, aFlow.mRequestSince);
-  ++aFlow.mAnswers;
+  if (++aFlow.mAnswers == 1) {
+    mFlowLength.OnFirstAnswer(aNow);
+  }
   if (mSettings.mHealthMayBeWrong) {
     mFailureDetector.OnAnswered(DataCentreOf(aFlow.mOpenedBy),
                                 {duration, aPacketHeader.mDataBytes, aFlow.mHadFreeSlot}, aNow);
