Ask another replica for route terms that the current one lacks

A node asked only the replica to which it is attached. One of the last release answers 404 but grants leases, so the node never left it and had no terms until that replica was upgraded.

After an error, a lost or undecodable answer, or terms of an earlier version, the next request goes to the next replica; the node stays attached to its own. The first failure in a row is logged.

--- a/lib/Daemon/ControlLink.cpp
+++ b/lib/Daemon/ControlLink.cpp
@@ -30,10 +30,10 @@
 {
 }
 
-std::string ControlLink::CurrentEndpoint()
+std::string ControlLink::CurrentEndpoint(std::size_t aSkipped)
 {
   const std::lock_guard lock(mMutex);
-  return mEndpoints[mIndex % mEndpoints.size()];
+  return mEndpoints[(mIndex + aSkipped) % mEndpoints.size()];
 }
 
 // Called with mMutex held. Keeps using the current endpoint if the new list has it.
@@ -67,10 +67,10 @@
   return mLastLeaseTime && RuntimeClock::now() - *mLastLeaseTime <= aDuration;
 }
 
-void ControlLink::Post(const std::string& aPath, Milliseconds aTimeout,
+void ControlLink::Post(const std::string& aPath, std::size_t aSkipped, Milliseconds aTimeout,
                        std::function<void(const Result<Bytes>&)> aDone)
 {
-  mClients.Post(CurrentEndpoint(), aPath, {}, aTimeout,
+  mClients.Post(CurrentEndpoint(aSkipped), aPath, {}, aTimeout,
                 [done = std::move(aDone)](auto aResult) { done(aResult); });
 }
 
--- a/lib/Daemon/ControlLink.h
+++ b/lib/Daemon/ControlLink.h
@@ -45,8 +45,9 @@
   /// the settings file has changed. The next list from control replaces all endpoints.
   void AddSeeds(std::vector<std::string> aSeeds);
 
-  /// Sends an empty request to the current replica.
-  void Post(const std::string& aPath, Milliseconds aTimeout,
+  /// Sends an empty request to the replica that is aSkipped places behind the current one in the
+  /// list, which starts again at its end.
+  void Post(const std::string& aPath, std::size_t aSkipped, Milliseconds aTimeout,
             std::function<void(const Result<Bytes>&)> aDone);
 
   /// Whether a replica has granted a lease within the last aDuration.
@@ -59,7 +60,7 @@
   void ApplyStateFromAgent(const AnnouncementAnswer& aAnswer);
 
 private:
-  std::string CurrentEndpoint();
+  std::string CurrentEndpoint(std::size_t aSkipped = 0);
   void ReplaceEndpointsLocked(const std::vector<std::string>& aEndpoints);
   void SwitchReplica(const Error& aReason);
   bool OnAnnouncementAnswer(const Result<Bytes>& aResult, TimePoint aSentAt,
--- a/lib/Daemon/PacketNode.cpp
+++ b/lib/Daemon/PacketNode.cpp
@@ -4,6 +4,7 @@
 #include "dandelionslip/Support/Log.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace dandelionslip {
 
@@ -107,8 +108,8 @@
   FetchTerms(aState.CurrentConfiguration().mRoutes.mVersion);
 }
 
-// A replica of a release without terms answers with an error. The node asks again, because the next
-// replica may have them.
+// A replica of a release without terms answers with an error, but may grant leases for as long as
+// it runs, so the node stays attached to it and asks another replica for the terms.
 void PacketNode::FetchTerms(std::uint64_t aRouteVersion)
 {
   const TimePoint now = RuntimeClock::now();
@@ -118,15 +119,35 @@
   }
   mFetchingTerms = true;
   mTermsFetchedAt = now;
-  mLink.Post("/v1/route-terms", kTermsTimeout, [this](const Result<Bytes>& aResult) {
-    mFetchingTerms = false;
-    const auto terms = aResult ? FromCbor<RouteTerms>(aResult.value(), "route terms")
-                               : Result<RouteTerms>(aResult.as_failure());
-    if (terms && terms.value().mVersion > mTermsVersion) {
-      mTermsVersion = terms.value().mVersion;
-      mHandlers.mOnTerms(terms.value());
+  mLink.Post("/v1/route-terms", mReplicasSkipped, kTermsTimeout,
+             [this, aRouteVersion](const Result<Bytes>& aResult) {
+               mFetchingTerms = false;
+               OnTermsAnswer(aRouteVersion, aResult ? FromCbor<RouteTerms>(aResult.value(), "")
+                                                    : Result<RouteTerms>(aResult.as_failure()));
+             });
+}
+
+void PacketNode::OnTermsAnswer(std::uint64_t aRouteVersion, const Result<RouteTerms>& aTerms)
+{
+  if (!aTerms || aTerms.value().mVersion < aRouteVersion) {
+    ++mReplicasSkipped;
+  }
+  if (!aTerms) {
+    if (!std::exchange(mTermsFailureLogged, true)) {
+      LogEvent(LogLevel::Warning, "route_terms_not_fetched")
+        .With("version", aRouteVersion)
+        .With(aTerms.error());
     }
-  });
+    return;
+  }
+  mTermsFailureLogged = false;
+  if (aTerms.value().mVersion > mTermsVersion) {
+    mTermsVersion = aTerms.value().mVersion;
+    mHandlers.mOnTerms(aTerms.value());
+    LogEvent(LogLevel::Info, "route_terms_in_force")
+      .With("version", mTermsVersion)
+      .With("terms", aTerms.value().mTerms.size());
+  }
 }
 
 void PacketNode::ReloadSeedsWithoutLease()
--- a/lib/Daemon/PacketNode.h
+++ b/lib/Daemon/PacketNode.h
@@ -60,6 +60,8 @@
   void ApplyState(const NodeState& aState);
   /// Fetches the terms of the routes if those that the node has are of another route table.
   void FetchTerms(std::uint64_t aRouteVersion);
+  /// Takes a replica's answer, or the failure, to a request for the terms of aRouteVersion.
+  void OnTermsAnswer(std::uint64_t aRouteVersion, const Result<RouteTerms>& aTerms);
   /// Reloads the seeds if no replica has granted a lease recently.
   void ReloadSeedsWithoutLease();
   void ReloadSeeds();
@@ -75,6 +77,9 @@
   std::uint64_t mTermsVersion = 0; ///< Of the route table whose terms the node has.
   bool mFetchingTerms = false;
   std::optional<TimePoint> mTermsFetchedAt; ///< When they were last requested.
+  /// How far behind the replica in use the one is that is asked for terms.
+  std::size_t mReplicasSkipped = 0;
+  bool mTermsFailureLogged = false; ///< Since terms last arrived.
   std::vector<std::string> mSeeds;
   ControlLink mLink;
   std::unique_ptr<RepeatingTimer> mSeedTimer;
