Take requests as repeatable only by terms of the routes in force

Terms arrive up to a second after a new route table. If a route of the new table had the address of an earlier one whose requests could be repeated, unsafe requests became trial flows of failing upstreams.

Balancers and agents take a route's requests as repeatable only when the terms are not older than the routes. Goals stay in force meanwhile.

--- a/include/dandelionslip/Packet/PacketAgent.h
+++ b/include/dandelionslip/Packet/PacketAgent.h
@@ -307,6 +307,7 @@
 
   std::unordered_map<std::uint64_t, RouteEntry> mRouteEntries; ///< By route address and port.
   std::unordered_map<std::uint64_t, RouteTerm> mRouteTerms;    ///< By route address and port.
+  std::uint64_t mTermsVersion = 0; ///< Of the route table that mRouteTerms are of.
   std::map<Endpoint, std::string> mBalancerDataCentres;
   std::unordered_map<FlowKey, Flow, FlowKeyHash> mFlows;
   std::unordered_map<FlowKey, PendingProbe, FlowKeyHash>
--- a/include/dandelionslip/Packet/PacketBalancer.h
+++ b/include/dandelionslip/Packet/PacketBalancer.h
@@ -238,6 +238,7 @@
   bool IsOfShortFlows(const std::string& aService);
   /// Whether openings of the route are offered to the service's agents, which may return them.
   bool UsesOffers(const RouteEntry& aRoute, const std::string& aService);
+  RouteTerm TermFor(std::uint64_t aRouteKey) const;
   /// The agent to offer the opening to; empty if none accepts, or it was offered often enough.
   std::optional<PlacementChoice> ChooseOffer(const RouteEntry& aRoute, const std::string& aService,
                                              const Flow& aFlow, TimePoint aNow);
@@ -355,6 +356,7 @@
   /// Index of mAgents by service; empty after mAgents has changed.
   std::unordered_map<std::string, ServiceAgents> mServiceAgents;
   std::unordered_map<std::uint64_t, RouteTerm> mRouteTerms; ///< By address and port.
+  std::uint64_t mTermsVersion = 0; ///< Of the route table that mRouteTerms are of.
   UpstreamSelector mSelector;
   /// Agents that reported that no flow is left there, and when. Registrations of their flows may
   /// still name them. Another process at the endpoint reports itself or is in the view.
--- a/lib/Packet/PacketAgent.cpp
+++ b/lib/Packet/PacketAgent.cpp
@@ -115,6 +115,7 @@
 
 void PacketAgent::OnRouteTerms(const RouteTerms& aTerms)
 {
+  mTermsVersion = aTerms.mVersion;
   mRouteTerms.clear();
   for (const RouteTerm& term : aTerms.mTerms) {
     if (const auto address = Endpoint::Parse(term.mAddress)) {
@@ -280,7 +281,9 @@
   if (!mAdmission.Accepts(opening, aNow)) {
     return ReturnReason::Busy;
   }
-  const bool repeatable = term != mRouteTerms.end() && term->second.mRepeatable;
+  // In the table of earlier terms, the address may have been that of another route.
+  const bool repeatable =
+    term != mRouteTerms.end() && term->second.mRepeatable && mTermsVersion >= mRoutes.mVersion;
   if (mSettings.mHealthMayBeWrong &&
       !mFailureDetector.Admits(DataCentreOf(aFrom), repeatable, aNow)) {
     return ReturnReason::Failing;
--- a/lib/Packet/PacketBalancer.cpp
+++ b/lib/Packet/PacketBalancer.cpp
@@ -117,9 +117,7 @@
         entry.mTotalWeight += target.mWeight;
       }
       const std::uint64_t key = RouteKeyOf(Endpoint::Parse(route.mAddress).value());
-      if (const auto term = mRouteTerms.find(key); term != mRouteTerms.end()) {
-        entry.mTerm = term->second;
-      }
+      entry.mTerm = TermFor(key);
       mRoutes[key] = std::move(entry);
     }
     LogEvent(LogLevel::Info, "routes_in_force")
--- a/lib/Packet/PacketBalancerOffers.cpp
+++ b/lib/Packet/PacketBalancerOffers.cpp
@@ -4,7 +4,6 @@
 #include "dandelionslip/Packet/PacketBalancer.h"
 
 #include "dandelionslip/Support/Hash.h"
-#include "dandelionslip/Support/Log.h"
 
 #include <algorithm>
 
@@ -41,13 +40,23 @@
       mRouteTerms[RouteKeyOf(address.value())] = term;
     }
   }
+  mTermsVersion = aTerms.mVersion;
   for (auto& [key, route] : mRoutes) {
-    const auto found = mRouteTerms.find(key);
-    route.mTerm = found == mRouteTerms.end() ? RouteTerm{} : found->second;
+    route.mTerm = TermFor(key);
   }
-  LogEvent(LogLevel::Info, "route_terms_in_force")
-    .With("version", aTerms.mVersion)
-    .With("terms", aTerms.mTerms.size());
+}
+
+// The address may have been that of another route in the table of earlier terms. Its goal is then
+// of little harm, but unsafe requests must not become trial flows.
+RouteTerm PacketBalancer::TermFor(std::uint64_t aRouteKey) const
+{
+  const auto found = mRouteTerms.find(aRouteKey);
+  if (found == mRouteTerms.end()) {
+    return {};
+  }
+  RouteTerm term = found->second;
+  term.mRepeatable = term.mRepeatable && mTermsVersion >= mRouteVersion;
+  return term;
 }
 
 const PacketBalancer::ServiceAgents& PacketBalancer::AgentsOf(const std::string& aService)
