Log no_room as the reason of refusals after an offer

flow_refused and refusal_dropped said no_upstream where the counter said no_room, so the log pointed to missing upstreams when all were busy.

PacketBalancerLogTest: the new test failed before (reason=no_upstream), 6 passed after.

--- a/lib/Packet/PacketBalancerResets.cpp
+++ b/lib/Packet/PacketBalancerResets.cpp
@@ -171,6 +171,7 @@
 {
   return aRefusal.mCounter == &mNoRoute       ? "no_route"
          : aRefusal.mCounter == &mWaitExpired ? "waited_too_long"
+         : aRefusal.mCounter == &mNoRoom      ? "no_room"
                                               : "no_upstream";
 }
 
--- a/unittests/Packet/PacketBalancerLogTest.cpp
+++ b/unittests/Packet/PacketBalancerLogTest.cpp
@@ -22,6 +22,7 @@
   CPPUNIT_TEST(ResetsNameTheAgentsThatDeniedTheFlow);
   CPPUNIT_TEST(ResetsCountTheAgentsThatTheDirectoryRuledOut);
   CPPUNIT_TEST(RefusedOpeningsNameTheAgentsThatReturnedThem);
+  CPPUNIT_TEST(OpeningsThatNoAgentHasRoomForAreLoggedAsSuch);
   CPPUNIT_TEST(RefusalsWithoutAnswersAreLogged);
   CPPUNIT_TEST(LinesOfResetsByManyAgentsAreBounded);
   CPPUNIT_TEST_SUITE_END();
@@ -194,6 +195,33 @@
     CPPUNIT_ASSERT(mLog->Lines("flow_reset").empty());
   }
 
+  // Guards against a line that gives another reason than the counter: operators would look for
+  // missing upstreams where all are busy.
+  void OpeningsThatNoAgentHasRoomForAreLoggedAsSuch()
+  {
+    Settle(1);
+    mBalancer.OnRouteTerms({1, {{"198.18.0.1:443", false, Milliseconds{200}}}});
+    LoadReport report;
+    report.mService = "web";
+    report.mDataCentre = "north";
+    report.mAccepts = true;
+    // Too slow for the route's timeout, so that the opening does not wait.
+    report.mMilliRequestsPerSlotSecond = 1;
+    report.mDetails.emplace().mOneRequestPerFlow = true;
+    Bytes bytes = report.Encode();
+    mBalancer.OnNodePacket(NodeEndpoint(1), {NodeMessageType::LoadReport, ReturnReason::None},
+                           bytes, mOutput, mNow);
+    const PacketBytes opening = CallerPacket(TestFlow(1), FlagSyn);
+    Send(opening);
+    CPPUNIT_ASSERT(mOutput.mToNodes.back().mHeader.mType == NodeMessageType::LastOffer);
+    Return(1, ReturnReason::Busy, opening);
+    CPPUNIT_ASSERT_EQUAL(
+      std::uint64_t{1},
+      mRegistry.CounterFor("dandelionslip_flows_refused_total", "reason=\"no_room\"").Value());
+    const std::string line = Line("flow_refused");
+    CPPUNIT_ASSERT_MESSAGE(line, line.find(" reason=no_room ") != std::string::npos);
+  }
+
   // Guards against a reset whose line is truncated because many agents were asked.
   void LinesOfResetsByManyAgentsAreBounded()
   {
