Test the terms of route documents and the contracts of node files

Covers terms by route and type, malformed members, which state nothing, the setting that follows from contracts, and settings files without them, as the last release has them.

--- a/unittests/Platform/PlatformCodecTest.cpp
+++ b/unittests/Platform/PlatformCodecTest.cpp
@@ -8,6 +8,11 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <unistd.h>
+
+#include <filesystem>
+#include <fstream>
+
 namespace dandelionslip::platform {
 
 namespace {
@@ -39,9 +44,13 @@
   CPPUNIT_TEST(TagsAndBounceMarksChangeNothingElse);
   CPPUNIT_TEST(RouteDocumentsBecomeRouteTables);
   CPPUNIT_TEST(InvalidRouteDocumentsAreRejected);
+  CPPUNIT_TEST(RouteDocumentsStateTermsOfRoutes);
+  CPPUNIT_TEST(MalformedTermsStateNothing);
   CPPUNIT_TEST(MalformedHeartbeatsAreRejected);
   CPPUNIT_TEST(MalformedExitsAreRejected);
   CPPUNIT_TEST(NodeFilesBecomeSettings);
+  CPPUNIT_TEST(ContractsBecomeSettings);
+  CPPUNIT_TEST(NodeFilesWithoutContractsAreLoaded);
   CPPUNIT_TEST(IncompleteNodeFilesAreRejected);
   CPPUNIT_TEST_SUITE_END();
 
@@ -137,6 +146,53 @@
     assertRejected(Replaced(kDocument, "\"host\":\"198.18.0.1\"", "\"host\":\"web.example\""));
   }
 
+  // The terms of the document, after a check that it is still a valid route table.
+  static std::vector<RouteTerm> TermsOf(const std::string& aText)
+  {
+    CPPUNIT_ASSERT_MESSAGE(aText, DecodeRouteDocument(aText).has_value());
+    const auto terms = DecodeRouteTerms(aText);
+    CPPUNIT_ASSERT_MESSAGE(aText, terms.has_value());
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{7}, terms.value().mVersion);
+    return terms.value().mTerms;
+  }
+
+  // Guards against terms that are lost, assigned to another route or taken from another type of
+  // request: unsafe requests must not become trial flows.
+  void RouteDocumentsStateTermsOfRoutes()
+  {
+    const std::vector<RouteTerm> safe{{"198.18.0.1:8443", true, Milliseconds{0}}};
+    CPPUNIT_ASSERT(TermsOf(std::string(kDocument)) == safe);
+    const auto withGoals = Replaced(Replaced(kDocument, "\"timeout_ms\":500", //
+                                             "\"timeout_ms\":500,\"slo_ms\":199.6"),
+                                    "\"timeout_ms\":600", "\"timeout_ms\":600,\"slo_ms\":80");
+    const std::vector<RouteTerm> both{{"198.18.0.1:8443", true, Milliseconds{200}},
+                                      {"198.18.0.1:8080", false, Milliseconds{80}}};
+    CPPUNIT_ASSERT(TermsOf(withGoals) == both);
+    for (const std::string type : {"unsafe", "upload", "Safe", ""}) {
+      const auto terms = TermsOf(Replaced(withGoals, "\"safe\"", "\"" + type + "\""));
+      CPPUNIT_ASSERT_MESSAGE(type, terms.size() == 2 && !terms.front().mRepeatable);
+    }
+    CPPUNIT_ASSERT(TermsOf(Replaced(withGoals, "\"safe\"", "\"download\"")) == both);
+    const auto decoded = FromCbor<RouteTerms>(ToCbor(DecodeRouteTerms(withGoals).value()), "test");
+    CPPUNIT_ASSERT(decoded && decoded.value().mVersion == 7 && decoded.value().mTerms == both);
+    CPPUNIT_ASSERT(!DecodeRouteTerms(Replaced(kDocument, "\"version\":7", "\"version\":0")));
+  }
+
+  // Guards against a document that is refused, or a term that is guessed, because of members that
+  // the last release ignored.
+  void MalformedTermsStateNothing()
+  {
+    for (const char* goal : {"0", "0.4", "-1", "null", "\"200\"", "[200]", "86400001", "1e300"}) {
+      const std::string member = std::string(",\"slo_ms\":") + goal;
+      CPPUNIT_ASSERT(
+        TermsOf(Replaced(kDocument, "\"timeout_ms\":600", "\"timeout_ms\":600" + member)).size() ==
+        1);
+    }
+    for (const char* type : {"null", "7", "[\"safe\"]", "{}", "true"}) {
+      CPPUNIT_ASSERT(TermsOf(Replaced(kDocument, "\"safe\"", type)).empty());
+    }
+  }
+
   // Guards against a malformed heartbeat that is taken as the upstream's state.
   void MalformedHeartbeatsAreRejected()
   {
@@ -233,6 +289,45 @@
     CPPUNIT_ASSERT(AgentSettingsFrom(File()).has_value());
   }
 
+  // Guards against upstreams that are judged by their answers where their health reports are
+  // right, and against failing ones that are not detected where the contract is in force.
+  void ContractsBecomeSettings()
+  {
+    const std::vector<std::pair<std::vector<std::string>, bool>> cases{
+      {{}, false}, {{"health"}, true}, {{"other", "health"}, true}, {{"Health", "healthy"}, false}};
+    for (const auto& [contracts, expected] : cases) {
+      NodeFile file = File();
+      file.mContracts = contracts;
+      CPPUNIT_ASSERT_EQUAL(expected, AgentSettingsFrom(file).value().mHealthMayBeWrong);
+      CPPUNIT_ASSERT_EQUAL(expected, BalancerSettingsFrom(file).value().mHealthMayBeWrong);
+    }
+  }
+
+  // Guards against a process that does not start with the settings file of the last release, and
+  // against contracts that are lost when the file is read.
+  void NodeFilesWithoutContractsAreLoaded()
+  {
+    NodeFile file = File();
+    file.mContracts = {"health"};
+    Json json = ToJson(file);
+    const auto load = [&json] {
+      const std::string path =
+        (std::filesystem::temp_directory_path() / ("node-" + std::to_string(getpid()) + ".json"))
+          .string();
+      std::ofstream(path) << json.dump();
+      auto loaded = LoadNodeFile(path);
+      std::filesystem::remove(path);
+      return loaded;
+    };
+    const auto with = load();
+    CPPUNIT_ASSERT(with && with.value().mContracts == file.mContracts);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, json.erase("contracts"));
+    const auto without = load();
+    CPPUNIT_ASSERT(without && without.value().mContracts.empty());
+    json["contracts"] = "health";
+    CPPUNIT_ASSERT(!load());
+  }
+
   // Guards against a role that starts without a setting that it needs.
   void IncompleteNodeFilesAreRejected()
   {
