Expect requests that outrun all others to run on

Cause: for a request that had run longer than any before, Remaining() returned the mean run time. Beside an upstream that answers nothing, each slot therefore seemed about to be free.

Change: such a request is expected to run at least as long again. The bin centers are computed once; the histogram computed each with an exponential function whenever it was walked.

--- a/include/dandelionslip/Packet/RequestCostModel.h
+++ b/include/dandelionslip/Packet/RequestCostModel.h
@@ -28,7 +28,7 @@
   /// Run time that a share aLevel (0 to 1) of requests does not exceed.
   std::optional<Duration> Quantile(std::uint64_t aRoute, double aLevel) const;
   /// Expected further run time of a request that has run for aElapsed. Grows with aElapsed when few
-  /// requests cost many times the mean.
+  /// requests cost many times the mean. At least aElapsed if it has run longer than all others.
   std::optional<Duration> Remaining(std::uint64_t aRoute, Duration aElapsed) const;
   /// The shortest run time seen recently, over all routes; empty if unknown.
   std::optional<Duration> Shortest() const;
--- a/lib/Packet/RequestCostModel.cpp
+++ b/lib/Packet/RequestCostModel.cpp
@@ -4,6 +4,7 @@
 #include "dandelionslip/Support/Durations.h"
 
 #include <algorithm>
+#include <array>
 
 namespace dandelionslip {
 
@@ -28,12 +29,26 @@
     std::chrono::duration<double, std::milli>(aMs));
 }
 
+using Axis = boost::histogram::axis::regular<double, boost::histogram::axis::transform::log>;
+
+// The histogram computes the center of a bin with an exponential function each time.
+const std::array<double, kBins>& BinCenters()
+{
+  static const std::array<double, kBins> kCenters = [] {
+    const Axis axis(kBins, kLowestMs, kHighestMs);
+    std::array<double, kBins> centers{};
+    for (unsigned i = 0; i < kBins; ++i) {
+      centers[i] = axis.bin(static_cast<int>(i)).center();
+    }
+    return centers;
+  }();
+  return kCenters;
+}
+
 } // namespace
 
 RequestCostModel::Distribution::Distribution()
-  : mBins(boost::histogram::make_weighted_histogram(
-      boost::histogram::axis::regular<double, boost::histogram::axis::transform::log>(
-        kBins, kLowestMs, kHighestMs)))
+  : mBins(boost::histogram::make_weighted_histogram(Axis(kBins, kLowestMs, kHighestMs)))
 {
 }
 
@@ -52,11 +67,12 @@
 
 double RequestCostModel::Distribution::Quantile(double aLevel) const
 {
+  const auto& centers = BinCenters();
   double below = 0;
-  for (auto&& bin : boost::histogram::indexed(mBins)) {
-    below += bin->value();
+  for (unsigned i = 0; i < kBins; ++i) {
+    below += mBins.at(static_cast<int>(i)).value();
     if (below >= aLevel * mCount) {
-      return bin.bin().center();
+      return centers[i];
     }
   }
   return Mean();
@@ -64,16 +80,17 @@
 
 double RequestCostModel::Distribution::Remaining(double aElapsedMs) const
 {
+  const auto& centers = BinCenters();
   double weight = 0;
   double sum = 0;
-  for (auto&& bin : boost::histogram::indexed(mBins)) {
-    if (bin.bin().center() > aElapsedMs) {
-      weight += bin->value();
-      sum += bin->value() * (bin.bin().center() - aElapsedMs);
-    }
+  for (unsigned i = kBins; i > 0 && centers[i - 1] > aElapsedMs; --i) {
+    const double samples = mBins.at(static_cast<int>(i - 1)).value();
+    weight += samples;
+    sum += samples * (centers[i - 1] - aElapsedMs);
   }
-  // Nothing is known of requests that ran longer than all others.
-  return weight > 0 ? sum / weight : Mean();
+  // Nothing is known of a request that has run longer than all others. It may be one of an upstream
+  // that answers nothing, which must not seem about to be free.
+  return weight > 0 ? sum / weight : std::max(Mean(), aElapsedMs);
 }
 
 void RequestCostModel::OnCompleted(std::uint64_t aRoute, Duration aDuration)
