Ignore flows without answers in the flow length estimate

Cause: flows that ended before their first request lowered the mean number of answers, so that a service with long flows could look like one with one request per flow.

Change: only flows with answers count as ended. Tests of the class.

Result: FlowLengthEstimatorTest, 6 passed. FlowsWithoutAnswersShowNothing failed before the change.

--- a/include/dandelionslip/Packet/FlowLengthEstimator.h
+++ b/include/dandelionslip/Packet/FlowLengthEstimator.h
@@ -10,11 +10,12 @@
 {
 public:
   void OnOpened(TimePoint aNow);
-  /// A flow that both sides have ended; aAnswers: requests answered on it.
+  /// A flow that was passed to OnOpened and that both sides have ended; aAnswers: requests answered
+  /// on it. One without answers shows nothing and is ignored.
   void OnEnded(unsigned aAnswers, TimePoint aNow);
 
-  /// Whether at least kMinEnded flows have ended, at least half of those that were opened, with
-  /// kMaxAnswers answers each on average. False while too little is known.
+  /// Whether at least kMinEnded flows have ended, at least half of those that were opened, with at
+  /// most kMaxAnswers answers each on average. False while too little is known.
   bool OneRequestPerFlow() const;
 
   static constexpr double kMinEnded = 3;
--- a/lib/Packet/FlowLengthEstimator.cpp
+++ b/lib/Packet/FlowLengthEstimator.cpp
@@ -31,6 +31,9 @@
 
 void FlowLengthEstimator::OnEnded(unsigned aAnswers, TimePoint aNow)
 {
+  if (aAnswers == 0) {
+    return;
+  }
   Decay(aNow);
   mEnded += 1;
   mAnswers += aAnswers;
