Send format 1 reports to a replaced balancer until it states its format

Cause: an agent kept the report format by endpoint for as long as the view contained the endpoint. After a balancer was replaced by one of the last release, which rejects format 2, it got no report that it could read. A part of the room was also assigned to balancers that read format 1, and details with an admitted share above 1 were accepted.

Change: the stated format ends with the incarnation in the view. Room is split among the balancers that read it. Shares above 1,000 permille are rejected. Tests of report format 2.

ReplacedBalancersGetFormatOneFirst tests a class that the change introduces; the split of room in the daemon has no unit test.

--- a/lib/Daemon/PacketAgentDaemon.cpp
+++ b/lib/Daemon/PacketAgentDaemon.cpp
@@ -6,8 +6,10 @@
 #include "dandelionslip/Net/MetricsEndpoint.h"
 #include "dandelionslip/Packet/OpeningShares.h"
 #include "dandelionslip/Packet/PacketAgent.h"
+#include "dandelionslip/Packet/ReportRecipient.h"
 #include "dandelionslip/Support/Log.h"
 
+#include <algorithm>
 #include <functional>
 #include <map>
 
@@ -103,12 +105,6 @@
   }
 
 private:
-  struct Balancer
-  {
-    TimePoint mSeenAt; ///< When it was last in a view or sent a packet.
-    std::uint8_t mReportFormat = 1;
-  };
-
   Result<void> Open()
   {
     auto nodes =
@@ -147,7 +143,7 @@
       OnBalancerSeen(aFrom);
     }
     if (aHeader.mType == NodeMessageType::ReportFormat) {
-      mBalancers[aFrom].mReportFormat = aPacket.empty() ? 1 : aPacket.front();
+      mBalancers[aFrom].OnFormatStated(aPacket.empty() ? 1 : aPacket.front());
       return;
     }
     mCore.OnNodePacket(aFrom, aHeader, aPacket, mOutput, RuntimeClock::now());
@@ -169,6 +165,7 @@
       const auto endpoint = Endpoint::Parse(member.mDatagramEndpoint);
       if (member.mKind == MemberKind::Balancer && HoldsFlows(member.mState) && endpoint) {
         OnBalancerSeen(endpoint.value());
+        mBalancers.at(endpoint.value()).OnInView(member.mIncarnation);
       }
     }
   }
@@ -221,15 +218,20 @@
     LoadReport report = mCore.NextLoad(kLoadReportInterval, now);
     const LoadDetails details = *report.mDetails;
     const auto shares = mShares.Split(report.mOpeningsAllowed, mBalancers.size());
-    const auto rooms = mRoomShares.Split(details.mRoom, mBalancers.size());
+    // A share for a balancer that cannot read it would be lost.
+    const auto readers = static_cast<std::size_t>(
+      std::count_if(mBalancers.begin(), mBalancers.end(),
+                    [](const auto& aItem) { return aItem.second.ReadsDetails(); }));
+    const auto rooms = mRoomShares.Split(details.mRoom, readers);
     Bytes encoded;
     std::optional<LoadReport> last;
+    std::size_t reader = 0;
     for (std::size_t i = 0; const auto& [balancer, state] : mBalancers) {
       report.mOpeningsAllowed = shares[i];
       report.mDetails.reset();
-      if (state.mReportFormat >= LoadReport::kFormatWithDetails) {
+      if (state.ReadsDetails()) {
         report.mDetails = details;
-        report.mDetails->mRoom = rooms[i];
+        report.mDetails->mRoom = rooms[reader++];
       }
       if (last != report) {
         last = report;
@@ -269,7 +271,7 @@
   PacketAgent mCore;
   SocketOutput mOutput;
   PacketAdapterFactory<PacketAgentInterface> mAdapterFactory;
-  std::map<Endpoint, Balancer> mBalancers;
+  std::map<Endpoint, ReportRecipient> mBalancers;
   OpeningShares mShares;
   OpeningShares mRoomShares; ///< Of the room of a warm upstream.
   std::unique_ptr<UdpSocket> mNodeSocket;
--- a/lib/Packet/LoadReport.cpp
+++ b/lib/Packet/LoadReport.cpp
@@ -44,6 +44,7 @@
 // Fields of the details: flags, room, busy share, verdict, its age, admitted share, start time.
 constexpr std::size_t kDetailFields = 7;
 constexpr std::uint64_t kMaxVerdict = static_cast<std::uint64_t>(UpstreamVerdict::Returning);
+constexpr std::uint64_t kMaxPermille = 1'000;
 
 Json EncodeDetails(const LoadDetails& aDetails)
 {
@@ -68,7 +69,7 @@
     }
   }
   const auto verdict = aFields[3].get<std::uint64_t>();
-  if (verdict > kMaxVerdict) {
+  if (verdict > kMaxVerdict || aFields[5].get<std::uint64_t>() > kMaxPermille) {
     return std::nullopt;
   }
   LoadDetails details;
--- a/unittests/Packet/PacketCodecsTest.cpp
+++ b/unittests/Packet/PacketCodecsTest.cpp
@@ -4,6 +4,7 @@
 #include "dandelionslip/Packet/DirectoryAgents.h"
 #include "dandelionslip/Packet/FlowMessage.h"
 #include "dandelionslip/Packet/PacketAgent.h"
+#include "dandelionslip/Packet/ReportRecipient.h"
 #include "dandelionslip/Packet/SpeedEstimator.h"
 #include "dandelionslip/Support/Random.h"
 
@@ -21,6 +22,9 @@
   CPPUNIT_TEST_SUITE(PacketCodecsTest);
   CPPUNIT_TEST(MessagesSurviveARoundTrip);
   CPPUNIT_TEST(DamagedMessagesAreRejected);
+  CPPUNIT_TEST(ReportsOfFormatOneContainNoDetails);
+  CPPUNIT_TEST(DamagedDetailsAreRejected);
+  CPPUNIT_TEST(ReplacedBalancersGetFormatOneFirst);
   CPPUNIT_TEST(FlowMessagesFitIntoADatagram);
   CPPUNIT_TEST(FlowMessagesOfEarlierFormatsAreRejected);
   CPPUNIT_TEST(ReportsAreSmall);
@@ -36,6 +40,14 @@
     return report;
   }
 
+  static LoadReport ReportWithDetails()
+  {
+    LoadReport report = Report();
+    report.mDetails = LoadDetails{
+      true, 17, 2'345, UpstreamVerdict::Returning, Milliseconds{67'890}, 125, 1'796'000'000'000};
+    return report;
+  }
+
   // Guards against fields that are lost or swapped.
   void MessagesSurviveARoundTrip()
   {
@@ -57,6 +69,9 @@
       sent.mUnseenHolders = holders;
       const auto report = LoadReport::Decode(sent.Encode());
       CPPUNIT_ASSERT(report && report.value() == sent);
+      sent.mDetails = ReportWithDetails().mDetails;
+      const auto detailed = LoadReport::Decode(sent.Encode());
+      CPPUNIT_ASSERT(detailed && detailed.value() == sent);
     }
     LoadReport tooMany = Report();
     tooMany.mUnseenHolders.resize(LoadReport::kMaxUnseenHolders + 1, NodeEndpoint(3));
@@ -94,6 +109,84 @@
     }
   }
 
+  // Guards against reports that balancers of the last release reject: they read an array of two
+  // strings, nine numbers of 32 bits, one of 64 bits, and up to four numbers of 48 bits.
+  void ReportsOfFormatOneContainNoDetails()
+  {
+    LoadReport report = Report();
+    report.mUnseenHolders.resize(LoadReport::kMaxUnseenHolders, NodeEndpoint(3));
+    const Json fields = DecodeCbor(report.Encode(), "test").value();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{11 + LoadReport::kMaxUnseenHolders}, fields.size());
+    for (std::size_t i = 0; i < fields.size(); ++i) {
+      CPPUNIT_ASSERT(i < 2 ? fields[i].is_string() : fields[i].is_number_unsigned());
+      const unsigned bits = i < 10 ? 32 : 48;
+      CPPUNIT_ASSERT(i < 2 || i == 10 || fields[i].get<std::uint64_t>() >> bits == 0);
+    }
+    // The agent's first report to a balancer, which has stated nothing yet.
+    const platform::PlatformPacketCodec codec;
+    MetricsRegistry registry;
+    PacketAgent agent({}, codec, registry, TimePoint{std::chrono::seconds(10)});
+    CPPUNIT_ASSERT(!agent.CurrentLoad(TimePoint{std::chrono::seconds(10)}).mDetails);
+  }
+
+  // Guards against a verdict or a share that no agent states, and against a report that is taken
+  // for one of format 1 because its details cannot be read.
+  void DamagedDetailsAreRejected()
+  {
+    const Bytes whole = ReportWithDetails().Encode();
+    for (std::size_t size = 0; size < whole.size(); ++size) {
+      CPPUNIT_ASSERT(!LoadReport::Decode(std::span(whole).first(size)));
+    }
+    const Json fields = DecodeCbor(whole, "test").value();
+    const auto decodes = [&](const Json& aDetails) {
+      Json changed = fields;
+      changed.back() = aDetails;
+      return LoadReport::Decode(EncodeCbor(changed)).has_value();
+    };
+    const Json details = fields.back();
+    CPPUNIT_ASSERT(decodes(details));
+    for (std::size_t i = 0; i < details.size(); ++i) {
+      for (const Json& value :
+           {Json("1"), Json(-1), Json(1.5), Json(), Json::array(), Json(std::uint64_t{1} << 63U)}) {
+        Json changed = details;
+        changed[i] = value;
+        CPPUNIT_ASSERT(!decodes(changed));
+      }
+      Json shorter = details;
+      shorter.erase(i);
+      CPPUNIT_ASSERT(!decodes(shorter));
+    }
+    Json changed = details;
+    changed[3] = 3;
+    CPPUNIT_ASSERT(!decodes(changed));
+    changed = details;
+    changed[5] = 1'001;
+    CPPUNIT_ASSERT(!decodes(changed));
+    changed = details;
+    changed.push_back(1); // A field of a later format.
+    CPPUNIT_ASSERT(decodes(changed));
+    CPPUNIT_ASSERT(!decodes(Json::object()) && !decodes(Json::array()));
+    Json twice = fields;
+    twice.push_back(details);
+    CPPUNIT_ASSERT(!LoadReport::Decode(EncodeCbor(twice)));
+  }
+
+  // Guards against reports that a balancer of the last release rejects, after it has replaced one
+  // at the same endpoint that reads details.
+  void ReplacedBalancersGetFormatOneFirst()
+  {
+    ReportRecipient recipient;
+    CPPUNIT_ASSERT(!recipient.ReadsDetails());
+    recipient.OnInView(1);
+    recipient.OnFormatStated(LoadReport::kFormatWithDetails - 1);
+    CPPUNIT_ASSERT(!recipient.ReadsDetails());
+    recipient.OnFormatStated(LoadReport::kFormatWithDetails);
+    recipient.OnInView(1);
+    CPPUNIT_ASSERT(recipient.ReadsDetails());
+    recipient.OnInView(2);
+    CPPUNIT_ASSERT(!recipient.ReadsDetails());
+  }
+
   // Guards against registrations that the link fragments, and against more flows than the limit.
   void FlowMessagesFitIntoADatagram()
   {
