Decide on offers by facts that still hold

Cause, each shown by a test that failed before the change: - A copy of an accepted offer was decided again. If it was returned as busy, the balancer placed the flow at a second upstream. - An opening whose request did not come kept a slot taken for 1 to 1.25 s, so that offers were returned while slots were free. Such openings and repeated ones also lengthened the mean round trip, which is subtracted from waits. - An opening that replaces an open flow of its port was not counted. - The first heartbeat after a restart of the agent discarded the requests in progress. - A changed number of slots left the old queue limit, and requests that got a new slot were not noted as started. - Copies of openings counted as further flows, and flows that an earlier process opened counted as ended with the last answers only, so that long flows looked short.

Change: copies of delivered openings are delivered; openings await their request for 100 ms, which each decision checks; the others as above. Offers need no memory allocation with up to 16 slots.

--- a/include/dandelionslip/Packet/OpeningAdmission.h
+++ b/include/dandelionslip/Packet/OpeningAdmission.h
@@ -29,7 +29,12 @@
 public:
   /// Forgets everything; aSlots: requests that the upstream runs at once.
   void OnUpstreamStarted(std::uint32_t aSlots);
-  void SetSlots(std::uint32_t aSlots);
+  /// The first heartbeat states the slots of an upstream that this process has served already.
+  /// Keeps account of its requests, but forgets costs, which were learned without the slots.
+  void OnUpstreamFound(std::uint32_t aSlots, TimePoint aNow);
+  /// A changed number replaces the learned queue limit by the initial one for it.
+  void SetSlots(std::uint32_t aSlots, TimePoint aNow);
+  /// The opening was delivered, for the first time or again.
   void OnOpened(const FlowKey& aFlow, std::uint64_t aRoute, TimePoint aNow);
   /// The flow's request was delivered.
   void OnRequest(const FlowKey& aFlow, std::uint64_t aRoute, TimePoint aNow);
@@ -37,11 +42,13 @@
   void OnAnswered(const FlowKey& aFlow, TimePoint aNow);
   /// The flow was reset, returned, removed or given up.
   void OnGone(const FlowKey& aFlow, TimePoint aNow);
-  /// Forgets openings whose caller has sent no request. Must be called several times a second.
+  /// Forgets openings whose request is overdue and raises the queue limit when that is due. Must be
+  /// called several times a second.
   void Expire(TimePoint aNow);
 
-  /// Whether to deliver the opening; otherwise it is returned as busy.
-  bool Accepts(const OfferedOpening& aOpening, TimePoint aNow) const;
+  /// Whether to deliver the opening; otherwise it is returned as busy. Forgets openings whose
+  /// request is overdue.
+  bool Accepts(const OfferedOpening& aOpening, TimePoint aNow);
   /// Expected time that a request opened now would wait for a slot; empty if costs are unknown.
   std::optional<RuntimeClock::duration> ExpectedWait(TimePoint aNow) const;
   /// Openings that the upstream can take within aInterval without a request waiting longer than its
@@ -65,18 +72,23 @@
     std::uint32_t mAheadOfRequest = 0;     ///< Requests in progress when it was delivered.
   };
 
+  void ForgetOverdueOpenings(TimePoint aNow);
   void Remove(const FlowKey& aFlow, TimePoint aNow);
   void StartNext(TimePoint aNow);
   void LearnQueueLimit(const Entry& aEntry, TimePoint aNow);
   /// Time until a request that is behind all others gets a slot; empty if costs are unknown.
   std::optional<RuntimeClock::duration> TimeToFreeSlot(TimePoint aNow) const;
 
+  /// Requests in progress and expected that are assumed to be accepted until a rejection shows
+  /// less, per slot. Queues are about four times as long as the slots are many.
+  static constexpr std::uint32_t kInitialQueueFactor = 4;
+
   std::uint32_t mSlots = 1;
   RequestCostModel mCosts;
   std::unordered_map<FlowKey, Entry, FlowKeyHash> mEntries;
   std::vector<FlowKey> mInProgress; ///< Flows whose request runs or waits, in order of delivery.
   std::uint32_t mRunning = 0;
-  std::uint32_t mQueueLimit = 0;
+  std::uint32_t mQueueLimit = kInitialQueueFactor;
   TimePoint mLimitChangedAt;
   /// Mean time from an opening to its request, the caller's round trip.
   RuntimeClock::duration mRoundTrip = Milliseconds(8);
--- a/lib/Packet/OpeningAdmission.cpp
+++ b/lib/Packet/OpeningAdmission.cpp
@@ -1,6 +1,8 @@
 // Expected waiting time beside an upstream, and the queue limit learned from its rejections.
 #include "dandelionslip/Packet/OpeningAdmission.h"
 
+#include <boost/container/small_vector.hpp>
+
 #include <algorithm>
 #include <cmath>
 
@@ -8,10 +10,6 @@
 
 namespace {
 
-// Requests in progress and expected that are assumed to be accepted until a rejection shows less:
-// as many again as run, three times.
-constexpr std::uint32_t kInitialQueueFactor = 4;
-
 // The limit is raised by one after this time without a rejection, because the rejection may have
 // had another cause, for example flows that an earlier process of the agent opened.
 constexpr Milliseconds kRaiseLimitAfter{5'000};
@@ -26,9 +24,11 @@
 // The goal must hold for this share of the requests that start late.
 constexpr double kGoalLevel = 0.9;
 
-// A caller that has not sent its request after this time has taken another upstream's answer, or
-// its packets are lost.
-constexpr Milliseconds kRequestTimeout{1'000};
+// A caller that has not sent its request after this time has taken another upstream's answer, or a
+// packet is lost. More than ten times the measured 8 ms, and less than the 200 ms after which
+// callers repeat a packet: with 1,000 ms, a few lost packets kept both slots of an idle upstream
+// taken.
+constexpr Milliseconds kRequestTimeout{100};
 
 // Weight of a new sample in the mean round trip.
 constexpr int kRoundTripSamples = 16;
@@ -36,6 +36,9 @@
 // A queue of this part of the goal is acceptable for openings that wait at balancers.
 constexpr int kGoalPartForQueue = 2;
 
+// Upstreams with up to this many slots need no memory allocation per offer.
+constexpr std::size_t kUsualSlots = 16;
+
 } // namespace
 
 void OpeningAdmission::OnUpstreamStarted(std::uint32_t aSlots)
@@ -48,15 +51,28 @@
   mQueueLimit = kInitialQueueFactor * aSlots;
 }
 
-void OpeningAdmission::SetSlots(std::uint32_t aSlots)
+void OpeningAdmission::OnUpstreamFound(std::uint32_t aSlots, TimePoint aNow)
+{
+  mCosts = {};
+  SetSlots(aSlots, aNow);
+}
+
+void OpeningAdmission::SetSlots(std::uint32_t aSlots, TimePoint aNow)
 {
+  if (aSlots == mSlots) {
+    return;
+  }
   mSlots = aSlots;
-  mQueueLimit = std::max(mQueueLimit, aSlots);
+  mQueueLimit = kInitialQueueFactor * aSlots;
+  StartNext(aNow);
 }
 
 void OpeningAdmission::OnOpened(const FlowKey& aFlow, std::uint64_t aRoute, TimePoint aNow)
 {
-  mEntries.try_emplace(aFlow, Entry{aRoute, aNow, {}, {}, 0});
+  const auto [item, isNew] = mEntries.try_emplace(aFlow, Entry{aRoute, aNow, {}, {}, 0});
+  if (!isNew && !item->second.mRequestedAt) {
+    item->second.mOpenedAt = aNow;
+  }
 }
 
 void OpeningAdmission::OnRequest(const FlowKey& aFlow, std::uint64_t aRoute, TimePoint aNow)
@@ -66,7 +82,7 @@
   if (entry.mRequestedAt) {
     return;
   }
-  if (!isNew) {
+  if (!isNew && aNow - entry.mOpenedAt <= kRequestTimeout) {
     mRoundTrip += (aNow - entry.mOpenedAt - mRoundTrip) / kRoundTripSamples;
   }
   entry.mRequestedAt = aNow;
@@ -137,11 +153,16 @@
   StartNext(aNow);
 }
 
-void OpeningAdmission::Expire(TimePoint aNow)
+void OpeningAdmission::ForgetOverdueOpenings(TimePoint aNow)
 {
   std::erase_if(mEntries, [&](const auto& aItem) {
     return !aItem.second.mRequestedAt && aNow - aItem.second.mOpenedAt > kRequestTimeout;
   });
+}
+
+void OpeningAdmission::Expire(TimePoint aNow)
+{
+  ForgetOverdueOpenings(aNow);
   if (aNow - mLimitChangedAt > kRaiseLimitAfter && mInProgress.size() >= mQueueLimit) {
     ++mQueueLimit;
     mLimitChangedAt = aNow;
@@ -167,7 +188,8 @@
   if (!mean) {
     return std::nullopt;
   }
-  std::vector<RuntimeClock::duration> freeAfter(mSlots, RuntimeClock::duration{0});
+  boost::container::small_vector<RuntimeClock::duration, kUsualSlots> freeAfter(
+    mSlots, RuntimeClock::duration{0});
   std::size_t running = 0;
   const auto addWaiting = [&](std::uint64_t aRoute) {
     *std::min_element(freeAfter.begin(), freeAfter.end()) += mCosts.Mean(aRoute).value_or(*mean);
@@ -196,8 +218,11 @@
               : std::nullopt;
 }
 
-bool OpeningAdmission::Accepts(const OfferedOpening& aOpening, TimePoint aNow) const
+bool OpeningAdmission::Accepts(const OfferedOpening& aOpening, TimePoint aNow)
 {
+  if (mEntries.size() >= mSlots) {
+    ForgetOverdueOpenings(aNow);
+  }
   if (mEntries.size() < mSlots) {
     return true;
   }
--- a/lib/Packet/PacketAgent.cpp
+++ b/lib/Packet/PacketAgent.cpp
@@ -181,11 +181,17 @@
   }
   const bool newStart = !mUpstream || mUpstream->mLastHeartbeat.mId != aHeartbeat.mId ||
                         mUpstream->mLastHeartbeat.mStartedMs != aHeartbeat.mStartedMs;
+  const std::uint32_t slots = std::max<std::uint32_t>(aHeartbeat.mSlots, 1);
+  if (!mUpstream) {
+    // The upstream may run requests that were delivered before this heartbeat.
+    mAdmission.OnUpstreamFound(slots, aNow);
+  } else if (newStart) {
+    mAdmission.OnUpstreamStarted(slots);
+  } else {
+    mAdmission.SetSlots(slots, aNow);
+  }
   if (newStart) {
-    mAdmission.OnUpstreamStarted(std::max<std::uint32_t>(aHeartbeat.mSlots, 1));
     mFailureDetector.OnUpstreamStarted(aNow);
-  } else {
-    mAdmission.SetSlots(std::max<std::uint32_t>(aHeartbeat.mSlots, 1));
   }
   if (!sawFirst) {
     // An earlier process of this agent may have opened flows, also in the limiter's current window.
@@ -371,6 +377,7 @@
 
 LoadReport PacketAgent::NextLoad(Milliseconds aInterval, TimePoint aNow)
 {
+  mAdmission.Expire(aNow);
   LoadReport report = CurrentLoad(aNow);
   LoadDetails& details = report.mDetails.emplace();
   details.mOneRequestPerFlow = mFlowLength.OneRequestPerFlow();
--- a/lib/Packet/PacketAgentFlows.cpp
+++ b/lib/Packet/PacketAgentFlows.cpp
@@ -87,7 +87,10 @@
     Return(aFrom, ReturnReason::Unresponsive, aPacket, aOutput);
     return;
   }
-  if (const auto reason = AdmitOpening(aFrom, aType, aPacketHeader, aNow)) {
+  // A copy of an opening that was delivered must not be returned as busy: the balancer would place
+  // it at another upstream while this one opens the flow.
+  const NodeMessageType type = found == mFlows.end() ? aType : NodeMessageType::Deliver;
+  if (const auto reason = AdmitOpening(aFrom, type, aPacketHeader, aNow)) {
     LogOpening(aPacketHeader.mFlow, *reason, aNow);
     Return(aFrom, *reason, aPacket, aOutput);
     return;
@@ -96,15 +99,17 @@
   if (ofOtherFlow && !replaces) {
     mFlows.at(aPacketHeader.mFlow).mOtherOpeningSequence = aPacketHeader.mSequence;
   } else {
+    if (found == mFlows.end()) {
+      mFlowLength.OnOpened(aNow);
+    }
     Flow& flow = FindOrAddFlow(aPacketHeader.mFlow, aNow);
     flow.mKnownByOpening = flow.mKnownByOpening || !flow.mAnsweredAt;
     flow.mDeliveredAt = aNow;
     flow.mOpeningSequence = flow.mDeliveredEnd = aPacketHeader.mSequence;
     flow.mOpenedAt = flow.mOpenedAt.value_or(aNow);
     flow.mOpenedBy = aFrom;
-    mAdmission.OnOpened(aPacketHeader.mFlow, RouteKeyOf(aPacketHeader.mFlow), aNow);
-    mFlowLength.OnOpened(aNow);
   }
+  mAdmission.OnOpened(aPacketHeader.mFlow, RouteKeyOf(aPacketHeader.mFlow), aNow);
   if (mUnansweredOpenings++ == 0) {
     mUnansweredSince = aNow;
   }
@@ -125,6 +130,8 @@
   }
   const std::uint32_t sequence = *found->second.mOtherOpeningSequence;
   RemoveFlow(aPacketHeader.mFlow, RemovalReason::Opening, aNow);
+  mAdmission.OnOpened(aPacketHeader.mFlow, RouteKeyOf(aPacketHeader.mFlow), aNow);
+  mFlowLength.OnOpened(aNow);
   Flow& flow = FindOrAddFlow(aPacketHeader.mFlow, aNow);
   flow.mKnownByOpening = true;
   flow.mDeliveredAt = aNow;
@@ -487,7 +494,8 @@
   mAdmission.OnGone(aKey, aNow);
   SetRequestPending(aFlow, false, aNow);
   if (!aFlow.mClosed) {
-    if (aFlow.mCallerEnded && aFlow.mUpstreamEnded) {
+    // Of a flow that an earlier process opened, only the last answers are known.
+    if (aFlow.mKnownByOpening && aFlow.mCallerEnded && aFlow.mUpstreamEnded) {
       mFlowLength.OnEnded(aFlow.mAnswers, aNow);
     }
     aFlow.mClosed = true;
--- a/unittests/Packet/PacketAgentTest.cpp
+++ b/unittests/Packet/PacketAgentTest.cpp
@@ -84,6 +84,12 @@
   CPPUNIT_TEST(AcceptedOpeningsReplaceAnOpenFlowOfThePort);
   CPPUNIT_TEST(DirectoryAgentsAnswerNotRegisteredOnlyWhenInTheView);
   CPPUNIT_TEST(HoldersThatTheViewLacksAreReported);
+  CPPUNIT_TEST(OffersAreReturnedAsBusyAndDeliveriesAccepted);
+  CPPUNIT_TEST(CopiesOfAcceptedOffersAreNotReturned);
+  CPPUNIT_TEST(OpeningsThatReplaceAnOpenFlowCount);
+  CPPUNIT_TEST(RequestsBeforeTheFirstHeartbeatCount);
+  CPPUNIT_TEST(RestartedAgentsDoNotTakeLongFlowsForShortOnes);
+  CPPUNIT_TEST(CopiesOfOpeningsDoNotMakeFlowsLookLong);
   CPPUNIT_TEST_SUITE_END();
 
   platform::PlatformPacketCodec mCodec;
@@ -1211,6 +1217,124 @@
     mNow += std::chrono::seconds(4);
     CPPUNIT_ASSERT(!mAgent.CurrentLoad(mNow).mAccepts);
   }
+
+  LoadDetails Details() { return *mAgent.NextLoad(Milliseconds{200}, mNow).mDetails; }
+
+  void Offer(std::uint16_t aCaller, std::uint32_t aSequence = 1)
+  {
+    FromBalancer(CallerPacket(TestFlow(aCaller), FlagSyn, aSequence), NodeMessageType::Offer);
+  }
+
+  // Offers openings for all four slots of the upstream.
+  void OfferAllSlots()
+  {
+    ApplyRoutesAndHeartbeat();
+    mAgent.OnRouteTerms({1, {{"198.18.0.1:443", true, Milliseconds{200}}}});
+    for (std::uint16_t caller = 1; caller <= 4; ++caller) {
+      Offer(caller);
+    }
+    CPPUNIT_ASSERT_EQUAL(std::size_t{4}, mOutput.mToUpstream.size());
+    CPPUNIT_ASSERT_EQUAL(1'000U, Details().mBusyPermille);
+  }
+
+  // One request on a flow that is open, and the end of the flow.
+  void AnswerOneRequestAndEnd(std::uint16_t aCaller)
+  {
+    FromBalancer(CallerPacket(TestFlow(aCaller), FlagAck, 2, 2, 100));
+    FromUpstream(UpstreamPacket(TestFlow(aCaller), FlagAck, 2, 200));
+    FromBalancer(CallerPacket(TestFlow(aCaller), FlagAck | FlagFin, 102, 202));
+    FromUpstream(UpstreamPacket(TestFlow(aCaller), FlagAck | FlagFin, 202));
+  }
+
+  // Guards against openings that wait here while another upstream is free, against a returned
+  // opening that is delivered or counted all the same, and against the return of an opening that no
+  // other upstream can take.
+  void OffersAreReturnedAsBusyAndDeliveriesAccepted()
+  {
+    OfferAllSlots();
+    Offer(5);
+    AssertReturned(ReturnReason::Busy);
+    CPPUNIT_ASSERT(mOutput.mToNodes.back().mPacket == CallerPacket(TestFlow(5), FlagSyn));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{4}, mOutput.mToUpstream.size());
+    CPPUNIT_ASSERT_EQUAL(1'000U, Details().mBusyPermille);
+    CPPUNIT_ASSERT_EQUAL(4U, mAgent.CurrentLoad(mNow).mFlows);
+    mOutput.Clear();
+    FromBalancer(CallerPacket(TestFlow(5), FlagSyn));
+    CPPUNIT_ASSERT(mOutput.mToNodes.empty());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, mOutput.mToUpstream.size());
+    CPPUNIT_ASSERT_EQUAL(1'250U, Details().mBusyPermille);
+  }
+
+  // Guards against a flow that opens at two upstreams, because a copy of its opening is returned
+  // and placed elsewhere after the upstream has got the first one.
+  void CopiesOfAcceptedOffersAreNotReturned()
+  {
+    OfferAllSlots();
+    Offer(1);
+    FromUpstream(UpstreamPacket(TestFlow(1), FlagSyn | FlagAck));
+    Offer(1);
+    CPPUNIT_ASSERT(mOutput.mToNodes.empty());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{6}, mOutput.mToUpstream.size());
+    CPPUNIT_ASSERT_EQUAL(1'000U, Details().mBusyPermille);
+  }
+
+  // Guards against slots that are given away twice when callers use a port again.
+  void OpeningsThatReplaceAnOpenFlowCount()
+  {
+    ApplyRoutesAndHeartbeat();
+    Establish(1);
+    CPPUNIT_ASSERT_EQUAL(0U, Details().mBusyPermille);
+    Offer(1, 0x40000000);
+    CPPUNIT_ASSERT_EQUAL(250U, Details().mBusyPermille);
+    FromUpstream(UpstreamPacket(TestFlow(1), FlagSyn | FlagAck, 700));
+    CPPUNIT_ASSERT_EQUAL(250U, Details().mBusyPermille);
+  }
+
+  // Guards against a restarted agent that forgets requests at the first heartbeat and takes their
+  // slots for free.
+  void RequestsBeforeTheFirstHeartbeatCount()
+  {
+    for (std::uint16_t caller = 1; caller <= 4; ++caller) {
+      FromUpstream(UpstreamPacket(TestFlow(caller), FlagAck, 2));
+      FromBalancer(CallerPacket(TestFlow(caller), FlagAck, 2, 2, 100));
+    }
+    ApplyRoutesAndHeartbeat(7);
+    CPPUNIT_ASSERT_EQUAL(1'000U, Details().mBusyPermille);
+    Offer(5);
+    AssertReturned(ReturnReason::Busy);
+    Heartbeat(1, false, Milliseconds{0}, 2'000); // The upstream starts again.
+    CPPUNIT_ASSERT_EQUAL(0U, Details().mBusyPermille);
+  }
+
+  // Guards against offers to a service with long flows, of which a restarted agent sees only the
+  // last request.
+  void RestartedAgentsDoNotTakeLongFlowsForShortOnes()
+  {
+    ApplyRoutesAndHeartbeat(7);
+    for (std::uint16_t caller = 1; caller <= 10; ++caller) {
+      FromUpstream(UpstreamPacket(TestFlow(caller), FlagAck, 2));
+      AnswerOneRequestAndEnd(caller);
+    }
+    CPPUNIT_ASSERT(!Details().mOneRequestPerFlow);
+    for (std::uint16_t caller = 11; caller <= 13; ++caller) {
+      Open(caller);
+      AnswerOneRequestAndEnd(caller);
+    }
+    CPPUNIT_ASSERT(Details().mOneRequestPerFlow);
+  }
+
+  // Guards against short flows that are not recognised while links lose packets.
+  void CopiesOfOpeningsDoNotMakeFlowsLookLong()
+  {
+    ApplyRoutesAndHeartbeat();
+    for (std::uint16_t caller = 1; caller <= 4; ++caller) {
+      Open(caller);
+      FromBalancer(CallerPacket(TestFlow(caller), FlagSyn));
+      FromBalancer(CallerPacket(TestFlow(caller), FlagSyn));
+      AnswerOneRequestAndEnd(caller);
+    }
+    CPPUNIT_ASSERT(Details().mOneRequestPerFlow);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(PacketAgentTest);
