--- a/include/dandelionslip/Packet/FlowLengthEstimator.h
+++ b/include/dandelionslip/Packet/FlowLengthEstimator.h
@@ -12,11 +12,12 @@
 public:
   /// The first request of a flow was answered.
   void OnFirstAnswer(TimePoint aNow);
-  /// A flow that both sides have ended; aAnswers: requests answered on it.
+  /// A flow that was passed to OnFirstAnswer and that both sides have ended; aAnswers: requests
+  /// answered on it. One without answers shows nothing and is ignored.
   void OnEnded(unsigned aAnswers, TimePoint aNow);
 
-  /// Whether at least kMinEnded flows have ended, at least half of those that got an answer, with
-  /// kMaxAnswers answers each on average. False while too little is known.
+  /// Whether at least kMinEnded flows have ended, at least half of those that got an answer, with at
+  /// most kMaxAnswers answers each on average. False while too little is known.
   bool OneRequestPerFlow() const;
 
   static constexpr double kMinEnded = 3;
--- a/lib/Packet/PacketAgentFlows.cpp
+++ b/lib/Packet/PacketAgentFlows.cpp
@@ -87,7 +87,10 @@
     Return(aFrom, ReturnReason::Unresponsive, aPacket, aOutput);
     return;
   }
-  if (const auto reason = AdmitOpening(aFrom, aType, aPacketHeader, aNow)) {
+  // A copy of an opening that was delivered must not be returned as busy: the balancer would place
+  // it at another upstream while this one opens the flow.
+  const NodeMessageType type = found == mFlows.end() ? aType : NodeMessageType::Deliver;
+  if (const auto reason = AdmitOpening(aFrom, type, aPacketHeader, aNow)) {
     LogOpening(aPacketHeader.mFlow, *reason, aNow);
     Return(aFrom, *reason, aPacket, aOutput);
     return;
@@ -102,8 +105,8 @@
     flow.mOpeningSequence = flow.mDeliveredEnd = aPacketHeader.mSequence;
     flow.mOpenedAt = flow.mOpenedAt.value_or(aNow);
     flow.mOpenedBy = aFrom;
-    mAdmission.OnOpened(aPacketHeader.mFlow, RouteKeyOf(aPacketHeader.mFlow), aNow);
   }
+  mAdmission.OnOpened(aPacketHeader.mFlow, RouteKeyOf(aPacketHeader.mFlow), aNow);
   if (mUnansweredOpenings++ == 0) {
     mUnansweredSince = aNow;
   }
@@ -124,6 +127,7 @@
   }
   const std::uint32_t sequence = *found->second.mOtherOpeningSequence;
   RemoveFlow(aPacketHeader.mFlow, RemovalReason::Opening, aNow);
+  mAdmission.OnOpened(aPacketHeader.mFlow, RouteKeyOf(aPacketHeader.mFlow), aNow);
   Flow& flow = FindOrAddFlow(aPacketHeader.mFlow, aNow);
   flow.mKnownByOpening = true;
   flow.mDeliveredAt = aNow;
@@ -290,7 +294,7 @@
   mRequestSeconds.Observe(Seconds(duration));
   mAdmission.OnAnswered(aPacketHeader.mFlow, aNow);
   mLatestAnsweredSince = std::max(mLatestAnsweredSince, aFlow.mRequestSince);
-  if (++aFlow.mAnswers == 1) {
+  if (++aFlow.mAnswers == 1 && aFlow.mKnownByOpening) {
     mFlowLength.OnFirstAnswer(aNow);
   }
   if (mSettings.mHealthMayBeWrong) {
@@ -488,7 +492,8 @@
   mAdmission.OnGone(aKey, aNow);
   SetRequestPending(aFlow, false, aNow);
   if (!aFlow.mClosed) {
-    if (aFlow.mCallerEnded && aFlow.mUpstreamEnded) {
+    // Of a flow that an earlier process opened, only the last answers are known.
+    if (aFlow.mKnownByOpening && aFlow.mCallerEnded && aFlow.mUpstreamEnded) {
       mFlowLength.OnEnded(aFlow.mAnswers, aNow);
     }
     aFlow.mClosed = true;
