Return all conflicts of a service file, not only the first

A check of a set of files reports every shared name and address at once. Publishing and collecting still fail with the first one.

--- a/lib/Config/ServiceFileIndex.cpp
+++ b/lib/Config/ServiceFileIndex.cpp
@@ -5,12 +5,20 @@
 
 Result<void> ServiceFileIndex::Add(const ServiceFile& aFile)
 {
-  const auto reject = [&](std::string aDetail) {
-    return Fail(ErrorCode::InvalidInput, "service.collect", aFile.mPath, std::move(aDetail));
-  };
+  const auto conflicts = AddAll(aFile);
+  if (conflicts.empty()) {
+    return Ok();
+  }
+  return Fail(ErrorCode::InvalidInput, "service.collect", aFile.mPath,
+              conflicts.front().mKey + ": " + conflicts.front().mDetail);
+}
+
+std::vector<ServiceFileConflict> ServiceFileIndex::AddAll(const ServiceFile& aFile)
+{
+  std::vector<ServiceFileConflict> conflicts;
   if (const auto [entry, isNew] = mPathByName.emplace(aFile.mSpec.mName, aFile.mPath); !isNew) {
-    return reject("service: found \"" + aFile.mSpec.mName + "\", which is also declared in " +
-                  entry->second);
+    conflicts.push_back({"service", "found \"" + aFile.mSpec.mName +
+                                      "\", which is also declared in " + entry->second});
   }
   for (std::size_t i = 0; i < aFile.mSpec.mAddresses.size(); ++i) {
     const std::string& text = aFile.mSpec.mAddresses[i];
@@ -18,14 +26,15 @@
     // Compares parsed addresses, because an IPv6 address has several text forms.
     const auto address = Endpoint::Parse(text);
     if (!address) {
-      return reject(key + ": found \"" + text + "\", expected a numeric address:port");
+      conflicts.push_back({key, "found \"" + text + "\", expected a numeric address:port"});
+      continue;
     }
     const auto [entry, isNew] = mPathByAddress.emplace(address.value(), aFile.mPath);
     if (!isNew) {
-      return reject(key + ": found \"" + text + "\", which is also used in " + entry->second);
+      conflicts.push_back({key, "found \"" + text + "\", which is also used in " + entry->second});
     }
   }
-  return Ok();
+  return conflicts;
 }
 
 } // namespace dandelionslip
