Add dandelionslipctl check

Exit code 8 is new: only warnings.

Called by hand: 0 for the example files, 8 for a warning, 3 for files with the same service, 2 for a missing file, malformed lists and a missing argument, 1 for a closed port. Not run against a live replica.

--- a/tools/dandelionslipctl/main.cpp
+++ b/tools/dandelionslipctl/main.cpp
@@ -1,7 +1,9 @@
 // Command-line tool for operators.
+#include "dandelionslip/Config/ConfigurationCheck.h"
 #include "dandelionslip/Config/Publication.h"
 #include "dandelionslip/Daemon/CommandLine.h"
 #include "dandelionslip/Daemon/OperatorClient.h"
+#include "dandelionslip/Model/Endpoint.h"
 #include "dandelionslip/Request/RequestId.h"
 #include "dandelionslip/Support/RuntimeClock.h"
 
@@ -20,6 +22,7 @@
 
 Usage:
   dandelionslipctl validate FILE...
+  dandelionslipctl check [options] FILE...
   dandelionslipctl publish [options] [--id=UUID] [--operator=NAME] [--expected-version=N] FILE...
   dandelionslipctl collect [options] [--id=UUID] [--operator=NAME] [--dry-run] FOLDER...
   dandelionslipctl delete [options] [--id=UUID] [--operator=NAME] SERVICE VERSION
@@ -33,6 +36,10 @@
 
 Commands:
   validate     Check service files without contacting control.
+  check        Report errors, entries without effect and contradictory limits of service files that
+               are to be published together, one a line as "FILE: PATH: error|warning: text". With
+               --control, also what differs from the version in force; otherwise control is not
+               contacted.
   publish      Publish the given service files as one change.
   collect      Publish those service files in the FOLDERs that differ from the current
                configuration, as one change.
@@ -44,8 +51,8 @@
   status       Show the control replicas, and the configuration and view of the newest one.
 
 Options:
-  --control=LIST        Control endpoints, separated by commas
-                        [default: 127.0.0.1:7400,127.0.0.1:7401,127.0.0.1:7402].
+  --control=LIST        Control endpoints, separated by commas. Commands other than check use
+                        127.0.0.1:7400,127.0.0.1:7401,127.0.0.1:7402 without it.
   --timeout-ms=N        Time to wait for an answer from control [default: 5000].
   --id=UUID             Publication id, a UUID of version 7. To learn the outcome of a command whose
                         answer was lost, send it again with the same id.
@@ -56,14 +63,19 @@
   --json                Print the complete status as JSON.
 
 Exit codes: 0 done, 1 failed, 2 usage, 3 refused, 4 conflict, 5 not applied, 6 outcome unknown,
-7 publication id expired.
+7 publication id expired. Those of check: 0 no finding, 1 control did not answer, 2 an argument or a
+file cannot be used, 3 errors, 8 only warnings.
 )";
 
+// There is no default in the usage text, because check must know whether the option was given.
+constexpr const char* kDefaultControl = "127.0.0.1:7400,127.0.0.1:7401,127.0.0.1:7402";
+
 enum CtlExit : int
 {
   ExitOk = 0,
   ExitFailed = 1,
   ExitRefused = 3,
+  ExitWarnings = 8,
 };
 
 using Arguments = ProgramArguments;
@@ -92,7 +104,8 @@
 
 OperatorClient ClientFor(const Arguments& aArguments)
 {
-  return OperatorClient(SplitList(aArguments.at("--control").asString()));
+  const auto& control = aArguments.at("--control");
+  return OperatorClient(SplitList(control ? control.asString() : kDefaultControl));
 }
 
 int PrintError(const Error& aError)
@@ -158,6 +171,64 @@
   return ExitOk;
 }
 
+Result<void> CheckControlList(const std::string& aList)
+{
+  const auto endpoints = SplitList(aList);
+  for (const std::string& endpoint : endpoints) {
+    if (const auto parsed = Endpoint::Parse(endpoint); !parsed) {
+      return parsed.as_failure();
+    }
+  }
+  return endpoints.empty() ? Result<void>(Fail(ErrorCode::InvalidInput, "check", "--control",
+                                               "found no endpoint, expected at least one"))
+                           : Ok();
+}
+
+// Adds the files and compares them with the configuration in force, if --control was given. Returns
+// the exit code of a failure to do so.
+int RunCheck(const Arguments& aArguments, ConfigurationCheck& aCheck)
+{
+  const auto& control = aArguments.at("--control");
+  if (control) {
+    if (const auto checked = CheckControlList(control.asString()); !checked) {
+      PrintError(checked.error());
+      return kUsageExit;
+    }
+  }
+  const auto timeout = TimeoutOf(aArguments);
+  for (const auto& path : aArguments.at("FILE").asStringList()) {
+    if (const auto added = aCheck.AddFile(path); !added) {
+      PrintError(added.error());
+      return kUsageExit;
+    }
+  }
+  if (control) {
+    const auto current = ClientFor(aArguments).FetchConfiguration(timeout);
+    if (!current) {
+      PrintError(current.error());
+      return ExitFailed;
+    }
+    aCheck.CompareWith(current.value());
+  }
+  return ExitOk;
+}
+
+int Check(const Arguments& aArguments)
+{
+  ConfigurationCheck check;
+  const int failure = RunCheck(aArguments, check);
+  for (const auto& finding : check.Findings()) {
+    std::cout << finding.ToString() << "\n";
+  }
+  for (const auto& difference : check.Differences()) {
+    std::cout << difference.ToString() << "\n";
+  }
+  if (failure != ExitOk || check.Findings().empty()) {
+    return failure;
+  }
+  return check.HasErrors() ? ExitRefused : ExitWarnings;
+}
+
 int PublishFiles(const Arguments& aArguments, const std::vector<ServiceFile>& aFiles)
 {
   const auto identity = IdentityFrom(aArguments);
@@ -331,8 +402,9 @@
 int RunCtl(const Arguments& aArguments)
 {
   using Action = int (*)(const Arguments&);
-  static constexpr std::array<std::pair<const char*, Action>, 9> kActions{{
+  static constexpr std::array<std::pair<const char*, Action>, 10> kActions{{
     {"validate", &Validate},
+    {"check", &Check},
     {"publish", &Publish},
     {"collect", &Collect},
     {"delete", &Delete},
