Keep a failing verdict while a restarted agent waits for a heartbeat

A balancer keeps the verdict of an agent's earlier process if the new process reports the same start of the upstream. Until its first heartbeat, up to a second, the new process reports no start. The balancer took that for another start, so the verdict ended with the agent, and the upstream got its full share of flows again.

An unknown start now keeps the verdict, its age and the start that it belongs to. New tests: a verdict survives a report of format 1, one without a start and one with the same start, and ends with another start and after five seconds; upstreams that fail beyond the bound of a third get deliveries, and an ejected one gets no request that may run once.

Without the change, VerdictsSurviveTheAgentAndEndWithTheUpstream fails at the report without a start.

--- a/lib/Packet/PacketBalancerOffers.cpp
+++ b/lib/Packet/PacketBalancerOffers.cpp
@@ -77,12 +77,14 @@
 }
 
 // The verdict of an agent's earlier process stays, for as long as the same upstream runs, until the
-// new process has a verdict of its own.
+// new process has a verdict of its own. Before its first heartbeat, that process does not know the
+// upstream's start.
 bool PacketBalancer::KeepsVerdict(const Agent& aAgent, const LoadDetails& aDetails, TimePoint aNow)
 {
   return aAgent.mDetails && aAgent.mDetails->mVerdict == UpstreamVerdict::Failing &&
          aDetails.mVerdict == UpstreamVerdict::Healthy && aDetails.mVerdictAge.count() == 0 &&
-         aDetails.mUpstreamStartedMs == aAgent.mDetails->mUpstreamStartedMs &&
+         (aDetails.mUpstreamStartedMs == 0 ||
+          aDetails.mUpstreamStartedMs == aAgent.mDetails->mUpstreamStartedMs) &&
          aNow - aAgent.mDetailsAt <= kVerdictLifetime;
 }
 
@@ -93,7 +95,9 @@
     LoadDetails& details = *aAgent.mReport.mDetails;
     if (KeepsVerdict(aAgent, details, aNow)) {
       details.mVerdict = aAgent.mDetails->mVerdict;
+      details.mVerdictAge = aAgent.mDetails->mVerdictAge;
       details.mAdmittedPermille = aAgent.mDetails->mAdmittedPermille;
+      details.mUpstreamStartedMs = aAgent.mDetails->mUpstreamStartedMs;
     } else {
       aAgent.mDetailsAt = aNow;
     }
--- a/unittests/Packet/PacketBalancerTest.cpp
+++ b/unittests/Packet/PacketBalancerTest.cpp
@@ -80,6 +80,8 @@
   CPPUNIT_TEST(HighPriorityRoutesLeaveTheQueueFirst);
   CPPUNIT_TEST(DataCentresOutOfServiceGetNoOpenings);
   CPPUNIT_TEST(FlowsFollowTheSpeedOfUpstreams);
+  CPPUNIT_TEST(VerdictsSurviveTheAgentAndEndWithTheUpstream);
+  CPPUNIT_TEST(FailingUpstreamsBeyondTheBoundGetDeliveries);
   CPPUNIT_TEST_SUITE_END();
 
   platform::PlatformPacketCodec mCodec;
@@ -1435,6 +1437,82 @@
       CPPUNIT_ASSERT(flows[node] <= 1.15 * kFlows * speeds[node] / kSpeedSum);
     }
   }
+
+  void ReportVerdict(unsigned aNode, UpstreamVerdict aVerdict, std::int64_t aStartedMs)
+  {
+    LoadReport report = Accepting();
+    LoadDetails& details = report.mDetails.emplace();
+    details.mOneRequestPerFlow = true;
+    details.mVerdict = aVerdict;
+    details.mVerdictAge = Milliseconds{aVerdict == UpstreamVerdict::Failing ? 1'000 : 0};
+    details.mAdmittedPermille = aVerdict == UpstreamVerdict::Failing ? 20 : 1'000;
+    details.mUpstreamStartedMs = aStartedMs;
+    Report(aNode, report);
+  }
+
+  // How many of 300 new flows node 1 gets.
+  std::size_t FlowsToNode1(std::uint16_t aFirstCaller)
+  {
+    mOutput.Clear();
+    for (std::uint16_t i = 0; i < 300; ++i) {
+      Send(CallerPacket(TestFlow(static_cast<std::uint16_t>(aFirstCaller + i)), FlagSyn));
+    }
+    return static_cast<std::size_t>(
+      std::count_if(mOutput.mToNodes.begin(), mOutput.mToNodes.end(),
+                    [](const auto& aSent) { return aSent.mNode == NodeEndpoint(1); }));
+  }
+
+  // Guards against a failing upstream that gets its full share of flows again because its agent has
+  // restarted, and against one that is left out although it has started again.
+  void VerdictsSurviveTheAgentAndEndWithTheUpstream()
+  {
+    const View view = TestView(
+      1, {TestAgentMember(1, "web"), TestAgentMember(2, "web"), TestAgentMember(3, "web")});
+    mBalancer.OnState(TestConfiguration(1, {"web"}), view, mOutput, mNow);
+    mBalancer.OnRouteTerms({1, {{"198.18.0.1:443", true, Milliseconds{200}}}});
+    ReportVerdict(1, UpstreamVerdict::Failing, 5'000);
+    ReportVerdict(2, UpstreamVerdict::Healthy, 5'000);
+    ReportVerdict(3, UpstreamVerdict::Healthy, 5'000);
+    CPPUNIT_ASSERT(FlowsToNode1(1'000) < 10);
+    // The agent's new process sends a report of format 1, then one of before its first heartbeat.
+    Report(1, Accepting());
+    CPPUNIT_ASSERT(FlowsToNode1(2'000) < 10);
+    ReportVerdict(1, UpstreamVerdict::Healthy, 0);
+    CPPUNIT_ASSERT(FlowsToNode1(3'000) < 10);
+    ReportVerdict(1, UpstreamVerdict::Healthy, 5'000);
+    CPPUNIT_ASSERT(FlowsToNode1(4'000) < 10);
+    ReportVerdict(1, UpstreamVerdict::Healthy, 6'000);
+    CPPUNIT_ASSERT(FlowsToNode1(5'000) > 90);
+    // Without a verdict of the new process, the one of the earlier process ends after five seconds.
+    ReportVerdict(1, UpstreamVerdict::Failing, 6'000);
+    mNow += Milliseconds{4'900};
+    for (const std::uint16_t first : {6'000, 7'000}) {
+      for (const unsigned node : {1U, 2U, 3U}) {
+        ReportVerdict(node, UpstreamVerdict::Healthy, 6'000);
+      }
+      CPPUNIT_ASSERT_EQUAL(first == 6'000, FlowsToNode1(first) < 10);
+      mNow += Milliseconds{200};
+    }
+  }
+
+  // Guards against a service without upstreams because all of them fail, and against trials of
+  // requests that may run only once.
+  void FailingUpstreamsBeyondTheBoundGetDeliveries()
+  {
+    const View view = TestView(
+      1, {TestAgentMember(1, "web"), TestAgentMember(2, "web"), TestAgentMember(3, "web")});
+    mBalancer.OnState(TestConfiguration(1, {"web"}), view, mOutput, mNow);
+    for (const bool repeatable : {true, false}) {
+      mBalancer.OnRouteTerms({1, {{"198.18.0.1:443", repeatable, Milliseconds{200}}}});
+      for (const unsigned node : {1U, 2U, 3U}) {
+        ReportVerdict(node, UpstreamVerdict::Failing, 5'000);
+      }
+      const std::size_t trials = FlowsToNode1(repeatable ? 1'000 : 2'000);
+      CPPUNIT_ASSERT(repeatable ? trials > 0 && trials < 10 : trials == 0);
+      CPPUNIT_ASSERT_EQUAL(trials, Sent(NodeMessageType::Offer));
+      CPPUNIT_ASSERT_EQUAL(300 - trials, Sent(NodeMessageType::Deliver));
+    }
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(PacketBalancerTest);
