Judge upstreams only by requests delivered since their start

The detector gets the time of delivery and ignores what was delivered before the upstream's start or its verdict. Without any answer since a request was delivered, it is overdue even if it found no free slot. Waiting times start anew after a gap between checks, and a copy shows nothing within 100 ms. Failures of one data centre's callers beside answers to others are left to the verdict for that data centre. Load reports state the verdict for the balancer's own callers, so that the bound on ejection holds for each data centre too.

A late answer to an overdue request no longer counts as a served caller, and without a baseline the overdue time follows the first answers. A return step no longer discards the last outcomes.

--- a/include/dandelionslip/Packet/FailureDetector.h
+++ b/include/dandelionslip/Packet/FailureDetector.h
@@ -41,6 +41,7 @@
   RuntimeClock::duration mDuration{}; ///< Since the request was delivered.
   std::uint32_t mBytes = 0;           ///< Data of the first packet.
   bool mHadFreeSlot = false;          ///< When the request was delivered.
+  bool mWasOverdue = false;           ///< Already reported as FlowFailure::Overdue.
 };
 
 /// Judges one upstream by the flows that its agent delivered, separately for callers of each data
@@ -52,29 +53,35 @@
   void OnUpstreamStarted(TimePoint aNow);
   void OnAnswered(const std::string& aCallerDataCentre, const UpstreamAnswer& aAnswer,
                   TimePoint aNow);
-  void OnFailure(const std::string& aCallerDataCentre, FlowFailure aFailure, TimePoint aNow);
+  /// aDeliveredAt: when the request or opening was delivered. What was delivered before the
+  /// upstream's start or its verdict says nothing about the time after it.
+  void OnFailure(const std::string& aCallerDataCentre, FlowFailure aFailure, TimePoint aDeliveredAt,
+                 TimePoint aNow);
 
-  /// How long a request may run before OnFailure(Overdue) is due, if the upstream had a free slot
-  /// or has answered later requests.
+  /// How long a request may run before OnFailure(Overdue) is due, if the upstream had a free slot,
+  /// has answered later requests, or has answered none since.
   RuntimeClock::duration OverdueAfter() const;
 
   /// Whether an offered opening may be delivered. Counts it as a trial flow if the upstream is
   /// failing. Requests that may run only once are no trials.
   bool Admits(const std::string& aCallerDataCentre, bool aRepeatable, TimePoint aNow);
 
+  /// The verdict for callers of one data centre.
+  UpstreamVerdict Verdict(const std::string& aCallerDataCentre) const;
+  /// Time since that verdict last changed; zero if it never did.
+  Milliseconds VerdictAge(const std::string& aCallerDataCentre, TimePoint aNow) const;
+  /// Share of the usual flows of that data centre that the upstream may get, 0 to 1.
+  double AdmittedShare(const std::string& aCallerDataCentre) const;
   /// The verdict for callers of all data centres together.
-  UpstreamVerdict Verdict(TimePoint aNow) const;
-  /// Time since the verdict last changed; zero if it never did.
-  Milliseconds VerdictAge(TimePoint aNow) const;
-  /// Share of its usual flows that the upstream may get, 0 to 1.
-  double AdmittedShare(TimePoint aNow) const;
+  UpstreamVerdict OverallVerdict() const { return mAll.Verdict(); }
 
 private:
   /// The verdict for one group of callers, from the outcomes of their last flows.
   class Judge
   {
   public:
-    void OnOutcome(bool aFailed, TimePoint aNow);
+    void OnOutcome(const std::string& aCallerDataCentre, bool aFailed, TimePoint aDeliveredAt,
+                   TimePoint aNow);
     bool Admits(bool aRepeatable, TimePoint aNow);
     UpstreamVerdict Verdict() const { return mVerdict; }
     std::optional<TimePoint> ChangedAt() const { return mChangedAt; }
@@ -83,14 +90,17 @@
   private:
     struct Outcome
     {
+      std::string mCallerDataCentre;
       bool mFailed = false;
       TimePoint mAt;
     };
 
+    bool Fails() const;
     void Change(UpstreamVerdict aVerdict, TimePoint aNow);
 
     UpstreamVerdict mVerdict = UpstreamVerdict::Healthy;
     std::optional<TimePoint> mChangedAt;
+    TimePoint mFailedAt; ///< When the verdict last became Failing.
     std::deque<Outcome> mOutcomes;
     unsigned mAnsweredTrials = 0; ///< In a row, while failing.
     TimePoint mTriedAt;
@@ -99,10 +109,14 @@
     double mAdmissionCredit = 0; ///< While returning: an opening is admitted when it reaches 1.
   };
 
-  void OnOutcome(const std::string& aCallerDataCentre, bool aFailed, TimePoint aNow);
+  void OnOutcome(const std::string& aCallerDataCentre, bool aFailed, TimePoint aDeliveredAt,
+                 TimePoint aNow);
+  const Judge& JudgeFor(const std::string& aCallerDataCentre) const;
   bool IsRejection(const UpstreamAnswer& aAnswer) const;
 
+  TimePoint mStartedAt;
   Judge mAll;
+  /// Of data centres whose callers sent requests while mAll was healthy.
   std::map<std::string, Judge> mByDataCentre;
   // Usual answers, as exponentially weighted means.
   double mMeanSeconds = 0;
--- a/include/dandelionslip/Packet/PacketAgent.h
+++ b/include/dandelionslip/Packet/PacketAgent.h
@@ -96,7 +96,8 @@
   /// when their refresh is due. Must be called every 250 ms.
   void RegisterFlows(PacketOutput& aOutput, TimePoint aNow);
   /// Reports requests and openings that are unanswered for too long to the failure detector. Must
-  /// be called every 250 ms.
+  /// be called every 250 ms. After a longer interval the process has stood still, and answers may
+  /// not have been read.
   void CheckUnanswered(TimePoint aNow);
   /// Removes idle flows and expired registrations. Must be called every second.
   void OnTick(TimePoint aNow);
@@ -111,6 +112,8 @@
   /// The load report for balancers that have got one, in format 2. Names one unseen holder in every
   /// kReportsPerName, so that reports stay small. aInterval: time until the next one.
   LoadReport NextLoad(Milliseconds aInterval, TimePoint aNow);
+  /// Replaces the verdict in a load report by the one for callers of the balancer's data centre.
+  void SetVerdictFor(const Endpoint& aBalancer, LoadDetails& aDetails, TimePoint aNow) const;
   /// The state that this agent announces to control.
   MemberState State(TimePoint aNow) const;
 
@@ -206,7 +209,12 @@
   std::optional<ReturnReason> DeclineOffer(const Endpoint& aFrom, NodeMessageType aType,
                                            const FlowKey& aFlow, TimePoint aNow);
   const std::string& DataCentreOf(const Endpoint& aBalancer) const;
-  void OnFailure(const Flow& aFlow, FlowFailure aFailure, TimePoint aNow);
+  /// aDeliveredAt: when the request or opening that failed was delivered.
+  void OnFailure(const Flow& aFlow, FlowFailure aFailure, TimePoint aDeliveredAt, TimePoint aNow);
+  /// Lets waiting times start anew after the process has stood still.
+  void NoteStandstill(TimePoint aNow);
+  /// How long something that was delivered has been unanswered while this process ran.
+  RuntimeClock::duration UnansweredFor(TimePoint aDeliveredAt, TimePoint aNow) const;
   /// Notes a stale heartbeat; returns whether its start replaces the known one, which is silent.
   bool ReplacesSilentStart(const UpstreamHeartbeat& aHeartbeat, TimePoint aNow);
   ReturnReason ReasonForNoNewFlows(TimePoint aNow) const;
@@ -268,8 +276,8 @@
                    TimePoint aNow) const;
   void LogUpstreamReset(const FlowKey& aKey, const Flow& aFlow, TimePoint aNow) const;
   void LogProbeReset(const FlowKey& aKey, TimePoint aNow) const;
-  /// Logs the failure detector's verdict if it has changed.
-  void LogVerdict(TimePoint aNow);
+  /// Logs the failure detector's verdict for callers of the data centre if it has changed.
+  void LogVerdict(const std::string& aCallerDataCentre, TimePoint aNow);
   /// Counts a statement that the flow is not held here, and logs it if the flow was held earlier.
   void OnDenial(const FlowKey& aKey, std::string_view aAnswer, const Endpoint& aBalancer,
                 TimePoint aNow);
@@ -327,10 +335,13 @@
   OpeningAdmission mAdmission;
   FlowLengthEstimator mFlowLength;
   FailureDetector mFailureDetector;
-  UpstreamVerdict mLoggedVerdict = UpstreamVerdict::Healthy;
+  std::map<std::string, UpstreamVerdict> mLoggedVerdicts; ///< By data centre of callers.
   /// When the last delivered one of the requests that are answered was delivered.
   TimePoint mLatestAnsweredSince;
-  std::uint32_t mOpenFlows = 0; ///< Flows in mFlows that are not closed.
+  TimePoint mRequestAnsweredAt;        ///< When a request was last answered.
+  std::optional<TimePoint> mCheckedAt; ///< Last CheckUnanswered().
+  TimePoint mResumedChecksAt;          ///< When the process last noticed that it had stood still.
+  std::uint32_t mOpenFlows = 0;        ///< Flows in mFlows that are not closed.
   std::uint32_t mPendingRequests = 0;
   std::uint32_t mUnansweredOpenings = 0; ///< Opening packets since the upstream last sent anything.
   TimePoint mUnansweredSince;
--- a/lib/Daemon/PacketAgentDaemon.cpp
+++ b/lib/Daemon/PacketAgentDaemon.cpp
@@ -230,6 +230,7 @@
       if (state.mReportFormat >= LoadReport::kFormatWithDetails) {
         report.mDetails = details;
         report.mDetails->mRoom = rooms[i];
+        mCore.SetVerdictFor(balancer, *report.mDetails, now);
       }
       if (last != report) {
         last = report;
--- a/lib/Packet/FailureDetector.cpp
+++ b/lib/Packet/FailureDetector.cpp
@@ -70,12 +70,42 @@
 {
   mVerdict = aVerdict;
   mChangedAt = aNow;
-  mOutcomes.clear();
   mAnsweredTrials = 0;
+  if (aVerdict == UpstreamVerdict::Failing) {
+    mFailedAt = aNow;
+    mOutcomes.clear();
+  }
+}
+
+// Whether enough outcomes are failures. Failures of callers of one data centre, beside answers to
+// others, are left to the judge of that data centre: the others are served.
+bool FailureDetector::Judge::Fails() const
+{
+  std::size_t failures = 0;
+  const std::string* failed = nullptr;
+  bool failedInSeveral = false;
+  for (const Outcome& outcome : mOutcomes) {
+    if (outcome.mFailed) {
+      ++failures;
+      failedInSeveral =
+        failedInSeveral || (failed != nullptr && *failed != outcome.mCallerDataCentre);
+      failed = &outcome.mCallerDataCentre;
+    }
+  }
+  if (failures < kMinFailures || failedInSeveral) {
+    return failures >= kMinFailures;
+  }
+  return std::all_of(mOutcomes.begin(), mOutcomes.end(), [&](const Outcome& aOutcome) {
+    return aOutcome.mCallerDataCentre == *failed;
+  });
 }
 
-void FailureDetector::Judge::OnOutcome(bool aFailed, TimePoint aNow)
+void FailureDetector::Judge::OnOutcome(const std::string& aCallerDataCentre, bool aFailed,
+                                       TimePoint aDeliveredAt, TimePoint aNow)
 {
+  if (aDeliveredAt < mFailedAt) {
+    return;
+  }
   if (mVerdict == UpstreamVerdict::Failing) {
     mAnsweredTrials = aFailed ? 0 : mAnsweredTrials + 1;
     if (mAnsweredTrials >= kTrialsToReturn) {
@@ -84,13 +114,11 @@
     }
     return;
   }
-  mOutcomes.push_back({aFailed, aNow});
+  mOutcomes.push_back({aCallerDataCentre, aFailed, aNow});
   while (mOutcomes.size() > kWindow || aNow - mOutcomes.front().mAt > kOutcomeLifetime) {
     mOutcomes.pop_front();
   }
-  const auto failures = static_cast<std::size_t>(std::count_if(
-    mOutcomes.begin(), mOutcomes.end(), [](const Outcome& aOutcome) { return aOutcome.mFailed; }));
-  if (failures >= kMinFailures) {
+  if (Fails()) {
     mTrialInterval = mVerdict == UpstreamVerdict::Returning
                        ? std::min(2 * mTrialInterval, kMaxTrialInterval)
                        : kFirstTrialInterval;
@@ -131,9 +159,10 @@
                                                 : mShare;
 }
 
-void FailureDetector::OnUpstreamStarted(TimePoint /*aNow*/)
+void FailureDetector::OnUpstreamStarted(TimePoint aNow)
 {
   *this = {};
+  mStartedAt = aNow;
 }
 
 bool FailureDetector::IsRejection(const UpstreamAnswer& aAnswer) const
@@ -146,42 +175,51 @@
 void FailureDetector::OnAnswered(const std::string& aCallerDataCentre,
                                  const UpstreamAnswer& aAnswer, TimePoint aNow)
 {
+  const TimePoint deliveredAt = aNow - aAnswer.mDuration;
+  if (deliveredAt < mStartedAt) {
+    return;
+  }
   if (IsRejection(aAnswer)) {
-    OnFailure(aCallerDataCentre, FlowFailure::Rejected, aNow);
+    OnFailure(aCallerDataCentre, FlowFailure::Rejected, deliveredAt, aNow);
     return;
   }
   const double weight =
     std::max(kBaselineWeight, 1.0 / static_cast<double>(std::min(++mAnswers, kMinAnswers * 100)));
   mMeanSeconds += weight * (Seconds(aAnswer.mDuration) - mMeanSeconds);
   mMeanBytes += weight * (aAnswer.mBytes - mMeanBytes);
-  OnOutcome(aCallerDataCentre, false, aNow);
+  // A late answer shows how long requests take; its caller has been counted already.
+  if (!aAnswer.mWasOverdue) {
+    OnOutcome(aCallerDataCentre, false, deliveredAt, aNow);
+  }
 }
 
 void FailureDetector::OnFailure(const std::string& aCallerDataCentre, FlowFailure /*aFailure*/,
-                                TimePoint aNow)
+                                TimePoint aDeliveredAt, TimePoint aNow)
 {
-  OnOutcome(aCallerDataCentre, true, aNow);
+  OnOutcome(aCallerDataCentre, true, aDeliveredAt, aNow);
 }
 
-void FailureDetector::OnOutcome(const std::string& aCallerDataCentre, bool aFailed, TimePoint aNow)
+void FailureDetector::OnOutcome(const std::string& aCallerDataCentre, bool aFailed,
+                                TimePoint aDeliveredAt, TimePoint aNow)
 {
+  if (aDeliveredAt < mStartedAt) {
+    return;
+  }
   const UpstreamVerdict before = mAll.Verdict();
-  mAll.OnOutcome(aFailed, aNow);
+  mAll.OnOutcome(aCallerDataCentre, aFailed, aDeliveredAt, aNow);
   if (mAll.Verdict() != UpstreamVerdict::Healthy) {
     mByDataCentre.clear();
   } else if (before == UpstreamVerdict::Healthy) {
-    mByDataCentre[aCallerDataCentre].OnOutcome(aFailed, aNow);
+    mByDataCentre[aCallerDataCentre].OnOutcome(aCallerDataCentre, aFailed, aDeliveredAt, aNow);
   }
 }
 
 RuntimeClock::duration FailureDetector::OverdueAfter() const
 {
-  if (mAnswers < kMinAnswers) {
-    return kUnknownOverdue;
-  }
+  const Milliseconds least = mAnswers < kMinAnswers ? kUnknownOverdue : kMinOverdue;
   return std::max<RuntimeClock::duration>(
-    kMinOverdue, std::chrono::duration_cast<RuntimeClock::duration>(
-                   std::chrono::duration<double>(kOverdueFactor * mMeanSeconds)));
+    least, std::chrono::duration_cast<RuntimeClock::duration>(
+             std::chrono::duration<double>(kOverdueFactor * mMeanSeconds)));
 }
 
 bool FailureDetector::Admits(const std::string& aCallerDataCentre, bool aRepeatable, TimePoint aNow)
@@ -193,20 +231,28 @@
   return found == mByDataCentre.end() || found->second.Admits(aRepeatable, aNow);
 }
 
-UpstreamVerdict FailureDetector::Verdict(TimePoint /*aNow*/) const
+const FailureDetector::Judge& FailureDetector::JudgeFor(const std::string& aCallerDataCentre) const
+{
+  const auto found = mByDataCentre.find(aCallerDataCentre);
+  const bool separate = found != mByDataCentre.end() && found->second.ChangedAt() &&
+                        mAll.Verdict() == UpstreamVerdict::Healthy;
+  return separate ? found->second : mAll;
+}
+
+UpstreamVerdict FailureDetector::Verdict(const std::string& aCallerDataCentre) const
 {
-  return mAll.Verdict();
+  return JudgeFor(aCallerDataCentre).Verdict();
 }
 
-Milliseconds FailureDetector::VerdictAge(TimePoint aNow) const
+Milliseconds FailureDetector::VerdictAge(const std::string& aCallerDataCentre, TimePoint aNow) const
 {
-  return mAll.ChangedAt() ? std::chrono::duration_cast<Milliseconds>(aNow - *mAll.ChangedAt())
-                          : Milliseconds{0};
+  const auto changedAt = JudgeFor(aCallerDataCentre).ChangedAt();
+  return changedAt ? std::chrono::duration_cast<Milliseconds>(aNow - *changedAt) : Milliseconds{0};
 }
 
-double FailureDetector::AdmittedShare(TimePoint /*aNow*/) const
+double FailureDetector::AdmittedShare(const std::string& aCallerDataCentre) const
 {
-  return mAll.Share();
+  return JudgeFor(aCallerDataCentre).Share();
 }
 
 } // namespace dandelionslip
--- a/lib/Packet/PacketAgent.cpp
+++ b/lib/Packet/PacketAgent.cpp
@@ -377,12 +377,6 @@
   details.mRoom = report.mAccepts && !report.mCold ? mAdmission.Room(aInterval, aNow) : 0;
   details.mBusyPermille =
     static_cast<std::uint32_t>(std::lround(kMilli * mAdmission.Ahead() / report.mSlots));
-  if (mSettings.mHealthMayBeWrong) {
-    details.mVerdict = mFailureDetector.Verdict(aNow);
-    details.mVerdictAge = mFailureDetector.VerdictAge(aNow);
-    details.mAdmittedPermille =
-      static_cast<std::uint32_t>(std::lround(kMilli * mFailureDetector.AdmittedShare(aNow)));
-  }
   details.mUpstreamStartedMs =
     mUpstream ? std::max<std::int64_t>(mUpstream->mLastHeartbeat.mStartedMs, 0) : 0;
   const bool names = mNextLoads++ % kReportsPerName == 0;
@@ -392,6 +386,19 @@
   return report;
 }
 
+void PacketAgent::SetVerdictFor(const Endpoint& aBalancer, LoadDetails& aDetails,
+                                TimePoint aNow) const
+{
+  if (!mSettings.mHealthMayBeWrong) {
+    return;
+  }
+  const std::string& dataCentre = DataCentreOf(aBalancer);
+  aDetails.mVerdict = mFailureDetector.Verdict(dataCentre);
+  aDetails.mVerdictAge = mFailureDetector.VerdictAge(dataCentre, aNow);
+  aDetails.mAdmittedPermille =
+    static_cast<std::uint32_t>(std::lround(kMilli * mFailureDetector.AdmittedShare(dataCentre)));
+}
+
 // Whether the agent stops as planned and its upstream has ended, so that no flow is left here.
 bool PacketAgent::IsFinished() const
 {
--- a/lib/Packet/PacketAgentFlows.cpp
+++ b/lib/Packet/PacketAgentFlows.cpp
@@ -23,6 +23,13 @@
 // An upstream answers an opening packet within milliseconds unless it is saturated.
 constexpr Milliseconds kOpeningOverdue{250};
 
+// A copy of an opening packet that comes sooner after the first one does not show that the upstream
+// has not answered: a balancer that stood still forwards both at once. Callers wait 200 ms.
+constexpr Milliseconds kMinOpeningTime{100};
+
+// CheckUnanswered is called every 250 ms. After a longer interval the process has stood still.
+constexpr Milliseconds kMaxCheckInterval{600};
+
 // Limit of flow probes that await the upstream's reaction; each takes one exchange with it.
 constexpr std::size_t kMaxProbes = 10'000;
 
@@ -82,7 +89,12 @@
     return;
   }
   if (found != mFlows.end() && aPacketHeader.mRetransmission > 0 && !found->second.mAccepted) {
-    OnFailure(found->second, FlowFailure::OpeningUnanswered, aNow);
+    const Flow& flow = found->second;
+    NoteStandstill(aNow);
+    if (flow.mOpenedAt && !flow.mOverdue &&
+        UnansweredFor(*flow.mOpenedAt, aNow) > kMinOpeningTime) {
+      OnFailure(flow, FlowFailure::OpeningUnanswered, *flow.mOpenedAt, aNow);
+    }
     RemoveFlow(aPacketHeader.mFlow, RemovalReason::Unanswered, aNow);
     Return(aFrom, ReturnReason::Unresponsive, aPacket, aOutput);
     return;
@@ -291,23 +303,39 @@
   mRequestSeconds.Observe(Seconds(duration));
   mAdmission.OnAnswered(aPacketHeader.mFlow, aNow);
   mLatestAnsweredSince = std::max(mLatestAnsweredSince, aFlow.mRequestSince);
+  mRequestAnsweredAt = aNow;
   ++aFlow.mAnswers;
   if (mSettings.mHealthMayBeWrong) {
-    mFailureDetector.OnAnswered(DataCentreOf(aFlow.mOpenedBy),
-                                {duration, aPacketHeader.mDataBytes, aFlow.mHadFreeSlot}, aNow);
-    LogVerdict(aNow);
+    const std::string& dataCentre = DataCentreOf(aFlow.mOpenedBy);
+    mFailureDetector.OnAnswered(
+      dataCentre, {duration, aPacketHeader.mDataBytes, aFlow.mHadFreeSlot, aFlow.mOverdue}, aNow);
+    LogVerdict(dataCentre, aNow);
   }
   SetRequestPending(aFlow, false, aNow);
 }
 
-void PacketAgent::OnFailure(const Flow& aFlow, FlowFailure aFailure, TimePoint aNow)
+void PacketAgent::OnFailure(const Flow& aFlow, FlowFailure aFailure, TimePoint aDeliveredAt,
+                            TimePoint aNow)
 {
   if (!mSettings.mHealthMayBeWrong) {
     return;
   }
   mFlowFailures[static_cast<std::size_t>(aFailure)]->Add();
-  mFailureDetector.OnFailure(DataCentreOf(aFlow.mOpenedBy), aFailure, aNow);
-  LogVerdict(aNow);
+  const std::string& dataCentre = DataCentreOf(aFlow.mOpenedBy);
+  mFailureDetector.OnFailure(dataCentre, aFailure, aDeliveredAt, aNow);
+  LogVerdict(dataCentre, aNow);
+}
+
+void PacketAgent::NoteStandstill(TimePoint aNow)
+{
+  if (mCheckedAt && aNow - *mCheckedAt > kMaxCheckInterval) {
+    mResumedChecksAt = aNow;
+  }
+}
+
+RuntimeClock::duration PacketAgent::UnansweredFor(TimePoint aDeliveredAt, TimePoint aNow) const
+{
+  return aNow - std::max(aDeliveredAt, mResumedChecksAt);
 }
 
 void PacketAgent::CheckUnanswered(TimePoint aNow)
@@ -316,18 +344,24 @@
   if (!mSettings.mHealthMayBeWrong) {
     return;
   }
+  NoteStandstill(aNow);
+  mCheckedAt = aNow;
   const auto overdueAfter = mFailureDetector.OverdueAfter();
   for (auto& [key, flow] : mFlows) {
     if (flow.mOverdue || flow.mClosed) {
       continue;
     }
-    if (flow.mOpenedAt && !flow.mAccepted && aNow - *flow.mOpenedAt > kOpeningOverdue) {
+    // A busy upstream answers the requests before this one, and none after it.
+    const bool isDue = flow.mHadFreeSlot || mLatestAnsweredSince > flow.mRequestSince ||
+                       mRequestAnsweredAt <= flow.mRequestSince;
+    if (flow.mOpenedAt && !flow.mAccepted &&
+        UnansweredFor(*flow.mOpenedAt, aNow) > kOpeningOverdue) {
       flow.mOverdue = true;
-      OnFailure(flow, FlowFailure::OpeningUnanswered, aNow);
-    } else if (flow.mRequestPending && aNow - flow.mRequestSince > overdueAfter &&
-               (flow.mHadFreeSlot || mLatestAnsweredSince > flow.mRequestSince)) {
+      OnFailure(flow, FlowFailure::OpeningUnanswered, *flow.mOpenedAt, aNow);
+    } else if (flow.mRequestPending && isDue &&
+               UnansweredFor(flow.mRequestSince, aNow) > overdueAfter) {
       flow.mOverdue = true;
-      OnFailure(flow, FlowFailure::Overdue, aNow);
+      OnFailure(flow, FlowFailure::Overdue, flow.mRequestSince, aNow);
     }
   }
 }
@@ -359,7 +393,7 @@
   LogUpstreamReset(key, flow, aNow);
   // An upstream that has more connections than it can hold resets some; that is no failure.
   if (flow.mRequestPending && flow.mHadFreeSlot) {
-    OnFailure(flow, FlowFailure::Reset, aNow);
+    OnFailure(flow, FlowFailure::Reset, flow.mRequestSince, aNow);
   }
   RemoveFlow(key, RemovalReason::UpstreamReset, aNow);
 }
@@ -465,6 +499,7 @@
   aFlow.mDeliveredEnd = end;
   if (!aFlow.mRequestPending) {
     aFlow.mHadFreeSlot = mAdmission.HasFreeSlot();
+    aFlow.mOverdue = false;
     mAdmission.OnRequest(aPacketHeader.mFlow, RouteKeyOf(aPacketHeader.mFlow), aNow);
   }
   SetRequestPending(aFlow, true, aNow);
--- a/lib/Packet/PacketAgentResets.cpp
+++ b/lib/Packet/PacketAgentResets.cpp
@@ -78,15 +78,19 @@
   AddUpstream(event, aNow);
 }
 
-void PacketAgent::LogVerdict(TimePoint aNow)
+void PacketAgent::LogVerdict(const std::string& aCallerDataCentre, TimePoint aNow)
 {
-  const UpstreamVerdict verdict = mFailureDetector.Verdict(aNow);
-  if (verdict == mLoggedVerdict) {
+  const UpstreamVerdict verdict = mFailureDetector.Verdict(aCallerDataCentre);
+  UpstreamVerdict& logged = mLoggedVerdicts[aCallerDataCentre];
+  if (verdict == logged) {
     return;
   }
   LogEvent event(LogLevel::Info, "upstream_verdict", LogPriority::High);
   event.With("verdict", ToString(verdict))
-    .With("before", ToString(mLoggedVerdict))
+    .With("before", ToString(logged))
+    .With("callers_data_centre", aCallerDataCentre)
+    .With("all_callers",
+          mFailureDetector.OverallVerdict() != UpstreamVerdict::Healthy ? "true" : "false")
     .With("overdue_after_ms",
           std::chrono::duration_cast<Milliseconds>(mFailureDetector.OverdueAfter()).count())
     .With("requests", mPendingRequests);
@@ -94,7 +98,7 @@
     event.With(ToString(static_cast<FlowFailure>(i)), mFlowFailures[i]->Value());
   }
   AddUpstream(event, aNow);
-  mLoggedVerdict = verdict;
+  logged = verdict;
 }
 
 void PacketAgent::OnDenial(const FlowKey& aKey, std::string_view aAnswer, const Endpoint& aBalancer,
--- a/unittests/Packet/PacketAgentTest.cpp
+++ b/unittests/Packet/PacketAgentTest.cpp
@@ -73,6 +73,7 @@
   CPPUNIT_TEST(ReportsCountOpenFlowsAndRequests);
   CPPUNIT_TEST(LatenciesAreMeasured);
   CPPUNIT_TEST(UpstreamsWithoutHeartbeatsTakeNoFlows);
+  CPPUNIT_TEST(OffersAreReturnedByFailingUpstreamsAndDeliveriesAccepted);
   CPPUNIT_TEST(FlowsAreRegisteredWithTheirDirectoryAgents);
   CPPUNIT_TEST(RegistrationsAreConfirmed);
   CPPUNIT_TEST(AcknowledgementsOfARestartedDirectoryAgentDoNotConfirmLostRegistrations);
@@ -1211,6 +1212,46 @@
     mNow += std::chrono::seconds(4);
     CPPUNIT_ASSERT(!mAgent.CurrentLoad(mNow).mAccepts);
   }
+
+  // Guards against flows for an upstream that resets all of them, and against an agent that also
+  // returns those for which the balancer has no other upstream.
+  void OffersAreReturnedByFailingUpstreamsAndDeliveriesAccepted()
+  {
+    PacketAgentSettings settings = Settings();
+    settings.mHealthMayBeWrong = true;
+    PacketAgent agent(settings, mCodec, mRegistry, kStart);
+    const auto fromBalancer = [&](NodeMessageType aType, PacketBytes aPacket) {
+      agent.OnNodePacket(NodeEndpoint(9), {aType, ReturnReason::None}, aPacket, mOutput, mNow);
+    };
+    const auto fromUpstream = [&](PacketBytes aPacket) {
+      agent.OnUpstreamPacket(aPacket, mOutput, mNow);
+    };
+    agent.OnConfiguration(TestConfiguration(1, {"web"}));
+    agent.OnUpstreamHeartbeat({"i-1", "web", false, {}, 4, 1'000, 1}, mNow);
+    fromBalancer(NodeMessageType::Offer, CallerPacket(TestFlow(1), FlagSyn));
+    CPPUNIT_ASSERT(mOutput.mToNodes.empty());
+    for (std::uint16_t caller = 2; caller < 6; ++caller) {
+      fromBalancer(NodeMessageType::Deliver, CallerPacket(TestFlow(caller), FlagSyn));
+      fromUpstream(UpstreamPacket(TestFlow(caller), FlagSyn | FlagAck));
+      fromBalancer(NodeMessageType::Deliver, CallerPacket(TestFlow(caller), FlagAck, 2, 2, 100));
+      fromUpstream(UpstreamPacket(TestFlow(caller), FlagRst, 2));
+    }
+    for (const NodeMessageType offer : {NodeMessageType::Offer, NodeMessageType::LastOffer}) {
+      mOutput.Clear();
+      fromBalancer(offer, CallerPacket(TestFlow(6), FlagSyn));
+      AssertReturned(ReturnReason::Failing);
+      CPPUNIT_ASSERT(mOutput.mToUpstream.empty());
+    }
+    mOutput.Clear();
+    fromBalancer(NodeMessageType::Deliver, CallerPacket(TestFlow(6), FlagSyn));
+    CPPUNIT_ASSERT(mOutput.mToNodes.empty());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, mOutput.mToUpstream.size());
+    // Another process of the upstream.
+    agent.OnUpstreamHeartbeat({"i-1", "web", false, {}, 4, 2'000, 1}, mNow);
+    mOutput.Clear();
+    fromBalancer(NodeMessageType::Offer, CallerPacket(TestFlow(7), FlagSyn));
+    CPPUNIT_ASSERT(mOutput.mToNodes.empty());
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(PacketAgentTest);
