--- a/lib/Daemon/PacketAgentDaemon.cpp
+++ b/lib/Daemon/PacketAgentDaemon.cpp
@@ -240,6 +240,7 @@
       if (state.ReadsDetails()) {
         report.mDetails = details;
         report.mDetails->mRoom = rooms[reader++];
+        mCore.SetVerdictFor(balancer, *report.mDetails, now);
       }
       if (last != report) {
         last = report;
--- a/lib/Packet/PacketBalancerOffers.cpp
+++ b/lib/Packet/PacketBalancerOffers.cpp
@@ -34,6 +34,28 @@
 // Factor on the weight of a cold upstream.
 constexpr double kColdWeight = 0.5;
 
+// Greatest speed that counts, in terms of the service's median. Upstreams of one service were seen
+// to differ by a factor of 2.2. One that answers errors at once from its start seems to be 40 times
+// as fast, and its agent has no usual answers to compare them with.
+constexpr double kMaxSpeedFactor = 2.5;
+
+// kDefaultSlotSpeed if no speed is known.
+double MedianSlotSpeed(std::span<const PlacementCandidate> aCandidates)
+{
+  std::vector<double> speeds;
+  for (const PlacementCandidate& candidate : aCandidates) {
+    if (candidate.mReport->mMilliRequestsPerSlotSecond > 0) {
+      speeds.push_back(candidate.mReport->mMilliRequestsPerSlotSecond / kMilli);
+    }
+  }
+  if (speeds.empty()) {
+    return kDefaultSlotSpeed;
+  }
+  const auto middle = speeds.begin() + static_cast<std::ptrdiff_t>((speeds.size() - 1) / 2);
+  std::nth_element(speeds.begin(), middle, speeds.end());
+  return *middle;
+}
+
 } // namespace
 
 void PacketBalancer::OnRouteTerms(const RouteTerms& aTerms)
@@ -90,12 +112,14 @@
 }
 
 // The verdict of an agent's earlier process stays, for as long as the same upstream runs, until the
-// new process has a verdict of its own.
+// new process has a verdict of its own. Before its first heartbeat, that process does not know the
+// upstream's start.
 bool PacketBalancer::KeepsVerdict(const Agent& aAgent, const LoadDetails& aDetails, TimePoint aNow)
 {
   return aAgent.mDetails && aAgent.mDetails->mVerdict == UpstreamVerdict::Failing &&
          aDetails.mVerdict == UpstreamVerdict::Healthy && aDetails.mVerdictAge.count() == 0 &&
-         aDetails.mUpstreamStartedMs == aAgent.mDetails->mUpstreamStartedMs &&
+         (aDetails.mUpstreamStartedMs == 0 ||
+          aDetails.mUpstreamStartedMs == aAgent.mDetails->mUpstreamStartedMs) &&
          aNow - aAgent.mDetailsAt <= kVerdictLifetime;
 }
 
@@ -106,7 +130,9 @@
     LoadDetails& details = *aAgent.mReport.mDetails;
     if (KeepsVerdict(aAgent, details, aNow)) {
       details.mVerdict = aAgent.mDetails->mVerdict;
+      details.mVerdictAge = aAgent.mDetails->mVerdictAge;
       details.mAdmittedPermille = aAgent.mDetails->mAdmittedPermille;
+      details.mUpstreamStartedMs = aAgent.mDetails->mUpstreamStartedMs;
     } else {
       aAgent.mDetailsAt = aNow;
     }
@@ -143,7 +169,7 @@
                                    agent->mPlacedSinceReport});
   }
   const std::vector<bool> ejected = ChooseEjected(ejectionCandidates);
-  const double meanSpeed = MeanSlotSpeed(placementCandidates);
+  const double medianSpeed = MedianSlotSpeed(placementCandidates);
   std::vector<SelectorCandidate> candidates;
   for (std::size_t i = 0; i < agents.size(); ++i) {
     const auto& [endpoint, agent] = agents[i];
@@ -151,9 +177,10 @@
       continue;
     }
     const LoadReport& report = *placementCandidates[i].mReport;
-    const double speed = report.mMilliRequestsPerSlotSecond == 0
-                           ? meanSpeed
-                           : report.mMilliRequestsPerSlotSecond / kMilli;
+    const double speed =
+      report.mMilliRequestsPerSlotSecond == 0
+        ? medianSpeed
+        : std::min(report.mMilliRequestsPerSlotSecond / kMilli, kMaxSpeedFactor * medianSpeed);
     double weight = std::max<std::uint32_t>(report.mSlots, 1) * speed;
     weight *= report.mCold ? kColdWeight : 1.0;
     if (agent->mDetails && (!ejectionCandidates[i].mFailing || ejected[i])) {
