Deliver copies of an opening that replaces an open flow

Cause: an agent did not recognise a copy of an opening that uses the port of an open flow again. It could return the copy as busy after the upstream had got the first one.

Change: such copies are delivered. Further tests for three mutants of OpeningAdmission that no test had caught: repeated openings, slots that change while requests wait, the first heartbeat. The random test also removes flows whose request is awaited.

--- a/lib/Packet/PacketAgentFlows.cpp
+++ b/lib/Packet/PacketAgentFlows.cpp
@@ -70,6 +70,8 @@
   const bool ofOtherFlow = found != mFlows.end() && !IsOpeningOf(found->second, aPacketHeader);
   // The upstream decides whether the packet or the flow is the earlier one.
   const bool replaces = ofOtherFlow && (!found->second.mAccepted || found->second.mClosed);
+  const bool copyOfReplacing =
+    ofOtherFlow && !replaces && found->second.mOtherOpeningSequence == aPacketHeader.mSequence;
   if (replaces) {
     RemoveFlow(aPacketHeader.mFlow, RemovalReason::Opening, aNow);
   }
@@ -89,7 +91,8 @@
   }
   // A copy of an opening that was delivered must not be returned as busy: the balancer would place
   // it at another upstream while this one opens the flow.
-  const NodeMessageType type = found == mFlows.end() ? aType : NodeMessageType::Deliver;
+  const bool copy = found != mFlows.end() || copyOfReplacing;
+  const NodeMessageType type = copy ? NodeMessageType::Deliver : aType;
   if (const auto reason = AdmitOpening(aFrom, type, aPacketHeader, aNow)) {
     LogOpening(aPacketHeader.mFlow, *reason, aNow);
     Return(aFrom, *reason, aPacket, aOutput);
--- a/unittests/Packet/OpeningAdmissionTest.cpp
+++ b/unittests/Packet/OpeningAdmissionTest.cpp
@@ -36,6 +36,7 @@
   CPPUNIT_TEST(RoomStaysWithinTheQueueLimit);
   CPPUNIT_TEST(UnknownCostsAreNotTakenAsZero);
   CPPUNIT_TEST(ChangedSlotsTakeEffectAtOnce);
+  CPPUNIT_TEST(TheFirstHeartbeatKeepsRequestsAndForgetsCosts);
   CPPUNIT_TEST_SUITE_END();
 
   OpeningAdmission mAdmission;
@@ -102,11 +103,14 @@
         caller = static_cast<std::uint16_t>((caller + 1) % 20'000);
         requested[caller] = action == 1; // A request may come without an opening.
         action == 1 ? Request(caller) : Open(caller);
+      } else if (item != requested.end() && action == 2) {
+        mAdmission.OnGone(TestFlow(item->first), mNow);
+        requested.erase(item);
       } else if (item != requested.end() && !item->second) {
         item->second = true;
         Request(item->first);
       } else if (item != requested.end()) {
-        action == 2 ? mAdmission.OnGone(TestFlow(item->first), mNow) : Answer(item->first);
+        Answer(item->first);
         Answer(item->first); // A repeated answer has no effect.
         requested.erase(item);
       }
@@ -124,6 +128,12 @@
     CPPUNIT_ASSERT_EQUAL(kSlots, mAdmission.Ahead());
     mAdmission.OnGone(TestFlow(1), mNow);
     CPPUNIT_ASSERT(AcceptsFirst());
+    // A repeated opening awaits its request as long as a new one.
+    OpenAll(1, 3);
+    mNow += Milliseconds{90};
+    OpenAll(1, 3);
+    mNow += Milliseconds{90};
+    CPPUNIT_ASSERT(!AcceptsFirst());
   }
 
   // Guards against slots that are kept for callers that have abandoned the opening.
@@ -220,7 +230,7 @@
     mAdmission.OnUpstreamStarted(2 * kSlots);
     Learn();
     std::uint16_t caller = 1;
-    while (AcceptsLast(aGoal, aPriority)) {
+    while (caller < 100 && AcceptsLast(aGoal, aPriority)) {
       Open(caller++);
     }
     return mAdmission.Ahead();
@@ -283,19 +293,34 @@
     mNow += Milliseconds{1};
     mAdmission.SetSlots(2 * kSlots, mNow);
     CPPUNIT_ASSERT_EQUAL(2 * kInitialLimit, mAdmission.QueueLimit());
-    mNow += Milliseconds{1};
-    Answer(1);
     mNow += Milliseconds{300};
-    for (std::uint16_t caller = 2; caller < 5; ++caller) {
+    for (std::uint16_t caller = 4; caller >= 1; --caller) {
       Answer(caller);
     }
-    CPPUNIT_ASSERT(*mAdmission.Costs().Mean(kRoute) > kRun + Milliseconds{6});
+    CPPUNIT_ASSERT(*mAdmission.Costs().Mean(kRoute) > kRun + Milliseconds{9});
     mAdmission.SetSlots(1, mNow);
     CPPUNIT_ASSERT_EQUAL(4U, mAdmission.QueueLimit());
     CPPUNIT_ASSERT(AcceptsFirst());
     Open(1);
     CPPUNIT_ASSERT(!AcceptsFirst());
   }
+
+  // Guards against costs that a restarted agent learned before it knew how many requests run at
+  // once: requests that ran beside each other seem to have run one after the other, and quickly.
+  void TheFirstHeartbeatKeepsRequestsAndForgetsCosts()
+  {
+    mAdmission = {};
+    RequestAll(1, 13);
+    mNow += kRun;
+    for (std::uint16_t caller = 1; caller < 11; ++caller) {
+      Answer(caller);
+    }
+    CPPUNIT_ASSERT(mAdmission.Costs().Mean());
+    mAdmission.OnUpstreamFound(kSlots, mNow);
+    CPPUNIT_ASSERT(!mAdmission.Costs().Mean());
+    CPPUNIT_ASSERT_EQUAL(2U, mAdmission.Ahead());
+    CPPUNIT_ASSERT_EQUAL(kInitialLimit, mAdmission.QueueLimit());
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(OpeningAdmissionTest);
--- a/unittests/Packet/PacketAgentTest.cpp
+++ b/unittests/Packet/PacketAgentTest.cpp
@@ -1276,6 +1276,11 @@
     CPPUNIT_ASSERT(mOutput.mToNodes.empty());
     CPPUNIT_ASSERT_EQUAL(std::size_t{6}, mOutput.mToUpstream.size());
     CPPUNIT_ASSERT_EQUAL(1'000U, Details().mBusyPermille);
+    // The port is used again, and the new opening replaces the open flow.
+    FromBalancer(CallerPacket(TestFlow(1), FlagSyn, 0x40000000));
+    Offer(1, 0x40000000);
+    CPPUNIT_ASSERT(mOutput.mToNodes.empty());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{8}, mOutput.mToUpstream.size());
   }
 
   // Guards against slots that are given away twice when callers use a port again.
