--- a/lib/Packet/PacketBalancerOffers.cpp
+++ b/lib/Packet/PacketBalancerOffers.cpp
@@ -32,8 +32,8 @@
 constexpr double kColdWeight = 0.5;
 
 // Greatest speed that counts, in terms of the service's median. Upstreams of one service were seen
-// to differ by a factor of 2.2. One that answers errors at once from its start seems to be 40 times
-// as fast, and its agent has no usual answers to compare them with.
+// to differ by a factor of 2.2. One that answers errors at once from its start seems many times as
+// fast, and its agent has no usual answers to compare them with.
 constexpr double kMaxSpeedFactor = 2.5;
 
 // kDefaultSlotSpeed if no speed is known.
