Decide on trial flows before admission

A hanging upstream keeps its slots taken by requests that it never answers, so admission returned every offer as busy: no trial flow could reach it, and the reason hid the verdict.

The verdict is asked first, and a trial flow is delivered whatever the upstream seems to run.

--- a/lib/Packet/PacketAgent.cpp
+++ b/lib/Packet/PacketAgent.cpp
@@ -277,6 +277,20 @@
 {
   const std::uint64_t route = RouteKeyOf(aFlow);
   const auto term = mRouteTerms.find(route);
+  if (mSettings.mHealthMayBeWrong) {
+    const std::string& dataCentre = DataCentreOf(aFrom);
+    const bool trial = mFailureDetector.Verdict(dataCentre) == UpstreamVerdict::Failing;
+    // In the table of earlier terms, the address may have been that of another route.
+    const bool repeatable =
+      term != mRouteTerms.end() && term->second.mRepeatable && mTermsVersion >= mRoutes.mVersion;
+    if (!mFailureDetector.Admits(dataCentre, repeatable, aNow)) {
+      return ReturnReason::Failing;
+    }
+    if (trial) {
+      // Requests that the upstream never answers may seem to take all its slots.
+      return std::nullopt;
+    }
+  }
   const RouteEntry& entry = mRouteEntries.at(route);
   OfferedOpening opening;
   opening.mRoute = route;
@@ -284,17 +298,7 @@
   opening.mGoal = term == mRouteTerms.end() ? Milliseconds{0} : term->second.mGoal;
   opening.mTimeout = entry.mTimeout;
   opening.mPriority = entry.mPriority;
-  if (!mAdmission.Accepts(opening, aNow)) {
-    return ReturnReason::Busy;
-  }
-  // In the table of earlier terms, the address may have been that of another route.
-  const bool repeatable =
-    term != mRouteTerms.end() && term->second.mRepeatable && mTermsVersion >= mRoutes.mVersion;
-  if (mSettings.mHealthMayBeWrong &&
-      !mFailureDetector.Admits(DataCentreOf(aFrom), repeatable, aNow)) {
-    return ReturnReason::Failing;
-  }
-  return std::nullopt;
+  return mAdmission.Accepts(opening, aNow) ? std::nullopt : std::optional(ReturnReason::Busy);
 }
 
 std::optional<ReturnReason> PacketAgent::AdmitOpening(const Endpoint& aFrom, NodeMessageType aType,
