Test when a waiting opening counts as late

Two mutants of OpeningQueue passed the test: lateness that begins one step later, and at the end of the goal. Both fail it now.

--- a/unittests/Packet/OpeningQueueTest.cpp
+++ b/unittests/Packet/OpeningQueueTest.cpp
@@ -155,11 +155,12 @@
     const std::vector<FlowKey> expected{TestFlow(4), TestFlow(3), TestFlow(1), TestFlow(2),
                                         OtherRouteFlow(5)};
     CPPUNIT_ASSERT(TakeFlows(5, Milliseconds{300}) == expected);
-    // After three quarters of the goal of 200 ms, an opening is late.
-    AddWithGoal(TestFlow(1), 1, Milliseconds{0});
-    AddWithGoal(TestFlow(2), 1, Milliseconds{1});
-    const std::vector<FlowKey> oneLate{TestFlow(2), TestFlow(1)};
-    CPPUNIT_ASSERT(TakeFlows(2, Milliseconds{150}) == oneLate);
+    // From three quarters of the goal of 200 ms on, an opening is late.
+    AddWithGoal(TestFlow(1), 1, Milliseconds{-10});
+    AddWithGoal(TestFlow(2), 1, Milliseconds{0});
+    AddWithGoal(TestFlow(3), 1, Milliseconds{1});
+    const std::vector<FlowKey> twoLate{TestFlow(3), TestFlow(1), TestFlow(2)};
+    CPPUNIT_ASSERT(TakeFlows(3, Milliseconds{150}) == twoLate);
   }
 
   // Guards against another order for routes that state no goal, however long their openings wait.
