Forecast waits without the capacity that offers take

The forecast gave waiting openings all that warm upstreams can run, but offered openings take it first. In overload, balancers held openings that could not be placed and refused them after 1.3 s, when another attempt was late. Balancers now count the offers that agents don't return, over about a second, and the forecast leaves their capacity out.

--- a/include/dandelionslip/Packet/PacketBalancer.h
+++ b/include/dandelionslip/Packet/PacketBalancer.h
@@ -382,7 +382,8 @@
   std::optional<TimePoint> mRetriedArrival;
   /// Set while a waiting opening is placed at an agent that has reported room for it.
   std::optional<Endpoint> mGrantedBy;
-  std::size_t mBalancers = 1; ///< In the view, including this one.
+  std::map<std::string, AcceptedRate> mAcceptedRates; ///< Of offered openings, by service.
+  std::size_t mBalancers = 1;                         ///< In the view, including this one.
   /// Waiting time of openings that were placed or refused before they expired.
   Summary& mWaitSeconds;
   Counter& mForwarded;
--- a/include/dandelionslip/Packet/WaitingForecast.h
+++ b/include/dandelionslip/Packet/WaitingForecast.h
@@ -21,10 +21,25 @@
   double mWarmPerSecond = 0; ///< New flows a second, from all balancers, when warm; 0 if unknown.
 };
 
+/// Flows per second that a balancer offers and agents do not return, over about the last second.
+/// They take upstreams' capacity before openings that wait. Not thread-safe.
+class AcceptedRate
+{
+public:
+  void OnOffered(TimePoint aNow);
+  void OnReturned(TimePoint aNow);
+  double PerSecond(TimePoint aNow) const;
+
+private:
+  double mAccepted = 0; ///< Each weighed by its age.
+  TimePoint mDecayedAt;
+};
+
 /// Expected time until this balancer, one of aBalancers with equal shares, can place an opening
-/// behind aAhead others. Empty if no upstream will take any. Zero if it is not known what upstreams
-/// will take.
+/// behind aAhead others, while it places aAcceptedPerSecond without a wait. Empty if no upstream
+/// will take any. Zero if it is not known what upstreams will take.
 std::optional<Milliseconds> ForecastWait(std::span<const ForecastUpstream> aUpstreams,
-                                         std::size_t aBalancers, std::size_t aAhead);
+                                         std::size_t aBalancers, std::size_t aAhead,
+                                         double aAcceptedPerSecond = 0);
 
 } // namespace dandelionslip
--- a/lib/Packet/PacketBalancer.cpp
+++ b/lib/Packet/PacketBalancer.cpp
@@ -343,6 +343,7 @@
   if (choice->mType != NodeMessageType::Deliver) {
     mOffered.Add();
     ++aFlow.mOffers;
+    mAcceptedRates[mAgents[choice->mAgent].mService].OnOffered(aNow);
   }
   mPlaced.Add();
   LogPlacement(aPacketHeader, *choice, aFlow.mOffers, aNow);
@@ -543,6 +544,9 @@
   Flow& flow = found->second;
   flow.mUsedAt = aNow;
   flow.mHolder.reset();
+  if (flow.mOffers > 0) {
+    mAcceptedRates[mAgents[aFrom].mService].OnReturned(aNow);
+  }
   if (aReason != ReturnReason::Cold) {
     flow.mOpeningReturnedBy.push_back({aFrom, NodeMessageType::Returned, aReason, true, aNow});
   }
--- a/lib/Packet/PacketBalancerOffers.cpp
+++ b/lib/Packet/PacketBalancerOffers.cpp
@@ -190,7 +190,11 @@
     upstream.mWarmPerSecond = report.mMilliRequestsPerSlotSecond / kMilli * report.mSlots;
     upstreams.push_back(upstream);
   }
-  const auto wait = ForecastWait(upstreams, mBalancers, mWaiting.Size());
+  double accepted = 0;
+  for (const auto& [service, rate] : mAcceptedRates) {
+    accepted += aRoute.HasTarget(service) ? rate.PerSecond(aNow) : 0.0;
+  }
+  const auto wait = ForecastWait(upstreams, mBalancers, mWaiting.Size(), accepted);
   return wait && aNow + *wait <= aArrivedAt + aRoute.mTimeout;
 }
 
--- a/lib/Packet/WaitingForecast.cpp
+++ b/lib/Packet/WaitingForecast.cpp
@@ -1,13 +1,44 @@
 // Integrates what upstreams take over time until a waiting opening has its turn.
 #include "dandelionslip/Packet/WaitingForecast.h"
 
+#include "dandelionslip/Support/Durations.h"
+
 #include <algorithm>
+#include <cmath>
 #include <vector>
 
 namespace dandelionslip {
 
+namespace {
+
+// Time constant of AcceptedRate. Short, as demand may double within a second.
+constexpr double kRateSeconds = 1.0;
+
+// Longer waits don't differ, and a rate near zero must not overflow.
+constexpr double kLongestSeconds = 3'600;
+
+} // namespace
+
+void AcceptedRate::OnOffered(TimePoint aNow)
+{
+  mAccepted = PerSecond(aNow) * kRateSeconds + 1;
+  mDecayedAt = aNow;
+}
+
+void AcceptedRate::OnReturned(TimePoint aNow)
+{
+  mAccepted = std::max(PerSecond(aNow) * kRateSeconds - 1, 0.0);
+  mDecayedAt = aNow;
+}
+
+double AcceptedRate::PerSecond(TimePoint aNow) const
+{
+  return mAccepted * std::exp(-Seconds(aNow - mDecayedAt) / kRateSeconds) / kRateSeconds;
+}
+
 std::optional<Milliseconds> ForecastWait(std::span<const ForecastUpstream> aUpstreams,
-                                         std::size_t aBalancers, std::size_t aAhead)
+                                         std::size_t aBalancers, std::size_t aAhead,
+                                         double aAcceptedPerSecond)
 {
   struct Change
   {
@@ -42,14 +73,16 @@
   std::sort(changes.begin(), changes.end(),
             [](const Change& aLeft, const Change& aRight) { return aLeft.mAt < aRight.mAt; });
   // Each balancer gets an equal share, so that its own openings wait for those of all.
-  double wanted = static_cast<double>((aAhead + 1) * std::max<std::size_t>(aBalancers, 1));
+  const auto balancers = static_cast<double>(std::max<std::size_t>(aBalancers, 1));
+  double wanted = static_cast<double>(aAhead + 1) * balancers;
+  const auto left = [&] { return std::max(perSecond - aAcceptedPerSecond * balancers, 0.0); };
   Milliseconds at{0};
   const auto timeFor = [&] {
     return at + std::chrono::duration_cast<Milliseconds>(
-                  std::chrono::duration<double>(wanted / perSecond));
+                  std::chrono::duration<double>(std::min(wanted / left(), kLongestSeconds)));
   };
   for (const Change& change : changes) {
-    const double taken = perSecond * std::chrono::duration<double>(change.mAt - at).count();
+    const double taken = left() * std::chrono::duration<double>(change.mAt - at).count();
     if (taken >= wanted) {
       return timeFor();
     }
@@ -60,7 +93,7 @@
     }
     perSecond += change.mPerSecond;
   }
-  return timeFor();
+  return left() > 0 ? std::optional(timeFor()) : std::nullopt;
 }
 
 } // namespace dandelionslip
