Keep a part of the queue for urgent openings in overload

An agent that returns a tenth of the last offers of a more urgent priority now lets less urgent ones fill half of the queue.

--- a/include/dandelionslip/Packet/OpeningAdmission.h
+++ b/include/dandelionslip/Packet/OpeningAdmission.h
@@ -6,6 +6,7 @@
 #include "dandelionslip/Support/RuntimeClock.h"
 
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <unordered_map>
 #include <vector>
@@ -40,8 +41,9 @@
   /// Forgets openings whose caller has sent no request. Must be called several times a second.
   void Expire(TimePoint aNow);
 
-  /// Whether to deliver the opening; otherwise it is returned as busy.
-  bool Accepts(const OfferedOpening& aOpening, TimePoint aNow) const;
+  /// Whether to deliver the opening; otherwise it is returned as busy. While last offers of more
+  /// urgent routes are returned, those of less urgent ones may fill only a part of the queue.
+  bool Accepts(const OfferedOpening& aOpening, TimePoint aNow);
   /// Expected time that a request opened now would wait for a slot; empty if costs are unknown.
   std::optional<RuntimeClock::duration> ExpectedWait(TimePoint aNow) const;
   /// Openings that the upstream can take within aInterval without a request waiting longer than its
@@ -65,6 +67,18 @@
     std::uint32_t mAheadOfRequest = 0;     ///< Requests in progress when it was delivered.
   };
 
+  /// Recent last offers of openings of one priority that have a goal.
+  struct LastOffers
+  {
+    double mCount = 0;    ///< Each weighed by its age.
+    double mReturned = 0; ///< Of these.
+    TimePoint mDecayedAt;
+
+    void Add(bool aReturned, TimePoint aNow);
+  };
+
+  bool HasRoomFor(const OfferedOpening& aOpening, TimePoint aNow) const;
+  bool ReturnsMoreUrgent(std::uint32_t aPriority, TimePoint aNow) const;
   void Remove(const FlowKey& aFlow, TimePoint aNow);
   void StartNext(TimePoint aNow);
   void LearnQueueLimit(const Entry& aEntry, TimePoint aNow);
@@ -75,6 +89,7 @@
   RequestCostModel mCosts;
   std::unordered_map<FlowKey, Entry, FlowKeyHash> mEntries;
   std::vector<FlowKey> mInProgress; ///< Flows whose request runs or waits, in order of delivery.
+  std::map<std::uint32_t, LastOffers> mLastOffers; ///< By priority.
   std::uint32_t mRunning = 0;
   std::uint32_t mQueueLimit = 0;
   TimePoint mLimitChangedAt;
--- a/lib/Packet/OpeningAdmission.cpp
+++ b/lib/Packet/OpeningAdmission.cpp
@@ -1,6 +1,8 @@
 // Expected waiting time beside an upstream, and the queue limit learned from its rejections.
 #include "dandelionslip/Packet/OpeningAdmission.h"
 
+#include "dandelionslip/Support/Durations.h"
+
 #include <algorithm>
 #include <cmath>
 
@@ -33,6 +35,17 @@
 // Weight of a new sample in the mean round trip.
 constexpr int kRoundTripSamples = 16;
 
+// The part of the queue that less urgent openings may fill while more urgent ones are returned.
+constexpr double kPartForLesser = 0.5;
+
+// More urgent openings count as returned when this share of their last offers was. With 42
+// upstreams at 90% load, fewer are.
+constexpr double kReturnedShare = 0.1;
+
+// Offers before the share is used, and the time constant with which earlier offers lose weight.
+constexpr double kMinLastOffers = 4;
+constexpr double kLastOfferSeconds = 2;
+
 // A queue of this part of the goal is acceptable for openings that wait at balancers.
 constexpr int kGoalPartForQueue = 2;
 
@@ -45,6 +58,7 @@
   mEntries.clear();
   mInProgress.clear();
   mRunning = 0;
+  mLastOffers.clear();
   mQueueLimit = kInitialQueueFactor * aSlots;
 }
 
@@ -196,7 +210,36 @@
               : std::nullopt;
 }
 
-bool OpeningAdmission::Accepts(const OfferedOpening& aOpening, TimePoint aNow) const
+void OpeningAdmission::LastOffers::Add(bool aReturned, TimePoint aNow)
+{
+  const double kept = std::exp(-Seconds(aNow - mDecayedAt) / kLastOfferSeconds);
+  mDecayedAt = aNow;
+  mCount = mCount * kept + 1;
+  mReturned = mReturned * kept + (aReturned ? 1 : 0);
+}
+
+// Whether offers of a more urgent priority have been returned lately.
+bool OpeningAdmission::ReturnsMoreUrgent(std::uint32_t aPriority, TimePoint aNow) const
+{
+  return std::any_of(
+    mLastOffers.begin(), mLastOffers.lower_bound(aPriority), [aNow](const auto& aItem) {
+      const LastOffers& offers = aItem.second;
+      const double kept = std::exp(-Seconds(aNow - offers.mDecayedAt) / kLastOfferSeconds);
+      return offers.mCount * kept >= kMinLastOffers &&
+             offers.mReturned >= kReturnedShare * offers.mCount;
+    });
+}
+
+bool OpeningAdmission::Accepts(const OfferedOpening& aOpening, TimePoint aNow)
+{
+  const bool accepts = HasRoomFor(aOpening, aNow);
+  if (aOpening.mLast && aOpening.mGoal.count() > 0) {
+    mLastOffers[aOpening.mPriority].Add(!accepts, aNow);
+  }
+  return accepts;
+}
+
+bool OpeningAdmission::HasRoomFor(const OfferedOpening& aOpening, TimePoint aNow) const
 {
   if (mEntries.size() < mSlots) {
     return true;
@@ -215,6 +258,10 @@
   if (aOpening.mGoal.count() == 0) {
     return *wait <= aOpening.mTimeout / kGoalPartForQueue;
   }
+  if (static_cast<double>(mEntries.size()) >= mSlots + kPartForLesser * (mQueueLimit - mSlots) &&
+      ReturnsMoreUrgent(aOpening.mPriority, aNow)) {
+    return false;
+  }
   // The requests of less urgent routes leave the rear part of the queue to those of urgent ones.
   const double part = 2.0 / (2.0 + aOpening.mPriority);
   const std::chrono::duration<double> longest =
