Don't take rejections by a full queue for runs or overtaking

While queues were full, rejections counted as answers: requests that waited behind others became overdue because a later one was rejected, and the usual duration and size fell. In PlacementLoadTest's play at 1.5 times the capacity with placements that don't ask agents (those of the last release, and of routes without a goal), 3 to 26 upstreams that were only busy got a failing verdict. Rejections also counted as completed requests in the learned speed.

FailureDetector now returns whether an answer was a run. A rejection by a full queue is no outcome and doesn't change what is usual; agents count only runs in the speed and when they look for overtaken requests.

--- a/include/dandelionslip/Packet/FailureDetector.h
+++ b/include/dandelionslip/Packet/FailureDetector.h
@@ -50,7 +50,8 @@
 public:
   /// Forgets everything: another process of the upstream may behave differently.
   void OnUpstreamStarted(TimePoint aNow);
-  void OnAnswered(const std::string& aCallerDataCentre, const UpstreamAnswer& aAnswer,
+  /// Returns whether the request was run. A rejection is a failure only if there was a free slot.
+  bool OnAnswered(const std::string& aCallerDataCentre, const UpstreamAnswer& aAnswer,
                   TimePoint aNow);
   void OnFailure(const std::string& aCallerDataCentre, FlowFailure aFailure, TimePoint aNow);
 
--- a/lib/Packet/FailureDetector.cpp
+++ b/lib/Packet/FailureDetector.cpp
@@ -138,23 +138,26 @@
 
 bool FailureDetector::IsRejection(const UpstreamAnswer& aAnswer) const
 {
-  return mAnswers >= kMinAnswers && aAnswer.mHadFreeSlot &&
-         Seconds(aAnswer.mDuration) < kRejectionTime * mMeanSeconds &&
+  return mAnswers >= kMinAnswers && Seconds(aAnswer.mDuration) < kRejectionTime * mMeanSeconds &&
          aAnswer.mBytes < kRejectionSize * mMeanBytes;
 }
 
-void FailureDetector::OnAnswered(const std::string& aCallerDataCentre,
+bool FailureDetector::OnAnswered(const std::string& aCallerDataCentre,
                                  const UpstreamAnswer& aAnswer, TimePoint aNow)
 {
   if (IsRejection(aAnswer)) {
-    OnFailure(aCallerDataCentre, FlowFailure::Rejected, aNow);
-    return;
+    // By a full queue, it shows neither that the upstream fails nor what is usual.
+    if (aAnswer.mHadFreeSlot) {
+      OnFailure(aCallerDataCentre, FlowFailure::Rejected, aNow);
+    }
+    return false;
   }
   const double weight =
     std::max(kBaselineWeight, 1.0 / static_cast<double>(std::min(++mAnswers, kMinAnswers * 100)));
   mMeanSeconds += weight * (Seconds(aAnswer.mDuration) - mMeanSeconds);
   mMeanBytes += weight * (aAnswer.mBytes - mMeanBytes);
   OnOutcome(aCallerDataCentre, false, aNow);
+  return true;
 }
 
 void FailureDetector::OnFailure(const std::string& aCallerDataCentre, FlowFailure /*aFailure*/,
--- a/lib/Packet/PacketAgentFlows.cpp
+++ b/lib/Packet/PacketAgentFlows.cpp
@@ -287,16 +287,21 @@
 void PacketAgent::OnRequestAnswered(const PacketHeader& aPacketHeader, Flow& aFlow, TimePoint aNow)
 {
   const auto duration = aNow - aFlow.mRequestSince;
-  mSpeedEstimator.OnCompleted();
   mRequestSeconds.Observe(Seconds(duration));
   mAdmission.OnAnswered(aPacketHeader.mFlow, aNow);
-  mLatestAnsweredSince = std::max(mLatestAnsweredSince, aFlow.mRequestSince);
   ++aFlow.mAnswers;
+  bool wasRun = true;
   if (mSettings.mHealthMayBeWrong) {
-    mFailureDetector.OnAnswered(DataCentreOf(aFlow.mOpenedBy),
-                                {duration, aPacketHeader.mDataBytes, aFlow.mHadFreeSlot}, aNow);
+    wasRun =
+      mFailureDetector.OnAnswered(DataCentreOf(aFlow.mOpenedBy),
+                                  {duration, aPacketHeader.mDataBytes, aFlow.mHadFreeSlot}, aNow);
     LogVerdict(aNow);
   }
+  // An upstream that rejects requests is not fast, and those that wait are not overtaken.
+  if (wasRun) {
+    mSpeedEstimator.OnCompleted();
+    mLatestAnsweredSince = std::max(mLatestAnsweredSince, aFlow.mRequestSince);
+  }
   SetRequestPending(aFlow, false, aNow);
 }
 
--- a/unittests/Packet/PlacementLoadTest.cpp
+++ b/unittests/Packet/PlacementLoadTest.cpp
@@ -31,6 +31,7 @@
   CPPUNIT_TEST(LesserKindsGetTheRestInOverload);
   CPPUNIT_TEST(DataCentresGetEqualSharesInOverload);
   CPPUNIT_TEST(BusyUpstreamsAreNotTakenForFailing);
+  CPPUNIT_TEST(FullUpstreamsAreNotTakenForFailing);
   CPPUNIT_TEST_SUITE_END();
 
   static void Print(const char* aName, const PlayOutcomes& aOutcomes)
@@ -143,6 +144,17 @@
     CPPUNIT_ASSERT(results.mBusyShare > 0.85);
     CPPUNIT_ASSERT_EQUAL(std::size_t{0}, results.mFailingVerdicts);
   }
+
+  // Guards against requests that count as overdue because later ones were rejected by a full queue,
+  // and against rejections that lower what is usual. Balancers of the last release and those of
+  // routes without a goal don't ask, so that queues are full in overload.
+  void FullUpstreamsAreNotTakenForFailing()
+  {
+    for (const auto policy : {PlacementPolicy::Today, PlacementPolicy::Random,
+                              PlacementPolicy::Fewest, PlacementPolicy::TwoChoices}) {
+      CPPUNIT_ASSERT_EQUAL(std::size_t{0}, InOverload(policy).mFailingVerdicts);
+    }
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(PlacementLoadTest);
--- a/unittests/Packet/PlacementPlay.cpp
+++ b/unittests/Packet/PlacementPlay.cpp
@@ -370,11 +370,12 @@
   Upstream& upstream = mUpstreams[aUpstream];
   const Request& request = mRequests[aId];
   --upstream.mFlows;
-  upstream.mLatestAnswered = std::max(upstream.mLatestAnswered, request.mDelivered);
-  upstream.mEstimator.OnCompleted();
   upstream.mAdmission.OnAnswered(request.mFlow, mNow);
-  upstream.mDetector.OnAnswered("", {mNow - request.mDelivered, aBytes, request.mHadFreeSlot},
-                                mNow);
+  if (upstream.mDetector.OnAnswered("", {mNow - request.mDelivered, aBytes, request.mHadFreeSlot},
+                                    mNow)) {
+    upstream.mEstimator.OnCompleted();
+    upstream.mLatestAnswered = std::max(upstream.mLatestAnswered, request.mDelivered);
+  }
   NoteVerdict(upstream);
   std::erase(upstream.mPending, aId);
   upstream.mEstimator.OnActiveChanged(static_cast<std::uint32_t>(upstream.mPending.size()), kSlots,
