--- a/lib/Packet/FailureDetector.cpp
+++ b/lib/Packet/FailureDetector.cpp
@@ -168,21 +168,23 @@
 
 bool FailureDetector::IsRejection(const UpstreamAnswer& aAnswer) const
 {
-  return mAnswers >= kMinAnswers && aAnswer.mHadFreeSlot &&
-         Seconds(aAnswer.mDuration) < kRejectionTime * mMeanSeconds &&
+  return mAnswers >= kMinAnswers && Seconds(aAnswer.mDuration) < kRejectionTime * mMeanSeconds &&
          aAnswer.mBytes < kRejectionSize * mMeanBytes;
 }
 
-void FailureDetector::OnAnswered(const std::string& aCallerDataCentre,
+bool FailureDetector::OnAnswered(const std::string& aCallerDataCentre,
                                  const UpstreamAnswer& aAnswer, TimePoint aNow)
 {
   const TimePoint deliveredAt = aNow - aAnswer.mDuration;
   if (deliveredAt < mStartedAt) {
-    return;
+    return false;
   }
   if (IsRejection(aAnswer)) {
-    OnFailure(aCallerDataCentre, FlowFailure::Rejected, deliveredAt, aNow);
-    return;
+    // By a full queue, it shows neither that the upstream fails nor what is usual.
+    if (aAnswer.mHadFreeSlot) {
+      OnFailure(aCallerDataCentre, FlowFailure::Rejected, deliveredAt, aNow);
+    }
+    return false;
   }
   const double weight =
     std::max(kBaselineWeight, 1.0 / static_cast<double>(std::min(++mAnswers, kMinAnswers * 100)));
@@ -192,6 +194,7 @@
   if (!aAnswer.mWasOverdue) {
     OnOutcome(aCallerDataCentre, false, deliveredAt, aNow);
   }
+  return true;
 }
 
 void FailureDetector::OnFailure(const std::string& aCallerDataCentre, FlowFailure /*aFailure*/,
--- a/lib/Packet/PacketAgentFlows.cpp
+++ b/lib/Packet/PacketAgentFlows.cpp
@@ -305,20 +305,24 @@
 void PacketAgent::OnRequestAnswered(const PacketHeader& aPacketHeader, Flow& aFlow, TimePoint aNow)
 {
   const auto duration = aNow - aFlow.mRequestSince;
-  mSpeedEstimator.OnCompleted();
   mRequestSeconds.Observe(Seconds(duration));
   mAdmission.OnAnswered(aPacketHeader.mFlow, aNow);
-  mLatestAnsweredSince = std::max(mLatestAnsweredSince, aFlow.mRequestSince);
   mRequestAnsweredAt = aNow;
   if (++aFlow.mAnswers == 1 && aFlow.mKnownByOpening) {
     mFlowLength.OnFirstAnswer(aNow);
   }
+  bool wasRun = true;
   if (mSettings.mHealthMayBeWrong) {
     const std::string& dataCentre = DataCentreOf(aFlow.mOpenedBy);
-    mFailureDetector.OnAnswered(
+    wasRun = mFailureDetector.OnAnswered(
       dataCentre, {duration, aPacketHeader.mDataBytes, aFlow.mHadFreeSlot, aFlow.mOverdue}, aNow);
     LogVerdict(dataCentre, aNow);
   }
+  // An upstream that rejects requests is not fast, and those that wait are not overtaken.
+  if (wasRun) {
+    mSpeedEstimator.OnCompleted();
+    mLatestAnsweredSince = std::max(mLatestAnsweredSince, aFlow.mRequestSince);
+  }
   SetRequestPending(aFlow, false, aNow);
 }
 
