List a false verdict on an upstream that has just started

A trial that didn't count overtaken requests before the usual answers are known still failed and isn't taken.

--- a/unittests/Packet/PlacementLoadTest.cpp
+++ b/unittests/Packet/PlacementLoadTest.cpp
@@ -32,6 +32,7 @@
   CPPUNIT_TEST(DataCentresGetEqualSharesInOverload);
   CPPUNIT_TEST(BusyUpstreamsAreNotTakenForFailing);
   CPPUNIT_TEST(FullUpstreamsAreNotTakenForFailing);
+  CPPUNIT_TEST(UnknownUpstreamsAreNotTakenForFailing);
   CPPUNIT_TEST_SUITE_END();
 
   static void Print(const char* aName, const PlayOutcomes& aOutcomes)
@@ -155,6 +156,16 @@
       CPPUNIT_ASSERT_EQUAL(std::size_t{0}, InOverload(policy).mFailingVerdicts);
     }
   }
+
+  // Guards against verdicts on a slow upstream whose queue is full before its usual answers are
+  // known.
+  void UnknownUpstreamsAreNotTakenForFailing()
+  {
+    for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+      PlacementPlay play(PlacementPolicy::Today, 1.5, Milliseconds{1'000}, seed);
+      CPPUNIT_ASSERT_EQUAL(std::size_t{0}, play.Run().mFailingVerdicts);
+    }
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(PlacementLoadTest);
