--- a/include/dandelionslip/Config/PacketSettings.h
+++ b/include/dandelionslip/Config/PacketSettings.h
@@ -14,8 +14,8 @@
   std::string mDatagramEndpoint;        ///< UDP "address:port" for other nodes.
   std::string mStatusEndpoint;          ///< TCP "address:port" for readiness and metrics.
   std::uint16_t mCallerReceivePort = 0; ///< UDP port of the callers, to which replies are sent.
-  /// Upstreams may fail although their heartbeats say that they are ready, so that agents judge them
-  /// by their answers.
+  /// Upstreams may fail although their heartbeats say that they are ready, so that agents judge
+  /// them by their answers.
   bool mHealthMayBeWrong = false;
 
   bool operator==(const PacketNodeSettings&) const = default;
--- a/include/dandelionslip/Packet/FlowLengthEstimator.h
+++ b/include/dandelionslip/Packet/FlowLengthEstimator.h
@@ -16,8 +16,8 @@
   /// answered on it. One without answers shows nothing and is ignored.
   void OnEnded(unsigned aAnswers, TimePoint aNow);
 
-  /// Whether at least kMinEnded flows have ended, at least half of those that got an answer, with at
-  /// most kMaxAnswers answers each on average. False while too little is known.
+  /// Whether at least kMinEnded flows have ended, at least half of those that got an answer, with
+  /// at most kMaxAnswers answers each on average. False while too little is known.
   bool OneRequestPerFlow() const;
 
   static constexpr double kMinEnded = 3;
