Grant no waiting openings to a data centre that is out of service

Openings that wait for room went straight to the agent whose report granted it. The balancer's own check of the data centre was passed over, so an agent that control does not reach, and that still reports room, would have got openings after an evacuation.

Room is granted only by the agent's present report and only while its data centre is in service; this also drops room that an earlier process of the agent reported. DataCentresOutOfServiceGetNoWaitingOpenings failed before.

--- a/lib/Packet/PacketBalancerWaiting.cpp
+++ b/lib/Packet/PacketBalancerWaiting.cpp
@@ -84,11 +84,15 @@
   }
   const std::string service = aAgent.mService;
   const bool grants = !aAgent.mReport.mCold && aAgent.mDetails && IsOfShortFlows(service);
+  // An agent that control does not reach reports room although its data centre is out of service,
+  // and the details that are kept may be those of its earlier process.
+  const auto& details = aAgent.mReport.mDetails;
+  const bool hasRoom =
+    details && details->mVerdict == UpstreamVerdict::Healthy && IsEligible(aEndpoint, aAgent, {});
   const std::size_t room = aAgent.mReport.mCold ? ColdOpeningsLeft(aAgent)
                            : !grants            ? mWaiting.Size()
-                           : aAgent.mDetails->mVerdict == UpstreamVerdict::Healthy
-                             ? aAgent.mDetails->mRoom
-                             : 0;
+                           : hasRoom            ? details->mRoom
+                                                : 0;
   if (room == 0) {
     return;
   }
--- a/unittests/Packet/PacketBalancerTest.cpp
+++ b/unittests/Packet/PacketBalancerTest.cpp
@@ -79,6 +79,7 @@
   CPPUNIT_TEST(LateAnswersOfDirectoryAgentsDoNotRefuseAnOpening);
   CPPUNIT_TEST(HighPriorityRoutesLeaveTheQueueFirst);
   CPPUNIT_TEST(DataCentresOutOfServiceGetNoOpenings);
+  CPPUNIT_TEST(DataCentresOutOfServiceGetNoWaitingOpenings);
   CPPUNIT_TEST(FlowsFollowTheSpeedOfUpstreams);
   CPPUNIT_TEST(VerdictsSurviveTheAgentAndEndWithTheUpstream);
   CPPUNIT_TEST(FailingUpstreamsBeyondTheBoundGetDeliveries);
@@ -1408,6 +1409,27 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, mOutput.Resets());
   }
 
+  // Guards against waiting openings for a data centre that is out of service: an agent that control
+  // does not reach knows nothing of that and reports room.
+  void DataCentresOutOfServiceGetNoWaitingOpenings()
+  {
+    Settle();
+    mBalancer.OnRouteTerms({1, {{"198.18.0.1:443", true, Milliseconds{200}}}});
+    Report(1, Cold(0, Milliseconds{500}));
+    Report(2, Cold(0, Milliseconds{500}));
+    Send(CallerPacket(TestFlow(1), FlagSyn));
+    mOutput.Clear();
+    Configuration configuration = TestConfiguration(2, {"web"});
+    configuration.mDataCentres["north"].mOutOfService = true;
+    mBalancer.OnState(configuration, View{}, mOutput, mNow);
+    LoadReport report = Accepting();
+    LoadDetails& details = report.mDetails.emplace();
+    details.mOneRequestPerFlow = true;
+    details.mRoom = 5;
+    Report(1, report);
+    CPPUNIT_ASSERT(mOutput.mToNodes.empty());
+  }
+
   // Guards against equal shares for upstreams of unequal speed: many long flows are opened, with
   // load reports only every 40 openings. No upstream may get more than 15% above its share.
   void FlowsFollowTheSpeedOfUpstreams()
