Do not take heartbeat 1 for the first one of a start

Callers saw: a reset on open flows 5.5 s after one kill of an agent, with all VMs in touch and the upstream still holding the flows; their requests were lost.

Cause: an agent took heartbeat 0 or 1 for the first one of a start and its table for complete. An upstream that counts from 0 sends number 1 second; the process that was killed had got the first and opened flows.

Change: the table is complete from the start only with evidence that the agent ran when the upstream started: a refused connection (tried at the agent's start), heartbeat 0, an earlier start that the agent had heard for three intervals, or the upstream's own age in the heartbeat, below half an interval. None of these holds for a heartbeat that follows an acknowledged one, if the upstream warms up for as long as its service says. Without a start time only the refused connection counts. In doubt unknown flows are probed and a cold upstream gets none for a window.

No assertion was changed.

--- a/include/dandelionslip/Packet/OpeningLimiter.h
+++ b/include/dandelionslip/Packet/OpeningLimiter.h
@@ -22,6 +22,9 @@
   /// opened before.
   void Block(TimePoint aSince) { mBlockedUntil = aSince + kWindow; }
 
+  /// Takes Block() back, because no flow was opened before.
+  void Unblock() { mBlockedUntil = {}; }
+
 private:
   /// The upstream must not see more than the limit in any second. The window is 100 ms longer
   /// because delays from agent to upstream vary.
--- a/include/dandelionslip/Packet/PacketAgent.h
+++ b/include/dandelionslip/Packet/PacketAgent.h
@@ -118,14 +118,25 @@
   MemberState State(TimePoint aNow) const;
 
 private:
+  /// What shows that this process ran when its upstream started, and so opened all of its flows.
+  enum class StartEvidence
+  {
+    None,
+    Pending, ///< Depends on the warm-up time of the service, which is not known yet.
+    Certain,
+  };
+
   /// The upstream as known from its newest heartbeat.
   struct Upstream
   {
     UpstreamHeartbeat mLastHeartbeat;
+    UpstreamHeartbeat mFirstHeartbeat; ///< First one of the start that this process accepted.
+    TimePoint mFoundAt;                ///< When mFirstHeartbeat came.
     TimePoint mHeardAt;
     TimePoint mColdUntil;
     bool mLeft = false;
-    bool mSawFirstHeartbeat = false; ///< This process received the first heartbeat of the start.
+    bool mConfirmed = false; ///< The only start that this process has heard of, or heard twice.
+    StartEvidence mStartEvidence = StartEvidence::None;
   };
 
   /// Stale heartbeats of one start, with rising sequence numbers, since a heartbeat was accepted.
@@ -217,12 +228,15 @@
   RuntimeClock::duration UnansweredFor(TimePoint aDeliveredAt, TimePoint aNow) const;
   /// Notes a stale heartbeat; returns whether its start replaces the known one, which is silent.
   bool ReplacesSilentStart(const UpstreamHeartbeat& aHeartbeat, TimePoint aNow);
+  StartEvidence EvidenceOfStart(const UpstreamHeartbeat& aFirst) const;
+  bool HeardEarlierStart(const UpstreamHeartbeat& aHeartbeat) const;
   ReturnReason ReasonForNoNewFlows(TimePoint aNow) const;
   bool MayActOnOldState(TimePoint aNow) const;
   bool RouteTargetsService(const FlowKey& aFlow) const;
   bool IsCold(TimePoint aNow) const;
   bool IsFinished() const;
   std::size_t ColdLimit() const;
+  bool SawUpstreamStart() const;
   bool TableIsComplete(TimePoint aNow) const;
   void Deliver(const Endpoint& aBalancer, NodeMessageType aType, std::uint32_t aNumber,
                std::span<std::uint8_t> aPacket, PacketOutput& aOutput, TimePoint aNow);
@@ -294,8 +308,6 @@
   /// heartbeat before it gets flows.
   bool mUpstreamAbsent = false;
   std::optional<TimePoint> mUpstreamSentAt; ///< Last packet of the upstream.
-  /// Whether this process ran when the upstream started, and so opened all of its flows.
-  bool mSawUpstreamStart = false;
   bool mStopping = false;
   TimePoint mLeaseEnd = TimePoint::max();
   std::optional<TimePoint> mTickedAt;
--- a/lib/Daemon/PacketAgentDaemon.cpp
+++ b/lib/Daemon/PacketAgentDaemon.cpp
@@ -77,6 +77,10 @@
                                                         [this] { SendLoadReports(); });
     mNode.Pool().OnStop([this] { Stop(); });
     mNode.Start();
+    if (!mSettings.mUpstreamConnectionEndpoint.empty()) {
+      // An upstream that does not run yet will have started after this process.
+      TryUpstream("upstream_at_start", [] {});
+    }
     LogEvent(LogLevel::Info, "started")
       .With("nodes", mSettings.mDatagramEndpoint)
       .With("upstream", mSettings.mUpstreamEndpoint)
@@ -195,15 +199,16 @@
   {
     if (!mSettings.mUpstreamConnectionEndpoint.empty() &&
         mCore.TakeConnectionCheck(RuntimeClock::now())) {
-      TryUpstream([] {});
+      TryUpstream("upstream_silent", [] {});
     }
   }
 
-  void TryUpstream(std::function<void()> aOnRefused)
+  // Tries one connection; logs its outcome as the event aEvent.
+  void TryUpstream(std::string_view aEvent, std::function<void()> aOnRefused)
   {
     TryConnection(mNode.Loop(), Endpoint::Parse(mSettings.mUpstreamConnectionEndpoint).value(),
-                  [this, onRefused = std::move(aOnRefused)](ConnectionOutcome aOutcome) {
-                    LogEvent(LogLevel::Info, "upstream_silent")
+                  [this, aEvent, onRefused = std::move(aOnRefused)](ConnectionOutcome aOutcome) {
+                    LogEvent(LogLevel::Info, aEvent)
                       .With("upstream", mSettings.mUpstreamConnectionEndpoint)
                       .With("connection", ToString(aOutcome));
                     if (aOutcome == ConnectionOutcome::Refused) {
@@ -267,7 +272,7 @@
     SendLoadReports();
     if (mCore.StopsBesideUpstream() && !mSettings.mUpstreamConnectionEndpoint.empty()) {
       // Balancers would search for flows at an agent that has not reported that it is finished.
-      TryUpstream([this] {
+      TryUpstream("upstream_silent", [this] {
         SendLoadReports();
         mNode.Link().AnnounceNow([](bool) {});
       });
--- a/lib/Packet/PacketAgent.cpp
+++ b/lib/Packet/PacketAgent.cpp
@@ -108,6 +108,12 @@
     mRouteEntries[RouteKeyOf(Endpoint::Parse(route.mAddress).value())] = {
       targetsService, route.mPriority, route.mTimeout};
   }
+  if (mUpstream && mUpstream->mStartEvidence == StartEvidence::Pending) {
+    mUpstream->mStartEvidence = EvidenceOfStart(mUpstream->mFirstHeartbeat);
+    if (SawUpstreamStart()) {
+      mColdLimiter.Unblock();
+    }
+  }
   LogEvent(LogLevel::Info, "routes_in_force")
     .With("version", mRoutes.mVersion)
     .With("revision", aConfiguration.mRevision);
@@ -144,13 +150,48 @@
   return aNow - stale->mFirstAt >= silence;
 }
 
+// Whether the first heartbeat that this process accepted of a start shows that the process ran
+// before the start, and so has seen all of its flows. Upstreams may number their heartbeats from 0
+// or 1: an earlier process of this agent may have got the one before number 1, and opened flows.
+PacketAgent::StartEvidence PacketAgent::EvidenceOfStart(const UpstreamHeartbeat& aFirst) const
+{
+  if (aFirst.mSequence > 1) {
+    return StartEvidence::None;
+  }
+  if (mUpstreamAbsent) {
+    return StartEvidence::Certain;
+  }
+  // Without a start time, a late heartbeat of an earlier start looks like one of the running start.
+  if (aFirst.mStartedMs == 0) {
+    return StartEvidence::None;
+  }
+  if (aFirst.mSequence == 0 || HeardEarlierStart(aFirst)) {
+    return StartEvidence::Certain;
+  }
+  const RoutedService* service = mRoutes.FindService(mSettings.mService);
+  if (service == nullptr) {
+    return StartEvidence::Pending;
+  }
+  // Upstreams wait for an interval after a heartbeat that was acknowledged.
+  const Milliseconds age = service->mWarmUp - aFirst.mColdLeft;
+  return aFirst.mColdLeft.count() > 0 && age.count() >= 0 && 2 * age < mSettings.mHeartbeat
+           ? StartEvidence::Certain
+           : StartEvidence::None;
+}
+
+// Whether this process heard an earlier start of the upstream for too long for late heartbeats.
+bool PacketAgent::HeardEarlierStart(const UpstreamHeartbeat& aHeartbeat) const
+{
+  return mUpstream && mUpstream->mLastHeartbeat.mStartedMs != aHeartbeat.mStartedMs &&
+         mUpstream->mHeardAt - mUpstream->mFoundAt >= kMaxMissedHeartbeats * mSettings.mHeartbeat;
+}
+
 HeartbeatOutcome PacketAgent::OnUpstreamHeartbeat(const UpstreamHeartbeat& aHeartbeat,
                                                   TimePoint aNow)
 {
   if (aHeartbeat.mService != mSettings.mService) {
     return HeartbeatOutcome::WrongService;
   }
-  bool sawFirst = aHeartbeat.mSequence <= 1;
   if (mUpstream) {
     const UpstreamHeartbeat& known = mUpstream->mLastHeartbeat;
     const bool sameStart = known.mId == aHeartbeat.mId && known.mStartedMs == aHeartbeat.mStartedMs;
@@ -162,9 +203,6 @@
     if (stale && !ReplacesSilentStart(aHeartbeat, aNow)) {
       return HeartbeatOutcome::Stale;
     }
-    // Another start's first heartbeat may come from another writer; its second one confirms it.
-    sawFirst = sawFirst || (sameStart && mUpstream->mSawFirstHeartbeat);
-    mSawUpstreamStart = sameStart && (mSawUpstreamStart || mUpstream->mSawFirstHeartbeat);
     if (!sameStart || known.mDraining != aHeartbeat.mDraining) {
       LogEvent(LogLevel::Info, "upstream_changed")
         .With("upstream", aHeartbeat.mId)
@@ -178,7 +216,6 @@
       .With("sequence", aHeartbeat.mSequence)
       .With("started_ms", aHeartbeat.mStartedMs)
       .With("cold_left_ms", aHeartbeat.mColdLeft.count());
-    mSawUpstreamStart = sawFirst;
   }
   const bool newStart = !mUpstream || mUpstream->mLastHeartbeat.mId != aHeartbeat.mId ||
                         mUpstream->mLastHeartbeat.mStartedMs != aHeartbeat.mStartedMs;
@@ -194,11 +231,22 @@
   if (newStart) {
     mFailureDetector.OnUpstreamStarted(aNow);
   }
-  if (!sawFirst) {
+  Upstream upstream{aHeartbeat, aHeartbeat, aNow, aNow, aNow + aHeartbeat.mColdLeft};
+  if (newStart) {
+    // Another start's first heartbeat may come from another writer; its second one confirms it.
+    upstream.mConfirmed = !mUpstream;
+    upstream.mStartEvidence = EvidenceOfStart(aHeartbeat);
+  } else {
+    upstream.mFirstHeartbeat = mUpstream->mFirstHeartbeat;
+    upstream.mFoundAt = mUpstream->mFoundAt;
+    upstream.mConfirmed = true;
+    upstream.mStartEvidence = mUpstream->mStartEvidence;
+  }
+  mUpstream = std::move(upstream);
+  if (mUpstream->mStartEvidence != StartEvidence::Certain) {
     // An earlier process of this agent may have opened flows, also in the limiter's current window.
     mColdLimiter.Block(mStartedAt);
   }
-  mUpstream = Upstream{aHeartbeat, aNow, aNow + aHeartbeat.mColdLeft, false, sawFirst};
   mUpstreamAbsent = false;
   mStaleHeartbeats.reset();
   mColdUntilHeartbeat = false;
@@ -329,9 +377,14 @@
   return std::nullopt;
 }
 
+bool PacketAgent::SawUpstreamStart() const
+{
+  return mUpstream && mUpstream->mConfirmed && mUpstream->mStartEvidence == StartEvidence::Certain;
+}
+
 bool PacketAgent::TableIsComplete(TimePoint aNow) const
 {
-  return mSawUpstreamStart || mUpstreamAbsent || aNow - mStartedAt > mSettings.mMaxFlowAge;
+  return SawUpstreamStart() || mUpstreamAbsent || aNow - mStartedAt > mSettings.mMaxFlowAge;
 }
 
 bool PacketAgent::TakeConnectionCheck(TimePoint aNow)
--- a/unittests/Packet/PacketAgentLogTest.cpp
+++ b/unittests/Packet/PacketAgentLogTest.cpp
@@ -54,6 +54,9 @@
   void ApplyRoutesAndHeartbeat(std::uint64_t aSequence = 1)
   {
     mAgent.OnConfiguration(TestConfiguration(1, {"web"}));
+    if (aSequence == 1) {
+      mAgent.OnConnectionRefused(); // The upstream starts after the agent.
+    }
     mAgent.OnUpstreamHeartbeat({"i-1", "web", false, Milliseconds{0}, 4, 1'000, aSequence}, mNow);
   }
 
--- a/unittests/Packet/PacketAgentTest.cpp
+++ b/unittests/Packet/PacketAgentTest.cpp
@@ -19,6 +19,7 @@
 constexpr TimePoint kStart{std::chrono::seconds(100)};
 constexpr std::size_t kFlagsOffset = 8;
 constexpr unsigned kSelf = 30;
+constexpr Milliseconds kWarmUp{2'000}; // Of the services of TestConfiguration().
 
 class PacketAgentTest : public CppUnit::TestFixture
 {
@@ -62,6 +63,12 @@
   CPPUNIT_TEST(OneFirstHeartbeatOfAnotherStartDoesNotMakeTheTableComplete);
   CPPUNIT_TEST(LateFirstHeartbeatDoesNotMakeTheTableComplete);
   CPPUNIT_TEST(RestartedAgentsBlockColdOpeningsAfterALateHeartbeat);
+  CPPUNIT_TEST(SecondHeartbeatsNumberedOneDoNotCompleteTheTable);
+  CPPUNIT_TEST(SecondHeartbeatsNumberedOneBlockColdOpenings);
+  CPPUNIT_TEST(HeartbeatsNumberedZeroCompleteTheTable);
+  CPPUNIT_TEST(HeartbeatsOfANewUpstreamCompleteTheTable);
+  CPPUNIT_TEST(HeartbeatsOfANewUpstreamCompleteTheTableOnceTheWarmUpTimeIsKnown);
+  CPPUNIT_TEST(HeartbeatsWithoutAStartTimeDoNotCompleteTheTable);
   CPPUNIT_TEST(ResetsOfUnknownFlowsAreDropped);
   CPPUNIT_TEST(BouncedProbesAreAnsweredNotFound);
   CPPUNIT_TEST(StaleHeartbeatsAreIgnored);
@@ -117,10 +124,14 @@
                                       mNow);
   }
 
-  // If aSequence is greater than 1, the agent has restarted while the upstream ran.
+  // With aSequence 1 the agent starts before its upstream, which still refuses connections; if it
+  // is greater, the agent has restarted while the upstream ran.
   void ApplyRoutesAndHeartbeat(std::uint64_t aSequence = 1, Milliseconds aCold = Milliseconds{0})
   {
     mAgent.OnConfiguration(TestConfiguration(1, {"web"}));
+    if (aSequence == 1) {
+      mAgent.OnConnectionRefused();
+    }
     Heartbeat(aSequence, false, aCold);
   }
 
@@ -544,6 +555,7 @@
   // Guards against a large rate that is reported as a small one.
   void ColdOpeningRatesOfAnySizeAreReported()
   {
+    mAgent.OnConnectionRefused(); // The upstream starts after the agent.
     std::uint64_t version = 0;
     for (const double rate : {4'294'967'296.0, 1e19, 1e300}) {
       Configuration configuration = TestConfiguration(++version, {"web"});
@@ -1049,6 +1061,74 @@
     AssertTableComplete(false);
   }
 
+  // Guards against resets of open flows: the upstream numbers its heartbeats from 0, and an earlier
+  // process of the agent got the first one and opened flows.
+  void SecondHeartbeatsNumberedOneDoNotCompleteTheTable()
+  {
+    mAgent.OnConfiguration(TestConfiguration(1, {"web"}));
+    ApplyDirectoryAgents();
+    Heartbeat(1, false, kWarmUp - Settings().mHeartbeat);
+    AssertTableComplete(false);
+    Heartbeat(2);
+    AssertTableComplete(false);
+  }
+
+  // Guards against twice the cold limit in one second after such a heartbeat.
+  void SecondHeartbeatsNumberedOneBlockColdOpenings()
+  {
+    mAgent.OnConfiguration(TestConfiguration(1, {"web"}));
+    Heartbeat(1, false, kWarmUp - Settings().mHeartbeat);
+    FromBalancer(CallerPacket(TestFlow(1), FlagSyn));
+    AssertReturned(ReturnReason::Cold);
+  }
+
+  // Guards against callers of dead flows that wait for their deadline after a loss of power.
+  void HeartbeatsNumberedZeroCompleteTheTable()
+  {
+    mAgent.OnConfiguration(TestConfiguration(1, {"web"}));
+    ApplyDirectoryAgents();
+    Heartbeat(0);
+    AssertTableComplete(true);
+    Heartbeat(1);
+    AssertTableComplete(true);
+  }
+
+  // Guards against such waiting where the upstream numbers its heartbeats from 1 and its VM has
+  // started it shortly before the agent.
+  void HeartbeatsOfANewUpstreamCompleteTheTable()
+  {
+    mAgent.OnConfiguration(TestConfiguration(1, {"web"}));
+    ApplyDirectoryAgents();
+    Heartbeat(1, false, kWarmUp - Milliseconds{20});
+    AssertTableComplete(true);
+    FromBalancer(CallerPacket(TestFlow(1), FlagSyn));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, mOutput.mToUpstream.size());
+  }
+
+  // Control may answer after the heartbeat.
+  void HeartbeatsOfANewUpstreamCompleteTheTableOnceTheWarmUpTimeIsKnown()
+  {
+    ApplyDirectoryAgents();
+    Heartbeat(1, false, kWarmUp - Milliseconds{20});
+    AssertTableComplete(false);
+    mAgent.OnConfiguration(TestConfiguration(1, {"web"}));
+    AssertTableComplete(true);
+    FromBalancer(CallerPacket(TestFlow(1), FlagSyn));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, mOutput.mToUpstream.size());
+  }
+
+  // Guards against resets of open flows: a late heartbeat of an earlier start cannot be told from
+  // one of the running upstream.
+  void HeartbeatsWithoutAStartTimeDoNotCompleteTheTable()
+  {
+    mAgent.OnConfiguration(TestConfiguration(1, {"web"}));
+    ApplyDirectoryAgents();
+    Heartbeat(0, false, kWarmUp, 0);
+    AssertTableComplete(false);
+    Heartbeat(9, false, Milliseconds{0}, 0);
+    AssertTableComplete(false);
+  }
+
   // Guards against twice the cold limit in one second when the first heartbeat heard is a late one.
   void RestartedAgentsBlockColdOpeningsAfterALateHeartbeat()
   {
--- a/unittests/Packet/PacketFlowSimulationNodes.cpp
+++ b/unittests/Packet/PacketFlowSimulationNodes.cpp
@@ -13,6 +13,7 @@
 constexpr Milliseconds kBalancerStopDelay{2'000};
 constexpr Milliseconds kAgentStopDelay{100};
 constexpr Milliseconds kHeartbeat{770};
+constexpr Milliseconds kConnectionTime{1}; // Of an agent's try of a connection at its start.
 constexpr std::uint32_t kNodeAddresses = 0x0a000000; // 10.0.0.0
 constexpr std::uint16_t kNodePort = 7720;
 
@@ -81,6 +82,11 @@
     settings.mColdSlack = 5;
     aNode.mAgent =
       std::make_unique<PacketAgent>(settings, mCodec, *aNode.mRegistry, NodeTime(aNode));
+    AfterOn(aNode, kConnectionTime, [&aNode] {
+      if (aNode.mUpstream == nullptr || !aNode.mUpstream->mUp) {
+        aNode.mAgent->OnConnectionRefused();
+      }
+    });
     Every(aNode, kTick, [this, &aNode] { aNode.mAgent->OnTick(NodeTime(aNode)); });
     Every(aNode, kRegisterInterval,
           [this, &aNode] { aNode.mAgent->RegisterFlows(aNode, NodeTime(aNode)); });
--- a/unittests/Packet/PacketFlowSimulationParts.h
+++ b/unittests/Packet/PacketFlowSimulationParts.h
@@ -115,7 +115,7 @@
   bool mDraining = false;
   std::uint64_t mStart = 0; ///< Number of the start; tasks of earlier ones are dropped.
   TimePoint mStartedAt;
-  std::uint64_t mHeartbeats = 0;
+  std::uint64_t mNextHeartbeat = 0;
   TimePoint mFullUntil;
   TimePoint mSlowUntil;
   TimePoint mBadUntil;     ///< Until then it answers requests late or not at all.
--- a/unittests/Packet/PacketFlowSimulationUpstreams.cpp
+++ b/unittests/Packet/PacketFlowSimulationUpstreams.cpp
@@ -46,7 +46,8 @@
   aUpstream.mDraining = false;
   ++aUpstream.mStart;
   aUpstream.mStartedAt = mNow;
-  aUpstream.mHeartbeats = 0;
+  // The platform does not say with which number heartbeats begin.
+  aUpstream.mNextHeartbeat = (aUpstream.mNumber + aUpstream.mStart) % 2;
   aUpstream.mFlows.clear();
   // An upstream may start again under its earlier id.
   if (aUpstream.mId.empty() || Chance(0.7)) {
@@ -121,7 +122,7 @@
   heartbeat.mDraining = aUpstream.mDraining;
   heartbeat.mSlots = 4;
   heartbeat.mStartedMs = Ms(aUpstream.mStartedAt);
-  heartbeat.mSequence = ++aUpstream.mHeartbeats;
+  heartbeat.mSequence = aUpstream.mNextHeartbeat++;
   const Duration age = mNow - aUpstream.mStartedAt;
   heartbeat.mColdLeft =
     age < kColdTime ? std::chrono::duration_cast<Milliseconds>(kColdTime - age) : Milliseconds(0);
