Judge an order by the time at which its connection was made

Cause: the platform's orders to evacuate carry no number or time. The replica added the version that it knew when it read the order, and bounded the order's age by what its own event loop had missed. The bytes of an order that the network held up for 4 s arrived after its operator had sent it to another replica, and a newer one after that; it looked new and was applied. The end of its connection came 2 ms later.

Change: an operator makes the connection while it still waits for this order, so nothing newer was sent before. Each operator's connection carries one request; HttpExchange::ConnectedAt() gives its time, and InputAge how long it may have waited to be accepted. An order gets 503 if the replica has learned of a change of the data centre since then (DataCentreChanges), or if it is older than 900 ms. Otherwise the version that the replica adds is the one of then, and the state machine refuses the order if the group has applied a newer one: at every replica, after a change of leader or a restart. 503 says that it was not applied; it can be sent again at once.

--- a/include/dandelionslip/Net/Http1Server.h
+++ b/include/dandelionslip/Net/Http1Server.h
@@ -7,16 +7,23 @@
 
 namespace dandelionslip {
 
+/// How many requests a connection carries.
+enum class ConnectionUse
+{
+  ManyRequests, ///< One at a time; the connection stays open between requests.
+  OneRequest,   ///< The server closes the connection after the response.
+};
+
 /// Accepts connections and calls a handler with each complete request on the event loop's threads.
-/// A connection carries one request at a time and stays open between requests.
 class Http1Server
 {
 public:
   using Handler = Http2Server::Handler;
 
   /// Binds and starts accepting. Fails with ErrorCode::Io when the address cannot be bound.
-  static Result<std::unique_ptr<Http1Server>> Listen(boost::asio::io_context& aLoop,
-                                                     const Endpoint& aEndpoint, Handler aHandler);
+  static Result<std::unique_ptr<Http1Server>> Listen(
+    boost::asio::io_context& aLoop, const Endpoint& aEndpoint, Handler aHandler,
+    ConnectionUse aUse = ConnectionUse::ManyRequests);
   ~Http1Server();
 
 private:
--- a/include/dandelionslip/Net/Http2Server.h
+++ b/include/dandelionslip/Net/Http2Server.h
@@ -3,6 +3,7 @@
 
 #include "dandelionslip/Model/Endpoint.h"
 #include "dandelionslip/Net/HttpMessage.h"
+#include "dandelionslip/Support/RuntimeClock.h"
 
 #include <functional>
 #include <memory>
@@ -25,6 +26,9 @@
   /// before they could read it.
   virtual const std::string& Peer() const = 0;
 
+  /// When the server accepted the connection. The network may have held the request up since.
+  virtual TimePoint ConnectedAt() const = 0;
+
   /// Sends the response. Ignored after an earlier response and when the stream no longer exists.
   virtual void Respond(HttpResponse aResponse) = 0;
 
--- a/lib/Control/SubmittedCommand.cpp
+++ b/lib/Control/SubmittedCommand.cpp
@@ -14,12 +14,15 @@
 } // namespace
 
 SubmittedCommand::SubmittedCommand(Command aCommand, const Configuration& aState,
-                                   TimePoint aArrivedAt, TimePoint aReadAt)
+                                   const DataCentreChanges& aChanges, TimePoint aSentAt,
+                                   TimePoint aReadAt)
   : mDeadline(aReadAt + kTimeout)
 {
   if (auto& change = aCommand.mDataCentre; change && !change->mExpectedVersion) {
     change->mExpectedVersion = VersionOf(aState, change->mName);
-    mDeadline = aArrivedAt + kTimeout;
+    // The version that the data centre had at aSentAt is no longer known.
+    const bool overtaken = aChanges.ChangedSince(change->mName, aSentAt);
+    mDeadline = overtaken || aSentAt == TimePoint::min() ? TimePoint::min() : aSentAt + kTimeout;
     mMayBeOvertaken = true;
   }
   mEncoded = ToCbor(aCommand);
--- a/lib/Daemon/ControlDaemon.cpp
+++ b/lib/Daemon/ControlDaemon.cpp
@@ -4,6 +4,7 @@
 #include "HttpResponses.h"
 #include "RaftRuntime.h"
 
+#include "dandelionslip/Control/DataCentreChanges.h"
 #include "dandelionslip/Control/JoinEndpoints.h"
 #include "dandelionslip/Control/JoinRequest.h"
 #include "dandelionslip/Control/MembershipCore.h"
@@ -216,6 +217,7 @@
       const std::lock_guard lock(mMutex);
       answer = mMembershipCore.OnCommitted(aEntry.mIndex, command.value());
       mLastAnswer = answer;
+      mDataCentreChanges.Note(mMembershipCore.Store().Current(), RuntimeClock::now());
     }
     mRegistry
       .CounterFor("dandelionslip_commands_total",
@@ -236,7 +238,9 @@
       return state.as_failure();
     }
     const std::lock_guard lock(mMutex);
-    return mMembershipCore.OnSnapshot(state.value());
+    const auto loaded = mMembershipCore.OnSnapshot(state.value());
+    mDataCentreChanges.Note(mMembershipCore.Store().Current(), RuntimeClock::now());
+    return loaded;
   }
 
   Bytes EncodeState() override
@@ -272,16 +276,16 @@
   /// Whether the replica stopped because the group no longer accepts its identity.
   bool IdentityRefused() const { return mIdentityRefused; }
 
-  void Submit(Command aCommand, std::function<bool()> aSenderWaits,
+  void Submit(Command aCommand, CommandSender aSender,
               std::function<void(const CommandAnswer&)> aCallback) override
   {
     std::shared_ptr<SubmitCall> call;
     {
       const std::lock_guard lock(mMutex);
       call = std::make_shared<SubmitCall>(
-        SubmitCall{{std::move(aCommand), mMembershipCore.Store().Current(),
-                    mInputAge.EarliestArrival(), RuntimeClock::now()},
-                   std::move(aSenderWaits),
+        SubmitCall{{std::move(aCommand), mMembershipCore.Store().Current(), mDataCentreChanges,
+                    mInputAge.EarliestArrival(aSender.mConnectedAt), RuntimeClock::now()},
+                   std::move(aSender.mWaits),
                    std::move(aCallback)});
     }
     TrySubmit(call);
@@ -312,7 +316,7 @@
     std::function<bool()> mSenderWaits;
     std::function<void(const CommandAnswer&)> mCallback;
     CommandAnswer mLastAnswer{CommandOutcome::NotApplied, 0,
-                              "the command may have waited here while its sender sent it to "
+                              "the command may have been held up while its sender sent it to "
                               "another replica; send it again if it still holds"};
   };
 
@@ -779,10 +783,11 @@
   Http2ClientPool mClients;
   MetricsRegistry mRegistry;
   RaftRuntime mRaft;
-  /// Guards mInputAge, mMembershipCore, mLastAnswer, mRepairPlanner, mNewestLedTerm and
-  /// mJoinEndpoints; taken after the mutex of the Raft core.
+  /// Guards mInputAge, mDataCentreChanges, mMembershipCore, mLastAnswer, mRepairPlanner,
+  /// mNewestLedTerm and mJoinEndpoints; taken after the mutex of the Raft core.
   std::mutex mMutex;
   InputAge mInputAge{RuntimeClock::now()};
+  DataCentreChanges mDataCentreChanges;
   JoinEndpoints& mJoinEndpoints;
   MembershipCore mMembershipCore;
   CommandAnswer mLastAnswer; ///< Of the newest applied command.
--- a/lib/Net/Http1Server.cpp
+++ b/lib/Net/Http1Server.cpp
@@ -51,9 +51,10 @@
 
 struct Connection : std::enable_shared_from_this<Connection>
 {
-  Connection(tcp::socket aSocket, Http1Server::Handler aHandler)
+  Connection(tcp::socket aSocket, Http1Server::Handler aHandler, ConnectionUse aUse)
     : mStream(std::move(aSocket))
     , mHandler(std::move(aHandler))
+    , mUse(aUse)
   {
     boost::system::error_code error;
     const auto peer = mStream.socket().remote_endpoint(error);
@@ -75,6 +76,8 @@
 
   boost::beast::tcp_stream mStream;
   Http1Server::Handler mHandler;
+  ConnectionUse mUse;
+  TimePoint mAcceptedAt = RuntimeClock::now();
   std::string mPeer;
   boost::beast::flat_buffer mBuffer;
   std::unique_ptr<http::request_parser<http::vector_body<std::uint8_t>>> mParser;
@@ -105,6 +108,7 @@
 
   const HttpRequest& Request() const override { return mRequest; }
   const std::string& Peer() const override { return mConnection->mPeer; }
+  TimePoint ConnectedAt() const override { return mConnection->mAcceptedAt; }
 
   void Respond(HttpResponse aResponse) override
   {
@@ -133,18 +137,18 @@
   mParser = std::make_unique<http::request_parser<http::vector_body<std::uint8_t>>>();
   mParser->body_limit(kMaxHttp1BodyBytes);
   mStream.expires_after(kConnectionTimeout);
-  http::async_read(mStream, mBuffer, *mParser,
-                   [self = shared_from_this()](boost::system::error_code aError, std::size_t) {
-                     if (aError) {
-                       self->Close();
-                       return;
-                     }
-                     auto request = self->mParser->release();
-                     self->mKeepAlive = request.keep_alive();
-                     self->mVersion = request.version();
-                     self->mHandler(
-                       std::make_shared<Exchange>(self, ConvertRequest(std::move(request))));
-                   });
+  http::async_read(
+    mStream, mBuffer, *mParser,
+    [self = shared_from_this()](boost::system::error_code aError, std::size_t) {
+      if (aError) {
+        self->Close();
+        return;
+      }
+      auto request = self->mParser->release();
+      self->mKeepAlive = request.keep_alive() && self->mUse == ConnectionUse::ManyRequests;
+      self->mVersion = request.version();
+      self->mHandler(std::make_shared<Exchange>(self, ConvertRequest(std::move(request))));
+    });
 }
 
 bool Connection::IsClosedByClient()
@@ -199,10 +203,11 @@
 
 struct Http1Server::State : std::enable_shared_from_this<Http1Server::State>
 {
-  State(asio::io_context& aLoop, Handler aHandler)
+  State(asio::io_context& aLoop, Handler aHandler, ConnectionUse aUse)
     : mLoop(aLoop)
     , mAcceptor(asio::make_strand(aLoop))
     , mHandler(std::move(aHandler))
+    , mUse(aUse)
   {
   }
 
@@ -217,7 +222,7 @@
         if (!aError) {
           boost::system::error_code ignored;
           aSocket.set_option(tcp::no_delay(true), ignored);
-          std::make_shared<Connection>(std::move(aSocket), self->mHandler)->Read();
+          std::make_shared<Connection>(std::move(aSocket), self->mHandler, self->mUse)->Read();
         }
         self->Accept();
       });
@@ -226,13 +231,14 @@
   asio::io_context& mLoop;
   tcp::acceptor mAcceptor;
   Handler mHandler;
+  ConnectionUse mUse;
 };
 
 Result<std::unique_ptr<Http1Server>> Http1Server::Listen(asio::io_context& aLoop,
                                                          const Endpoint& aEndpoint,
-                                                         Handler aHandler)
+                                                         Handler aHandler, ConnectionUse aUse)
 {
-  auto state = std::make_shared<State>(aLoop, std::move(aHandler));
+  auto state = std::make_shared<State>(aLoop, std::move(aHandler), aUse);
   if (const auto opened = OpenAcceptor(state->mAcceptor, aEndpoint, "http1.listen"); !opened) {
     return opened.as_failure();
   }
--- a/lib/Net/Http2Server.cpp
+++ b/lib/Net/Http2Server.cpp
@@ -25,15 +25,18 @@
 class Exchange : public HttpExchange
 {
 public:
-  Exchange(std::weak_ptr<ServerSession> aSession, std::int32_t aStream, std::string aPeer)
+  Exchange(std::weak_ptr<ServerSession> aSession, std::int32_t aStream, std::string aPeer,
+           TimePoint aConnectedAt)
     : mSession(std::move(aSession))
     , mStream(aStream)
     , mPeer(std::move(aPeer))
+    , mConnectedAt(aConnectedAt)
   {
   }
 
   const HttpRequest& Request() const override { return mRequest; }
   const std::string& Peer() const override { return mPeer; }
+  TimePoint ConnectedAt() const override { return mConnectedAt; }
   void Respond(HttpResponse aResponse) override;
 
   void OnCancel(std::function<void()> aFunction) override
@@ -70,6 +73,7 @@
   std::weak_ptr<ServerSession> mSession;
   std::int32_t mStream;
   std::string mPeer;
+  TimePoint mConnectedAt;
   std::mutex mMutex;
   std::function<void()> mOnCancel;
   bool mCancelled = false;
@@ -155,7 +159,7 @@
   {
     auto& slot = mExchanges[aStream];
     if (!slot) {
-      slot = std::make_shared<Exchange>(Self(), aStream, Peer());
+      slot = std::make_shared<Exchange>(Self(), aStream, Peer(), mConnectedAt);
     }
     return *slot;
   }
@@ -169,6 +173,7 @@
   }
 
   Http2Server::Handler mHandler;
+  TimePoint mConnectedAt = RuntimeClock::now();
   std::shared_ptr<std::atomic<std::size_t>> mOpenRequests;
   std::map<std::int32_t, std::shared_ptr<Exchange>> mExchanges;
 };
--- a/unittests/Net/Http1Test.cpp
+++ b/unittests/Net/Http1Test.cpp
@@ -23,6 +23,7 @@
 {
   CPPUNIT_TEST_SUITE(Http1Test);
   CPPUNIT_TEST(ConnectionsCarrySeveralRequests);
+  CPPUNIT_TEST(ConnectionsForOneRequestAreClosedAfterItsResponse);
   CPPUNIT_TEST(DroppedExchangesEndTheConnection);
   CPPUNIT_TEST(MalformedRequestsEndTheConnection);
   CPPUNIT_TEST_SUITE_END();
@@ -91,6 +92,35 @@
     CPPUNIT_ASSERT(second.find("POST /b") != std::string::npos);
   }
 
+  // Guards against a request whose age cannot be told, because it may have been sent at any time
+  // since the response to the request before.
+  void ConnectionsForOneRequestAreClosedAfterItsResponse()
+  {
+    asio::io_context loop;
+    const TimePoint before = RuntimeClock::now();
+    std::atomic<std::int64_t> connectedAfter{-1};
+    auto server = Http1Server::Listen(
+      mLoop, Endpoint::Parse("127.0.0.1:" + std::to_string(kPort + 1)).value(),
+      [&](const std::shared_ptr<HttpExchange>& aExchange) {
+        connectedAfter = (aExchange->ConnectedAt() - before).count();
+        aExchange->Respond({});
+      },
+      ConnectionUse::OneRequest);
+    CPPUNIT_ASSERT(server.has_value());
+    const tcp::endpoint endpoint(asio::ip::make_address("127.0.0.1"), kPort + 1);
+    const std::string request = "GET /a HTTP/1.1\r\nHost: x\r\n\r\n";
+    tcp::socket socket(loop);
+    socket.connect(endpoint);
+    // The server accepts connections in turn, so it has accepted the first one before it responds.
+    tcp::socket other(loop);
+    other.connect(endpoint);
+    SendAndReceive(other, request, "never");
+    const TimePoint sentAt = RuntimeClock::now();
+    const std::string received = SendAndReceive(socket, request, "never");
+    CPPUNIT_ASSERT(received.find("Connection: close") != std::string::npos);
+    CPPUNIT_ASSERT(connectedAfter >= 0 && connectedAfter < (sentAt - before).count());
+  }
+
   // Guards against a client that waits for its own timeout because the handler did not respond.
   void DroppedExchangesEndTheConnection()
   {
--- a/unittests/Platform/OperatorApiTest.cpp
+++ b/unittests/Platform/OperatorApiTest.cpp
@@ -20,11 +20,11 @@
 class FakeControl : public ControlInterface
 {
 public:
-  void Submit(Command aCommand, std::function<bool()> aSenderWaits,
+  void Submit(Command aCommand, CommandSender aSender,
               std::function<void(const CommandAnswer&)> aCallback) override
   {
     mCommands.push_back(std::move(aCommand));
-    mSenderWaits.push_back(std::move(aSenderWaits));
+    mSenders.push_back(std::move(aSender));
     mCallbacks.push_back(std::move(aCallback));
   }
   Result<std::string> ConfirmedRouteDocument() override { return std::string(); }
@@ -32,7 +32,7 @@
 
   asio::io_context mLoop;
   std::vector<Command> mCommands;
-  std::vector<std::function<bool()>> mSenderWaits;
+  std::vector<CommandSender> mSenders;
   std::vector<std::function<void(const CommandAnswer&)>> mCallbacks;
 };
 
@@ -71,14 +71,14 @@
     asio::io_context loop;
     SendOrder(loop).close();
     RunUntilOrders(1);
-    CPPUNIT_ASSERT(!mControl.mSenderWaits[0]());
+    CPPUNIT_ASSERT(!mControl.mSenders[0].mWaits());
 
     tcp::socket waiting = SendOrder(loop);
     RunUntilOrders(2);
-    CPPUNIT_ASSERT(mControl.mSenderWaits[1]());
+    CPPUNIT_ASSERT(mControl.mSenders[1].mWaits());
     waiting.close();
     mControl.mLoop.run_for(Milliseconds(50));
-    CPPUNIT_ASSERT(!mControl.mSenderWaits[1]());
+    CPPUNIT_ASSERT(!mControl.mSenders[1].mWaits());
   }
 };
 
