Refuse routes to addresses that packets cannot name

Cause: hosts were read by a function that takes any numeric address, and the key of a route in balancers and agents was the last four bytes of its address.

Balancers and agents leave routes and terms of other addresses out, so a table that an earlier release acknowledged still loads and harms no other route.

--- a/lib/Packet/PacketAgent.cpp
+++ b/lib/Packet/PacketAgent.cpp
@@ -105,8 +105,9 @@
       std::any_of(route.mTargets.begin(), route.mTargets.end(), [&](const RouteTarget& aTarget) {
         return aTarget.mService == mSettings.mService && aTarget.mWeight > 0;
       });
-    mRouteEntries[RouteKeyOf(Endpoint::Parse(route.mAddress).value())] = {
-      targetsService, route.mPriority, route.mTimeout};
+    if (const auto key = RouteKeyOf(Endpoint::Parse(route.mAddress).value())) {
+      mRouteEntries[*key] = {targetsService, route.mPriority, route.mTimeout};
+    }
   }
   if (mUpstream && mUpstream->mStartEvidence == StartEvidence::Pending) {
     mUpstream->mStartEvidence = EvidenceOfStart(mUpstream->mFirstHeartbeat);
@@ -124,8 +125,9 @@
   mTermsVersion = aTerms.mVersion;
   mRouteTerms.clear();
   for (const RouteTerm& term : aTerms.mTerms) {
-    if (const auto address = Endpoint::Parse(term.mAddress)) {
-      mRouteTerms[RouteKeyOf(address.value())] = term;
+    const auto address = Endpoint::Parse(term.mAddress);
+    if (const auto key = address ? RouteKeyOf(address.value()) : std::nullopt) {
+      mRouteTerms[*key] = term;
     }
   }
 }
--- a/lib/Packet/PacketBalancer.cpp
+++ b/lib/Packet/PacketBalancer.cpp
@@ -106,6 +106,10 @@
     mRouteVersion = aConfiguration.mRoutes.mVersion;
     mRoutes.clear();
     for (const Route& route : aConfiguration.mRoutes.mRoutes) {
+      const auto key = RouteKeyOf(Endpoint::Parse(route.mAddress).value());
+      if (!key) {
+        continue;
+      }
       RouteEntry entry{route.mName,
                        route.mTargets,
                        0,
@@ -116,9 +120,8 @@
       for (const RouteTarget& target : route.mTargets) {
         entry.mTotalWeight += target.mWeight;
       }
-      const std::uint64_t key = RouteKeyOf(Endpoint::Parse(route.mAddress).value());
-      entry.mTerm = TermFor(key);
-      mRoutes[key] = std::move(entry);
+      entry.mTerm = TermFor(*key);
+      mRoutes[*key] = std::move(entry);
     }
     LogEvent(LogLevel::Info, "routes_in_force")
       .With("version", mRouteVersion)
--- a/lib/Packet/PacketBalancerOffers.cpp
+++ b/lib/Packet/PacketBalancerOffers.cpp
@@ -62,8 +62,9 @@
 {
   mRouteTerms.clear();
   for (const RouteTerm& term : aTerms.mTerms) {
-    if (const auto address = Endpoint::Parse(term.mAddress)) {
-      mRouteTerms[RouteKeyOf(address.value())] = term;
+    const auto address = Endpoint::Parse(term.mAddress);
+    if (const auto key = address ? RouteKeyOf(address.value()) : std::nullopt) {
+      mRouteTerms[*key] = term;
     }
   }
   mTermsVersion = aTerms.mVersion;
--- a/lib/Packet/RouteKey.h
+++ b/lib/Packet/RouteKey.h
@@ -4,6 +4,8 @@
 #include "dandelionslip/Model/Endpoint.h"
 #include "dandelionslip/Packet/FlowKey.h"
 
+#include <optional>
+
 namespace dandelionslip {
 
 inline std::uint64_t RouteKeyOf(const FlowKey& aFlow)
@@ -11,8 +13,12 @@
   return std::uint64_t{aFlow.mServiceAddress} << 16U | aFlow.mServicePort;
 }
 
-inline std::uint64_t RouteKeyOf(const Endpoint& aAddress)
+/// Empty unless this is an IPv4 address: packets name no others.
+inline std::optional<std::uint64_t> RouteKeyOf(const Endpoint& aAddress)
 {
+  if (!aAddress.IsV4()) {
+    return std::nullopt;
+  }
   return std::uint64_t{aAddress.V4Address()} << 16U | aAddress.mPort;
 }
 
--- a/unittests/Packet/PacketAgentTest.cpp
+++ b/unittests/Packet/PacketAgentTest.cpp
@@ -25,6 +25,7 @@
 {
   CPPUNIT_TEST_SUITE(PacketAgentTest);
   CPPUNIT_TEST(OpeningsNeedAnUpstreamAndARoute);
+  CPPUNIT_TEST(RoutesToOtherKindsOfAddressesReplaceNoRoute);
   CPPUNIT_TEST(DrainingUpstreamsKeepFlowsAndRefuseOpenings);
   CPPUNIT_TEST(DataCentreOutOfServiceRefusesOpenings);
   CPPUNIT_TEST(ColdUpstreamsStayWithinTheirOpeningLimit);
@@ -526,6 +527,21 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, mOutput.mToUpstream.size());
   }
 
+  // Guards against requests that reach a service to which no route sends them: the IPv6 address of
+  // another route ends with the route's IPv4 address.
+  void RoutesToOtherKindsOfAddressesReplaceNoRoute()
+  {
+    Configuration configuration = TestConfiguration(1, {"other"});
+    Route web = configuration.mRoutes.mRoutes.front();
+    web.mAddress = "[::198.18.0.1]:443";
+    web.mTargets = {{"web", 1}};
+    configuration.mRoutes.mRoutes.push_back(web);
+    mAgent.OnConfiguration(configuration);
+    Heartbeat(1);
+    FromBalancer(CallerPacket(TestFlow(1), FlagSyn));
+    AssertReturned(ReturnReason::WrongService);
+  }
+
   // Guards against new flows for a draining upstream and against the loss of its open flows.
   void DrainingUpstreamsKeepFlowsAndRefuseOpenings()
   {
--- a/unittests/Packet/PacketBalancerTest.cpp
+++ b/unittests/Packet/PacketBalancerTest.cpp
@@ -80,6 +80,7 @@
   CPPUNIT_TEST(HighPriorityRoutesLeaveTheQueueFirst);
   CPPUNIT_TEST(DataCentresOutOfServiceGetNoOpenings);
   CPPUNIT_TEST(DataCentresOutOfServiceGetNoWaitingOpenings);
+  CPPUNIT_TEST(RoutesToOtherKindsOfAddressesReplaceNoRoute);
   CPPUNIT_TEST(FlowsFollowTheSpeedOfUpstreams);
   CPPUNIT_TEST(VerdictsSurviveTheAgentAndEndWithTheUpstream);
   CPPUNIT_TEST(FailingUpstreamsBeyondTheBoundGetDeliveries);
@@ -1430,6 +1431,23 @@
     CPPUNIT_ASSERT(mOutput.mToNodes.empty());
   }
 
+  // Guards against requests that reach a service to which no route sends them: the IPv6 address of
+  // another route ends with the route's IPv4 address.
+  void RoutesToOtherKindsOfAddressesReplaceNoRoute()
+  {
+    Settle();
+    Configuration configuration = TestConfiguration(2, {"web"});
+    Route other = configuration.mRoutes.mRoutes.front();
+    other.mAddress = "[::198.18.0.1]:443";
+    other.mTargets = {{"other", 1}};
+    configuration.mRoutes.mRoutes.push_back(other);
+    mBalancer.OnState(configuration, View{}, mOutput, mNow);
+    mOutput.Clear();
+    Send(CallerPacket(TestFlow(1), FlagSyn));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, mOutput.mToNodes.size());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, mOutput.Resets());
+  }
+
   // Guards against equal shares for upstreams of unequal speed: many long flows are opened, with
   // load reports only every 40 openings. No upstream may get more than 15% above its share.
   void FlowsFollowTheSpeedOfUpstreams()
--- a/unittests/Platform/PlatformCodecTest.cpp
+++ b/unittests/Platform/PlatformCodecTest.cpp
@@ -44,6 +44,7 @@
   CPPUNIT_TEST(TagsAndBounceMarksChangeNothingElse);
   CPPUNIT_TEST(RouteDocumentsBecomeRouteTables);
   CPPUNIT_TEST(InvalidRouteDocumentsAreRejected);
+  CPPUNIT_TEST(HostsThatPacketsCannotNameAreRejected);
   CPPUNIT_TEST(RouteDocumentsStateTermsOfRoutes);
   CPPUNIT_TEST(MalformedTermsStateNothing);
   CPPUNIT_TEST(MalformedHeartbeatsAreRejected);
@@ -146,6 +147,21 @@
     assertRejected(Replaced(kDocument, "\"host\":\"198.18.0.1\"", "\"host\":\"web.example\""));
   }
 
+  // Guards against a route that is acknowledged although no packet can be sent to it, and whose
+  // address has the IPv4 address of another route in its last bytes.
+  void HostsThatPacketsCannotNameAreRejected()
+  {
+    CPPUNIT_ASSERT(CheckRouteAddresses(DecodeRouteDocument(kDocument).value()));
+    for (const std::string host :
+         {"[::198.18.0.9]", "[::ffff:198.18.0.9]", "[2001:db8::1]", "[::1]"}) {
+      const std::string text =
+        Replaced(kDocument, "\"host\":\"198.18.0.1\"", "\"host\":\"" + host + "\"");
+      const auto table = DecodeRouteDocument(text);
+      CPPUNIT_ASSERT_MESSAGE(host, table && CheckRouteTable(table.value()));
+      CPPUNIT_ASSERT_MESSAGE(host, !CheckRouteAddresses(table.value()));
+    }
+  }
+
   // The terms of the document, after a check that it is still a valid route table.
   static std::vector<RouteTerm> TermsOf(const std::string& aText)
   {
