Take an upstream for cold when it has lost an open flow

It had started again within a second and sent its first heartbeat half a second later.

Cause: the agent took its upstream for warm until that heartbeat, though the bounce of an open flow had shown the new start. Openings before it were not counted in the limiter's window after it.

Change: a bounce of a flow that the upstream must still hold makes it cold until the next heartbeat; flows that were idle or open for as long as upstreams must keep them do not count. The limiter notes all openings.

--- a/include/dandelionslip/Packet/OpeningLimiter.h
+++ b/include/dandelionslip/Packet/OpeningLimiter.h
@@ -12,10 +12,11 @@
 class OpeningLimiter
 {
 public:
-  /// Counts one opened flow and returns true if it stays within aLimit flows per second.
-  bool TryOpen(std::size_t aLimit, TimePoint aNow);
+  /// Counts one opened flow. Call it for each, also while the limit is not applied: the upstream
+  /// may have been cold for some time when that becomes known.
+  void NoteOpening(TimePoint aNow);
 
-  /// Number of flows that may be opened now.
+  /// Number of flows that may be opened now so that there are at most aLimit in any second.
   std::size_t Remaining(std::size_t aLimit, TimePoint aNow) const;
 
   /// Allows no flow to be opened for one window from aSince on, because it is not known which were
--- a/include/dandelionslip/Packet/PacketAgent.h
+++ b/include/dandelionslip/Packet/PacketAgent.h
@@ -230,6 +230,8 @@
   bool ReplacesSilentStart(const UpstreamHeartbeat& aHeartbeat, TimePoint aNow);
   StartEvidence EvidenceOfStart(const UpstreamHeartbeat& aFirst) const;
   bool HeardEarlierStart(const UpstreamHeartbeat& aHeartbeat) const;
+  bool MustBeHeld(const Flow& aFlow, TimePoint aNow) const;
+  Milliseconds IdleTimeout() const;
   ReturnReason ReasonForNoNewFlows(TimePoint aNow) const;
   bool MayActOnOldState(TimePoint aNow) const;
   bool RouteTargetsService(const FlowKey& aFlow) const;
@@ -313,8 +315,8 @@
   std::optional<TimePoint> mTickedAt;
   TimePoint mResumedAt; ///< When the first tick came after the process had stood still.
   bool mDataCentreOutOfService = false;
-  /// Set when the data centre returns to service, until the next heartbeat shows whether the
-  /// upstream is cold.
+  /// Set when the data centre returns to service, or when the upstream has lost an open flow, until
+  /// the next heartbeat shows whether the upstream is cold.
   bool mColdUntilHeartbeat = false;
   RouteTable mRoutes;
   /// What this agent needs of a route.
--- a/lib/Packet/OpeningLimiter.cpp
+++ b/lib/Packet/OpeningLimiter.cpp
@@ -16,16 +16,12 @@
   return counted >= aLimit ? 0 : aLimit - counted;
 }
 
-bool OpeningLimiter::TryOpen(std::size_t aLimit, TimePoint aNow)
+void OpeningLimiter::NoteOpening(TimePoint aNow)
 {
   while (!mOpenings.empty() && aNow - mOpenings.front() >= kWindow) {
     mOpenings.pop_front();
   }
-  if (Remaining(aLimit, aNow) == 0) {
-    return false;
-  }
   mOpenings.push_back(aNow);
-  return true;
 }
 
 } // namespace dandelionslip
--- a/lib/Packet/PacketAgent.cpp
+++ b/lib/Packet/PacketAgent.cpp
@@ -364,8 +364,7 @@
   if (mFlows.size() >= mSettings.mMaxFlows) {
     return ReturnReason::Refused;
   }
-  const bool cold = IsCold(aNow);
-  if (cold && mColdLimiter.Remaining(ColdLimit(), aNow) == 0) {
+  if (IsCold(aNow) && mColdLimiter.Remaining(ColdLimit(), aNow) == 0) {
     return ReturnReason::Cold;
   }
   if (aType != NodeMessageType::Deliver) {
@@ -373,9 +372,7 @@
       return reason;
     }
   }
-  if (cold) {
-    mColdLimiter.TryOpen(ColdLimit(), aNow);
-  }
+  mColdLimiter.NoteOpening(aNow);
   return std::nullopt;
 }
 
@@ -485,6 +482,12 @@
   return IsCold(aNow) ? MemberState::Cold : MemberState::Serving;
 }
 
+// After this time without a packet, the upstream may discard a flow.
+Milliseconds PacketAgent::IdleTimeout() const
+{
+  return mRoutes.mFlowIdleTimeout.count() > 0 ? mRoutes.mFlowIdleTimeout : kDefaultIdleTimeout;
+}
+
 void PacketAgent::OnTick(TimePoint aNow)
 {
   if (mTickedAt && aNow - *mTickedAt > kMaxTickInterval) {
@@ -494,9 +497,7 @@
   mDirectory.Expire(aNow);
   std::erase_if(mProbes,
                 [&](const auto& aItem) { return aNow - aItem.second.mSentAt > kProbeTimeout; });
-  const Milliseconds idleTimeout =
-    (mRoutes.mFlowIdleTimeout.count() > 0 ? mRoutes.mFlowIdleTimeout : kDefaultIdleTimeout) +
-    kIdleMargin;
+  const Milliseconds idleTimeout = IdleTimeout() + kIdleMargin;
   for (auto item = mFlows.begin(); item != mFlows.end();) {
     Flow& flow = item->second;
     if (flow.mRequestPending && aNow - flow.mRequestSince > kMaxRequestTime) {
--- a/lib/Packet/PacketAgentFlows.cpp
+++ b/lib/Packet/PacketAgentFlows.cpp
@@ -410,6 +410,15 @@
   RemoveFlow(key, RemovalReason::UpstreamReset, aNow);
 }
 
+// Whether the upstream holds the flow unless it has started again since its last packet of the
+// flow.
+bool PacketAgent::MustBeHeld(const Flow& aFlow, TimePoint aNow) const
+{
+  return aFlow.mEstablished && !aFlow.mUpstreamEnded && !aFlow.mClosed && !aFlow.mPortReused &&
+         aFlow.mAnsweredAt && aNow - *aFlow.mAnsweredAt < IdleTimeout() &&
+         aNow - aFlow.mFirstUsedAt < mSettings.mMaxFlowAge;
+}
+
 void PacketAgent::OnBounced(std::span<std::uint8_t> aPacket, PacketOutput& aOutput, TimePoint aNow)
 {
   mBounced.Add();
@@ -425,6 +434,10 @@
   mCodec.ClearBounce(aPacket);
   mProbes.erase(packetHeader->mFlow);
   const auto found = mFlows.find(packetHeader->mFlow);
+  if (found != mFlows.end() && !packetHeader->mOpens && MustBeHeld(found->second, aNow)) {
+    // The upstream has started again, and may be cold before its first heartbeat.
+    mColdUntilHeartbeat = true;
+  }
   if (packetHeader->mOpens) {
     // The bounce of a copy does not end what the upstream has accepted.
     if (found != mFlows.end() && !found->second.mAccepted) {
--- a/unittests/Packet/PacketAgentTest.cpp
+++ b/unittests/Packet/PacketAgentTest.cpp
@@ -31,6 +31,9 @@
   CPPUNIT_TEST(ColdUpstreamsStayWithinTheirOpeningLimit);
   CPPUNIT_TEST(ColdOpeningRatesOfAnySizeAreReported);
   CPPUNIT_TEST(ReturnedDataCentreIsColdUntilTheNextHeartbeat);
+  CPPUNIT_TEST(UpstreamsThatStartedAgainAreColdFromTheirFirstBounce);
+  CPPUNIT_TEST(OpeningsBeforeAColdHeartbeatCountInItsWindow);
+  CPPUNIT_TEST(DiscardedFlowsDoNotMakeTheirUpstreamCold);
   CPPUNIT_TEST(RestartedAgentRefusesColdOpeningsForOneWindow);
   CPPUNIT_TEST(RetransmittedUnansweredOpeningsAreReturned);
   CPPUNIT_TEST(RestartedAgentDeliversFlowsItDoesNotKnow);
@@ -627,6 +630,64 @@
     CPPUNIT_ASSERT(!mAgent.CurrentLoad(mNow).mCold);
   }
 
+  // Tries this many openings at once; returns how many were delivered to the upstream.
+  std::size_t OpenMany(std::uint16_t aFirst, std::uint16_t aCount)
+  {
+    const std::size_t before = mOutput.mToUpstream.size();
+    for (std::uint16_t i = 0; i < aCount; ++i) {
+      FromBalancer(CallerPacket(TestFlow(aFirst + i), FlagSyn));
+      FromUpstream(UpstreamPacket(TestFlow(aFirst + i), FlagSyn | FlagAck));
+    }
+    return mOutput.mToUpstream.size() - before;
+  }
+
+  // Guards against openings at the full rate at a cold upstream: it starts again within a second,
+  // and its first heartbeat comes half a second later.
+  void UpstreamsThatStartedAgainAreColdFromTheirFirstBounce()
+  {
+    ApplyRoutesAndHeartbeat();
+    Establish(1);
+    mNow += Milliseconds{2'000};
+    Heartbeat(2);
+    mNow += Milliseconds{700};
+    FromBalancer(CallerPacket(TestFlow(1), FlagAck, 102, 202, 100));
+    Bounce();
+    CPPUNIT_ASSERT(mAgent.CurrentLoad(mNow).mCold);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{5}, OpenMany(10, 20));
+    mNow += Milliseconds{500};
+    Heartbeat(1, false, Milliseconds{1'500}, 2'000);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, OpenMany(40, 20));
+    mNow += Milliseconds{700};
+    CPPUNIT_ASSERT_EQUAL(std::size_t{5}, OpenMany(70, 20));
+  }
+
+  // Guards against more openings in a second than the limit: the upstream has been cold for longer
+  // than its agent knows.
+  void OpeningsBeforeAColdHeartbeatCountInItsWindow()
+  {
+    ApplyRoutesAndHeartbeat();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{3}, OpenMany(10, 3));
+    mNow += Milliseconds{500};
+    Heartbeat(2, false, Milliseconds{1'500});
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, OpenMany(20, 20));
+  }
+
+  // Guards against a warm upstream that gets few openings, because it has discarded a flow as it
+  // may.
+  void DiscardedFlowsDoNotMakeTheirUpstreamCold()
+  {
+    ApplyRoutesAndHeartbeat();
+    Establish(1);
+    for (int i = 0; i < 16; ++i) {
+      mNow += Milliseconds{1'000};
+      Heartbeat(2 + i);
+    }
+    FromBalancer(CallerPacket(TestFlow(1), FlagAck, 102, 202, 100));
+    Bounce();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, mOutput.Resets());
+    CPPUNIT_ASSERT(!mAgent.CurrentLoad(mNow).mCold);
+  }
+
   // Guards against twice the cold limit in one second when the agent is killed and restarted.
   void RestartedAgentRefusesColdOpeningsForOneWindow()
   {
