--- a/lib/Daemon/ControlDaemon.cpp
+++ b/lib/Daemon/ControlDaemon.cpp
@@ -238,7 +238,7 @@
       return state.as_failure();
     }
     const std::lock_guard lock(mMutex);
-    const auto loaded = mMembershipCore.OnSnapshot(state.value());
+    auto loaded = mMembershipCore.OnSnapshot(state.value());
     mDataCentreChanges.Note(mMembershipCore.Store().Current(), RuntimeClock::now());
     return loaded;
   }
