Take an upstream for cold after an evacuation that its agent missed

Its agent had stood still from before the evacuation until after it.

Cause: the agent takes its upstream for cold after an evacuation that it has seen. One that gets the start and the end at once saw none, and heartbeats that had waited in its socket counted as new.

Change: the version of the data centre shows what was missed: a rise by two or more, or any change before the first configuration of a process that has heard a heartbeat already. After that, or after a standstill, heartbeats of the next 200 ms do not end the cold time.

Tests that failed before: PacketAgentTest::EvacuationsThatTheAgentMissedLeaveItsUpstreamCold, RestartedAgentsTakeUpstreamsOfReturnedDataCentresForCold and HeartbeatsThatWaitedDuringAStandstillDoNotEndTheColdTime.

--- a/include/dandelionslip/Packet/PacketAgent.h
+++ b/include/dandelionslip/Packet/PacketAgent.h
@@ -69,7 +69,7 @@
   PacketAgent(const PacketAgentSettings& aSettings, const PacketCodec& aCodec,
               MetricsRegistry& aRegistry, TimePoint aNow);
 
-  void OnConfiguration(const Configuration& aConfiguration);
+  void OnConfiguration(const Configuration& aConfiguration, TimePoint aNow);
   void OnRouteTerms(const RouteTerms& aTerms);
   /// aOwnIncarnation: the incarnation that this process announces.
   void OnView(const View& aView, std::uint64_t aOwnIncarnation);
@@ -233,6 +233,8 @@
   bool MustBeHeld(const Flow& aFlow, TimePoint aNow) const;
   Milliseconds IdleTimeout() const;
   ReturnReason ReasonForNoNewFlows(TimePoint aNow) const;
+  void OnDataCentre(const Configuration& aConfiguration, TimePoint aNow);
+  bool StoodStill(TimePoint aNow) const;
   bool MayActOnOldState(TimePoint aNow) const;
   bool RouteTargetsService(const FlowKey& aFlow) const;
   bool IsCold(TimePoint aNow) const;
@@ -315,9 +317,11 @@
   std::optional<TimePoint> mTickedAt;
   TimePoint mResumedAt; ///< When the first tick came after the process had stood still.
   bool mDataCentreOutOfService = false;
+  std::optional<std::uint64_t> mDataCentreVersion; ///< Of the newest configuration.
   /// Set when the data centre returns to service, or when the upstream has lost an open flow, until
   /// the next heartbeat shows whether the upstream is cold.
   bool mColdUntilHeartbeat = false;
+  TimePoint mHeartbeatsCountFrom; ///< Earlier heartbeats do not end mColdUntilHeartbeat.
   RouteTable mRoutes;
   /// What this agent needs of a route.
   struct RouteEntry
--- a/lib/Daemon/PacketAgentDaemon.cpp
+++ b/lib/Daemon/PacketAgentDaemon.cpp
@@ -170,7 +170,7 @@
 
   void OnState(const NodeState& aState)
   {
-    mCore.OnConfiguration(aState.CurrentConfiguration());
+    mCore.OnConfiguration(aState.CurrentConfiguration(), RuntimeClock::now());
     mCore.OnLease(mNode.LeaseEnd());
     mCore.OnView(aState.CurrentView(), mNode.Incarnation());
     for (const auto& [name, member] : aState.CurrentView().mMembers) {
--- a/lib/Packet/PacketAgent.cpp
+++ b/lib/Packet/PacketAgent.cpp
@@ -44,6 +44,9 @@
 // without control, agents serve callers by the last state that they have.
 constexpr Milliseconds kResumeTime{1'000};
 
+// Heartbeats that waited while the process stood still are read within this time.
+constexpr Milliseconds kInputDrainTime{200};
+
 constexpr double kMilli = 1000.0;
 
 } // namespace
@@ -87,14 +90,9 @@
   mNextTag = static_cast<std::uint32_t>(aNow.time_since_epoch().count()) | 1U;
 }
 
-void PacketAgent::OnConfiguration(const Configuration& aConfiguration)
+void PacketAgent::OnConfiguration(const Configuration& aConfiguration, TimePoint aNow)
 {
-  const bool outOfService = aConfiguration.IsDataCentreOut(mSettings.mDataCentre);
-  if (mDataCentreOutOfService && !outOfService) {
-    // The upstream may have turned cold in the meantime; its next heartbeat shows it.
-    mColdUntilHeartbeat = true;
-  }
-  mDataCentreOutOfService = outOfService;
+  OnDataCentre(aConfiguration, aNow);
   if (aConfiguration.mRoutes.mVersion <= mRoutes.mVersion) {
     return;
   }
@@ -120,6 +118,23 @@
     .With("revision", aConfiguration.mRevision);
 }
 
+void PacketAgent::OnDataCentre(const Configuration& aConfiguration, TimePoint aNow)
+{
+  const auto found = aConfiguration.mDataCentres.find(mSettings.mDataCentre);
+  const DataCentreState state =
+    found == aConfiguration.mDataCentres.end() ? DataCentreState{} : found->second;
+  // A process that has just started does not know what changed since the heartbeat that it heard.
+  const bool missed = mDataCentreVersion ? state.mVersion > *mDataCentreVersion + 1
+                                         : mUpstream.has_value() && state.mVersion > 0;
+  if (!state.mOutOfService && (mDataCentreOutOfService || missed)) {
+    // The upstream may have turned cold in the meantime; its next heartbeat shows it.
+    mColdUntilHeartbeat = true;
+    mHeartbeatsCountFrom = missed || StoodStill(aNow) ? aNow + kInputDrainTime : aNow;
+  }
+  mDataCentreOutOfService = state.mOutOfService;
+  mDataCentreVersion = state.mVersion;
+}
+
 void PacketAgent::OnRouteTerms(const RouteTerms& aTerms)
 {
   mTermsVersion = aTerms.mVersion;
@@ -251,7 +266,7 @@
   }
   mUpstreamAbsent = false;
   mStaleHeartbeats.reset();
-  mColdUntilHeartbeat = false;
+  mColdUntilHeartbeat = mColdUntilHeartbeat && aNow < mHeartbeatsCountFrom;
   mUnansweredOpenings = 0;
   return HeartbeatOutcome::Accepted;
 }
@@ -281,14 +296,18 @@
   return static_cast<std::size_t>(std::clamp(bound, 1.0, kMost));
 }
 
-// Whether the process has stood still until now, and its lease has run out meanwhile: its data
-// centre may be out of service, or the route gone.
+// Whether the process has stood still until now or shortly before.
+bool PacketAgent::StoodStill(TimePoint aNow) const
+{
+  return mTickedAt && (aNow - *mTickedAt > kMaxTickInterval ||
+                       (mResumedAt != TimePoint{} && aNow - mResumedAt < kResumeTime));
+}
+
+// Whether the lease has run out while the process stood still: its data centre may be out of
+// service, or the route gone.
 bool PacketAgent::MayActOnOldState(TimePoint aNow) const
 {
-  const bool resumed =
-    mTickedAt && (aNow - *mTickedAt > kMaxTickInterval ||
-                  (mResumedAt != TimePoint{} && aNow - mResumedAt < kResumeTime));
-  return resumed && aNow >= mLeaseEnd;
+  return StoodStill(aNow) && aNow >= mLeaseEnd;
 }
 
 // Why the upstream takes no new flows; ReturnReason::None if it takes them.
--- a/unittests/Packet/PacketAgentLogTest.cpp
+++ b/unittests/Packet/PacketAgentLogTest.cpp
@@ -53,7 +53,7 @@
   // If aSequence is greater than 1, the agent has restarted while the upstream ran.
   void ApplyRoutesAndHeartbeat(std::uint64_t aSequence = 1)
   {
-    mAgent.OnConfiguration(TestConfiguration(1, {"web"}));
+    mAgent.OnConfiguration(TestConfiguration(1, {"web"}), mNow);
     if (aSequence == 1) {
       mAgent.OnConnectionRefused(); // The upstream starts after the agent.
     }
--- a/unittests/Packet/PacketAgentTest.cpp
+++ b/unittests/Packet/PacketAgentTest.cpp
@@ -31,6 +31,10 @@
   CPPUNIT_TEST(ColdUpstreamsStayWithinTheirOpeningLimit);
   CPPUNIT_TEST(ColdOpeningRatesOfAnySizeAreReported);
   CPPUNIT_TEST(ReturnedDataCentreIsColdUntilTheNextHeartbeat);
+  CPPUNIT_TEST(EvacuationsThatTheAgentMissedLeaveItsUpstreamCold);
+  CPPUNIT_TEST(RepeatedReturnsOfADataCentreDoNotMakeUpstreamsCold);
+  CPPUNIT_TEST(RestartedAgentsTakeUpstreamsOfReturnedDataCentresForCold);
+  CPPUNIT_TEST(HeartbeatsThatWaitedDuringAStandstillDoNotEndTheColdTime);
   CPPUNIT_TEST(UpstreamsThatStartedAgainAreColdFromTheirFirstBounce);
   CPPUNIT_TEST(OpeningsBeforeAColdHeartbeatCountInItsWindow);
   CPPUNIT_TEST(DiscardedFlowsDoNotMakeTheirUpstreamCold);
@@ -132,7 +136,7 @@
   // is greater, the agent has restarted while the upstream ran.
   void ApplyRoutesAndHeartbeat(std::uint64_t aSequence = 1, Milliseconds aCold = Milliseconds{0})
   {
-    mAgent.OnConfiguration(TestConfiguration(1, {"web"}));
+    mAgent.OnConfiguration(TestConfiguration(1, {"web"}), mNow);
     if (aSequence == 1) {
       mAgent.OnConnectionRefused();
     }
@@ -518,14 +522,14 @@
   // upstream that has never sent a heartbeat.
   void OpeningsNeedAnUpstreamAndARoute()
   {
-    mAgent.OnConfiguration(TestConfiguration(1, {"other"}));
+    mAgent.OnConfiguration(TestConfiguration(1, {"other"}), mNow);
     FromBalancer(CallerPacket(TestFlow(1), FlagSyn));
     AssertReturned(ReturnReason::NoUpstream);
     Heartbeat(1);
     FromBalancer(CallerPacket(TestFlow(1), FlagSyn));
     AssertReturned(ReturnReason::WrongService);
     CPPUNIT_ASSERT(mOutput.mToUpstream.empty());
-    mAgent.OnConfiguration(TestConfiguration(2, {"web"}));
+    mAgent.OnConfiguration(TestConfiguration(2, {"web"}), mNow);
     FromBalancer(CallerPacket(TestFlow(1), FlagSyn));
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, mOutput.mToUpstream.size());
   }
@@ -539,7 +543,7 @@
     web.mAddress = "[::198.18.0.1]:443";
     web.mTargets = {{"web", 1}};
     configuration.mRoutes.mRoutes.push_back(web);
-    mAgent.OnConfiguration(configuration);
+    mAgent.OnConfiguration(configuration, mNow);
     Heartbeat(1);
     FromBalancer(CallerPacket(TestFlow(1), FlagSyn));
     AssertReturned(ReturnReason::WrongService);
@@ -566,7 +570,7 @@
     ApplyRoutesAndHeartbeat();
     Configuration configuration = TestConfiguration(2, {"web"});
     configuration.mDataCentres["north"].mOutOfService = true;
-    mAgent.OnConfiguration(configuration);
+    mAgent.OnConfiguration(configuration, mNow);
     FromBalancer(CallerPacket(TestFlow(1), FlagSyn));
     AssertReturned(ReturnReason::Draining);
   }
@@ -579,7 +583,7 @@
     for (const double rate : {4'294'967'296.0, 1e19, 1e300}) {
       Configuration configuration = TestConfiguration(++version, {"web"});
       configuration.mRoutes.mServices.front().mColdOpeningsPerSecond = rate;
-      mAgent.OnConfiguration(configuration);
+      mAgent.OnConfiguration(configuration, mNow);
       Heartbeat(version, false, Milliseconds{5'000});
       const LoadReport report = mAgent.CurrentLoad(mNow);
       CPPUNIT_ASSERT(report.mCold);
@@ -621,15 +625,88 @@
     ApplyRoutesAndHeartbeat();
     Configuration configuration = TestConfiguration(2, {"web"});
     configuration.mDataCentres["north"].mOutOfService = true;
-    mAgent.OnConfiguration(configuration);
+    mAgent.OnConfiguration(configuration, mNow);
     configuration.mRevision = 3;
     configuration.mDataCentres["north"].mOutOfService = false;
-    mAgent.OnConfiguration(configuration);
+    mAgent.OnConfiguration(configuration, mNow);
     CPPUNIT_ASSERT(mAgent.CurrentLoad(mNow).mCold);
     Heartbeat(2);
     CPPUNIT_ASSERT(!mAgent.CurrentLoad(mNow).mCold);
   }
 
+  // A configuration in which the agent's data centre has been changed this many times.
+  static Configuration AfterChanges(std::uint64_t aChanges, bool aOutOfService = false)
+  {
+    Configuration configuration = TestConfiguration(1, {"web"});
+    configuration.mDataCentres["north"] = {aOutOfService, aChanges};
+    return configuration;
+  }
+
+  // Guards against too many flows for a cold upstream: its agent was cut off from control or stood
+  // still from before the evacuation until after it.
+  void EvacuationsThatTheAgentMissedLeaveItsUpstreamCold()
+  {
+    ApplyRoutesAndHeartbeat();
+    mAgent.OnConfiguration(AfterChanges(0), mNow);
+    mAgent.OnConfiguration(AfterChanges(2), mNow);
+    CPPUNIT_ASSERT(mAgent.CurrentLoad(mNow).mCold);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{5}, OpenMany(10, 20));
+    mNow += Settings().mHeartbeat;
+    Heartbeat(2);
+    CPPUNIT_ASSERT(!mAgent.CurrentLoad(mNow).mCold);
+  }
+
+  // Guards against few openings for a warm upstream.
+  void RepeatedReturnsOfADataCentreDoNotMakeUpstreamsCold()
+  {
+    ApplyRoutesAndHeartbeat();
+    mAgent.OnConfiguration(AfterChanges(2), mNow);
+    mNow += Settings().mHeartbeat;
+    Heartbeat(2);
+    mAgent.OnConfiguration(AfterChanges(3), mNow);
+    CPPUNIT_ASSERT(!mAgent.CurrentLoad(mNow).mCold);
+  }
+
+  // Guards against too many flows for an upstream that turned cold after the heartbeat that the
+  // agent heard first, before it knew of the return of its data centre.
+  void RestartedAgentsTakeUpstreamsOfReturnedDataCentresForCold()
+  {
+    Heartbeat(7);
+    mAgent.OnConfiguration(AfterChanges(2), mNow);
+    CPPUNIT_ASSERT(mAgent.CurrentLoad(mNow).mCold);
+    mNow += Settings().mHeartbeat;
+    Heartbeat(8);
+    CPPUNIT_ASSERT(!mAgent.CurrentLoad(mNow).mCold);
+  }
+
+  // Guards against a heartbeat that was sent before the upstream turned cold, and waited in the
+  // socket of a process that stood still.
+  void HeartbeatsThatWaitedDuringAStandstillDoNotEndTheColdTime()
+  {
+    for (const bool sawEvacuation : {false, true}) {
+      mNow = kStart;
+      PacketAgent agent{Settings(), mCodec, mRegistry, mNow};
+      std::uint64_t sequence = 7;
+      const auto heartbeat = [&] {
+        agent.OnUpstreamHeartbeat({"i-1", "web", false, {}, 4, 1'000, sequence++}, mNow);
+      };
+      agent.OnConfiguration(AfterChanges(0), mNow);
+      heartbeat();
+      agent.OnConfiguration(AfterChanges(sawEvacuation ? 1 : 0, sawEvacuation), mNow);
+      agent.OnTick(mNow);
+      mNow += Milliseconds{5'400};
+      agent.OnConfiguration(AfterChanges(2), mNow);
+      mNow += Milliseconds{20};
+      heartbeat();
+      agent.OnTick(mNow);
+      heartbeat();
+      CPPUNIT_ASSERT(agent.CurrentLoad(mNow).mCold);
+      mNow += Settings().mHeartbeat;
+      heartbeat();
+      CPPUNIT_ASSERT(!agent.CurrentLoad(mNow).mCold);
+    }
+  }
+
   // Tries this many openings at once; returns how many were delivered to the upstream.
   std::size_t OpenMany(std::uint16_t aFirst, std::uint16_t aCount)
   {
@@ -1142,7 +1219,7 @@
   // process of the agent got the first one and opened flows.
   void SecondHeartbeatsNumberedOneDoNotCompleteTheTable()
   {
-    mAgent.OnConfiguration(TestConfiguration(1, {"web"}));
+    mAgent.OnConfiguration(TestConfiguration(1, {"web"}), mNow);
     ApplyDirectoryAgents();
     Heartbeat(1, false, kWarmUp - Settings().mHeartbeat);
     AssertTableComplete(false);
@@ -1153,7 +1230,7 @@
   // Guards against twice the cold limit in one second after such a heartbeat.
   void SecondHeartbeatsNumberedOneBlockColdOpenings()
   {
-    mAgent.OnConfiguration(TestConfiguration(1, {"web"}));
+    mAgent.OnConfiguration(TestConfiguration(1, {"web"}), mNow);
     Heartbeat(1, false, kWarmUp - Settings().mHeartbeat);
     FromBalancer(CallerPacket(TestFlow(1), FlagSyn));
     AssertReturned(ReturnReason::Cold);
@@ -1162,7 +1239,7 @@
   // Guards against callers of dead flows that wait for their deadline after a loss of power.
   void HeartbeatsNumberedZeroCompleteTheTable()
   {
-    mAgent.OnConfiguration(TestConfiguration(1, {"web"}));
+    mAgent.OnConfiguration(TestConfiguration(1, {"web"}), mNow);
     ApplyDirectoryAgents();
     Heartbeat(0);
     AssertTableComplete(true);
@@ -1174,7 +1251,7 @@
   // started it shortly before the agent.
   void HeartbeatsOfANewUpstreamCompleteTheTable()
   {
-    mAgent.OnConfiguration(TestConfiguration(1, {"web"}));
+    mAgent.OnConfiguration(TestConfiguration(1, {"web"}), mNow);
     ApplyDirectoryAgents();
     Heartbeat(1, false, kWarmUp - Milliseconds{20});
     AssertTableComplete(true);
@@ -1188,7 +1265,7 @@
     ApplyDirectoryAgents();
     Heartbeat(1, false, kWarmUp - Milliseconds{20});
     AssertTableComplete(false);
-    mAgent.OnConfiguration(TestConfiguration(1, {"web"}));
+    mAgent.OnConfiguration(TestConfiguration(1, {"web"}), mNow);
     AssertTableComplete(true);
     FromBalancer(CallerPacket(TestFlow(1), FlagSyn));
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, mOutput.mToUpstream.size());
@@ -1198,7 +1275,7 @@
   // one of the running upstream.
   void HeartbeatsWithoutAStartTimeDoNotCompleteTheTable()
   {
-    mAgent.OnConfiguration(TestConfiguration(1, {"web"}));
+    mAgent.OnConfiguration(TestConfiguration(1, {"web"}), mNow);
     ApplyDirectoryAgents();
     Heartbeat(0, false, kWarmUp, 0);
     AssertTableComplete(false);
@@ -1512,7 +1589,7 @@
     const auto fromUpstream = [&](PacketBytes aPacket) {
       agent.OnUpstreamPacket(aPacket, mOutput, mNow);
     };
-    agent.OnConfiguration(TestConfiguration(1, {"web"}));
+    agent.OnConfiguration(TestConfiguration(1, {"web"}), mNow);
     agent.OnUpstreamHeartbeat({"i-1", "web", false, {}, 4, 1'000, 1}, mNow);
     fromBalancer(NodeMessageType::Offer, CallerPacket(TestFlow(1), FlagSyn));
     CPPUNIT_ASSERT(mOutput.mToNodes.empty());
--- a/unittests/Packet/PacketAgentVerdictTest.cpp
+++ b/unittests/Packet/PacketAgentVerdictTest.cpp
@@ -94,7 +94,7 @@
   // The upstream has answered requests for a while.
   void Serve(std::uint32_t aSlots)
   {
-    mAgent.OnConfiguration(TestConfiguration(1, {"web"}));
+    mAgent.OnConfiguration(TestConfiguration(1, {"web"}), mNow);
     mAgent.OnRouteTerms({1, {{"198.18.0.1:443", true, Milliseconds{200}}}});
     mAgent.OnView(TestView(1, {Balancer(kNorth, "north"), Balancer(kSouth, "south")}), 1);
     Heartbeat(aSlots);
--- a/unittests/Packet/PacketFlowSimulationControl.cpp
+++ b/unittests/Packet/PacketFlowSimulationControl.cpp
@@ -139,7 +139,7 @@
     aNode.mBalancer->OnState(aConfiguration, view, aNode, NodeTime(aNode), leaseEnd);
     return;
   }
-  aNode.mAgent->OnConfiguration(aConfiguration);
+  aNode.mAgent->OnConfiguration(aConfiguration, NodeTime(aNode));
   aNode.mAgent->OnView(view, aNode.mIncarnation);
   for (const auto& [name, member] : view.mMembers) {
     const auto endpoint = Endpoint::Parse(member.mDatagramEndpoint);
--- a/unittests/Packet/RouteTermsTest.cpp
+++ b/unittests/Packet/RouteTermsTest.cpp
@@ -126,7 +126,7 @@
     settings.mEndpoint = NodeEndpoint(30);
     settings.mHealthMayBeWrong = true;
     PacketAgent agent{settings, mCodec, mRegistry, kStart};
-    agent.OnConfiguration(TestConfiguration(1, {"web"}));
+    agent.OnConfiguration(TestConfiguration(1, {"web"}), mNow);
     agent.OnRouteTerms(Terms(1, true));
     agent.OnUpstreamHeartbeat({"i-1", "web", false, Milliseconds{0}, 4, 1'000, 1}, mNow);
     for (int i = 0; i < 4; ++i) {
@@ -138,7 +138,7 @@
     CPPUNIT_ASSERT(Offer(agent) == ReturnReason::None);
     ResetRequest(agent);
     mNow += Milliseconds{500};
-    agent.OnConfiguration(TestConfiguration(2, {"web"}));
+    agent.OnConfiguration(TestConfiguration(2, {"web"}), mNow);
     CPPUNIT_ASSERT(Offer(agent) == ReturnReason::Failing);
     agent.OnRouteTerms(Terms(2, true));
     CPPUNIT_ASSERT(Offer(agent) == ReturnReason::None);
