Refuse no order right after the opposite one

An operator that reversed its order within 60 ms got 503 and had to send it again: the check for newer changes took the earliest time at which the connection may have arrived in the process, three turns of the event loop before it was accepted. It now takes the time of the connection itself; only the age of the order still counts from the earlier time. SubmittedCommandTest::OrdersRightAfterTheOppositeOneAreSent now passes a sending time of three turns earlier, with which the old check refused the order.

--- a/include/dandelionslip/Control/SubmittedCommand.h
+++ b/include/dandelionslip/Control/SubmittedCommand.h
@@ -7,19 +7,25 @@
 
 namespace dandelionslip {
 
+/// When a command came.
+struct CommandTimes
+{
+  TimePoint mConnectedAt; ///< When its connection was accepted.
+  TimePoint mSentAt;      ///< The earliest time at which it may have been sent.
+  TimePoint mReadAt;
+};
+
 /// Bounds how late a copy of a command can act. A route table carries a version, so a late copy of
 /// it changes nothing. A change of a data centre may carry none: while the network or a process
 /// held it up, its sender may have sent it to another replica, and a newer one after that, which a
 /// late copy would undo. Such a command is sent to the leader only while its sender may still wait,
-/// and expects the version that the data centre had when the command may have been sent.
+/// and expects the version that the data centre had when its connection was made.
 class SubmittedCommand
 {
 public:
   /// aState is the newest configuration of this replica, and aChanges says when it learned of it.
-  /// aSentAt is the earliest time at which the command may have been sent, and aReadAt is the time
-  /// at which it was read.
   SubmittedCommand(Command aCommand, const Configuration& aState, const DataCentreChanges& aChanges,
-                   TimePoint aSentAt, TimePoint aReadAt);
+                   const CommandTimes& aTimes);
 
   /// The command as it is sent to the leader; a publication id is applied once.
   const Bytes& Encoded() const { return mEncoded; }
--- a/lib/Control/SubmittedCommand.cpp
+++ b/lib/Control/SubmittedCommand.cpp
@@ -14,15 +14,13 @@
 } // namespace
 
 SubmittedCommand::SubmittedCommand(Command aCommand, const Configuration& aState,
-                                   const DataCentreChanges& aChanges, TimePoint aSentAt,
-                                   TimePoint aReadAt)
-  : mDeadline(aReadAt + kTimeout)
+                                   const DataCentreChanges& aChanges, const CommandTimes& aTimes)
+  : mDeadline(aTimes.mReadAt + kTimeout)
 {
   if (auto& change = aCommand.mDataCentre; change && !change->mExpectedVersion) {
     change->mExpectedVersion = VersionOf(aState, change->mName);
-    // The version that the data centre had at aSentAt is no longer known.
-    const bool overtaken = aChanges.ChangedSince(change->mName, aSentAt);
-    mDeadline = overtaken || aSentAt == TimePoint::min() ? TimePoint::min() : aSentAt + kTimeout;
+    const bool overtaken = aChanges.ChangedSince(change->mName, aTimes.mConnectedAt);
+    mDeadline = overtaken ? TimePoint::min() : aTimes.mSentAt + kTimeout;
     mMayBeOvertaken = true;
   }
   mEncoded = ToCbor(aCommand);
--- a/lib/Daemon/ControlDaemon.cpp
+++ b/lib/Daemon/ControlDaemon.cpp
@@ -282,11 +282,12 @@
     std::shared_ptr<SubmitCall> call;
     {
       const std::lock_guard lock(mMutex);
-      call = std::make_shared<SubmitCall>(
-        SubmitCall{{std::move(aCommand), mMembershipCore.Store().Current(), mDataCentreChanges,
-                    mInputAge.EarliestArrival(aSender.mConnectedAt), RuntimeClock::now()},
-                   std::move(aSender.mWaits),
-                   std::move(aCallback)});
+      call = std::make_shared<SubmitCall>(SubmitCall{
+        {std::move(aCommand), mMembershipCore.Store().Current(), mDataCentreChanges,
+         CommandTimes{aSender.mConnectedAt, mInputAge.EarliestArrival(aSender.mConnectedAt),
+                      RuntimeClock::now()}},
+        std::move(aSender.mWaits),
+        std::move(aCallback)});
     }
     TrySubmit(call);
   }
--- a/unittests/Control/SubmittedCommandTest.cpp
+++ b/unittests/Control/SubmittedCommandTest.cpp
@@ -42,7 +42,7 @@
 
   SubmittedCommand Submit(const Command& aCommand) const
   {
-    return {aCommand, mStore.Current(), mChanges, kStart, kStart};
+    return {aCommand, mStore.Current(), mChanges, {kStart, kStart, kStart}};
   }
 
   // Applies one copy of a command, as the group does once it is committed.
@@ -100,7 +100,8 @@
     InputAge age(now);
     const auto turn = [&] { age.NoteTurn(now += kTurn); };
     const auto expired = [&](const Command& aCommand) {
-      return SubmittedCommand(aCommand, mStore.Current(), mChanges, age.EarliestArrival(now), now)
+      return SubmittedCommand(aCommand, mStore.Current(), mChanges,
+                              {now, age.EarliestArrival(now), now})
         .Expired(now);
     };
     for (int i = 0; i < 10; ++i) {
@@ -124,7 +125,7 @@
     const TimePoint connectedAt = kStart + Milliseconds{100};
     const auto expired = [&](TimePoint aNow) {
       return SubmittedCommand(Order(1, true), mStore.Current(), mChanges,
-                              age.EarliestArrival(connectedAt), aNow)
+                              {connectedAt, age.EarliestArrival(connectedAt), aNow})
         .Expired(aNow);
     };
     TimePoint now = kStart;
@@ -139,9 +140,9 @@
     CPPUNIT_ASSERT(expired(now));
     runUntil(Milliseconds{4'100});
     CPPUNIT_ASSERT(expired(now));
-    CPPUNIT_ASSERT(
-      !SubmittedCommand(Order(1, true), mStore.Current(), mChanges, age.EarliestArrival(now), now)
-         .Expired(now));
+    CPPUNIT_ASSERT(!SubmittedCommand(Order(1, true), mStore.Current(), mChanges,
+                                     {now, age.EarliestArrival(now), now})
+                      .Expired(now));
   }
 
   // Guards against such an order that is held up for less than the timeout, while its operator
@@ -153,11 +154,13 @@
     mChanges.Note(mStore.Current(), kStart + Milliseconds{300});
     const TimePoint now = kStart + Milliseconds{400};
     CPPUNIT_ASSERT(
-      SubmittedCommand(Order(2, false), mStore.Current(), mChanges, connectedAt, now).Expired(now));
+      SubmittedCommand(Order(2, false), mStore.Current(), mChanges, {connectedAt, connectedAt, now})
+        .Expired(now));
     Command elsewhere = Order(3, false);
     elsewhere.mDataCentre->mName = "b";
     CPPUNIT_ASSERT(
-      !SubmittedCommand(elsewhere, mStore.Current(), mChanges, connectedAt, now).Expired(now));
+      !SubmittedCommand(elsewhere, mStore.Current(), mChanges, {connectedAt, connectedAt, now})
+         .Expired(now));
   }
 
   // Guards against refusing what an operator orders on purpose.
@@ -166,8 +169,8 @@
     TimePoint now = kStart;
     for (int i = 0; i < 4; ++i) {
       const TimePoint connectedAt = now + Milliseconds{1};
-      const SubmittedCommand order(Order(i, i % 2 == 0), mStore.Current(), mChanges, connectedAt,
-                                   connectedAt);
+      const SubmittedCommand order(Order(i, i % 2 == 0), mStore.Current(), mChanges,
+                                   {connectedAt, now - 3 * kTurn, connectedAt});
       CPPUNIT_ASSERT(!order.Expired(connectedAt));
       CPPUNIT_ASSERT(Apply(order) == CommandOutcome::Applied);
       CPPUNIT_ASSERT_EQUAL(i % 2 == 0, OutOfService());
@@ -181,7 +184,8 @@
     Command command = Order(1, true);
     command.mDataCentre.reset();
     command.mRoutes.emplace();
-    const SubmittedCommand table(command, mStore.Current(), mChanges, kStart, kStart + kFreeze);
+    const SubmittedCommand table(command, mStore.Current(), mChanges,
+                                 {kStart, kStart, kStart + kFreeze});
     CPPUNIT_ASSERT(!table.Expired(kStart + kFreeze) && !table.MayBeOvertaken());
   }
 };
