--- a/review/12/case.py
+++ b/review/12/case.py
@@ -23,7 +23,6 @@
 CATCH_UP_S = 4.0  # bounds.catch_up_s of the site.
 RECOVERY_S = 12.0  # bounds.recovery_s of the site.
 READ_FOR_S = 40.0  # More than three times the bound.
-CASE_S = 115.0
 
 started = time.monotonic()
 record = open(os.path.join(FOLDER, "record.txt"), "w", encoding="utf-8")
--- a/review/13/case.py
+++ b/review/13/case.py
@@ -24,7 +24,6 @@
 GAP_S = 0.5  # Between two planned removals.
 RECOVERY_S = 12.0  # bounds.recovery_s of the site.
 READ_FOR_S = 40.0  # More than three times the bound.
-CASE_S = 115.0
 
 started = time.monotonic()
 record = open(os.path.join(FOLDER, "record.txt"), "w", encoding="utf-8")
