--- a/include/dandelionslip/Control/RaftCore.h
+++ b/include/dandelionslip/Control/RaftCore.h
@@ -1,6 +1,7 @@
 // Raft for the control log, without I/O, clock or threads.
 #pragma once
 
+#include "dandelionslip/Control/LeaveRequest.h"
 #include "dandelionslip/Control/LogStore.h"
 #include "dandelionslip/Control/RaftAction.h"
 #include "dandelionslip/Support/Random.h"
@@ -8,6 +9,7 @@
 
 #include <memory>
 #include <optional>
+#include <span>
 
 namespace dandelionslip {
 
@@ -71,8 +73,10 @@
                                 RaftActions& aActions);
   /// Transfers leadership to aTarget, or to the voter with the longest matching log if aTarget is
   /// empty, once that voter has the whole log. For use before a planned stop. Proposals are refused
-  /// until the transfer succeeds or one election timeout has passed.
-  Status TransferLeadership(TimePoint aNow, const ReplicaId& aTarget, RaftActions& aActions);
+  /// until the transfer succeeds or one election timeout has passed. The replicas in aAvoided are
+  /// chosen only if there is no other.
+  Status TransferLeadership(TimePoint aNow, const ReplicaId& aTarget, RaftActions& aActions,
+                            std::span<const ReplicaId> aAvoided = {});
   /// Whether enough entries, or bytes of entries, were applied since the last snapshot.
   bool SnapshotDue() const;
   /// Builds a snapshot of the applied entries. Call it only when every ApplyAction returned so far
@@ -87,6 +91,9 @@
   bool Confirmed(TimePoint aNow) const;
   /// The leader of the current term, if known.
   std::optional<ReplicaId> Leader() const;
+  /// The newest message from the leader of the current term; empty if none was received or this
+  /// replica leads.
+  std::optional<LeaderStamp> NewestLeaderStamp() const;
   RaftRole Role() const;
   Term CurrentTerm() const;
   LogIndex CommitIndex() const;
--- a/include/dandelionslip/Control/RaftMembership.h
+++ b/include/dandelionslip/Control/RaftMembership.h
@@ -41,6 +41,8 @@
   bool IsVoter(const ReplicaId& aId) const;
   bool IsRemoved(const ReplicaId& aId) const;
   std::size_t VoterCount() const;
+  /// Whether a replica other than aId is a learner.
+  bool HasLearnerBesides(const ReplicaId& aId) const;
   /// Smallest number of voters that forms a majority.
   std::size_t Quorum() const { return VoterCount() / 2 + 1; }
 
@@ -59,6 +61,7 @@
   AddLearner,
   Promote, ///< Learner to voter.
   Remove,  ///< For good; the identity is refused afterwards.
+  Demote,  ///< Voter to learner.
 };
 
 std::span<const EnumName<RaftMembershipChangeKind>> EnumNames(RaftMembershipChangeKind);
--- a/include/dandelionslip/Control/ReplicaRepairPlanner.h
+++ b/include/dandelionslip/Control/ReplicaRepairPlanner.h
@@ -1,6 +1,7 @@
 // Decides which replica to add, promote or remove so that the group keeps its voters.
 #pragma once
 
+#include "dandelionslip/Control/LeaveRequest.h"
 #include "dandelionslip/Control/LogEntry.h"
 #include "dandelionslip/Control/RaftMembership.h"
 #include "dandelionslip/Support/RuntimeClock.h"
@@ -8,6 +9,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <vector>
 
 namespace dandelionslip {
 
@@ -22,6 +24,8 @@
   Milliseconds mJoinLifetime{2'000}; ///< A join request expires after this time.
   /// A learner that sends nothing for longer than this is removed.
   Milliseconds mLearnerTimeout{30'000};
+  /// A leave request counts only if it answers a message that the leader sent within this time.
+  Milliseconds mLeaveRequestAge{1'000};
   std::size_t mMaxReplicas = 16; ///< Voters and learners.
 };
 
@@ -30,6 +34,8 @@
 {
   const RaftMembership& mMembers; ///< The newest membership in the log.
   ReplicaId mSelf;
+  Term mTerm = 0;
+  bool mMembersCommitted = true; ///< mMembers is committed.
   LogIndex mCommitIndex = 0;
   std::function<LogIndex(const ReplicaId&)> mMatchIndexOf; ///< See RaftCore::MatchIndexOf.
 };
@@ -37,7 +43,9 @@
 /// Plans the membership changes that keep the number of voters at the target while disks are lost
 /// and VMs are replaced. A replica that lost its disk comes back under a new identity at its old
 /// address; it is promoted before the old identity is removed, so that at no time fewer disks hold
-/// a committed entry. Used by the leader only. Not thread-safe.
+/// a committed entry. A voter that is told to stop is replaced before it ends, if a learner can
+/// take over its vote. It stays in the group as a learner, because it may come back with its data.
+/// Used by the leader only. Not thread-safe.
 class ReplicaRepairPlanner
 {
 public:
@@ -48,6 +56,12 @@
   void OnJoinRequest(const ReplicaId& aReplica, const std::string& aAddress, TimePoint aNow);
   /// A message of a replica arrived.
   void OnMessageFrom(const ReplicaId& aReplica, TimePoint aNow);
+  /// A replica that was told to stop asks to be replaced as a voter. Until its next join request,
+  /// which only a process that was started again sends, it gets no vote. Returns what it may do.
+  LeaveState OnLeaveRequest(const LeaveRequest& aRequest, const ReplicaGroup& aGroup,
+                            TimePoint aNow);
+  /// The replicas that were told to stop and have not come back, as far as known.
+  std::vector<ReplicaId> Leaving() const;
   /// This replica became the leader. Replicas have the full timeouts from now on to send a message.
   void OnBecameLeader(TimePoint aNow);
 
@@ -62,6 +76,9 @@
   };
 
   Milliseconds TimeSinceLastMessage(const ReplicaId& aReplica, TimePoint aNow) const;
+  bool HasJoinRequest(const ReplicaId& aReplica, TimePoint aNow) const;
+  bool IsLeaving(const ReplicaId& aReplica) const;
+  bool MaySucceed(const ReplicaGroup& aGroup, const ReplicaId& aReplica, TimePoint aNow) const;
   bool IsSuperseded(const ReplicaGroup& aGroup, const ReplicaId& aReplica, TimePoint aNow) const;
   std::optional<ReplicaId> ReplaceableVoter(const ReplicaGroup& aGroup, TimePoint aNow) const;
   std::optional<RaftMembershipChange> NextAddition(const ReplicaGroup& aGroup,
@@ -74,6 +91,7 @@
   TimePoint mLeaderSince;
   std::map<ReplicaId, TimePoint> mLastMessage;
   std::map<ReplicaId, JoinRecord> mJoining; ///< At most one identity for each address.
+  std::map<ReplicaId, TimePoint> mLeaving;  ///< Time of the newest leave request.
 };
 
 } // namespace dandelionslip
--- a/lib/Control/RaftCore.cpp
+++ b/lib/Control/RaftCore.cpp
@@ -43,9 +43,10 @@
   return mImpl->ProposeChange(aNow, aChange, aActions);
 }
 
-Status RaftCore::TransferLeadership(TimePoint aNow, const ReplicaId& aTarget, RaftActions& aActions)
+Status RaftCore::TransferLeadership(TimePoint aNow, const ReplicaId& aTarget, RaftActions& aActions,
+                                    std::span<const ReplicaId> aAvoided)
 {
-  return mImpl->TransferLeadership(aNow, aTarget, aActions);
+  return mImpl->TransferLeadership(aNow, aTarget, aActions, aAvoided);
 }
 
 bool RaftCore::SnapshotDue() const
@@ -75,6 +76,11 @@
   return mImpl->Leader();
 }
 
+std::optional<LeaderStamp> RaftCore::NewestLeaderStamp() const
+{
+  return mImpl->NewestLeaderStamp();
+}
+
 RaftRole RaftCore::Role() const
 {
   return mImpl->Role();
--- a/lib/Control/RaftCoreImpl.cpp
+++ b/lib/Control/RaftCoreImpl.cpp
@@ -294,6 +294,12 @@
   return !mLog.IsEmpty() && mLog.LatestMembership().IsVoter(mSelf);
 }
 
+std::optional<LeaderStamp> RaftCore::Impl::NewestLeaderStamp() const
+{
+  const bool current = mLeader && mLeaderStamp && mLeaderStamp->mTerm == mHardState.mTerm;
+  return current ? mLeaderStamp : std::nullopt;
+}
+
 LogIndex RaftCore::Impl::MatchIndexOf(const ReplicaId& aReplica) const
 {
   if (aReplica == mSelf) {
--- a/lib/Control/RaftCoreImpl.h
+++ b/lib/Control/RaftCoreImpl.h
@@ -25,12 +25,14 @@
   Result<EntryId> Propose(TimePoint aNow, Bytes aPayload, RaftActions& aActions);
   Result<EntryId> ProposeChange(TimePoint aNow, const RaftMembershipChange& aChange,
                                 RaftActions& aActions);
-  Status TransferLeadership(TimePoint aNow, const ReplicaId& aTarget, RaftActions& aActions);
+  Status TransferLeadership(TimePoint aNow, const ReplicaId& aTarget, RaftActions& aActions,
+                            std::span<const ReplicaId> aAvoided);
   void Compact(std::shared_ptr<const Snapshot> aSnapshot);
 
   bool SnapshotDue() const;
   bool Confirmed(TimePoint aNow) const;
   const std::optional<ReplicaId>& Leader() const { return mLeader; }
+  std::optional<LeaderStamp> NewestLeaderStamp() const;
   RaftRole Role() const { return mRole.Role(); }
   Term CurrentTerm() const { return mHardState.mTerm; }
   LogIndex CommitIndex() const { return mCommitIndex; }
@@ -80,7 +82,7 @@
   void Handle(const RaftMessage& aMessage, const ReplicaRefusal& aRefusal);
 
   // Follower side of replication.
-  void FollowLeader(const ReplicaId& aLeader);
+  void FollowLeader(const ReplicaId& aLeader, std::int64_t aSentNs);
   bool EntriesAreValid(const AppendRequest& aRequest) const;
   bool PreviousMatches(const AppendRequest& aRequest) const;
   LogIndex ConflictHint(const AppendRequest& aRequest) const;
@@ -125,6 +127,7 @@
   Status AddLearner(RaftMembership& aMembers, const RaftMembershipChange& aChange) const;
   Status Promote(RaftMembership& aMembers, const RaftMembershipChange& aChange) const;
   Status Remove(RaftMembership& aMembers, const RaftMembershipChange& aChange) const;
+  Status Demote(RaftMembership& aMembers, const RaftMembershipChange& aChange) const;
 
   const RaftSettings mSettings;
   const ReplicaId mSelf;
@@ -147,8 +150,9 @@
 
   // Follower.
   std::optional<TimePoint> mLastLeaderContact;
-  std::optional<TimePoint> mConfirmedAt; ///< Local clock; never later than the newest quorum
-                                         ///< contact that the leader reported.
+  std::optional<LeaderStamp> mLeaderStamp; ///< Newest one received; may be of an earlier term.
+  std::optional<TimePoint> mConfirmedAt;   ///< Local clock; never later than the newest quorum
+                                           ///< contact that the leader reported.
   std::optional<IncomingSnapshot> mIncomingSnapshot;
 
   // Candidate.
--- a/lib/Control/RaftFollower.cpp
+++ b/lib/Control/RaftFollower.cpp
@@ -10,12 +10,17 @@
 
 } // namespace
 
-void RaftCore::Impl::FollowLeader(const ReplicaId& aLeader)
+void RaftCore::Impl::FollowLeader(const ReplicaId& aLeader, std::int64_t aSentNs)
 {
   if (Role() != RaftRole::Follower || mLeader != aLeader) {
     BecomeFollower(mHardState.mTerm, aLeader);
   }
   mLastLeaderContact = mNow;
+  const bool newer =
+    !mLeaderStamp || mLeaderStamp->mTerm != mHardState.mTerm || mLeaderStamp->mSentNs < aSentNs;
+  if (newer) {
+    mLeaderStamp = LeaderStamp{mHardState.mTerm, aSentNs};
+  }
   ResetElectionDeadline();
 }
 
@@ -115,7 +120,7 @@
   if (Role() == RaftRole::Leader || !EntriesAreValid(aRequest)) {
     return;
   }
-  FollowLeader(aMessage.mFrom);
+  FollowLeader(aMessage.mFrom, aRequest.mSentNs);
   // Entries addressed to a lost data directory must not be stored in the new one: the leader
   // decides by the store id whether the replica may take part.
   const bool addressed = aMessage.mToStore == mStore || aRequest.mEntries.empty();
@@ -137,7 +142,7 @@
   if (Role() == RaftRole::Leader || aRequest.mSize > kMaxSnapshotBytes) {
     return;
   }
-  FollowLeader(aMessage.mFrom);
+  FollowLeader(aMessage.mFrom, aRequest.mSentNs);
   if (aMessage.mToStore != mStore) {
     Answer(aMessage, SnapshotAnswer{aRequest.mIndex, 0, false, aRequest.mSentNs});
     return;
--- a/lib/Control/RaftMembership.cpp
+++ b/lib/Control/RaftMembership.cpp
@@ -8,10 +8,11 @@
 
 std::span<const EnumName<RaftMembershipChangeKind>> EnumNames(RaftMembershipChangeKind)
 {
-  static constexpr std::array<EnumName<RaftMembershipChangeKind>, 3> kNames{{
+  static constexpr std::array<EnumName<RaftMembershipChangeKind>, 4> kNames{{
     {RaftMembershipChangeKind::AddLearner, "add_learner"},
     {RaftMembershipChangeKind::Promote, "promote"},
     {RaftMembershipChangeKind::Remove, "remove"},
+    {RaftMembershipChangeKind::Demote, "demote"},
   }};
   return kNames;
 }
@@ -33,6 +34,12 @@
   return std::find(mRemoved.begin(), mRemoved.end(), aId) != mRemoved.end();
 }
 
+bool RaftMembership::HasLearnerBesides(const ReplicaId& aId) const
+{
+  return std::any_of(mReplicas.begin(), mReplicas.end(),
+                     [&](const auto& aItem) { return !aItem.second.mVoter && aItem.first != aId; });
+}
+
 std::size_t RaftMembership::VoterCount() const
 {
   return static_cast<std::size_t>(std::count_if(
--- a/lib/Control/RaftProposal.cpp
+++ b/lib/Control/RaftProposal.cpp
@@ -5,6 +5,8 @@
 
 #include <boost/outcome/try.hpp>
 
+#include <algorithm>
+
 namespace dandelionslip {
 
 Status RaftCore::Impl::CheckMayPropose(const char* aStep) const
@@ -98,6 +100,9 @@
     case RaftMembershipChangeKind::Remove:
       changed = Remove(members, aChange);
       break;
+    case RaftMembershipChangeKind::Demote:
+      changed = Demote(members, aChange);
+      break;
   }
   BOOST_OUTCOME_TRY(std::move(changed));
   return members;
@@ -151,19 +156,39 @@
   return Ok();
 }
 
+Status RaftCore::Impl::Demote(RaftMembership& aMembers, const RaftMembershipChange& aChange) const
+{
+  if (aChange.mReplica == mSelf) {
+    return Fail(ErrorCode::InvalidInput, "raft.change", mSelf,
+                "the leader cannot demote itself; transfer leadership first");
+  }
+  ReplicaInfo& info = aMembers.mReplicas[aChange.mReplica];
+  if (!info.mVoter) {
+    return Fail(ErrorCode::InvalidInput, "raft.change", aChange.mReplica, "not a voter");
+  }
+  info.mVoter = false;
+  info.mStore = 0;
+  return Ok();
+}
+
 Status RaftCore::Impl::TransferLeadership(TimePoint aNow, const ReplicaId& aTarget,
-                                          RaftActions& aActions)
+                                          RaftActions& aActions,
+                                          std::span<const ReplicaId> aAvoided)
 {
   SetNow(aNow);
   BOOST_OUTCOME_TRY(CheckMayPropose("raft.transfer"));
   const RaftMembership& members = mLog.LatestMembership();
+  // Avoided replicas come last, then those with shorter logs.
+  const auto rank = [&](const auto& aItem) {
+    const bool avoided = std::find(aAvoided.begin(), aAvoided.end(), aItem.first) != aAvoided.end();
+    return std::pair(!avoided, aItem.second.mMatchIndex);
+  };
   const std::pair<const ReplicaId, RaftPeer>* best = nullptr;
   for (const auto& item : mPeers) {
     const bool wanted = aTarget.empty() || item.first == aTarget;
     const bool usable = members.IsVoter(item.first) && item.second.mLastContact &&
                         item.second.mStateMachine.State() != PeerState::Refused;
-    if (wanted && usable &&
-        (best == nullptr || item.second.mMatchIndex > best->second.mMatchIndex)) {
+    if (wanted && usable && (best == nullptr || rank(item) > rank(*best))) {
       best = &item;
     }
   }
--- a/lib/Control/ReplicaRepairPlanner.cpp
+++ b/lib/Control/ReplicaRepairPlanner.cpp
@@ -21,6 +21,46 @@
   if (mJoining.size() < mSettings.mMaxReplicas || mJoining.contains(aReplica)) {
     mJoining[aReplica] = {aAddress, aNow};
   }
+  mLeaving.erase(aReplica);
+}
+
+LeaveState ReplicaRepairPlanner::OnLeaveRequest(const LeaveRequest& aRequest,
+                                                const ReplicaGroup& aGroup, TimePoint aNow)
+{
+  const auto age = aNow - TimePoint(RuntimeClock::duration(aRequest.mStamp.mSentNs));
+  if (aRequest.mStamp.mTerm != aGroup.mTerm || age > mSettings.mLeaveRequestAge) {
+    return LeaveState::Refused;
+  }
+  const ReplicaId& leaving = aRequest.mReplica;
+  const ReplicaInfo* info = aGroup.mMembers.Find(leaving);
+  if (info == nullptr) {
+    mJoining.erase(leaving);
+    return LeaveState::Released;
+  }
+  mLeaving[leaving] = aNow;
+  mJoining.erase(leaving);
+  if (!info->mVoter) {
+    return aGroup.mMembersCommitted ? LeaveState::Released : LeaveState::Wait;
+  }
+  // A new leader has not received the join requests of all learners yet.
+  const bool newLeader = aNow - mLeaderSince < mSettings.mJoinLifetime;
+  const auto& members = aGroup.mMembers.mReplicas;
+  const bool successor = std::any_of(members.begin(), members.end(), [&](const auto& aItem) {
+    const auto& [id, other] = aItem;
+    return MaySucceed(aGroup, id, aNow) || (newLeader && !other.mVoter && !IsLeaving(id));
+  });
+  const bool wait = successor || aGroup.mMembers.VoterCount() > mSettings.mTargetVoters ||
+                    NextAddition(aGroup, aNow);
+  return wait ? LeaveState::Wait : LeaveState::NoSuccessor;
+}
+
+std::vector<ReplicaId> ReplicaRepairPlanner::Leaving() const
+{
+  std::vector<ReplicaId> leaving;
+  for (const auto& [id, time] : mLeaving) {
+    leaving.push_back(id);
+  }
+  return leaving;
 }
 
 void ReplicaRepairPlanner::OnMessageFrom(const ReplicaId& aReplica, TimePoint aNow)
@@ -32,6 +72,7 @@
 {
   mLeaderSince = aNow;
   mLastMessage.clear();
+  mJoining.clear();
 }
 
 Milliseconds ReplicaRepairPlanner::TimeSinceLastMessage(const ReplicaId& aReplica,
@@ -42,6 +83,32 @@
   return std::chrono::duration_cast<Milliseconds>(aNow - since);
 }
 
+bool ReplicaRepairPlanner::HasJoinRequest(const ReplicaId& aReplica, TimePoint aNow) const
+{
+  const auto found = mJoining.find(aReplica);
+  return found != mJoining.end() && aNow - found->second.mReceivedAt <= mSettings.mJoinLifetime;
+}
+
+// A request received under an earlier leadership does not count: the replica may have come back and
+// sent its join requests to another leader.
+bool ReplicaRepairPlanner::IsLeaving(const ReplicaId& aReplica) const
+{
+  const auto found = mLeaving.find(aReplica);
+  return found != mLeaving.end() && found->second >= mLeaderSince;
+}
+
+// Whether the replica is a learner that can become a voter once its log is up to date. The join
+// request shows that it is not about to end: a stopping replica still answers messages but sends
+// none.
+bool ReplicaRepairPlanner::MaySucceed(const ReplicaGroup& aGroup, const ReplicaId& aReplica,
+                                      TimePoint aNow) const
+{
+  const ReplicaInfo* info = aGroup.mMembers.Find(aReplica);
+  return info != nullptr && !info->mVoter && HasJoinRequest(aReplica, aNow) &&
+         TimeSinceLastMessage(aReplica, aNow) < mSettings.mVoterTimeout &&
+         !IsSuperseded(aGroup, aReplica, aNow);
+}
+
 // Whether another replica asked to join from this replica's address. Two replicas cannot share an
 // address, so the later identity shows that the disk of the earlier one is gone and its process has
 // ended.
@@ -64,6 +131,7 @@
                                                                 TimePoint aNow) const
 {
   std::optional<ReplicaId> longestIdle;
+  std::optional<ReplicaId> firstLeaving;
   Milliseconds longest = mSettings.mVoterTimeout;
   for (const auto& [id, info] : aGroup.mMembers.mReplicas) {
     if (!info.mVoter || id == aGroup.mSelf) {
@@ -76,8 +144,12 @@
       longest = idle;
       longestIdle = id;
     }
+    if (IsLeaving(id) && (!firstLeaving || mLeaving.at(id) < mLeaving.at(*firstLeaving))) {
+      firstLeaving = id;
+    }
   }
-  return longestIdle;
+  // A voter that is gone is replaced first: one that is leaving still counts while it waits.
+  return longestIdle ? longestIdle : firstLeaving;
 }
 
 std::optional<RaftMembershipChange> ReplicaRepairPlanner::NextAddition(const ReplicaGroup& aGroup,
@@ -105,9 +177,7 @@
     return std::nullopt;
   }
   for (const auto& [id, info] : aGroup.mMembers.mReplicas) {
-    const bool live = !info.mVoter && TimeSinceLastMessage(id, aNow) < mSettings.mVoterTimeout &&
-                      !IsSuperseded(aGroup, id, aNow);
-    if (live && aGroup.mMatchIndexOf(id) >= aGroup.mCommitIndex) {
+    if (MaySucceed(aGroup, id, aNow) && aGroup.mMatchIndexOf(id) >= aGroup.mCommitIndex) {
       return RaftMembershipChange{RaftMembershipChangeKind::Promote, id, {}};
     }
   }
@@ -119,7 +189,11 @@
 {
   if (aGroup.mMembers.VoterCount() > mSettings.mTargetVoters) {
     if (const auto voter = ReplaceableVoter(aGroup, aNow)) {
-      return RaftMembershipChange{RaftMembershipChangeKind::Remove, *voter, {}};
+      const bool mayReturn = IsLeaving(*voter) && !IsSuperseded(aGroup, *voter, aNow);
+      return RaftMembershipChange{mayReturn ? RaftMembershipChangeKind::Demote
+                                            : RaftMembershipChangeKind::Remove,
+                                  *voter,
+                                  {}};
     }
   }
   for (const auto& [id, info] : aGroup.mMembers.mReplicas) {
--- a/lib/Daemon/ControlDaemon.cpp
+++ b/lib/Daemon/ControlDaemon.cpp
@@ -9,6 +9,7 @@
 #include "dandelionslip/Control/JoinRequest.h"
 #include "dandelionslip/Control/MembershipCore.h"
 #include "dandelionslip/Control/PosixFileSystem.h"
+#include "dandelionslip/Control/ReplicaDeparture.h"
 #include "dandelionslip/Control/ReplicaRepairPlanner.h"
 #include "dandelionslip/Control/SubmittedCommand.h"
 #include "dandelionslip/Daemon/WorkerPool.h"
@@ -20,6 +21,7 @@
 
 #include <algorithm>
 #include <array>
+#include <atomic>
 #include <cstdio>
 #include <set>
 
@@ -102,6 +104,17 @@
   return settings;
 }
 
+// Leaves time for the rest of a planned stop; see ControlDaemon::EndProcess().
+ReplicaDepartureSettings DepartureSettingsFrom(const ControlSettings& aSettings)
+{
+  ReplicaDepartureSettings settings;
+  settings.mLimit =
+    std::max(Milliseconds{0},
+             aSettings.mStopDeadline - aSettings.mElectionTimeoutMin - aSettings.mHeartbeat);
+  settings.mTransferPause = aSettings.mElectionTimeoutMax;
+  return settings;
+}
+
 MembershipSettings MembershipSettingsFrom(const ControlSettings& aSettings)
 {
   MembershipSettings settings;
@@ -269,8 +282,11 @@
   void OnFatal(const Error& aError) override
   {
     LogEvent(LogLevel::Error, "replica_stopped").With(aError);
-    mIdentityRefused = aError.mStep == "raft.identity";
-    mPool.Exit(kFatalExit);
+    const bool identityRefused = aError.mStep == "raft.identity";
+    // A replica that was told to stop does not join again.
+    const bool mayEnd = identityRefused && mStopping;
+    mIdentityRefused = identityRefused && !mStopping;
+    mPool.Exit(mayEnd ? 0 : kFatalExit);
   }
 
   /// Whether the replica stopped because the group no longer accepts its identity.
@@ -451,18 +467,33 @@
     const RaftMembership members = mRaft.Members();
     const Milliseconds interval =
       members.IsVoter(mRaft.Self()) ? kVoterJoinInterval : kNonVoterJoinInterval;
-    if (!mJoinSentAt || now - *mJoinSentAt >= interval) {
+    // A stopping replica sends no join request: it would count as started again.
+    if (!mStopping && (!mJoinSentAt || now - *mJoinSentAt >= interval)) {
       mJoinSentAt = now;
       SendJoin(members);
     }
+    ProposeNextChange();
+  }
+
+  void ProposeNextChange()
+  {
     mRaft.MaintainReplicas([this](const RaftCore& aCore, TimePoint aNow) {
       const std::lock_guard lock(mMutex);
-      return mRepairPlanner.Next({aCore.Members(), mRaft.Self(), aCore.CommitIndex(),
-                                  [&](const ReplicaId& aId) { return aCore.MatchIndexOf(aId); }},
-                                 aNow);
+      return mRepairPlanner.Next(GroupOf(aCore), aNow);
     });
   }
 
+  // The returned value refers to aCore.
+  ReplicaGroup GroupOf(const RaftCore& aCore) const
+  {
+    return {.mMembers = aCore.Members(),
+            .mSelf = mRaft.Self(),
+            .mTerm = aCore.CurrentTerm(),
+            .mMembersCommitted = aCore.CommittedMembers() == aCore.Members(),
+            .mCommitIndex = aCore.CommitIndex(),
+            .mMatchIndexOf = [&aCore](const ReplicaId& aId) { return aCore.MatchIndexOf(aId); }};
+  }
+
   void SendJoin(const RaftMembership& aMembers)
   {
     if (mRaft.IsLeader()) {
@@ -523,6 +554,26 @@
     aExchange->Respond({});
   }
 
+  void OnLeave(const std::shared_ptr<HttpExchange>& aExchange)
+  {
+    const auto request = Decode<LeaveRequest>(aExchange);
+    if (!request) {
+      return;
+    }
+    LeaveAnswer answer;
+    mRaft.Inspect([&](const RaftCore& aCore) {
+      if (aCore.Role() != RaftRole::Leader) {
+        return;
+      }
+      const std::lock_guard lock(mMutex);
+      answer.mState = mRepairPlanner.OnLeaveRequest(*request, GroupOf(aCore), RuntimeClock::now());
+    });
+    RespondCbor(*aExchange, answer);
+    if (answer.mState == LeaveState::Wait) {
+      ProposeNextChange();
+    }
+  }
+
   void Send(const SendSummary& aAction)
   {
     PostToReplica<SummaryAnswer>(aAction.mTo, "/v1/summary", ToCbor(aAction.mSummary),
@@ -557,10 +608,11 @@
 
   void OnRequest(const std::shared_ptr<HttpExchange>& aExchange)
   {
-    static constexpr std::array<PathHandler, 10> kPathHandlers{{
+    static constexpr std::array<PathHandler, 11> kPathHandlers{{
       {"/v1/announce", &ControlDaemon::OnAnnounce},
       {"/v1/raft", &ControlDaemon::OnRaft},
       {"/v1/join", &ControlDaemon::OnJoin},
+      {"/v1/leave", &ControlDaemon::OnLeave},
       {"/v1/summary", &ControlDaemon::OnSummary},
       {"/v1/view", &ControlDaemon::OnView},
       {"/v1/state", &ControlDaemon::OnStateRequest},
@@ -759,11 +811,100 @@
     aExchange->Respond(std::move(response));
   }
 
+  // Lets a learner take over this replica's vote, if there is one, and ends the process. Only where
+  // the leader maintains the voters: otherwise the operator replaces replicas.
+  void Stop()
+  {
+    if (mSettings.mTargetVoters == 0) {
+      EndProcess();
+      return;
+    }
+    mStopping = true;
+    {
+      const std::lock_guard lock(mMutex);
+      mDeparture.emplace(DepartureSettingsFrom(mSettings), RuntimeClock::now());
+    }
+    mDepartureTimer =
+      std::make_unique<RepeatingTimer>(mPool.Loop(), kTick, [this] { ContinueDeparture(); });
+  }
+
+  void ContinueDeparture()
+  {
+    DepartureView view;
+    std::optional<LeaderStamp> stamp;
+    mRaft.Inspect([&](const RaftCore& aCore) {
+      stamp = aCore.NewestLeaderStamp();
+      view.mLeads = aCore.Role() == RaftRole::Leader;
+      view.mLeaderKnown = stamp.has_value();
+      view.mOtherLearner = aCore.Members().HasLearnerBesides(mRaft.Self());
+    });
+    DepartureStep step{};
+    std::vector<ReplicaId> leaving;
+    {
+      const std::lock_guard lock(mMutex);
+      if (!mDeparture) {
+        return;
+      }
+      step = mDeparture->Next(view, RuntimeClock::now());
+      leaving = mRepairPlanner.Leaving();
+      if (step == DepartureStep::End) {
+        mDeparture.reset();
+      }
+    }
+    switch (step) {
+      case DepartureStep::Wait:
+        break;
+      case DepartureStep::TransferLeadership:
+        mRaft.TransferLeadership(std::move(leaving), [] {});
+        break;
+      case DepartureStep::AskLeader:
+        SendLeave(*stamp);
+        break;
+      case DepartureStep::End:
+        EndProcess();
+        break;
+    }
+  }
+
+  void SendLeave(const LeaderStamp& aStamp)
+  {
+    const std::string leader = mRaft.LeaderAddress();
+    if (leader.empty()) {
+      return;
+    }
+    mClients.Post(leader, "/v1/leave", ToCbor(LeaveRequest{mRaft.Self(), aStamp}), kPeerTimeout,
+                  [this, leader](const Result<Bytes>& aResult) {
+                    const auto answer = aResult ? FromCbor<LeaveAnswer>(aResult.value(), leader)
+                                                : Result<LeaveAnswer>(aResult.as_failure());
+                    const std::lock_guard lock(mMutex);
+                    if (!mDeparture) {
+                      return;
+                    }
+                    if (answer) {
+                      const LeaveState state = answer.value().mState;
+                      if (mLeaveState != state) {
+                        mLeaveState = state;
+                        LogEvent(LogLevel::Info, "leave_answered")
+                          .With("leader", leader)
+                          .With("state", ToJson(state).get<std::string>());
+                      }
+                      mDeparture->OnAnswer(state);
+                    } else if (answer.error().mCode == ErrorCode::NotFound) {
+                      mDeparture->OnUnsupported();
+                    }
+                  });
+  }
+
   // Transfers leadership, waits for the minimal election timeout so that a new leader can be
   // elected, then for one heartbeat interval so that open requests can end, and exits.
-  void Stop()
+  void EndProcess()
   {
-    mRaft.TransferLeadership([this] {
+    std::vector<ReplicaId> leaving;
+    {
+      const std::lock_guard lock(mMutex);
+      leaving = mRepairPlanner.Leaving();
+    }
+    mRaft.TransferLeadership(std::move(leaving), [this] {
       CallAfter(mPool.Loop(), mSettings.mElectionTimeoutMin, [this] {
         mServer->StopAccepting();
         CallAfter(mPool.Loop(), mSettings.mHeartbeat, [this] {
@@ -785,7 +926,8 @@
   MetricsRegistry mRegistry;
   RaftRuntime mRaft;
   /// Guards mInputAge, mDataCentreChanges, mMembershipCore, mLastAnswer, mRepairPlanner,
-  /// mNewestLedTerm and mJoinEndpoints; taken after the mutex of the Raft core.
+  /// mNewestLedTerm, mJoinEndpoints, mDeparture and mLeaveState; taken after the mutex of the Raft
+  /// core.
   std::mutex mMutex;
   InputAge mInputAge{RuntimeClock::now()};
   DataCentreChanges mDataCentreChanges;
@@ -799,6 +941,10 @@
   std::uint64_t mNewestLedTerm = 0; ///< Newest term in which this replica was the leader.
   std::unique_ptr<RepeatingTimer> mReplicaTimer;
   std::optional<TimePoint> mJoinSentAt;
+  std::atomic<bool> mStopping = false;        ///< This replica was told to stop.
+  std::optional<ReplicaDeparture> mDeparture; ///< Set while this replica waits to end.
+  std::optional<LeaveState> mLeaveState;      ///< The last answer of a leader.
+  std::unique_ptr<RepeatingTimer> mDepartureTimer;
   bool mIdentityRefused = false;
   std::unique_ptr<ControlAdapter> mAdapter;
 };
--- a/lib/Daemon/Http2ClientPool.cpp
+++ b/lib/Daemon/Http2ClientPool.cpp
@@ -1,6 +1,8 @@
 // Creation of HTTP/2 clients, and POST requests with them.
 #include "Http2ClientPool.h"
 
+#include "HttpResponses.h"
+
 namespace dandelionslip {
 
 std::shared_ptr<Http2Client> Http2ClientPool::ClientFor(const std::string& aEndpoint)
@@ -27,20 +29,22 @@
   HttpRequest request;
   request.mPath = aPath;
   request.mBody = std::move(aBody);
-  client->Send(std::move(request), aTimeout,
-               [aEndpoint, aPath, callback = std::move(aCallback)](Result<HttpResponse> aResult) {
-                 if (!aResult) {
-                   callback(aResult.as_failure());
-                   return;
-                 }
-                 constexpr int kStatusOk = 200;
-                 if (aResult.value().mStatus != kStatusOk) {
-                   callback(Fail(ErrorCode::Unavailable, "post " + aPath, aEndpoint,
-                                 "HTTP status " + std::to_string(aResult.value().mStatus)));
-                   return;
-                 }
-                 callback(std::move(aResult.value().mBody));
-               });
+  client->Send(
+    std::move(request), aTimeout,
+    [aEndpoint, aPath, callback = std::move(aCallback)](Result<HttpResponse> aResult) {
+      if (!aResult) {
+        callback(aResult.as_failure());
+        return;
+      }
+      constexpr int kStatusOk = 200;
+      if (const int status = aResult.value().mStatus; status != kStatusOk) {
+        const ErrorCode code =
+          status == kStatusNotFound ? ErrorCode::NotFound : ErrorCode::Unavailable;
+        callback(Fail(code, "post " + aPath, aEndpoint, "HTTP status " + std::to_string(status)));
+        return;
+      }
+      callback(std::move(aResult.value().mBody));
+    });
 }
 
 } // namespace dandelionslip
--- a/lib/Daemon/RaftRuntime.cpp
+++ b/lib/Daemon/RaftRuntime.cpp
@@ -156,13 +156,21 @@
   mCallbacks[aEntry.value()] = aCallback;
 }
 
-void RaftRuntime::TransferLeadership(std::function<void()> aCallback)
+void RaftRuntime::Inspect(const std::function<void(const RaftCore&)>& aReader)
 {
-  boost::asio::post(mStrand, [this, callback = std::move(aCallback)] {
+  const std::lock_guard lock(mMutex);
+  aReader(*mCore);
+}
+
+void RaftRuntime::TransferLeadership(std::vector<ReplicaId> aAvoided,
+                                     std::function<void()> aCallback)
+{
+  boost::asio::post(mStrand, [this, avoided = std::move(aAvoided),
+                              callback = std::move(aCallback)] {
     RaftActions actions;
     {
       const std::lock_guard lock(mMutex);
-      if (const auto status = mCore->TransferLeadership(RuntimeClock::now(), {}, actions);
+      if (const auto status = mCore->TransferLeadership(RuntimeClock::now(), {}, actions, avoided);
           !status) {
         LogEvent(LogLevel::Info, "leadership_not_transferred").With(status.error());
       }
--- a/lib/Daemon/RaftRuntime.h
+++ b/lib/Daemon/RaftRuntime.h
@@ -60,8 +60,11 @@
   /// and only if this replica leads.
   void MaintainReplicas(
     std::function<std::optional<RaftMembershipChange>(const RaftCore&, TimePoint)> aDecide);
-  /// Starts a leadership transfer before a planned stop; the callback then runs on the strand.
-  void TransferLeadership(std::function<void()> aCallback);
+  /// Calls aReader at once with the state of the core, which does not change during the call.
+  void Inspect(const std::function<void(const RaftCore&)>& aReader);
+  /// Starts a leadership transfer before a planned stop, to a replica in aAvoided only if there is
+  /// no other; the callback then runs on the strand.
+  void TransferLeadership(std::vector<ReplicaId> aAvoided, std::function<void()> aCallback);
 
   bool Confirmed();
   bool IsLeader();
--- a/scripts/cluster.py
+++ b/scripts/cluster.py
@@ -108,6 +108,27 @@
             first.start()
             process.child = first.child
 
+    def start_maintained_control(self, count, voters):
+        """Starts a control group of its own, whose leader keeps `voters` voters. The first replicas
+        form the group and the others join it. Returns the names of the processes."""
+        endpoints = [f"{NET}.5.{i + 1}:7400" for i in range(count)]
+        names = []
+        for i, endpoint in enumerate(endpoints):
+            name = f"maintained-{i + 1}"
+            settings = self.common_settings(name, self.data_centres[i % len(self.data_centres)], "")
+            settings.update({"endpoint": endpoint, "founders": endpoints[:voters], "join": True,
+                             "target_voters": voters,
+                             "data_folder": os.path.join(self.folder, name + ".data")})
+            path = self.write_json(name + ".json", settings)
+            process = self.add_process(name, [self.program_path("dandelionslip-control"),
+                                              "--config=" + path])
+            first = Process(name, process.arguments + (["--bootstrap"] if i < voters else []),
+                            self.folder)
+            first.start()
+            process.child = first.child
+            names.append(name)
+        return names
+
     def start_balancers(self):
         for i, data_centre in enumerate(self.data_centres):
             name = f"balancer-{i + 1}"
@@ -184,10 +205,10 @@
         content.update(changes)
         return self.write_json(f"{service['name']}.service.json", content)
 
-    def ctl(self, *arguments, check=True, timeout_ms=10000):
+    def ctl(self, *arguments, check=True, timeout_ms=10000, control=None):
         command = [self.program_path("dandelionslipctl"), *arguments]
         if arguments[0] != "validate":
-            command += ["--control=" + ",".join(self.control_endpoints),
+            command += ["--control=" + (control or ",".join(self.control_endpoints)),
                         f"--timeout-ms={timeout_ms}"]
         result = subprocess.run(command, capture_output=True, text=True, timeout=60, check=False)
         if check and result.returncode != 0:
--- a/scripts/demo.py
+++ b/scripts/demo.py
@@ -4,8 +4,10 @@
 """
 
 import argparse
+import json
 import secrets
 import shutil
+import signal
 import sys
 import time
 import uuid
@@ -36,6 +38,7 @@
 #   I9   A process that is restarted as planned stops with exit code 0.
 #   I10  All nodes have a published configuration within IN_FORCE_S; of two publications under one
 #        version the second gets a conflict; a publication that is sent again gets the first answer.
+#   I11  A control replica that is stopped as planned leaves its vote to a learner before it ends.
 #   path The deployment starts, and callers reach their upstreams.
 #   run  The demo itself ends without an error or a timeout.
 
@@ -118,6 +121,43 @@
     return None
 
 
+def control_status(cluster, names):
+    """The states of running replicas of a maintained control group, as they report them."""
+    endpoints = ",".join(f"{NET}.5.{name.rsplit('-', 1)[1]}:7400" for name in names)
+    result = cluster.ctl("status", "--json", check=False, control=endpoints)
+    return list(json.loads(result.stdout).values()) if result.stdout else []
+
+
+def voters_of_leader(cluster, names):
+    """Names of the voters that the leader knows, and the name of the leader or None."""
+    for state in control_status(cluster, names):
+        if state.get("role") == "leader" and state.get("confirmed"):
+            voters = [info["address"] for info in state["members"]["replicas"].values()
+                      if info["voter"]]
+            return sorted("maintained-" + address.split(":")[0].rsplit(".", 1)[1]
+                          for address in voters), state["node"]
+    return [], None
+
+
+def check_control_replacement(cluster, report):
+    """Stops two control replicas right after each other, the leader first, while successors wait."""
+    names = cluster.start_maintained_control(5, 3)
+    wait_for(lambda: len(voters_of_leader(cluster, names)[0]) == 3, "a maintained control group")
+    wait_for(lambda: all(state.get("commit_index", 0) > 0 and len(state["members"]["replicas"]) == 5
+                         for state in control_status(cluster, names)), "two learners")
+    time.sleep(SETTLE_S)
+    voters, first = voters_of_leader(cluster, names)
+    second = next(name for name in voters if name != first)
+    for name in (first, second):
+        cluster.processes[name].send_signal(signal.SIGTERM)
+    codes = [cluster.processes[name].child.wait(timeout=20) for name in (first, second)]
+    left = [name for name in names if name not in (first, second)]
+    voters, _ = voters_of_leader(cluster, left)
+    report.check("I11", f"planned replacement of {first}, which leads, and {second}",
+                 f"voters then: {', '.join(voters) or 'none, no leader'}; exit codes {codes}",
+                 voters == sorted(left) and codes == [0, 0])
+
+
 def forwarded_datagrams(cluster, data_centre):
     """Datagrams that the agents of a data centre have received from balancers."""
     return sum(cluster.metrics(agent["metrics"]).get("dandelionslip_agent_forwards_total", 0)
@@ -298,6 +338,7 @@
     check_requests(cluster, report)
     check_upstreams(cluster, report)
     check_answers_of_other_services(cluster, report)
+    check_control_replacement(cluster, report)
 
 
 def main():
--- a/unittests/Control/ControlCodecTest.cpp
+++ b/unittests/Control/ControlCodecTest.cpp
@@ -3,6 +3,7 @@
 
 #include "dandelionslip/Control/AttachedDigest.h"
 #include "dandelionslip/Control/JoinRequest.h"
+#include "dandelionslip/Control/LeaveRequest.h"
 #include "dandelionslip/Control/MembershipCore.h"
 #include "dandelionslip/Model/NodeState.h"
 #include "dandelionslip/Support/Random.h"
@@ -74,6 +75,7 @@
   CPPUNIT_TEST(DamagedSnapshotsAreHandled);
   CPPUNIT_TEST(OversizedMessagesAreRefused);
   CPPUNIT_TEST(JoinRequestsNeedAnAddressThatNodesCanUse);
+  CPPUNIT_TEST(LeaveRequestsAndAnswersKeepTheirValues);
   CPPUNIT_TEST(OneInvalidAnnouncementDoesNotRefuseTheSummary);
   CPPUNIT_TEST_SUITE_END();
 
@@ -254,6 +256,19 @@
     CPPUNIT_ASSERT(limit(DecodeViewUpdate(ToCbor(update), "test")));
   }
 
+  // Guards against a stopping replica that does not understand the leader or the reverse.
+  void LeaveRequestsAndAnswersKeepTheirValues()
+  {
+    Random random(1);
+    const LeaveRequest request{NewReplicaId(random), {7, -5}};
+    CPPUNIT_ASSERT(FromCbor<LeaveRequest>(ToCbor(request), "test").value() == request);
+    for (const auto& [state, name] : EnumNames(LeaveState{})) {
+      const LeaveAnswer answer{state};
+      CPPUNIT_ASSERT(FromCbor<LeaveAnswer>(ToCbor(answer), "test").value() == answer);
+    }
+    CPPUNIT_ASSERT(!FromCbor<LeaveAnswer>(ToCbor(request), "test"));
+  }
+
   // Guards against a replica list that no node can use, which ended the nodes that read it.
   void JoinRequestsNeedAnAddressThatNodesCanUse()
   {
--- a/unittests/Control/RaftCoreTest.cpp
+++ b/unittests/Control/RaftCoreTest.cpp
@@ -36,6 +36,8 @@
   CPPUNIT_TEST(ReplicaWithEmptyLogGrantsNoVote);
   CPPUNIT_TEST(LearnerVotesBeforeItKnowsItsPromotion);
   CPPUNIT_TEST(LeadershipTransferNeedsNoElectionTimeout);
+  CPPUNIT_TEST(LeadershipGoesToAReplicaThatStays);
+  CPPUNIT_TEST(DemotedVoterKeepsItsDataAndCanBePromotedAgain);
   CPPUNIT_TEST(DelayedAppendDoesNotConfirm);
   CPPUNIT_TEST_SUITE_END();
 
@@ -574,6 +576,61 @@
     AwaitConverged(cluster);
   }
 
+  // Guards against replicas that are all told to stop and pass leadership to each other.
+  void LeadershipGoesToAReplicaThatStays()
+  {
+    for (std::uint64_t seed = 1; seed <= 5; ++seed) {
+      SimulatedCluster cluster(5, 5, seed);
+      const std::size_t old = cluster.AwaitLeader();
+      CommitSome(cluster);
+      AwaitConverged(cluster);
+      const std::size_t staying = (old + seed % 4 + 1) % 5;
+      std::vector<ReplicaId> stopping;
+      for (std::size_t i = 0; i < cluster.Size(); ++i) {
+        if (i != staying) {
+          stopping.push_back(cluster.At(i).Id());
+        }
+      }
+      CPPUNIT_ASSERT(cluster.At(old).Transfer(cluster.Now(), {}, stopping));
+      CPPUNIT_ASSERT(cluster.RunUntil([&] { return cluster.Leader() == &cluster.At(staying); },
+                                      Milliseconds(100)));
+      stopping.push_back(cluster.At(staying).Id());
+      CommitSome(cluster);
+      CPPUNIT_ASSERT(cluster.At(staying).Transfer(cluster.Now(), {}, stopping));
+    }
+  }
+
+  // Guards against a demoted voter that still counts for the quorum or starts elections, loses its
+  // log or identity, or cannot get its vote back; and against a leader that demotes itself.
+  void DemotedVoterKeepsItsDataAndCanBePromotedAgain()
+  {
+    SimulatedCluster cluster(3, 3, 16);
+    CommitSome(cluster);
+    const std::size_t leader = cluster.AwaitLeader();
+    const ReplicaId id = cluster.At((leader + 1) % 3).Id();
+    const RaftMembershipChange self{RaftMembershipChangeKind::Demote, cluster.At(leader).Id(), ""};
+    CPPUNIT_ASSERT(cluster.At(leader).Change(cluster.Now(), self).error().mCode ==
+                   ErrorCode::InvalidInput);
+    CPPUNIT_ASSERT(Change(cluster, RaftMembershipChangeKind::Demote, id));
+    AwaitConverged(cluster);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, cluster.At(leader).Core().Members().VoterCount());
+    const RaftMembershipChange again{RaftMembershipChangeKind::Demote, id, ""};
+    CPPUNIT_ASSERT(cluster.Leader()->Change(cluster.Now(), again).error().mCode ==
+                   ErrorCode::InvalidInput);
+    cluster.At((leader + 1) % 3).Crash();
+    CommitSome(cluster);
+    CPPUNIT_ASSERT(cluster.At((leader + 1) % 3).Start(cluster.Now()));
+    cluster.Isolate((leader + 1) % 3);
+    cluster.RunFor(Milliseconds(3'000));
+    CPPUNIT_ASSERT(cluster.At((leader + 1) % 3).Core().Role() == RaftRole::Follower);
+    cluster.Heal();
+    AwaitConverged(cluster);
+    cluster.RunFor(Milliseconds(200));
+    CPPUNIT_ASSERT(Change(cluster, RaftMembershipChangeKind::Promote, id));
+    AwaitConverged(cluster);
+    CheckHistory(cluster);
+  }
+
   // Guards against a replica that takes a long-delayed append message for proof of a recent quorum
   // contact.
   void DelayedAppendDoesNotConfirm()
--- a/unittests/Control/ReplicaRepairPlannerTest.cpp
+++ b/unittests/Control/ReplicaRepairPlannerTest.cpp
@@ -10,6 +10,7 @@
 namespace {
 
 constexpr TimePoint kStart{std::chrono::seconds(100)};
+constexpr Term kTerm = 7;
 
 class ReplicaRepairPlannerTest : public CppUnit::TestFixture
 {
@@ -21,11 +22,20 @@
   CPPUNIT_TEST(RestartedVoterIsNotReplaced);
   CPPUNIT_TEST(VotersNeverFallBelowTheTarget);
   CPPUNIT_TEST(NewLeaderWaitsBeforeItReplacesAVoter);
+  CPPUNIT_TEST(LeavingVoterIsReplacedAndStaysALearner);
+  CPPUNIT_TEST(LeavingReplicasGetNoVote);
+  CPPUNIT_TEST(LateLeaveRequestsAreRefused);
+  CPPUNIT_TEST(ReplicaThatCameBackIsNotReplaced);
+  CPPUNIT_TEST(LeaveRequestsOfAnEarlierLeadershipDoNotCount);
+  CPPUNIT_TEST(GoneVoterIsReplacedBeforeALeavingOne);
+  CPPUNIT_TEST(LeavingVoterLearnsWhetherItHasASuccessor);
+  CPPUNIT_TEST(NewLeaderDeniesNoSuccessorThatMayStillAsk);
   CPPUNIT_TEST_SUITE_END();
 
   ReplicaRepairPlanner mPlanner{ReplicaRepairSettings{}};
   RaftMembership mMembers;
   std::map<ReplicaId, LogIndex> mMatchIndexes;
+  bool mCommitted = true;
   TimePoint mNow = kStart;
 
   static std::string AddressOf(const ReplicaId& aId) { return "10.0.0." + aId + ":7720"; }
@@ -52,10 +62,23 @@
     }
   }
 
-  std::optional<RaftMembershipChange> Next()
+  ReplicaGroup Group()
   {
-    return mPlanner.Next(
-      {mMembers, "1", 10, [this](const ReplicaId& aId) { return mMatchIndexes[aId]; }}, mNow);
+    return {.mMembers = mMembers,
+            .mSelf = "1",
+            .mTerm = kTerm,
+            .mMembersCommitted = mCommitted,
+            .mCommitIndex = 10,
+            .mMatchIndexOf = [this](const ReplicaId& aId) { return mMatchIndexes[aId]; }};
+  }
+
+  std::optional<RaftMembershipChange> Next() { return mPlanner.Next(Group(), mNow); }
+
+  // A leave request that answers a message of the leader of this age.
+  LeaveState Leave(const ReplicaId& aId, Milliseconds aAge = Milliseconds{50}, Term aTerm = kTerm)
+  {
+    const TimePoint sent = mNow - aAge;
+    return mPlanner.OnLeaveRequest({aId, {aTerm, sent.time_since_epoch().count()}}, Group(), mNow);
   }
 
   // Applies the next change and returns it as text; empty when there is none.
@@ -77,6 +100,9 @@
         mMembers.mReplicas.erase(change->mReplica);
         mMembers.mRemoved.push_back(change->mReplica);
         return "remove " + change->mReplica;
+      case RaftMembershipChangeKind::Demote:
+        mMembers.mReplicas[change->mReplica].mVoter = false;
+        return "demote " + change->mReplica;
     }
     return "";
   }
@@ -169,7 +195,127 @@
     mNow += Milliseconds{60'000};
     mPlanner.OnBecameLeader(mNow);
     mPlanner.OnMessageFrom("6", mNow);
+    mPlanner.OnJoinRequest("6", AddressOf("6"), mNow);
+    AssertStep("");
+  }
+
+  void AddFiveVotersAndALearner()
+  {
+    AddVoters({"1", "2", "3", "4", "5"});
+    mMembers.mReplicas["6"] = {AddressOf("6"), false, 0};
+    mMatchIndexes["6"] = 10;
+    Advance(Milliseconds{1'000});
+  }
+
+  void AssertLeave(LeaveState aExpected, LeaveState aFound)
+  {
+    CPPUNIT_ASSERT_EQUAL(ToJson(aExpected).dump(), ToJson(aFound).dump());
+  }
+
+  // Guards against a group that keeps the vote of a stopped replica until the replica has been
+  // silent for long, and against a stopped replica that loses its identity.
+  void LeavingVoterIsReplacedAndStaysALearner()
+  {
+    AddFiveVotersAndALearner();
+    AssertLeave(LeaveState::Wait, Leave("4"));
+    AssertStep("promote 6");
+    AssertLeave(LeaveState::Wait, Leave("4"));
+    AssertStep("demote 4");
+    AssertStep("");
+    mCommitted = false;
+    AssertLeave(LeaveState::Wait, Leave("4"));
+    mCommitted = true;
+    AssertLeave(LeaveState::Released, Leave("4"));
+  }
+
+  // Guards against the promotion of a replica that is about to end, also by a leader that does not
+  // know of its leave request.
+  void LeavingReplicasGetNoVote()
+  {
+    AddFiveVotersAndALearner();
+    AssertLeave(LeaveState::Released, Leave("6"));
+    AssertLeave(LeaveState::NoSuccessor, Leave("4"));
+    AssertStep("");
+    mNow += Milliseconds{1};
+    mPlanner.OnBecameLeader(mNow);
+    mPlanner.OnMessageFrom("6", mNow);
+    AssertLeave(LeaveState::Wait, Leave("4"));
+    AssertStep("");
+  }
+
+  // Guards against a copy of a leave request that was held up until the replica had come back.
+  void LateLeaveRequestsAreRefused()
+  {
+    AddFiveVotersAndALearner();
+    const Milliseconds limit = ReplicaRepairSettings{}.mLeaveRequestAge;
+    AssertLeave(LeaveState::Refused, Leave("4", limit + Milliseconds{1}));
+    AssertLeave(LeaveState::Refused, Leave("4", Milliseconds{0}, kTerm - 1));
+    AssertStep("");
+    AssertLeave(LeaveState::Wait, Leave("4", limit));
+    AssertStep("promote 6");
+  }
+
+  // Guards against the replacement of a voter that runs again.
+  void ReplicaThatCameBackIsNotReplaced()
+  {
+    AddFiveVotersAndALearner();
+    AssertLeave(LeaveState::Wait, Leave("4"));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, mPlanner.Leaving().size());
+    mPlanner.OnJoinRequest("4", AddressOf("4"), mNow);
+    CPPUNIT_ASSERT(mPlanner.Leaving().empty());
+    AssertStep("");
+  }
+
+  // Guards against a leader that was replaced and leads again, and acts on what was true before.
+  void LeaveRequestsOfAnEarlierLeadershipDoNotCount()
+  {
+    AddFiveVotersAndALearner();
+    AssertLeave(LeaveState::Wait, Leave("4"));
+    mNow += Milliseconds{1};
+    mPlanner.OnBecameLeader(mNow);
+    mPlanner.OnMessageFrom("6", mNow);
+    mPlanner.OnJoinRequest("6", AddressOf("6"), mNow);
+    AssertStep("");
+  }
+
+  // Guards against a successor that goes to a voter which still runs while another one is gone.
+  void GoneVoterIsReplacedBeforeALeavingOne()
+  {
+    AddFiveVotersAndALearner();
+    Advance(Milliseconds{2'500}, {"3"});
+    AssertLeave(LeaveState::Wait, Leave("4"));
+    AssertStep("promote 6");
+    AssertStep("remove 3");
     AssertStep("");
+    AssertLeave(LeaveState::NoSuccessor, Leave("4"));
+  }
+
+  // Guards against a stopping voter that waits in vain, and against one that does not wait for a
+  // successor that is only joining.
+  void LeavingVoterLearnsWhetherItHasASuccessor()
+  {
+    AddVoters({"1", "2", "3", "4", "5"});
+    AssertLeave(LeaveState::NoSuccessor, Leave("4"));
+    mPlanner.OnJoinRequest("6", AddressOf("6"), mNow);
+    AssertLeave(LeaveState::Wait, Leave("4"));
+    AssertStep("add 6");
+    AssertLeave(LeaveState::Wait, Leave("4"));
+    mNow += ReplicaRepairSettings{}.mVoterTimeout;
+    AssertLeave(LeaveState::NoSuccessor, Leave("4"));
+    AssertLeave(LeaveState::Released, Leave("9"));
+  }
+
+  // Guards against a voter that ends with its vote because the leader is new and has not received
+  // the join request of the successor yet.
+  void NewLeaderDeniesNoSuccessorThatMayStillAsk()
+  {
+    AddFiveVotersAndALearner();
+    mPlanner.OnBecameLeader(mNow);
+    mNow += ReplicaRepairSettings{}.mJoinLifetime - Milliseconds{1};
+    mPlanner.OnMessageFrom("6", mNow);
+    AssertLeave(LeaveState::Wait, Leave("4"));
+    mNow += Milliseconds{1};
+    AssertLeave(LeaveState::NoSuccessor, Leave("4"));
   }
 };
 
--- a/unittests/Control/SimulatedReplica.cpp
+++ b/unittests/Control/SimulatedReplica.cpp
@@ -131,10 +131,11 @@
   return proposed;
 }
 
-Status SimulatedReplica::Transfer(TimePoint aNow, const ReplicaId& aTarget)
+Status SimulatedReplica::Transfer(TimePoint aNow, const ReplicaId& aTarget,
+                                  std::span<const ReplicaId> aAvoided)
 {
   RaftActions actions;
-  auto status = mCore->TransferLeadership(aNow, aTarget, actions);
+  auto status = mCore->TransferLeadership(aNow, aTarget, actions, aAvoided);
   Run(aNow, std::move(actions));
   return status;
 }
--- a/unittests/Control/SimulatedReplica.h
+++ b/unittests/Control/SimulatedReplica.h
@@ -52,7 +52,8 @@
   /// Proposes a unique command; its outcome goes to the checker.
   Result<EntryId> Propose(TimePoint aNow, const Bytes& aPayload);
   Result<EntryId> Change(TimePoint aNow, const RaftMembershipChange& aChange);
-  Status Transfer(TimePoint aNow, const ReplicaId& aTarget = {});
+  Status Transfer(TimePoint aNow, const ReplicaId& aTarget = {},
+                  std::span<const ReplicaId> aAvoided = {});
   /// Stores a snapshot of the applied entries and compacts the log.
   void TakeSnapshot();
   /// Index of the last entry that the newest snapshot covers.
--- a/unittests/Control/SupervisedCluster.cpp
+++ b/unittests/Control/SupervisedCluster.cpp
@@ -14,6 +14,8 @@
 constexpr Milliseconds kNonVoterJoinInterval{200};
 constexpr Milliseconds kVoterJoinInterval{800};
 constexpr Milliseconds kSubmitTimeout{900};
+constexpr Milliseconds kDepartureLimit{4'190};
+constexpr Milliseconds kEndDelay{310}; // Minimal election timeout and one heartbeat.
 constexpr Milliseconds kResubmitDelay{40};
 constexpr std::size_t kSeeds = 3;         // In the settings file at first.
 constexpr LogIndex kSnapshotEntries = 25; // Small, so that a run takes and installs snapshots.
@@ -103,10 +105,19 @@
 void SupervisedCluster::RemoveVm(std::size_t aIndex)
 {
   At(aIndex).End();
+  mProcesses[aIndex].mDeparture.reset();
   mProcesses[aIndex].mRunning = false;
   mProcesses[aIndex].mRestartAt = TimePoint::max();
 }
 
+void SupervisedCluster::StopVm(std::size_t aIndex)
+{
+  ReplicaDepartureSettings settings;
+  settings.mLimit = kDepartureLimit;
+  mProcesses[aIndex].mDeparture.emplace(settings, Now());
+  mProcesses[aIndex].mEndAt.reset();
+}
+
 void SupervisedCluster::AddVm(std::size_t aIndex)
 {
   StartWithSeeds(aIndex);
@@ -147,6 +158,21 @@
   }
 }
 
+void SupervisedCluster::LosePowerAndDisks(const std::set<std::size_t>& aLostDisks)
+{
+  for (std::size_t i = 0; i < Size(); ++i) {
+    if (!mProcesses[i].mRunning) {
+      continue;
+    }
+    At(i).Crash();
+    mProcesses[i].mRunning = false;
+    mProcesses[i].mRestartAt = Now() + kRestartDelay;
+    if (aLostDisks.contains(i) && At(i).TakeNewIdentity()) {
+      mIndexes[At(i).Id()] = i;
+    }
+  }
+}
+
 std::optional<std::size_t> SupervisedCluster::Leader()
 {
   const SimulatedReplica* leader = mCluster.Leader();
@@ -199,9 +225,83 @@
   if (process.mRunning) {
     MaybeSnapshot(aIndex);
   }
-  if (process.mRunning && Now() >= process.mJoinAt) {
+  if (process.mRunning) {
+    NoteLeadership(aIndex);
+  }
+  if (process.mRunning && Now() >= process.mMaintainAt) {
+    process.mMaintainAt = Now() + kMaintainInterval;
     Maintain(aIndex);
   }
+  if (process.mRunning && process.mDeparture) {
+    ContinueDeparture(aIndex);
+  }
+}
+
+void SupervisedCluster::NoteLeadership(std::size_t aIndex)
+{
+  Process& process = mProcesses[aIndex];
+  const RaftCore& core = At(aIndex).Core();
+  if (At(aIndex).IsLeader() && process.mLedTerm != core.CurrentTerm()) {
+    process.mLedTerm = core.CurrentTerm();
+    process.mPlanner->OnBecameLeader(Now());
+  }
+}
+
+void SupervisedCluster::ContinueDeparture(std::size_t aIndex)
+{
+  Process& process = mProcesses[aIndex];
+  if (process.mEndAt) {
+    if (Now() >= *process.mEndAt) {
+      RemoveVm(aIndex);
+    }
+    return;
+  }
+  const RaftCore& core = At(aIndex).Core();
+  const auto stamp = core.NewestLeaderStamp();
+  const DepartureView view{At(aIndex).IsLeader(), stamp.has_value(),
+                           core.Members().HasLearnerBesides(At(aIndex).Id())};
+  switch (process.mDeparture->Next(view, Now())) {
+    case DepartureStep::Wait:
+      break;
+    case DepartureStep::TransferLeadership:
+      static_cast<void>(At(aIndex).Transfer(Now(), {}, process.mPlanner->Leaving()).has_value());
+      break;
+    case DepartureStep::AskLeader:
+      SendLeave(aIndex, *stamp);
+      break;
+    case DepartureStep::End:
+      static_cast<void>(At(aIndex).Transfer(Now(), {}, process.mPlanner->Leaving()).has_value());
+      process.mEndAt = Now() + kEndDelay;
+      break;
+  }
+}
+
+void SupervisedCluster::SendLeave(std::size_t aIndex, const LeaderStamp& aStamp)
+{
+  const auto leaderId = At(aIndex).Core().Leader();
+  const auto leader = leaderId ? IndexOf(*leaderId) : std::nullopt;
+  if (!leader || !At(*leader).Running() || mIsolated.contains(*leader) ||
+      mIsolated.contains(aIndex)) {
+    return;
+  }
+  LeaveAnswer answer;
+  if (At(*leader).IsLeader()) {
+    const RaftMembership members = MembersOf(*leader);
+    answer.mState = mProcesses[*leader].mPlanner->OnLeaveRequest({At(aIndex).Id(), aStamp},
+                                                                 GroupOf(*leader, members), Now());
+  }
+  mProcesses[aIndex].mDeparture->OnAnswer(answer.mState);
+}
+
+ReplicaGroup SupervisedCluster::GroupOf(std::size_t aIndex, const RaftMembership& aMembers)
+{
+  const RaftCore& core = At(aIndex).Core();
+  return {.mMembers = aMembers,
+          .mSelf = At(aIndex).Id(),
+          .mTerm = core.CurrentTerm(),
+          .mMembersCommitted = core.CommittedMembers() == core.Members(),
+          .mCommitIndex = core.CommitIndex(),
+          .mMatchIndexOf = [&core](const ReplicaId& aId) { return core.MatchIndexOf(aId); }};
 }
 
 void SupervisedCluster::OnEnded(std::size_t aIndex)
@@ -231,6 +331,8 @@
   Process& process = mProcesses[aIndex];
   process.mPlanner.emplace(RepairSettings(mVoters));
   process.mLedTerm = 0;
+  process.mDeparture.reset();
+  process.mMaintainAt = Now();
   process.mJoinAt = Now();
   process.mRunning = At(aIndex).Start(Now());
   if (process.mRunning) {
@@ -249,24 +351,15 @@
   Process& process = mProcesses[aIndex];
   SimulatedReplica& replica = At(aIndex);
   if (!replica.IsLeader()) {
-    process.mJoinAt =
-      Now() +
-      (replica.Core().Members().IsVoter(replica.Id()) ? kVoterJoinInterval : kNonVoterJoinInterval);
-    SendJoin(aIndex);
+    if (!process.mDeparture && Now() >= process.mJoinAt) {
+      const bool voter = replica.Core().Members().IsVoter(replica.Id());
+      process.mJoinAt = Now() + (voter ? kVoterJoinInterval : kNonVoterJoinInterval);
+      SendJoin(aIndex);
+    }
     return;
   }
-  process.mJoinAt = Now() + kMaintainInterval;
-  const RaftCore& core = replica.Core();
-  if (process.mLedTerm != core.CurrentTerm()) {
-    process.mLedTerm = core.CurrentTerm();
-    process.mPlanner->OnBecameLeader(Now());
-  }
   const RaftMembership members = MembersOf(aIndex);
-  const auto change =
-    process.mPlanner->Next({members, replica.Id(), core.CommitIndex(),
-                            [&core](const ReplicaId& aId) { return core.MatchIndexOf(aId); }},
-                           Now());
-  if (change) {
+  if (const auto change = process.mPlanner->Next(GroupOf(aIndex, members), Now())) {
     // An error means that an earlier change is not committed yet.
     static_cast<void>(replica.Change(Now(), *change).has_value());
   }
--- a/unittests/Control/SupervisedCluster.h
+++ b/unittests/Control/SupervisedCluster.h
@@ -5,9 +5,11 @@
 #include "Control/SimulatedCluster.h"
 
 #include "dandelionslip/Control/JoinEndpoints.h"
+#include "dandelionslip/Control/ReplicaDeparture.h"
 #include "dandelionslip/Control/ReplicaRepairPlanner.h"
 
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -56,7 +58,12 @@
   void WriteSeeds(const std::vector<std::size_t>& aReplicas);
   /// Ends a process; it is started again only by AddVm.
   void RemoveVm(std::size_t aIndex);
-  /// Starts the process on an empty disk, with the seeds of the settings file.
+  /// Tells a process to stop, as SIGTERM does; once it has ended, it is started again only by
+  /// AddVm.
+  void StopVm(std::size_t aIndex);
+  /// Whether the process was told to stop and has not ended yet.
+  bool Stopping(std::size_t aIndex) const { return mProcesses[aIndex].mDeparture.has_value(); }
+  /// Starts the process with its disk, with the seeds of the settings file.
   void AddVm(std::size_t aIndex);
   /// Cuts all connections of a replica until Heal.
   void Isolate(std::size_t aIndex);
@@ -65,6 +72,10 @@
   bool AllVotersRun();
   /// Cuts the power of all replicas at the same time and starts them again.
   void LosePower();
+  /// Cuts the power of all replicas that run, and removes the contents of some disks; all of these
+  /// replicas are started again after a while.
+  void LosePowerAndDisks(const std::set<std::size_t>& aLostDisks);
+  void SetFaults(NetworkFaults aFaults) { mCluster.SetFaults(aFaults); }
 
   SimulatedReplica& At(std::size_t aIndex) { return mCluster.At(aIndex); }
   std::size_t Size() const { return mCluster.Size(); }
@@ -85,10 +96,13 @@
     bool mRunning = true;
     std::size_t mStarts = 1;
     TimePoint mRestartAt;
+    TimePoint mMaintainAt;
     TimePoint mJoinAt;
     Term mLedTerm = 0;
     std::optional<ReplicaRepairPlanner> mPlanner;
     std::optional<JoinEndpoints> mJoinEndpoints;
+    std::optional<ReplicaDeparture> mDeparture;
+    std::optional<TimePoint> mEndAt; ///< After the departure, open requests end until then.
   };
 
   /// One attempt of the operator to have a change acknowledged by one replica.
@@ -111,7 +125,12 @@
   void StartWithSeeds(std::size_t aIndex);
   /// Starts a process, or lets it go on under a new identity.
   void StartProcess(std::size_t aIndex);
+  /// Tells the planner of a replica that has become the leader.
+  void NoteLeadership(std::size_t aIndex);
   void Maintain(std::size_t aIndex);
+  void ContinueDeparture(std::size_t aIndex);
+  void SendLeave(std::size_t aIndex, const LeaderStamp& aStamp);
+  ReplicaGroup GroupOf(std::size_t aIndex, const RaftMembership& aMembers);
   void SendJoin(std::size_t aIndex);
   void ReceiveJoin(std::size_t aIndex, const ReplicaId& aFrom, bool aMayForward);
   void MaybeSnapshot(std::size_t aIndex);
--- a/unittests/Platform/PlatformCodecTest.cpp
+++ b/unittests/Platform/PlatformCodecTest.cpp
@@ -299,6 +299,7 @@
     CPPUNIT_ASSERT(control && CheckSettings(control.value(), "test"));
     CPPUNIT_ASSERT_EQUAL(std::uint32_t{5}, control.value().mTargetVoters);
     CPPUNIT_ASSERT_EQUAL(std::string("10.2.0.1:7720"), control.value().mInitialReplicas.at(1));
+    CPPUNIT_ASSERT(control.value().mStopDeadline == Milliseconds(4'500));
     const auto balancer = BalancerSettingsFrom(File());
     CPPUNIT_ASSERT(balancer && balancer.value().mCallerReceivePort == 8172);
     CPPUNIT_ASSERT_EQUAL(std::string("10.1.0.1:7720"), balancer.value().mDatagramEndpoint);
