Keep what replicas know of silent voters over changes of leader

Cause: only a leader knew when it had last heard from a voter, and it forgot that when it became the leader. A voter was replaced after two seconds of silence towards one leader. With two of five voters gone and packets lost, ten leaders followed each other in nine seconds, and none lasted two.

Change: each replica notes messages of the others in every role, and voters send the join request that they repeat to all members, so a new leader knows who runs. It gives each voter 300 ms to answer it. A replica that heard from nobody for a second forgets what it knew. A voter that was not silent towards this leader for two seconds is demoted, not removed. No message has a new form.

--- a/include/dandelionslip/Control/JoinEndpoints.h
+++ b/include/dandelionslip/Control/JoinEndpoints.h
@@ -33,6 +33,9 @@
 
   /// Where to send a join request: to the leader, or without one (empty) to all seeds and members.
   std::set<std::string> Targets(const std::string& aLeader) const;
+  /// The other members besides the leader, which any of them may follow as the leader. Empty if no
+  /// leader is known: then Targets() names all members.
+  std::set<std::string> Observers(const std::string& aLeader) const;
 
   /// The settings file may change without a signal.
   static constexpr Milliseconds kSeedCheckInterval{2'000};
--- a/include/dandelionslip/Control/ReplicaRepairPlanner.h
+++ b/include/dandelionslip/Control/ReplicaRepairPlanner.h
@@ -19,8 +19,14 @@
   std::size_t mTargetVoters = 5; ///< Twice the number of disks that may be lost at once, plus one.
   /// A voter that sends nothing for longer than this may be replaced by a learner. It must be
   /// longer than a process takes to restart and shorter than the time until the next loss must be
-  /// survived.
+  /// survived. Counts from the last message that this replica received, also as a follower, or from
+  /// the start of its process.
   Milliseconds mVoterTimeout{2'000};
+  /// A new leader gives each voter at least this time to answer it. Several heartbeats.
+  Milliseconds mLeaderObservation{300};
+  /// A replica that received nothing from anybody for longer than this was cut off or stood still,
+  /// and forgets when it heard from the others.
+  Milliseconds mDeafTimeout{1'000};
   Milliseconds mJoinLifetime{2'000}; ///< A join request expires after this time.
   /// A learner that sends nothing for longer than this is removed.
   Milliseconds mLearnerTimeout{30'000};
@@ -54,7 +60,8 @@
   /// A replica asked to join, or repeated its request. A request replaces those of other identities
   /// at the same address.
   void OnJoinRequest(const ReplicaId& aReplica, const std::string& aAddress, TimePoint aNow);
-  /// A message of a replica arrived.
+  /// A message of a replica arrived. Call it in all roles: if leaders follow each other faster than
+  /// mVoterTimeout, none of them alone would find a voter silent.
   void OnMessageFrom(const ReplicaId& aReplica, TimePoint aNow);
   /// A replica that was told to stop asks to be replaced as a voter. Until its next join request,
   /// which only a process that was started again sends, it gets no vote. Returns what it may do.
@@ -62,7 +69,7 @@
                             TimePoint aNow);
   /// The replicas that were told to stop and have not come back, as far as known.
   std::vector<ReplicaId> Leaving() const;
-  /// This replica became the leader. Replicas have the full timeouts from now on to send a message.
+  /// This replica became the leader.
   void OnBecameLeader(TimePoint aNow);
 
   /// The next change to propose, if any. Call it only when the previous change is committed.
@@ -75,7 +82,10 @@
     TimePoint mReceivedAt;
   };
 
-  Milliseconds TimeSinceLastMessage(const ReplicaId& aReplica, TimePoint aNow) const;
+  void NoteGap(TimePoint aNow);
+  Milliseconds SilenceOf(const ReplicaId& aReplica, TimePoint aNow) const;
+  Milliseconds SilenceTowardsLeader(const ReplicaId& aReplica, TimePoint aNow) const;
+  bool IsSilent(const ReplicaId& aReplica, TimePoint aNow) const;
   bool HasJoinRequest(const ReplicaId& aReplica, TimePoint aNow) const;
   bool IsLeaving(const ReplicaId& aReplica) const;
   bool MaySucceed(const ReplicaGroup& aGroup, const ReplicaId& aReplica, TimePoint aNow) const;
@@ -90,6 +100,8 @@
   ReplicaRepairSettings mSettings;
   TimePoint mLeaderSince;
   std::map<ReplicaId, TimePoint> mLastMessage;
+  TimePoint mLastMessageOfAny;
+  TimePoint mListeningSince; ///< This replica has heard from others since then without a long gap.
   std::map<ReplicaId, JoinRecord> mJoining; ///< At most one identity for each address.
   std::map<ReplicaId, TimePoint> mLeaving;  ///< Time of the newest leave request.
 };
--- a/lib/Control/JoinEndpoints.cpp
+++ b/lib/Control/JoinEndpoints.cpp
@@ -53,4 +53,15 @@
   return targets;
 }
 
+std::set<std::string> JoinEndpoints::Observers(const std::string& aLeader) const
+{
+  std::set<std::string> observers;
+  if (!aLeader.empty()) {
+    observers = mMembers;
+    observers.erase(aLeader);
+    observers.erase(mSelf);
+  }
+  return observers;
+}
+
 } // namespace dandelionslip
--- a/lib/Control/ReplicaRepairPlanner.cpp
+++ b/lib/Control/ReplicaRepairPlanner.cpp
@@ -21,6 +21,7 @@
   if (mJoining.size() < mSettings.mMaxReplicas || mJoining.contains(aReplica)) {
     mJoining[aReplica] = {aAddress, aNow};
   }
+  OnMessageFrom(aReplica, aNow);
   mLeaving.erase(aReplica);
 }
 
@@ -65,24 +66,46 @@
 
 void ReplicaRepairPlanner::OnMessageFrom(const ReplicaId& aReplica, TimePoint aNow)
 {
+  NoteGap(aNow);
+  mLastMessageOfAny = aNow;
   mLastMessage[aReplica] = aNow;
 }
 
+void ReplicaRepairPlanner::NoteGap(TimePoint aNow)
+{
+  if (aNow - mLastMessageOfAny > mSettings.mDeafTimeout) {
+    mLastMessage.clear();
+    mListeningSince = aNow;
+  }
+}
+
 void ReplicaRepairPlanner::OnBecameLeader(TimePoint aNow)
 {
+  NoteGap(aNow);
   mLeaderSince = aNow;
-  mLastMessage.clear();
   mJoining.clear();
 }
 
-Milliseconds ReplicaRepairPlanner::TimeSinceLastMessage(const ReplicaId& aReplica,
-                                                        TimePoint aNow) const
+Milliseconds ReplicaRepairPlanner::SilenceOf(const ReplicaId& aReplica, TimePoint aNow) const
 {
   const auto last = mLastMessage.find(aReplica);
-  const TimePoint since = last == mLastMessage.end() ? mLeaderSince : last->second;
+  const TimePoint since = last == mLastMessage.end() ? mListeningSince : last->second;
   return std::chrono::duration_cast<Milliseconds>(aNow - since);
 }
 
+Milliseconds ReplicaRepairPlanner::SilenceTowardsLeader(const ReplicaId& aReplica,
+                                                        TimePoint aNow) const
+{
+  return std::min(SilenceOf(aReplica, aNow),
+                  std::chrono::duration_cast<Milliseconds>(aNow - mLeaderSince));
+}
+
+bool ReplicaRepairPlanner::IsSilent(const ReplicaId& aReplica, TimePoint aNow) const
+{
+  return SilenceOf(aReplica, aNow) > mSettings.mVoterTimeout &&
+         SilenceTowardsLeader(aReplica, aNow) >= mSettings.mLeaderObservation;
+}
+
 bool ReplicaRepairPlanner::HasJoinRequest(const ReplicaId& aReplica, TimePoint aNow) const
 {
   const auto found = mJoining.find(aReplica);
@@ -105,7 +128,7 @@
 {
   const ReplicaInfo* info = aGroup.mMembers.Find(aReplica);
   return info != nullptr && !info->mVoter && HasJoinRequest(aReplica, aNow) &&
-         TimeSinceLastMessage(aReplica, aNow) < mSettings.mVoterTimeout &&
+         SilenceTowardsLeader(aReplica, aNow) < mSettings.mVoterTimeout &&
          !IsSuperseded(aGroup, aReplica, aNow);
 }
 
@@ -132,7 +155,7 @@
 {
   std::optional<ReplicaId> longestIdle;
   std::optional<ReplicaId> firstLeaving;
-  Milliseconds longest = mSettings.mVoterTimeout;
+  Milliseconds longest{0};
   for (const auto& [id, info] : aGroup.mMembers.mReplicas) {
     if (!info.mVoter || id == aGroup.mSelf) {
       continue;
@@ -140,8 +163,8 @@
     if (IsSuperseded(aGroup, id, aNow)) {
       return id;
     }
-    if (const Milliseconds idle = TimeSinceLastMessage(id, aNow); idle > longest) {
-      longest = idle;
+    if (const Milliseconds silence = SilenceOf(id, aNow); IsSilent(id, aNow) && silence > longest) {
+      longest = silence;
       longestIdle = id;
     }
     if (IsLeaving(id) && (!firstLeaving || mLeaving.at(id) < mLeaving.at(*firstLeaving))) {
@@ -189,7 +212,11 @@
 {
   if (aGroup.mMembers.VoterCount() > mSettings.mTargetVoters) {
     if (const auto voter = ReplaceableVoter(aGroup, aNow)) {
-      const bool mayReturn = IsLeaving(*voter) && !IsSuperseded(aGroup, *voter, aNow);
+      // A voter that was not silent towards this leader for the whole time may only be out of
+      // touch with it.
+      const bool mayReturn =
+        !IsSuperseded(aGroup, *voter, aNow) &&
+        (IsLeaving(*voter) || SilenceTowardsLeader(*voter, aNow) <= mSettings.mVoterTimeout);
       return RaftMembershipChange{mayReturn ? RaftMembershipChangeKind::Demote
                                             : RaftMembershipChangeKind::Remove,
                                   *voter,
@@ -198,7 +225,7 @@
   }
   for (const auto& [id, info] : aGroup.mMembers.mReplicas) {
     const bool gone =
-      IsSuperseded(aGroup, id, aNow) || TimeSinceLastMessage(id, aNow) > mSettings.mLearnerTimeout;
+      IsSuperseded(aGroup, id, aNow) || SilenceTowardsLeader(id, aNow) > mSettings.mLearnerTimeout;
     if (!info.mVoter && id != aGroup.mSelf && gone) {
       return RaftMembershipChange{RaftMembershipChangeKind::Remove, id, {}};
     }
--- a/lib/Daemon/ControlDaemon.cpp
+++ b/lib/Daemon/ControlDaemon.cpp
@@ -509,13 +509,27 @@
       ReloadSeeds();
     }
     std::set<std::string> targets;
+    std::set<std::string> observers;
     {
       const std::lock_guard lock(mMutex);
       mJoinEndpoints.OnMembers(aMembers);
       targets = mJoinEndpoints.Targets(leader);
+      if (aMembers.IsVoter(mRaft.Self())) {
+        observers = mJoinEndpoints.Observers(leader);
+      }
     }
-    const Bytes body = ToCbor(JoinRequest{mRaft.Self(), mSettings.mEndpoint, false});
-    for (const std::string& endpoint : targets) {
+    JoinRequest request{mRaft.Self(), mSettings.mEndpoint, false};
+    PostJoin(targets, request);
+    // Shows the other members that this voter runs, because one of them may be the next leader.
+    // They do not pass on what is marked as forwarded.
+    request.mForwarded = true;
+    PostJoin(observers, request);
+  }
+
+  void PostJoin(const std::set<std::string>& aEndpoints, const JoinRequest& aRequest)
+  {
+    const Bytes body = ToCbor(aRequest);
+    for (const std::string& endpoint : aEndpoints) {
       mClients.Post(endpoint, "/v1/join", body, kPeerTimeout, [](const auto&) {});
     }
   }
@@ -546,10 +560,16 @@
     if (mRaft.IsLeader()) {
       const std::lock_guard lock(mMutex);
       mRepairPlanner.OnJoinRequest(request.mReplica, request.mAddress, RuntimeClock::now());
-    } else if (const std::string leader = mRaft.LeaderAddress();
-               !request.mForwarded && !leader.empty()) {
-      request.mForwarded = true;
-      mClients.Post(leader, "/v1/join", ToCbor(request), kPeerTimeout, [](const auto&) {});
+    } else {
+      {
+        const std::lock_guard lock(mMutex);
+        mRepairPlanner.OnMessageFrom(request.mReplica, RuntimeClock::now());
+      }
+      if (const std::string leader = mRaft.LeaderAddress();
+          !request.mForwarded && !leader.empty()) {
+        request.mForwarded = true;
+        mClients.Post(leader, "/v1/join", ToCbor(request), kPeerTimeout, [](const auto&) {});
+      }
     }
     aExchange->Respond({});
   }
--- a/unittests/Control/ReplicaRepairPlannerTest.cpp
+++ b/unittests/Control/ReplicaRepairPlannerTest.cpp
@@ -30,6 +30,11 @@
   CPPUNIT_TEST(GoneVoterIsReplacedBeforeALeavingOne);
   CPPUNIT_TEST(LeavingVoterLearnsWhetherItHasASuccessor);
   CPPUNIT_TEST(NewLeaderDeniesNoSuccessorThatMayStillAsk);
+  CPPUNIT_TEST(SilenceCountsAcrossLeaders);
+  CPPUNIT_TEST(VoterThatWasNeverHeardIsSilent);
+  CPPUNIT_TEST(ReplicaThatWasCutOffForgetsWhenItHeardFromOthers);
+  CPPUNIT_TEST(ShortGapIsNoAbsence);
+  CPPUNIT_TEST(NewLeaderKeepsLearnersThatItHasNotHeardFrom);
   CPPUNIT_TEST_SUITE_END();
 
   ReplicaRepairPlanner mPlanner{ReplicaRepairSettings{}};
@@ -199,6 +204,21 @@
     AssertStep("");
   }
 
+  // Guards against a successor that just got its vote, leads, and finds no voter silent because it
+  // has never heard from those that were lost before it started.
+  void VoterThatWasNeverHeardIsSilent()
+  {
+    AddVoters({"1", "2", "3", "4", "5"});
+    mMembers.mReplicas["6"] = {AddressOf("6"), false, 0};
+    mMatchIndexes["6"] = 10;
+    const ReplicaRepairSettings settings;
+    Advance(settings.mVoterTimeout, {"4"});
+    mPlanner.OnBecameLeader(mNow);
+    Advance(settings.mLeaderObservation, {"4"});
+    AssertStep("promote 6");
+    AssertStep("demote 4");
+  }
+
   void AddFiveVotersAndALearner()
   {
     AddVoters({"1", "2", "3", "4", "5"});
@@ -317,6 +337,68 @@
     mNow += Milliseconds{1};
     AssertLeave(LeaveState::NoSuccessor, Leave("4"));
   }
+
+  // Guards against a lost voter that is never replaced, because each leader waits anew for its
+  // messages and none leads for long (review/11). The voter may only be out of touch with this
+  // leader, so it keeps its log.
+  void SilenceCountsAcrossLeaders()
+  {
+    AddFiveVotersAndALearner();
+    const ReplicaRepairSettings settings;
+    Advance(settings.mVoterTimeout, {"4"});
+    mPlanner.OnBecameLeader(mNow);
+    const Milliseconds almost = settings.mLeaderObservation - Milliseconds{100};
+    Advance(almost, {"4"});
+    mNow += Milliseconds{99};
+    AssertStep("");
+    mNow += Milliseconds{1};
+    AssertStep("promote 6");
+    AssertStep("demote 4");
+    AssertStep("");
+  }
+
+  // Guards against a leader that stood still or was cut off before, and takes its own absence for
+  // the silence of others.
+  void ReplicaThatWasCutOffForgetsWhenItHeardFromOthers()
+  {
+    AddFiveVotersAndALearner();
+    const ReplicaRepairSettings settings;
+    mNow += settings.mDeafTimeout + Milliseconds{1};
+    Advance(Milliseconds{1'000}, {"4"});
+    mPlanner.OnBecameLeader(mNow);
+    // The first message after the gap came 100 ms after its start.
+    Advance(settings.mVoterTimeout - Milliseconds{900}, {"4"});
+    AssertStep("");
+    Advance(Milliseconds{100}, {"4"});
+    AssertStep("promote 6");
+    AssertStep("demote 4");
+  }
+
+  // Guards against a lost voter whose silence counts anew after each election.
+  void ShortGapIsNoAbsence()
+  {
+    AddFiveVotersAndALearner();
+    const ReplicaRepairSettings settings;
+    mNow += settings.mDeafTimeout - Milliseconds{100};
+    Advance(settings.mVoterTimeout - settings.mDeafTimeout + Milliseconds{100}, {"4"});
+    mPlanner.OnBecameLeader(mNow);
+    Advance(settings.mLeaderObservation, {"4"});
+    AssertStep("promote 6");
+    AssertStep("demote 4");
+  }
+
+  // Guards against a leader that removes live learners, which send nothing to followers.
+  void NewLeaderKeepsLearnersThatItHasNotHeardFrom()
+  {
+    AddFiveVotersAndALearner();
+    const Milliseconds limit = ReplicaRepairSettings{}.mLearnerTimeout;
+    Advance(limit, {"6"});
+    mPlanner.OnBecameLeader(mNow);
+    Advance(limit, {"6"});
+    AssertStep("");
+    Advance(Milliseconds{100}, {"6"});
+    AssertStep("remove 6");
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(ReplicaRepairPlannerTest);
--- a/unittests/Control/SupervisedCluster.cpp
+++ b/unittests/Control/SupervisedCluster.cpp
@@ -374,11 +374,17 @@
   }
   endpoints.OnMembers(MembersOf(aIndex));
   // The leader's address counts: another identity may answer there now.
-  const auto targets = endpoints.Targets(leader ? AddressOf(*leader) : "");
+  const std::string leaderAddress = leader ? AddressOf(*leader) : "";
+  const auto targets = endpoints.Targets(leaderAddress);
+  const auto observers = MembersOf(aIndex).IsVoter(At(aIndex).Id())
+                           ? endpoints.Observers(leaderAddress)
+                           : std::set<std::string>();
   for (std::size_t i = 0; i < Size(); ++i) {
     const bool cut = mIsolated.contains(i) || mIsolated.contains(aIndex);
-    if (targets.contains(Address(i)) && At(i).Running() && !cut) {
+    if (At(i).Running() && !cut && targets.contains(Address(i))) {
       ReceiveJoin(i, At(aIndex).Id(), true);
+    } else if (At(i).Running() && !cut && observers.contains(Address(i))) {
+      ReceiveJoin(i, At(aIndex).Id(), false);
     }
   }
 }
@@ -389,7 +395,10 @@
   const auto leader = At(aIndex).Core().Leader();
   if (At(aIndex).IsLeader()) {
     mProcesses[aIndex].mPlanner->OnJoinRequest(aFrom, AddressOf(aFrom), Now());
-  } else if (aMayForward && leader && At(mIndexes.at(*leader)).Running() &&
+    return;
+  }
+  mProcesses[aIndex].mPlanner->OnMessageFrom(aFrom, Now());
+  if (aMayForward && leader && At(mIndexes.at(*leader)).Running() &&
              !mIsolated.contains(mIndexes.at(*leader))) {
     ReceiveJoin(mIndexes.at(*leader), aFrom, false);
   }
