Bound what a control replica remembers of replaced replicas

Beyond twice the largest group, those that were silent for as long as a learner may be are forgotten; a voter among them counts as never heard, which is not shorter.

--- a/include/dandelionslip/Control/ReplicaRepairPlanner.h
+++ b/include/dandelionslip/Control/ReplicaRepairPlanner.h
@@ -51,7 +51,7 @@
 /// address; it is promoted before the old identity is removed, so that at no time fewer disks hold
 /// a committed entry. A voter that is told to stop is replaced before it ends, if a learner can
 /// take over its vote. It stays in the group as a learner, because it may come back with its data.
-/// Used by the leader only. Not thread-safe.
+/// Every replica notes what it hears; only the leader asks for plans. Not thread-safe.
 class ReplicaRepairPlanner
 {
 public:
--- a/lib/Control/ReplicaRepairPlanner.cpp
+++ b/lib/Control/ReplicaRepairPlanner.cpp
@@ -38,6 +38,8 @@
     mJoining.erase(leaving);
     return LeaveState::Released;
   }
+  std::erase_if(mLeaving,
+                [&](const auto& aItem) { return aGroup.mMembers.Find(aItem.first) == nullptr; });
   mLeaving[leaving] = aNow;
   mJoining.erase(leaving);
   if (!info->mVoter) {
@@ -68,6 +70,12 @@
 {
   NoteGap(aNow);
   mLastMessageOfAny = aNow;
+  if (mLastMessage.size() >= 2 * mSettings.mMaxReplicas) {
+    // Identities of replicas that were replaced. A forgotten voter counts as never heard.
+    std::erase_if(mLastMessage, [&](const auto& aItem) {
+      return aNow - aItem.second > mSettings.mLearnerTimeout;
+    });
+  }
   mLastMessage[aReplica] = aNow;
 }
 
--- a/unittests/Control/ReplicaRepairPlannerTest.cpp
+++ b/unittests/Control/ReplicaRepairPlannerTest.cpp
@@ -34,6 +34,7 @@
   CPPUNIT_TEST(VoterThatWasNeverHeardIsSilent);
   CPPUNIT_TEST(ReplicaThatWasCutOffForgetsWhenItHeardFromOthers);
   CPPUNIT_TEST(ShortGapIsNoAbsence);
+  CPPUNIT_TEST(LostVoterStaysSilentAmongManyIdentities);
   CPPUNIT_TEST(NewLeaderKeepsLearnersThatItHasNotHeardFrom);
   CPPUNIT_TEST_SUITE_END();
 
@@ -387,6 +388,20 @@
     AssertStep("demote 4");
   }
 
+  // Guards against a lost voter that counts as present again because it was forgotten in favour of
+  // the many identities that were seen since.
+  void LostVoterStaysSilentAmongManyIdentities()
+  {
+    AddFiveVotersAndALearner();
+    const ReplicaRepairSettings settings;
+    Advance(settings.mLearnerTimeout + Milliseconds{100}, {"4"});
+    for (std::size_t i = 0; i < 3 * settings.mMaxReplicas; ++i) {
+      mPlanner.OnMessageFrom("replaced-" + std::to_string(i), mNow);
+    }
+    AssertStep("promote 6");
+    AssertStep("remove 4");
+  }
+
   // Guards against a leader that removes live learners, which send nothing to followers.
   void NewLeaderKeepsLearnersThatItHasNotHeardFrom()
   {
