Test departures that do not fit their successors; format a test

PlannedDepartureTest gets three schedules: more departures than successors, a successor that has just started, and a departure while another voter is cut off.

--- a/unittests/Control/PlannedDepartureTest.cpp
+++ b/unittests/Control/PlannedDepartureTest.cpp
@@ -34,6 +34,9 @@
   CPPUNIT_TEST(PacketLossLeavesNoVoteBehind);
   CPPUNIT_TEST(RestartsInTurnBesideASuccessorKeepVotersAndIdentities);
   CPPUNIT_TEST(DeparturesWithoutASuccessorEndSoon);
+  CPPUNIT_TEST(DeparturesBeyondTheSuccessorsLeaveAQuorum);
+  CPPUNIT_TEST(SuccessorThatHasJustStartedGetsTheVoteInTime);
+  CPPUNIT_TEST(DepartureBesideACutOffVoterLeavesNoVoteBehind);
   CPPUNIT_TEST_SUITE_END();
 
   // A group whose successors have just had the time to catch up, with an operator at work.
@@ -226,6 +229,70 @@
       }
     }
   }
+
+  // Guards against replicas that wait for a successor which another one gets, and against a group
+  // that loses its quorum with them.
+  void DeparturesBeyondTheSuccessorsLeaveAQuorum()
+  {
+    for (std::uint64_t seed = 1; seed <= SeedCount(); ++seed) {
+      Group group(1, seed);
+      const auto departures = group.Departures(3);
+      for (const std::size_t index : departures) {
+        group.mCluster.StopVm(index);
+        group.mCluster.RunFor(kStep * group.mRandom.Below(50));
+      }
+      group.AwaitEnd(departures);
+      group.mCluster.RunFor(Milliseconds{1'000});
+      CPPUNIT_ASSERT_MESSAGE(group.Describe(), group.mCluster.Leader().has_value());
+      for (const std::size_t index : departures) {
+        group.mCluster.AddVm(index);
+      }
+      group.mCluster.RunFor(kCatchUp);
+      CPPUNIT_ASSERT_MESSAGE(group.Describe(), group.mCluster.AllVotersRun());
+      group.LoseTwoDisks();
+      group.AssertRecovers();
+    }
+  }
+
+  // Guards against a vote that stays behind because the successor had just started when the replica
+  // was told to stop. The successor has its time to catch up.
+  void SuccessorThatHasJustStartedGetsTheVoteInTime()
+  {
+    for (std::uint64_t seed = 1; seed <= SeedCount(); ++seed) {
+      const Milliseconds age = Milliseconds{50} + kStep * (seed % 30);
+      Group group(1, seed, age);
+      const TimePoint caughtUp = group.mCluster.Now() - age + kCatchUp;
+      const auto departures = group.Departures(1);
+      group.mCluster.StopVm(departures.front());
+      group.AwaitEnd(departures);
+      group.mCluster.RunFor(
+        std::chrono::duration_cast<Milliseconds>(caughtUp - group.mCluster.Now()));
+      CPPUNIT_ASSERT_MESSAGE(group.Describe(), group.mCluster.AllVotersRun());
+      group.LoseTwoDisks();
+      group.AssertRecovers();
+    }
+  }
+
+  // Guards against a planned stop that takes the only successor from a voter that is gone, or waits
+  // for it.
+  void DepartureBesideACutOffVoterLeavesNoVoteBehind()
+  {
+    for (std::uint64_t seed = 1; seed <= SeedCount(); ++seed) {
+      Group group(2, seed);
+      const auto chosen = group.Departures(2);
+      group.mCluster.Isolate(chosen.front());
+      group.mCluster.RunFor(kStep * group.mRandom.Below(300));
+      group.mCluster.StopVm(chosen.back());
+      group.AwaitEnd({chosen.back()});
+      // Until then one machine is lost for catch_up_s.
+      group.mCluster.RunFor(kCatchUp);
+      group.mCluster.Heal();
+      group.mCluster.RunFor(kCatchUp);
+      CPPUNIT_ASSERT_MESSAGE(group.Describe(), group.mCluster.AllVotersRun());
+      group.LoseTwoDisks();
+      group.AssertRecovers();
+    }
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(PlannedDepartureTest);
--- a/unittests/Control/SupervisedCluster.cpp
+++ b/unittests/Control/SupervisedCluster.cpp
@@ -399,7 +399,7 @@
   }
   mProcesses[aIndex].mPlanner->OnMessageFrom(aFrom, Now());
   if (aMayForward && leader && At(mIndexes.at(*leader)).Running() &&
-             !mIsolated.contains(mIndexes.at(*leader))) {
+      !mIsolated.contains(mIndexes.at(*leader))) {
     ReceiveJoin(mIndexes.at(*leader), aFrom, false);
   }
 }
